Serve the operator's routes on the platform's store: a thin path

Cause: the daemon knew routes, configuration and endpoints only from its own log, host list and weight store; on the platform it answered each request 404. Ruled out: teaching the entry the operator's routes; the entry speaks the OpenAI interface and its callers, keys and limits have no part here. Before: nothing served.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -45,7 +45,7 @@
 	cmd.Flags().StringVar(&file, "settings", "peridotmountd.ini", "the settings file")
 	cmd.Flags().StringArrayVar(&set, "set", nil, "override a setting: section.key=value (repeatable)")
 	cmd.Flags().BoolVar(&checkOnly, "check-settings", false, "check the settings and exit")
-	cmd.AddCommand(newReference())
+	cmd.AddCommand(newReference(), newRoutes())
 	return cmd
 }
 
--- /dev/null
+++ b/endpoint/table.go
@@ -0,0 +1,158 @@
+package endpoint
+
+import (
+	"sort"
+	"time"
+)
+
+// LapseGrace is how long after the return of the store a missing entry is still
+// believed: entries that lapsed during the outage are written again within two
+// seconds.
+const LapseGrace = 2200 * time.Millisecond
+
+// lapseOutage is the shortest outage in which an entry can lapse unseen: an
+// entry lives for three heartbeats of about a second.
+const lapseOutage = time.Second
+
+// Table is what a host knows of the endpoints. It is a deterministic state
+// machine without a clock; it is not safe for concurrent use.
+//
+// Invariant: an endpoint leaves the table only by its own word, by a record
+// that removes it, or by being absent from a complete listing; while entries may
+// have lapsed with the store, only by its own word.
+type Table struct {
+	entries map[string]*entry
+	// lost is when the store went away, zero while it is reached.
+	lost time.Time
+	// graceUntil is until when missing entries are believed.
+	graceUntil time.Time
+}
+
+// entry is an endpoint and the offset of the record that named it.
+type entry struct {
+	endpoint Endpoint
+	offset   int64
+	// missing tells that the entry is gone from the store, but still believed.
+	missing bool
+}
+
+// Change tells what became of one endpoint; Before or After is nil if the
+// endpoint is new or gone.
+type Change struct {
+	Before, After *Endpoint
+	// Reason names what caused the change.
+	Reason Reason
+}
+
+// Reason is the cause of a change.
+type Reason string
+
+// Causes of changes.
+const (
+	ReasonRecord  Reason = "record"
+	ReasonRemoved Reason = "removed"
+	ReasonAbsent  Reason = "absent from the listing"
+	ReasonLapsed  Reason = "not back after an outage of the store"
+)
+
+// NewTable returns an empty Table.
+func NewTable() *Table {
+	return &Table{entries: make(map[string]*entry)}
+}
+
+// Put applies an endpoint's record.
+func (t *Table) Put(offset int64, e Endpoint) []Change {
+	old := t.entries[e.ID]
+	if old != nil && offset <= old.offset {
+		return nil
+	}
+	t.entries[e.ID] = &entry{endpoint: e, offset: offset}
+	if old == nil {
+		return []Change{{After: &e, Reason: ReasonRecord}}
+	}
+	if old.endpoint.same(&e) {
+		return nil
+	}
+	return []Change{{Before: &old.endpoint, After: &e, Reason: ReasonRecord}}
+}
+
+// Remove applies a record that removes an id, or one that can't be read.
+func (t *Table) Remove(now time.Time, offset int64, id string) []Change {
+	old := t.entries[id]
+	if old == nil || offset <= old.offset {
+		return nil
+	}
+	if t.believes(now) {
+		old.missing = true
+		old.offset = offset
+		return nil
+	}
+	delete(t.entries, id)
+	return []Change{{Before: &old.endpoint, Reason: ReasonRemoved}}
+}
+
+// Absent applies a complete listing: the endpoints it does not hold are gone,
+// unless their record is newer than end, the offset at which it began.
+func (t *Table) Absent(now time.Time, end int64, listed func(id string) bool) []Change {
+	var out []Change
+	for id, old := range t.entries {
+		if listed(id) || old.offset >= end {
+			continue
+		}
+		if t.believes(now) {
+			old.missing = true
+			continue
+		}
+		delete(t.entries, id)
+		out = append(out, Change{Before: &old.endpoint, Reason: ReasonAbsent})
+	}
+	return out
+}
+
+// Lost notes that the store can't be reached.
+func (t *Table) Lost(now time.Time) {
+	if t.lost.IsZero() {
+		t.lost = now
+	}
+}
+
+// Regained notes that the store is reached again.
+func (t *Table) Regained(now time.Time) {
+	if t.lost.IsZero() {
+		return
+	}
+	if now.Sub(t.lost) >= lapseOutage {
+		t.graceUntil = now.Add(LapseGrace)
+	}
+	t.lost = time.Time{}
+}
+
+// Tick drops the endpoints that are still missing when their grace is over.
+func (t *Table) Tick(now time.Time) []Change {
+	if t.believes(now) {
+		return nil
+	}
+	var out []Change
+	for id, old := range t.entries {
+		if old.missing {
+			delete(t.entries, id)
+			out = append(out, Change{Before: &old.endpoint, Reason: ReasonLapsed})
+		}
+	}
+	return out
+}
+
+// believes reports whether a missing entry may just have lapsed.
+func (t *Table) believes(now time.Time) bool {
+	return !t.lost.IsZero() || now.Before(t.graceUntil)
+}
+
+// Endpoints returns all endpoints by id.
+func (t *Table) Endpoints() []Endpoint {
+	out := make([]Endpoint, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, e.endpoint)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/endpoint/view.go
@@ -0,0 +1,35 @@
+package endpoint
+
+// View is an immutable picture of a Table.
+type View struct {
+	byService map[string][]*Endpoint
+	byID      map[string]*Endpoint
+}
+
+// NewView returns a View of endpoints.
+func NewView(endpoints []Endpoint) *View {
+	v := &View{byService: make(map[string][]*Endpoint), byID: make(map[string]*Endpoint, len(endpoints))}
+	for i := range endpoints {
+		e := &endpoints[i]
+		v.byID[e.ID] = e
+		if e.State == Ready {
+			v.byService[e.Service] = append(v.byService[e.Service], e)
+		}
+	}
+	return v
+}
+
+// Ready returns the endpoints of a service that take new work.
+func (v *View) Ready(service string) []*Endpoint {
+	return v.byService[service]
+}
+
+// Endpoint returns an endpoint by its id, or nil.
+func (v *View) Endpoint(id string) *Endpoint {
+	return v.byID[id]
+}
+
+// Len returns the number of endpoints.
+func (v *View) Len() int {
+	return len(v.byID)
+}
--- /dev/null
+++ b/follow/follower.go
@@ -0,0 +1,246 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/platform"
+)
+
+// ErrStale means that the store did not confirm the picture.
+var ErrStale = errors.New("the store did not confirm what this host knows")
+
+// Follower follows one partition. It is a suture service; Refresh and Age are
+// safe for concurrent use.
+type Follower struct {
+	opts Options
+
+	// mu guards the position and the calls of the handler.
+	mu       sync.Mutex
+	listed   bool
+	next     int64
+	lost     bool
+	complete time.Time
+
+	// refreshing admits one confirming read at a time.
+	refreshing sync.Mutex
+}
+
+// New returns a Follower.
+func New(o Options) *Follower {
+	return &Follower{opts: o}
+}
+
+// String names the service to its supervisor.
+func (f *Follower) String() string {
+	return "follower of " + f.opts.Topic.Name
+}
+
+// Complete returns the time up to which everything that was written is known,
+// zero if nothing is.
+func (f *Follower) Complete() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.complete
+}
+
+// Serve implements suture.Service.
+func (f *Follower) Serve(ctx context.Context) error {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		began := clock.Now()
+		err := f.step(ctx)
+		pause := f.opts.Pause - clock.Now().Sub(began)
+		if err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			f.noteLost(err)
+			pause = retry/2 + rand.N(retry)
+			retry = min(2*retry, lastRetry)
+		} else {
+			retry = firstRetry
+		}
+		sleep(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// step does one call, or one listing.
+func (f *Follower) step(ctx context.Context) error {
+	f.mu.Lock()
+	listed, next := f.listed, f.next
+	f.mu.Unlock()
+	if !listed {
+		return f.list(ctx)
+	}
+	return f.read(ctx, next, f.opts.Wait)
+}
+
+// Refresh makes sure that everything written before the call is known, or
+// returns ErrStale.
+func (f *Follower) Refresh(ctx context.Context) error {
+	asked := clock.Now()
+	f.refreshing.Lock()
+	defer f.refreshing.Unlock()
+	f.mu.Lock()
+	listed, next, known := f.listed, f.next, !f.complete.Before(asked)
+	f.mu.Unlock()
+	if known {
+		return nil
+	}
+	if !listed {
+		return ErrStale
+	}
+	if err := f.read(ctx, next, 0); err != nil {
+		return errors.Wrap(ErrStale, err.Error())
+	}
+	return nil
+}
+
+// read reads on from an offset that everything before was read.
+func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) error {
+	sent := clock.Now()
+	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	page, err := f.opts.Store.Read(call, f.opts.Topic, from, wait)
+	if errors.Is(err, platform.ErrTrimmed) {
+		f.relist()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	records, err := decode(page.Records)
+	if err != nil {
+		_ = level.Warn(f.opts.Logger).Log("event", "record_unreadable", "topic", f.opts.Topic.Name, "err", err)
+	}
+	f.applyPage(sent, wait, page, records)
+	return nil
+}
+
+// applyPage hands over the records that no other read brought before.
+func (f *Follower) applyPage(sent time.Time, wait time.Duration, page platform.Page, records []platform.KeyedRecord) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.Now()
+	f.noteRegained(now)
+	if page.Next > f.next {
+		skip := sort.Search(len(records), func(i int) bool { return records[i].Offset >= f.next })
+		f.next = page.Next
+		if skip < len(records) {
+			f.opts.Handler.Changed(now, records[skip:])
+		}
+	}
+	if page.Next < page.End {
+		return
+	}
+	known := sent
+	if len(page.Records) == 0 && now.Sub(sent) >= wait {
+		// The store had nothing new at the end of the wait.
+		known = sent.Add(wait)
+	}
+	if known.After(f.complete) {
+		f.complete = known
+	}
+}
+
+// relist makes the next step read all keys anew.
+func (f *Follower) relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = false
+	_ = level.Info(f.opts.Logger).Log("event", "history_trimmed", "topic", f.opts.Topic.Name, "next", f.next)
+}
+
+// list reads the newest record of every key.
+func (f *Follower) list(ctx context.Context) error {
+	sent := clock.Now()
+	var records []platform.KeyedRecord
+	end := int64(-1)
+	for after := ""; ; {
+		page, err := f.newest(ctx, after)
+		if err != nil {
+			return err
+		}
+		if end < 0 {
+			// What is appended during the listing is read again behind it.
+			end = page.End
+		}
+		records = append(records, page.Records...)
+		if after = page.After; after == "" {
+			break
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Offset < records[j].Offset })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.Now()
+	f.noteRegained(now)
+	f.listed, f.next, f.complete = true, max(f.next, end), sent
+	f.opts.Handler.Listed(now, records, end)
+	_ = level.Info(f.opts.Logger).Log("event", "topic_listed", "topic", f.opts.Topic.Name, "keys", len(records), "next", end)
+	return nil
+}
+
+func (f *Follower) newest(ctx context.Context, after string) (platform.Snapshot, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return f.opts.Store.Newest(call, f.opts.Topic, after)
+}
+
+func (f *Follower) noteLost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.opts.Handler.Lost(clock.Now())
+	_ = level.Warn(f.opts.Logger).Log("event", "store_lost", "topic", f.opts.Topic.Name, "err", err)
+}
+
+func (f *Follower) noteRegained(now time.Time) {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.opts.Handler.Regained(now)
+	_ = level.Info(f.opts.Logger).Log("event", "store_regained", "topic", f.opts.Topic.Name)
+}
+
+// decode reads the keys of records; those that can't be read are left out, and
+// the last of their errors is returned.
+func decode(records []platform.Record) ([]platform.KeyedRecord, error) {
+	out := make([]platform.KeyedRecord, 0, len(records))
+	var failed error
+	for _, r := range records {
+		k, err := platform.DecodeKeyed(r)
+		if err != nil {
+			failed = err
+			continue
+		}
+		out = append(out, k)
+	}
+	return out, failed
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/follow/options.go
@@ -0,0 +1,33 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/peridotmount/peridotmount/platform"
+)
+
+// Options are what a Follower is made of.
+type Options struct {
+	Store   Store
+	Topic   platform.Topic
+	Handler Handler
+	// Wait is how long one read waits for a record.
+	Wait time.Duration
+	// Pause is the least time between two reads, so that records that follow
+	// one another closely are read together.
+	Pause  time.Duration
+	Logger log.Logger
+}
+
+const (
+	// callTimeout is the time that a call may take beyond its wait: the store
+	// answers in 4 ms, and in 60 times that when it is slow.
+	callTimeout = 800 * time.Millisecond
+	// listTimeout is that of one page of a listing.
+	listTimeout = 2 * time.Second
+	// firstRetry and lastRetry bound the pause after a call that failed.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
+)
--- /dev/null
+++ b/follow/store.go
@@ -0,0 +1,14 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/peridotmount/peridotmount/platform"
+)
+
+// Store is what a Follower needs of the platform's store.
+type Store interface {
+	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (platform.Page, error)
+	Newest(ctx context.Context, topic platform.Topic, after string) (platform.Snapshot, error)
+}
--- /dev/null
+++ b/forward/body.go
@@ -0,0 +1,24 @@
+package forward
+
+import (
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// readAll reads a body of a stated length, or of any if it is negative.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		body, err := io.ReadAll(r)
+		return body, errors.Wrap(err, "read body")
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, errors.Wrap(err, "read body")
+}
+
+// fingerprint spreads ids evenly.
+func fingerprint(id string) uint64 {
+	return xxhash.Sum64String(id)
+}
--- /dev/null
+++ b/forward/metrics.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are those of a Forwarder.
+type metrics struct {
+	requests   *prometheus.CounterVec
+	seconds    *prometheus.HistogramVec
+	rejections *prometheus.CounterVec
+	tries      *prometheus.CounterVec
+	resumed    prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_route_requests_total",
+			Help: "Requests on routes by kind and status; status 0 had no whole answer.",
+		}, []string{"kind", "status"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "peridotmount_route_request_seconds",
+			Help:    "Time from a request's head to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"kind"}),
+		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_route_rejections_total",
+			Help: "Requests that were turned away before they ran, by reason.",
+		}, []string{"reason"}),
+		tries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_route_tries_total",
+			Help: "Tries at endpoints by outcome.",
+		}, []string{"outcome"}),
+		resumed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "peridotmount_route_streams_resumed_total",
+			Help: "Streams that went on at another endpoint.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.requests, m.seconds, m.rejections, m.tries, m.resumed)
+	}
+	return m
+}
+
+func (m *metrics) observe(kind string, status int, total time.Duration) {
+	m.requests.WithLabelValues(kind, strconv.Itoa(status)).Inc()
+	m.seconds.WithLabelValues(kind).Observe(total.Seconds())
+}
--- /dev/null
+++ b/forward/options.go
@@ -0,0 +1,47 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/peridotmount/peridotmount/upstream"
+)
+
+// Options are what a Forwarder is made of.
+type Options struct {
+	Configuration Configuration
+	Placer        Placer
+	Pool          *upstream.Pool
+	// Jobs handles the calls of batch jobs.
+	Jobs http.Handler
+	// Draining reports whether the host is shutting down.
+	Draining func() bool
+	// BodyBudget bounds the memory of all request bodies held, in bytes.
+	BodyBudget int64
+	Logger     log.Logger
+	// Registerer takes the metrics; nil means none.
+	Registerer prometheus.Registerer
+}
+
+const (
+	// maxRefusals bounds the endpoints that may turn one request away before it
+	// is given up: each costs a round trip.
+	maxRefusals = 4
+	// defaultWait is the deadline of a request that states none, on a route that
+	// states none.
+	defaultWait = 30 * time.Second
+	// defaultBodyBytes bounds a body before a configuration is known.
+	defaultBodyBytes = 4 << 20
+	// wholeAnswerBytes is the largest body that is held until it is complete, so
+	// that a cut answer can be repeated or refused.
+	wholeAnswerBytes = 256 << 10
+	// shortRetry is the Retry-After of a refusal whose cause passes quickly.
+	shortRetry = 200 * time.Millisecond
+	// startRetry is that of a host that knows no configuration yet.
+	startRetry = 500 * time.Millisecond
+	// writeGrace is how long beyond its deadline an answer may take to write.
+	writeGrace = time.Second
+)
--- /dev/null
+++ b/forward/request.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
+)
+
+// request is a client's request on its way.
+type request struct {
+	platform.Request
+	http     *http.Request
+	route    *route.Route
+	version  int64
+	service  string
+	body     []byte
+	started  time.Time
+	deadline time.Time
+
+	// ran counts the tries that ran or may have run, refused those that did not.
+	ran, refused int
+	// tried lists the endpoints that were tried.
+	tried []string
+	// unknown tells that a try ended without a word on whether it ran.
+	unknown bool
+	// firstByte is when the first byte of an endpoint's answer came.
+	firstByte time.Time
+	// placed is the time that the request waited for places, all tries together.
+	placed time.Duration
+	// reason says why the request ended as it did, for the log.
+	reason string
+}
+
+// left returns the time until the deadline.
+func (r *request) left(now time.Time) time.Duration {
+	return r.deadline.Sub(now)
+}
+
+// triesLeft reports whether the request may be run once more.
+func (r *request) triesLeft() bool {
+	if r.refused >= maxRefusals {
+		return false
+	}
+	if r.ran == 0 {
+		return true
+	}
+	return r.route.Repeatable() && r.ran < r.route.MaxAttempts
+}
+
+// ask returns what the placer needs to know.
+func (r *request) ask(now time.Time) *Ask {
+	a := &Ask{
+		Request:        r.ID,
+		Service:        r.service,
+		Route:          r.route,
+		Elapsed:        now.Sub(r.started),
+		Left:           r.left(now),
+		PromptTokens:   r.PromptTokens,
+		ExpectedTokens: r.expectedTokens(),
+		Avoid:          r.tried,
+	}
+	for _, part := range r.Prefix {
+		a.Prefix = append(a.Prefix, part.ID)
+	}
+	return a
+}
+
+// expectedTokens returns the client's estimate within its own limit.
+func (r *request) expectedTokens() int {
+	if r.ExpectedTokens == 0 {
+		return r.MaxTokens
+	}
+	return min(r.ExpectedTokens, max(r.MaxTokens, 1))
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/sse"
+)
+
+// stream carries a request whose answer is a stream of events. After its first
+// event a stream goes on within the same answer, if the route lets it.
+func (f *Forwarder) stream(ctx context.Context, w http.ResponseWriter, req *request) {
+	s := &streamer{f: f, w: w, req: req, order: newEventOrder(req.LastEvent)}
+	for req.triesLeft() && ctx.Err() == nil {
+		t, err := f.attempt(ctx, req, s.order.last)
+		if err != nil {
+			s.fail(err)
+			return
+		}
+		if t != nil && s.relay(t) {
+			return
+		}
+	}
+	s.fail(nil)
+}
+
+// errClientGone means that the client takes no more of the stream.
+var errClientGone = errors.New("client does not read")
+
+// streamer relays the events of one request, over one or more tries.
+type streamer struct {
+	f   *Forwarder
+	w   http.ResponseWriter
+	req *request
+	// begun tells that the head of the answer is written.
+	begun bool
+	// order holds the id of the last event passed on.
+	order eventOrder
+}
+
+// fail ends a stream that can't go on.
+func (s *streamer) fail(err error) {
+	if !s.begun {
+		s.f.giveUp(s.w, s.req, err)
+		return
+	}
+	if s.req.http.Context().Err() != nil {
+		s.f.abandoned(s.req)
+		return
+	}
+	s.f.abort(s.req, "stream broke off")
+}
+
+// relay passes the events of a try on and reports whether the request is ended.
+func (s *streamer) relay(t *try) bool {
+	if t.verdict == platform.Failed {
+		return s.relayFailure(t)
+	}
+	if !s.begun {
+		writeHead(s.w, t.answer)
+		s.begun = true
+	} else {
+		s.f.metrics.resumed.Inc()
+	}
+	err := s.copyEvents(t)
+	if err == nil {
+		s.f.metrics.tries.WithLabelValues(string(OutcomeAnswered)).Inc()
+		t.end(OutcomeAnswered)
+		s.f.finished(s.req, t.answer.Status)
+		return true
+	}
+	s.req.unknown = true
+	s.f.noteTry(s.req, t, OutcomeCut, err.Error())
+	t.end(OutcomeCut)
+	return false
+}
+
+// relayFailure passes an endpoint's failure on, unless the stream has begun or
+// may be tried elsewhere.
+func (s *streamer) relayFailure(t *try) bool {
+	again := t.answer.Status >= http.StatusInternalServerError && s.req.triesLeft()
+	if !s.begun && !again {
+		return s.f.settle(s.w, s.req, t)
+	}
+	s.f.noteTry(s.req, t, OutcomeFailed, http.StatusText(t.answer.Status))
+	t.end(OutcomeFailed)
+	return false
+}
+
+// copyEvents passes whole events on until the stream's end. What is left of an
+// event that was cut is dropped, so that the stream can go on elsewhere.
+func (s *streamer) copyEvents(t *try) error {
+	events := sse.NewSplitter(t.answer)
+	flusher := http.NewResponseController(s.w)
+	for {
+		block, err := events.Next()
+		if err == io.EOF {
+			_, err = s.w.Write(events.Rest())
+			return err
+		}
+		if err != nil {
+			return err
+		}
+		order := s.order
+		if err := order.check(block.Events); err != nil {
+			return err
+		}
+		if _, err := s.w.Write(block.Bytes); err != nil {
+			return errors.Wrap(errClientGone, err.Error())
+		}
+		s.order = order
+		if err := flusher.Flush(); err != nil {
+			return errors.Wrap(errClientGone, err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/forward/try.go
@@ -0,0 +1,118 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/upstream"
+)
+
+// try is one request at one endpoint.
+type try struct {
+	place  Place
+	answer *upstream.Answer
+	begun  time.Time
+	used   Use
+	// repeatable tells that an answer which does not settle the request may be
+	// dropped in favour of another try.
+	verdict platform.Verdict
+	cancel  context.CancelFunc
+}
+
+// end gives everything back that the try holds.
+func (t *try) end(outcome Outcome) {
+	t.used.Outcome = outcome
+	if t.answer != nil {
+		t.answer.Close()
+	}
+	t.cancel()
+	t.place.Release(t.used)
+}
+
+// attempt places a request and sends it once. It returns nil and no error if the
+// endpoint did not run it and another may be tried.
+func (f *Forwarder) attempt(ctx context.Context, req *request, lastEvent string) (*try, error) {
+	asked := time.Now()
+	place, err := f.opts.Placer.Place(ctx, req.ask(asked))
+	now := time.Now()
+	req.placed += now.Sub(asked)
+	if err != nil {
+		return nil, err
+	}
+	e := place.Endpoint()
+	req.tried = append(req.tried, e.ID)
+	t := &try{place: place, begun: now}
+	var sending context.Context
+	sending, t.cancel = context.WithCancel(ctx)
+	header := platform.ForwardHeader(req.http.Header, req.left(now), e.ID)
+	if lastEvent != "" {
+		platform.SetLastEvent(header, lastEvent)
+	}
+	t.answer, err = f.opts.Pool.Send(sending, e.ID, e.Address, &upstream.Call{
+		Method:  req.http.Method,
+		Target:  req.http.RequestURI,
+		Host:    req.http.Host,
+		Header:  header,
+		Body:    req.body,
+		Answers: platform.Answers(req.ID),
+	})
+	if err != nil {
+		f.noteError(ctx, req, t, err)
+		return nil, nil
+	}
+	t.used.FirstByte = time.Since(now)
+	return f.judge(req, t), nil
+}
+
+// noteError ends a try that has no answer.
+func (f *Forwarder) noteError(ctx context.Context, req *request, t *try, err error) {
+	outcome := OutcomeUnknown
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		outcome = OutcomeNotSent
+		req.refused++
+	case ctx.Err() != nil:
+		outcome = OutcomeAbandoned
+		req.ran, req.unknown = req.ran+1, true
+	default:
+		req.ran, req.unknown = req.ran+1, true
+	}
+	f.noteTry(req, t, outcome, err.Error())
+	t.end(outcome)
+}
+
+// judge returns a try whose answer says that the request ran, and ends the others.
+func (f *Forwarder) judge(req *request, t *try) *try {
+	t.verdict = platform.Judge(t.answer.Status, t.answer.Header)
+	outcome := OutcomeUnknown
+	switch t.verdict {
+	case platform.Answered, platform.Failed:
+		req.ran++
+		if req.firstByte.IsZero() {
+			req.firstByte = time.Now()
+		}
+		return t
+	case platform.NotRun:
+		outcome = OutcomeNotRun
+		req.refused++
+	case platform.Misdirected:
+		outcome = OutcomeMisdirected
+		req.refused++
+	default:
+		req.ran, req.unknown = req.ran+1, true
+	}
+	f.noteTry(req, t, outcome, t.verdict.String())
+	t.end(outcome)
+	return nil
+}
+
+// noteTry logs a try that did not settle its request.
+func (f *Forwarder) noteTry(req *request, t *try, outcome Outcome, reason string) {
+	f.metrics.tries.WithLabelValues(string(outcome)).Inc()
+	_ = level.Info(f.opts.Logger).Log("event", "try", "request", req.ID, "endpoint", t.place.Endpoint().ID,
+		"outcome", outcome, "reason", reason, "after_ms", time.Since(t.begun).Milliseconds())
+}
--- /dev/null
+++ b/gateway/endpoints.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/platform"
+)
+
+// endpointTick is the time between two looks for endpoints whose grace is over.
+const endpointTick = 200 * time.Millisecond
+
+// endpoints drives the table of endpoints.
+type endpoints struct {
+	logger log.Logger
+	// changed is called with each new view and what changed.
+	changed func(*endpoint.View, []endpoint.Change)
+
+	mu    sync.Mutex
+	table *endpoint.Table
+	view  atomic.Pointer[endpoint.View]
+	// listed tells that the whole list was read once.
+	listed atomic.Bool
+}
+
+func newEndpoints(logger log.Logger, changed func(*endpoint.View, []endpoint.Change)) *endpoints {
+	e := &endpoints{logger: logger, changed: changed, table: endpoint.NewTable()}
+	e.view.Store(endpoint.NewView(nil))
+	return e
+}
+
+// View returns the endpoints known.
+func (e *endpoints) View() *endpoint.View {
+	return e.view.Load()
+}
+
+// Listed implements follow.Handler.
+func (e *endpoints) Listed(now time.Time, records []platform.KeyedRecord, end int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := make(map[string]bool, len(records))
+	var changes []endpoint.Change
+	for i := range records {
+		listed[records[i].Key] = !records[i].Deletes()
+		changes = append(changes, e.apply(now, &records[i])...)
+	}
+	changes = append(changes, e.table.Absent(now, end, func(id string) bool { return listed[id] })...)
+	e.publish(changes)
+	e.listed.Store(true)
+}
+
+// Changed implements follow.Handler.
+func (e *endpoints) Changed(now time.Time, records []platform.KeyedRecord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var changes []endpoint.Change
+	for i := range records {
+		changes = append(changes, e.apply(now, &records[i])...)
+	}
+	e.publish(changes)
+}
+
+func (e *endpoints) apply(now time.Time, r *platform.KeyedRecord) []endpoint.Change {
+	if r.Deletes() {
+		return e.table.Remove(now, r.Offset, r.Key)
+	}
+	decoded, err := platform.DecodeEndpoint(*r)
+	if err != nil {
+		_ = level.Warn(e.logger).Log("event", "endpoint_unreadable", "endpoint", r.Key, "offset", r.Offset, "err", err)
+		return e.table.Remove(now, r.Offset, r.Key)
+	}
+	return e.table.Put(r.Offset, decoded)
+}
+
+// Lost implements follow.Handler.
+func (e *endpoints) Lost(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Lost(now)
+}
+
+// Regained implements follow.Handler.
+func (e *endpoints) Regained(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Regained(now)
+}
+
+// String names the service to its supervisor.
+func (e *endpoints) String() string {
+	return "endpoints"
+}
+
+// Serve implements suture.Service.
+func (e *endpoints) Serve(ctx context.Context) error {
+	tick := time.NewTicker(endpointTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			e.mu.Lock()
+			e.publish(e.table.Tick(clock.Now()))
+			e.mu.Unlock()
+		}
+	}
+}
+
+// publish replaces the view and says what changed.
+func (e *endpoints) publish(changes []endpoint.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	view := endpoint.NewView(e.table.Endpoints())
+	e.view.Store(view)
+	for i := range changes {
+		e.log(&changes[i])
+	}
+	e.changed(view, changes)
+}
+
+func (e *endpoints) log(c *endpoint.Change) {
+	switch {
+	case c.After == nil:
+		_ = level.Info(e.logger).Log("event", "endpoint_gone", "endpoint", c.Before.ID, "service", c.Before.Service, "reason", c.Reason)
+	case c.Before == nil:
+		_ = level.Info(e.logger).Log("event", "endpoint_found", "endpoint", c.After.ID, "service", c.After.Service,
+			"address", c.After.Address, "endpoint_zone", c.After.Zone, "slots", c.After.Slots, "draining", c.After.State == endpoint.Draining)
+	default:
+		_ = level.Info(e.logger).Log("event", "endpoint_changed", "endpoint", c.After.ID, "service", c.After.Service,
+			"draining", c.After.State == endpoint.Draining)
+	}
+}
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Gateway are the settings of a host that serves the operator's routes on the
+// users' platform.
+type Gateway struct {
+	// Name is the name of the host.
+	Name string
+	// Zone is the host's availability zone.
+	Zone string
+	// Regions maps availability zones to their regions.
+	Regions map[string]string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// Callers is the address that callers connect to.
+	Callers string
+	// Readiness is that of the readiness checks and the metrics.
+	Readiness string
+	// Peers is that for the other hosts of the system.
+	Peers string
+	// Store is the address of the platform's metadata store.
+	Store string
+	// Memory is what the process may use.
+	Memory Bytes
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// JobStatus is how long after its submission a batch job can be read.
+	JobStatus time.Duration
+}
+
+const (
+	defaultMemory    = 128 * MiB
+	defaultGrace     = 8 * time.Second
+	defaultJobStatus = 120 * time.Second
+	minMemory        = 32 * MiB
+	maxMemory        = 1024 * GiB
+)
+
+// LoadGateway reads the settings of a host that serves routes. The error is
+// ErrInvalid.
+func LoadGateway(source *Source) (*Gateway, error) {
+	r := newReader(source)
+	s := &Gateway{
+		Name:      r.required("host.name"),
+		Zone:      r.required("host.zone"),
+		Regions:   r.pairs("host.regions"),
+		LogLevel:  r.oneOf("host.log_level", "info", "debug", "info", "warn", "error"),
+		Memory:    r.size("host.memory", minMemory, maxMemory, defaultMemory),
+		Grace:     r.duration("host.grace", time.Second, time.Hour, defaultGrace),
+		Callers:   r.address("listen.callers"),
+		Readiness: r.address("listen.readiness"),
+		Peers:     r.address("listen.peers"),
+		Store:     r.address("store.address"),
+		JobStatus: r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
+	}
+	if _, found := s.Regions[s.Zone]; !found && len(s.Regions) > 0 {
+		r.require(false, "host.regions does not name host.zone "+s.Zone)
+	}
+	r.refuseUnread()
+	if len(r.faults) > 0 {
+		return nil, errors.Wrap(ErrInvalid, strings.Join(r.faults, "\n"))
+	}
+	return s, nil
+}
+
+// pairs reads a list of name=value, separated by commas.
+func (r *reader) pairs(name string) map[string]string {
+	r.ask(name, "name=value, ...", "")
+	k, _ := r.text(name)
+	out := make(map[string]string)
+	for _, field := range strings.Split(k.Value, ",") {
+		if field = strings.TrimSpace(field); field == "" {
+			continue
+		}
+		left, right, found := strings.Cut(field, "=")
+		if !found {
+			r.fault(k, name+": "+field+" is not name=value")
+			continue
+		}
+		out[strings.TrimSpace(left)] = strings.TrimSpace(right)
+	}
+	return out
+}
--- /dev/null
+++ b/sockopt/sockopt.go
@@ -0,0 +1,51 @@
+// Package sockopt sets the options that let a process notice a peer that fell
+// silent: the platform's network drops packets to machines without power
+// instead of refusing them.
+package sockopt
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Probes of idle connections: a peer that is gone is noticed after about
+// KeepAliveIdle + KeepAliveCount * KeepAliveInterval.
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
+)
+
+// UserTimeout is how long sent data may stay unacknowledged, in the order of
+// the probes above.
+const UserTimeout = 2 * time.Second
+
+// Control sets UserTimeout on a socket; it fits net.Dialer and net.ListenConfig.
+func Control(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// KeepAlive returns the probes of idle connections.
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
+// Dialer returns a dialer whose connections are probed and bounded in time.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: Control}
+}
+
+// ListenConfig returns what makes listeners whose connections are probed.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: Control}
+}
--- /dev/null
+++ b/sse/block.go
@@ -0,0 +1,110 @@
+package sse
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// Block is one or more whole events, as they were received.
+type Block struct {
+	// Bytes are valid until the next call.
+	Bytes []byte
+	// Events lists the ids of the events in order; an event without one has "".
+	Events []string
+}
+
+// Splitter cuts a stream into blocks of whole events.
+type Splitter struct {
+	r io.Reader
+	// buf holds what was read; buf[:passed] was returned before.
+	buf    []byte
+	passed int
+	ids    []string
+}
+
+// splitterBytes is the size of a read: several events of some 60 bytes.
+const splitterBytes = 1 << 10
+
+// NewSplitter returns a Splitter of r.
+func NewSplitter(r io.Reader) *Splitter {
+	return &Splitter{r: r, buf: make([]byte, 0, splitterBytes)}
+}
+
+// Next returns the events that have arrived, at least one. At the end of the
+// stream it returns io.EOF; an error of the reader is returned as it is.
+func (s *Splitter) Next() (Block, error) {
+	rest := copy(s.buf, s.buf[s.passed:])
+	s.buf, s.passed = s.buf[:rest], 0
+	for {
+		if end := lastEventEnd(s.buf); end > 0 {
+			s.passed = end
+			s.ids = eventIDs(s.ids[:0], s.buf[:end])
+			return Block{Bytes: s.buf[:end], Events: s.ids}, nil
+		}
+		if len(s.buf) > MaxEventBytes {
+			return Block{}, ErrEventTooLarge
+		}
+		if err := s.fill(); err != nil {
+			return Block{}, err
+		}
+	}
+}
+
+// Rest returns the bytes behind the last whole event.
+func (s *Splitter) Rest() []byte {
+	return s.buf[s.passed:]
+}
+
+func (s *Splitter) fill() error {
+	if cap(s.buf)-len(s.buf) < splitterBytes/2 {
+		grown := make([]byte, len(s.buf), 2*cap(s.buf)+splitterBytes)
+		copy(grown, s.buf)
+		s.buf = grown
+	}
+	n, err := s.r.Read(s.buf[len(s.buf):cap(s.buf)])
+	s.buf = s.buf[:len(s.buf)+n]
+	if n > 0 {
+		// An error comes back with the next read.
+		return nil
+	}
+	if err == nil {
+		return errors.WithStack(io.ErrNoProgress)
+	}
+	return err
+}
+
+// lastEventEnd returns the length of the whole events at the start of b.
+func lastEventEnd(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// eventIDs appends the ids of the events in b.
+func eventIDs(ids []string, b []byte) []string {
+	id, filled := "", false
+	for len(b) > 0 {
+		line, rest, _ := bytes.Cut(b, []byte("\n"))
+		b = rest
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			if filled {
+				ids = append(ids, id)
+			}
+			id, filled = "", false
+			continue
+		}
+		filled = true
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/upstream/metrics.go
@@ -0,0 +1,26 @@
+package upstream
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are those of a Pool.
+type metrics struct {
+	dials   *prometheus.CounterVec
+	foreign prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		dials: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_upstream_connections_total",
+			Help: "Connections opened to endpoints, by outcome.",
+		}, []string{"outcome"}),
+		foreign: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "peridotmount_upstream_foreign_answers_total",
+			Help: "Answers that belonged to another request than the one sent.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.dials, m.foreign)
+	}
+	return m
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/sockopt"
+)
+
+// Pool holds the connections to all endpoints. It is a suture service, which
+// closes idle connections; its methods are safe for concurrent use.
+type Pool struct {
+	opts    Options
+	dialer  *net.Dialer
+	metrics *metrics
+
+	mu sync.Mutex
+	// idle holds connections by endpoint, the one used last at the end.
+	idle map[string][]*connection
+}
+
+// NewPool returns a Pool.
+func NewPool(o Options) *Pool {
+	o.setDefaults()
+	return &Pool{
+		opts:    o,
+		dialer:  sockopt.Dialer(o.DialTimeout),
+		metrics: newMetrics(o.Registerer),
+		idle:    make(map[string][]*connection),
+	}
+}
+
+// String names the service to its supervisor.
+func (p *Pool) String() string {
+	return "connections to endpoints"
+}
+
+// Serve implements suture.Service.
+func (p *Pool) Serve(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			p.sweep(time.Now())
+		}
+	}
+}
+
+// Warm reports whether a connection to an endpoint is idle.
+func (p *Pool) Warm(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[key]) > 0
+}
+
+// Forget closes the idle connections to an endpoint that is gone.
+func (p *Pool) Forget(key string) {
+	p.mu.Lock()
+	conns := p.idle[key]
+	delete(p.idle, key)
+	p.mu.Unlock()
+	closeAll(conns)
+}
+
+// get returns an idle connection that can be used, or a new one.
+func (p *Pool) get(ctx context.Context, key, address string) (*connection, error) {
+	for c := p.take(key); c != nil; c = p.take(key) {
+		if time.Now().Before(c.idleUntil) && c.quiet() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.metrics.dials.WithLabelValues("failed").Inc()
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	p.metrics.dials.WithLabelValues("connected").Inc()
+	return newConnection(key, conn), nil
+}
+
+func (p *Pool) take(key string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[key]
+	n := len(conns)
+	if n == 0 {
+		return nil
+	}
+	c := conns[n-1]
+	conns[n-1] = nil
+	p.idle[key] = conns[:n-1]
+	return c
+}
+
+func (p *Pool) put(c *connection, idle time.Duration) {
+	c.idleUntil = time.Now().Add(idle)
+	p.mu.Lock()
+	conns := p.idle[c.key]
+	full := len(conns) >= p.opts.IdlePerEndpoint
+	if !full {
+		p.idle[c.key] = append(conns, c)
+	}
+	p.mu.Unlock()
+	if full {
+		_ = c.Close()
+	}
+}
+
+// sweep closes the connections that were idle for too long.
+func (p *Pool) sweep(now time.Time) {
+	var late []*connection
+	p.mu.Lock()
+	for key, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now.Before(c.idleUntil) {
+				kept = append(kept, c)
+			} else {
+				late = append(late, c)
+			}
+		}
+		clear(conns[len(kept):])
+		if p.idle[key] = kept; len(kept) == 0 {
+			delete(p.idle, key)
+		}
+	}
+	p.mu.Unlock()
+	closeAll(late)
+}
+
+func closeAll(conns []*connection) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
