--- /dev/null
+++ b/batch/ledger.go
@@ -0,0 +1,289 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/follow"
+	"github.com/peridotmount/peridotmount/jobs"
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/scheduler"
+)
+
+// Ledger drives the state of all jobs. It is a follow.Handler; its methods are
+// safe for concurrent use.
+type Ledger struct {
+	opts     Options
+	follower *follow.Follower
+	metrics  *metrics
+	seq      atomic.Int64
+	lost     atomic.Bool
+
+	mu    sync.Mutex
+	state *jobs.State
+	// verdicts are the submissions of this process that wait for theirs.
+	verdicts map[string]chan jobs.Verdict
+	// seen are the other records of this process that wait to be read back.
+	seen map[string]chan struct{}
+	// placed is the service that each open job's items were scheduled for.
+	placed map[string]string
+	// watchers are closed when a job changes.
+	watchers map[string]chan struct{}
+}
+
+// NewLedger returns a Ledger.
+func NewLedger(o Options) *Ledger {
+	l := &Ledger{
+		opts:     o,
+		metrics:  newMetrics(o.Registerer),
+		state:    jobs.NewState(),
+		verdicts: make(map[string]chan jobs.Verdict),
+		seen:     make(map[string]chan struct{}),
+		placed:   make(map[string]string),
+		watchers: make(map[string]chan struct{}),
+	}
+	l.follower = follow.New(follow.Options{
+		Store: o.Store, Topic: platform.TopicJobs, Handler: l,
+		Wait: followWait, Pause: followPause, Logger: o.Logger,
+	})
+	return l
+}
+
+// Follower returns the service that follows the ledger.
+func (l *Ledger) Follower() *follow.Follower {
+	return l.follower
+}
+
+// Listed implements follow.Handler.
+func (l *Ledger) Listed(now time.Time, records []platform.KeyedRecord, _ int64) {
+	l.Changed(now, records)
+}
+
+// Changed implements follow.Handler.
+func (l *Ledger) Changed(_ time.Time, records []platform.KeyedRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range records {
+		l.apply(&records[i])
+	}
+}
+
+// Lost implements follow.Handler.
+func (l *Ledger) Lost(time.Time) { l.lost.Store(true) }
+
+// Regained implements follow.Handler.
+func (l *Ledger) Regained(time.Time) { l.lost.Store(false) }
+
+// apply applies one record. The lock is held.
+func (l *Ledger) apply(r *platform.KeyedRecord) {
+	if r.Deletes() {
+		return
+	}
+	record, err := jobs.DecodeRecord(r.Value)
+	if err != nil {
+		_ = level.Error(l.opts.Logger).Log("event", "ledger_record_unreadable", "key", r.Key, "offset", r.Offset, "err", err)
+		return
+	}
+	change := l.state.Apply(r.Offset, r.Key, record)
+	if ch := l.seen[r.Key]; ch != nil {
+		delete(l.seen, r.Key)
+		close(ch)
+	}
+	l.react(r.Offset, record, &change)
+}
+
+// react tells others what a record changed. The lock is held.
+func (l *Ledger) react(offset int64, r *jobs.Record, c *jobs.Change) {
+	switch {
+	case c.Attempt != "":
+		l.settle(offset, c)
+	case c.Ended:
+		l.metrics.results.WithLabelValues(resultState(r.Result)).Inc()
+		l.opts.Scheduler.DropItem(scheduler.ItemRef{Job: c.Job.ID, Item: c.Item})
+		l.notify(c.Job.ID)
+	case c.Cancelled:
+		for i := range c.Job.Items {
+			l.opts.Scheduler.DropItem(scheduler.ItemRef{Job: c.Job.ID, Item: i})
+		}
+		_ = level.Info(l.opts.Logger).Log("event", "job_cancelled", "job", c.Job.ID, "offset", offset, "results", len(c.Job.Results))
+		l.notify(c.Job.ID)
+	}
+}
+
+// settle handles the verdict on a submission. The lock is held.
+func (l *Ledger) settle(offset int64, c *jobs.Change) {
+	if c.Verdict == jobs.Accepted {
+		l.schedule(c.Job)
+		_ = level.Info(l.opts.Logger).Log("event", "job_accepted", "job", c.Job.ID, "offset", offset,
+			"items", len(c.Job.Items), "tokens", c.Job.Submission.Tokens, "route", c.Job.Submission.Route)
+	}
+	if ch := l.verdicts[c.Attempt]; ch != nil {
+		delete(l.verdicts, c.Attempt)
+		ch <- c.Verdict
+	}
+}
+
+// schedule asks that a job's items are run. The lock is held.
+func (l *Ledger) schedule(job *jobs.Job) {
+	service := l.serviceOf(job)
+	l.placed[job.ID] = service
+	if service == "" {
+		return
+	}
+	due := time.Now().Add(time.Duration(job.Submission.WindowMillis) * time.Millisecond)
+	if age := time.Since(time.UnixMilli(job.Submission.SubmittedMillis)); age > 0 {
+		due = due.Add(-age)
+	}
+	for i := range job.Items {
+		if job.Ended(i) {
+			continue
+		}
+		meta := platform.ParseRequest(job.Items[i].HTTPHeader())
+		item := scheduler.Item{
+			Ref:            scheduler.ItemRef{Job: job.ID, Item: i},
+			Service:        service,
+			Due:            due,
+			PromptTokens:   meta.PromptTokens,
+			ExpectedTokens: meta.ExpectedOutput(),
+		}
+		for _, part := range meta.Prefix {
+			item.Prefix = append(item.Prefix, part.ID)
+		}
+		l.opts.Scheduler.AddItem(item)
+	}
+}
+
+// serviceOf returns the service that runs a job's items by the configuration in
+// force, or "" if its route is gone.
+func (l *Ledger) serviceOf(job *jobs.Job) string {
+	if r := l.routeOf(job); r != nil {
+		return r.Pick(0)
+	}
+	return ""
+}
+
+func (l *Ledger) routeOf(job *jobs.Job) *route.Route {
+	config := l.opts.Configuration()
+	if config == nil {
+		return nil
+	}
+	r := config.Match(job.Submission.Host, job.Submission.Path)
+	if r == nil || r.Kind != route.Batch {
+		return nil
+	}
+	return r
+}
+
+// notify wakes those that wait for a job to change. The lock is held.
+func (l *Ledger) notify(job string) {
+	if ch := l.watchers[job]; ch != nil {
+		delete(l.watchers, job)
+		close(ch)
+	}
+}
+
+// watch returns what is closed when a job changes. The lock is held.
+func (l *Ledger) watch(job string) <-chan struct{} {
+	ch := l.watchers[job]
+	if ch == nil {
+		ch = make(chan struct{})
+		l.watchers[job] = ch
+	}
+	return ch
+}
+
+// Confirm makes sure that what was written before is known, unless it was so a
+// moment ago. The error is follow.ErrStale.
+func (l *Ledger) Confirm(ctx context.Context) error {
+	if clock.Now().Sub(l.follower.Complete()) <= trustedAge {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return l.follower.Refresh(ctx)
+}
+
+// key returns a key that no other record has.
+func (l *Ledger) key(kind, job string) string {
+	return fmt.Sprintf("%s/%s/%s.%d", kind, job, l.opts.Writer, l.seq.Add(1))
+}
+
+// encode returns a record as the store keeps it, with its key.
+func (l *Ledger) encode(kind string, r *jobs.Record) (string, []byte, error) {
+	r.Writer = l.opts.Writer
+	value, err := r.Encode()
+	if err != nil {
+		return "", nil, err
+	}
+	key := l.key(kind, r.Job)
+	return key, platform.EncodeKeyed(key, value), nil
+}
+
+// Write writes one record and returns when it is in the ledger: the store has
+// said so, or it was read back. It tries until ctx ends. Errors are
+// ErrNotWritten and ErrUnknown.
+func (l *Ledger) Write(ctx context.Context, kind string, r *jobs.Record) error {
+	key, record, err := l.encode(kind, r)
+	if err != nil {
+		return errors.Wrap(ErrNotWritten, err.Error())
+	}
+	seen := make(chan struct{})
+	l.mu.Lock()
+	l.seen[key] = seen
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.seen, key)
+		l.mu.Unlock()
+	}()
+	return l.append(ctx, [][]byte{record}, seen)
+}
+
+// append tries an append until the store has answered it or it was seen in the
+// ledger. Records that arrive twice have the same key and change nothing.
+func (l *Ledger) append(ctx context.Context, records [][]byte, seen <-chan struct{}) error {
+	unknown := false
+	retry := firstRetry
+	for {
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := l.opts.Store.Append(call, platform.TopicJobs, records)
+		cancel()
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, platform.ErrRejected):
+			return errors.Wrap(ErrNotWritten, err.Error())
+		case !errors.Is(err, platform.ErrRefused) && !errors.Is(err, platform.ErrThrottled):
+			unknown = true
+		}
+		t := time.NewTimer(retry)
+		retry = min(2*retry, lastRetry)
+		select {
+		case <-seen:
+			t.Stop()
+			return nil
+		case <-ctx.Done():
+			t.Stop()
+			if unknown {
+				return errors.Wrap(ErrUnknown, err.Error())
+			}
+			return errors.Wrap(ErrNotWritten, err.Error())
+		case <-t.C:
+		}
+	}
+}
+
+func resultState(r *jobs.Result) string {
+	if r.Dead {
+		return "dead"
+	}
+	return "done"
+}
--- /dev/null
+++ b/batch/metrics.go
@@ -0,0 +1,31 @@
+package batch
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are those of batch jobs.
+type metrics struct {
+	submissions *prometheus.CounterVec
+	results     *prometheus.CounterVec
+	runs        *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		submissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_job_submissions_total",
+			Help: "Batch jobs handed in at this host, by what became of them.",
+		}, []string{"verdict"}),
+		results: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_item_results_total",
+			Help: "Results of batch items in the ledger, as this host reads it.",
+		}, []string{"state"}),
+		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_item_runs_total",
+			Help: "Runs of batch items at this host, by outcome.",
+		}, []string{"outcome"}),
+	}
+	if r != nil {
+		r.MustRegister(m.submissions, m.results, m.runs)
+	}
+	return m
+}
--- /dev/null
+++ b/batch/options.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/scheduler"
+	"github.com/peridotmount/peridotmount/upstream"
+)
+
+// Store is what the ledger needs of the platform's store.
+type Store interface {
+	Append(ctx context.Context, topic platform.Topic, records [][]byte) (int64, error)
+	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (platform.Page, error)
+	Newest(ctx context.Context, topic platform.Topic, after string) (platform.Snapshot, error)
+}
+
+// Scheduler is told which items are to be run.
+type Scheduler interface {
+	AddItem(i scheduler.Item)
+	DropItem(ref scheduler.ItemRef)
+}
+
+// Options are what the parts of this package are made of.
+type Options struct {
+	// Writer names this process; it is unique over all processes.
+	Writer    string
+	Store     Store
+	Scheduler Scheduler
+	Pool      *upstream.Pool
+	// Configuration returns the configuration in force, or nil.
+	Configuration func() *route.Configuration
+	// Endpoint returns an endpoint by its id, or nil.
+	Endpoint func(id string) *endpoint.Endpoint
+	// StatusKept is how long after its submission a job can be read.
+	StatusKept time.Duration
+	Logger     log.Logger
+	// Registerer takes the metrics; nil means none.
+	Registerer prometheus.Registerer
+}
+
+const (
+	// followWait is how long a read of the ledger waits for a record.
+	followWait = time.Second
+	// followPause lets records that follow one another closely be read together;
+	// clients read results about twice a second.
+	followPause = 200 * time.Millisecond
+	// trustedAge is the age up to which the picture of the ledger is good enough
+	// to say that something is not there: a position that was read anywhere must
+	// be seen everywhere after a second.
+	trustedAge = 300 * time.Millisecond
+	// confirmTimeout bounds the read that makes the picture newer.
+	confirmTimeout = 700 * time.Millisecond
+	// appendTimeout bounds one append: the store answers in 6 ms, and in 60 times
+	// that when it is slow.
+	appendTimeout = 800 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after an append that failed.
+	firstRetry = 30 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+	// recordBytes bounds the content of a record of items, well below the 256 KiB
+	// that the store takes, as JSON adds to it.
+	recordBytes = 120 << 10
+	// callBytes bounds the records of one append, below the store's 2 MiB.
+	callBytes = 1500 << 10
+	// submitWait bounds the time in which a submission is settled; clients ask
+	// again after that anyway.
+	submitWait = 3500 * time.Millisecond
+	// quotaRetry is the Retry-After of a job that does not fit: the time in which
+	// some items end.
+	quotaRetry = 2 * time.Second
+	// outageRetry is that of a call while the store is away.
+	outageRetry = time.Second
+)
--- /dev/null
+++ b/batch/runner.go
@@ -0,0 +1,294 @@
+package batch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/jobs"
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/scheduler"
+	"github.com/peridotmount/peridotmount/sse"
+	"github.com/peridotmount/peridotmount/upstream"
+)
+
+const (
+	// firstEventTimeout is how long an item waits for its first event: it has a
+	// free slot, so a longer silence is an endpoint's that is gone.
+	firstEventTimeout = 2500 * time.Millisecond
+	// nextEventTimeout is that for each further event; a slowed endpoint makes
+	// one in some 60 ms.
+	nextEventTimeout = 1200 * time.Millisecond
+	// failureDelay is the pause before an item that failed is run again.
+	failureDelay = 200 * time.Millisecond
+	// misplacedDelay is that before an item that can't be run yet.
+	misplacedDelay = 250 * time.Millisecond
+)
+
+// errSilent means that an endpoint makes no events.
+var errSilent = errors.New("endpoint is silent")
+
+// Runner runs batch items that the scheduler starts on this host.
+type Runner struct {
+	ledger *Ledger
+	// recording bounds the writes of results by the life of the process.
+	recording context.Context
+	// leaving tells that what items have made is kept in the ledger.
+	leaving atomic.Bool
+
+	mu sync.Mutex
+	// partials keep what unfinished items have made.
+	partials map[scheduler.ItemRef]*jobs.Partial
+}
+
+// NewRunner returns a Runner; the results it records are given up with ctx.
+func NewRunner(ctx context.Context, l *Ledger) *Runner {
+	return &Runner{ledger: l, recording: ctx, partials: make(map[scheduler.ItemRef]*jobs.Partial)}
+}
+
+// Leave makes items that end unfinished keep what they have made in the ledger,
+// for other hosts.
+func (r *Runner) Leave() {
+	r.leaving.Store(true)
+}
+
+// run is one run of an item.
+type run struct {
+	*Runner
+	ref      scheduler.ItemRef
+	job      *jobs.Job
+	item     *jobs.Item
+	route    *route.Route
+	endpoint *endpoint.Endpoint
+	release  func(scheduler.Use)
+	begun    time.Time
+	resumed  int
+	made     int
+	output   strings.Builder
+	order    sse.Order
+}
+
+// Run implements slots.Runner.
+func (r *Runner) Run(ctx context.Context, s *scheduler.Start, release func(scheduler.Use)) {
+	x := &run{Runner: r, ref: s.Item, release: release, begun: time.Now()}
+	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
+	if reason := x.prepare(); reason != "" {
+		x.done("misplaced", reason, scheduler.Use{Outcome: scheduler.Abandoned, Delay: misplacedDelay})
+		return
+	}
+	if x.endpoint == nil || x.endpoint.State != endpoint.Ready {
+		x.done("leaving", "endpoint is leaving", scheduler.Use{Outcome: scheduler.Leaving})
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x.call(ctx, cancel)
+}
+
+// prepare finds the item and what was made of it; it returns why it can't be run.
+func (x *run) prepare() string {
+	l := x.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x.job = l.state.Job(x.ref.Job)
+	if x.job == nil || x.ref.Item >= len(x.job.Items) {
+		return "item is not known yet"
+	}
+	if x.job.Cancelled || x.job.Ended(x.ref.Item) {
+		return "item has ended"
+	}
+	x.route = l.routeOf(x.job)
+	if x.route == nil || (x.endpoint != nil && !x.route.Allows(x.endpoint.Service)) {
+		return "the route sends the item elsewhere"
+	}
+	x.item = &x.job.Items[x.ref.Item]
+	x.restore(x.job.Partial(x.ref.Item))
+	return ""
+}
+
+// restore takes up what earlier runs made, here or at another host.
+func (x *run) restore(kept *jobs.Partial) {
+	x.Runner.mu.Lock()
+	own := x.partials[x.ref]
+	x.Runner.mu.Unlock()
+	if own != nil && (kept == nil || own.Events > kept.Events) {
+		kept = own
+	}
+	x.order = sse.NewOrder("0")
+	if kept != nil {
+		x.made, x.resumed = kept.Events, kept.Events
+		x.output.WriteString(kept.Output)
+		x.order = sse.NewOrder(strconv.Itoa(kept.Events))
+	}
+}
+
+// call sends the item to its endpoint.
+func (x *run) call(ctx context.Context, cancel context.CancelFunc) {
+	silence := time.AfterFunc(firstEventTimeout, cancel)
+	defer silence.Stop()
+	header := platform.ItemHeader(x.item, x.endpoint.ID)
+	if x.made > 0 {
+		platform.SetLastEvent(header, strconv.Itoa(x.made))
+	}
+	answer, err := x.ledger.opts.Pool.Send(ctx, x.endpoint.ID, x.endpoint.Address, &upstream.Call{
+		Method:  http.MethodPost,
+		Target:  x.item.Path,
+		Host:    x.job.Submission.Host,
+		Header:  header,
+		Body:    x.item.Body,
+		Answers: platform.Answers(x.item.ID),
+	})
+	if err != nil {
+		outcome := scheduler.Broken
+		if errors.Is(err, upstream.ErrNotSent) {
+			outcome = scheduler.Unreached
+		}
+		x.cut(ctx, silence, outcome, err)
+		return
+	}
+	defer answer.Close()
+	switch platform.Judge(answer.Status, answer.Header) {
+	case platform.Answered:
+		x.events(ctx, silence, answer)
+	case platform.NotRun:
+		x.done("not-run", "endpoint turned it away", scheduler.Use{Outcome: scheduler.Refused})
+	case platform.Misdirected:
+		x.done("misdirected", "another endpoint has the address", scheduler.Use{Outcome: scheduler.Misdirected})
+	case platform.Failed:
+		answer.Close()
+		x.failed(answer.Status)
+	default:
+		x.cut(ctx, silence, scheduler.Broken, errors.New("answer is not marked as an endpoint's"))
+	}
+}
+
+// events reads the item's events to their end.
+func (x *run) events(ctx context.Context, silence *time.Timer, answer *upstream.Answer) {
+	events := sse.NewSplitter(answer)
+	for {
+		block, err := events.Next()
+		if err != nil {
+			if err == io.EOF && len(events.Rest()) == 0 && x.made > 0 {
+				x.finished(answer.Close())
+				return
+			}
+			x.cut(ctx, silence, scheduler.Broken, err)
+			return
+		}
+		silence.Reset(nextEventTimeout)
+		if err := x.order.Check(block.Events); err != nil {
+			x.cut(ctx, silence, scheduler.Broken, err)
+			return
+		}
+		for i := range block.Events {
+			if x.made > 0 {
+				x.output.WriteByte('\n')
+			}
+			x.output.Write(block.Events[i].Data)
+			x.made++
+		}
+	}
+}
+
+// cut ends a run that did not finish, and keeps what it made.
+func (x *run) cut(ctx context.Context, silence *time.Timer, outcome scheduler.Outcome, err error) {
+	if ctx.Err() != nil {
+		if silence.Stop() {
+			outcome = scheduler.Abandoned
+		} else {
+			err = errSilent
+		}
+	}
+	if x.made > x.resumed {
+		x.keep()
+	}
+	x.done(string(outcome), err.Error(), scheduler.Use{Outcome: outcome, Made: x.tokensMade()})
+}
+
+// keep keeps what the item has made, in the ledger if this host is leaving.
+func (x *run) keep() {
+	p := &jobs.Partial{Item: x.ref.Item, Events: x.made, Output: x.output.String()}
+	x.Runner.mu.Lock()
+	x.partials[x.ref] = p
+	x.Runner.mu.Unlock()
+	if x.leaving.Load() {
+		x.record("partial", &jobs.Record{Job: x.ref.Job, Partial: p})
+	}
+}
+
+// tokensMade returns the tokens in the events made so far.
+func (x *run) tokensMade() int {
+	perEvent := 1
+	if c := x.ledger.opts.Configuration(); c != nil {
+		if s := c.Services[x.endpoint.Service]; s != nil && s.Engine != nil {
+			perEvent = s.Engine.TokensPerEvent
+		}
+	}
+	return x.made * perEvent
+}
+
+// finished records the item's result; its slot is free before that.
+func (x *run) finished(reusable bool) {
+	x.done("done", "", scheduler.Use{Outcome: scheduler.Finished, Settled: true, Reusable: reusable})
+	x.record("result", &jobs.Record{Job: x.ref.Job, Result: &jobs.Result{Item: x.ref.Item, Output: x.output.String()}})
+	x.forget()
+}
+
+// failed records a failure of the item, or its end after too many.
+func (x *run) failed(status int) {
+	x.ledger.mu.Lock()
+	failures := x.job.Failures(x.ref.Item) + 1
+	x.ledger.mu.Unlock()
+	never := status == http.StatusUnprocessableEntity
+	reason := "endpoint answered " + strconv.Itoa(status)
+	switch {
+	case never, status == http.StatusInternalServerError && failures >= x.job.Submission.MaxFailures:
+		x.done("dead", reason, scheduler.Use{Outcome: scheduler.Finished, Settled: true})
+		x.record("result", &jobs.Record{Job: x.ref.Job, Result: &jobs.Result{Item: x.ref.Item, Dead: true, Reason: reason}})
+		x.forget()
+	case status == http.StatusInternalServerError:
+		x.done("failed", reason, scheduler.Use{Outcome: scheduler.Finished, Delay: failureDelay, Made: x.tokensMade()})
+		x.record("failure", &jobs.Record{Job: x.ref.Job, Failure: &jobs.Failure{Item: x.ref.Item, Status: status}})
+	default:
+		x.done("failed", reason, scheduler.Use{Outcome: scheduler.Broken, Delay: failureDelay, Made: x.tokensMade()})
+	}
+}
+
+// record writes to the ledger for as long as the process lives.
+func (x *run) record(kind string, r *jobs.Record) {
+	if err := x.ledger.Write(x.recording, kind, r); err != nil {
+		_ = level.Error(x.ledger.opts.Logger).Log("event", "item_not_recorded", "job", x.ref.Job, "item", x.ref.Item, "kind", kind, "err", err)
+	}
+}
+
+func (x *run) forget() {
+	x.Runner.mu.Lock()
+	delete(x.partials, x.ref)
+	x.Runner.mu.Unlock()
+}
+
+// done gives the slot back and logs the run.
+func (x *run) done(outcome, reason string, u scheduler.Use) {
+	x.release(u)
+	x.ledger.metrics.runs.WithLabelValues(outcome).Inc()
+	id, request := "", ""
+	if x.endpoint != nil {
+		id = x.endpoint.ID
+	}
+	if x.item != nil {
+		request = x.item.ID
+	}
+	_ = level.Info(x.ledger.opts.Logger).Log("event", "item_run", "job", x.ref.Job, "item", x.ref.Item, "request", request,
+		"endpoint", id, "outcome", outcome, "reason", reason, "resumed_at", x.resumed, "events", x.made,
+		"after_ms", time.Since(x.begun).Milliseconds())
+}
--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -51,4 +51,6 @@
 	Outcome Outcome
 	// FirstByte is the time until the answer began; zero if it did not.
 	FirstByte time.Duration
+	// Reusable tells that the connection to the endpoint was kept.
+	Reusable bool
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -58,7 +58,7 @@
 		Elapsed:        now.Sub(r.started),
 		Left:           r.left(now),
 		PromptTokens:   r.PromptTokens,
-		ExpectedTokens: r.expectedTokens(),
+		ExpectedTokens: r.ExpectedOutput(),
 		Avoid:          r.tried,
 	}
 	for _, part := range r.Prefix {
@@ -66,11 +66,3 @@
 	}
 	return a
 }
-
-// expectedTokens returns the client's estimate within its own limit.
-func (r *request) expectedTokens() int {
-	if r.ExpectedTokens == 0 {
-		return r.MaxTokens
-	}
-	return min(r.ExpectedTokens, max(r.MaxTokens, 1))
-}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -14,9 +14,9 @@
 // stream carries a request whose answer is a stream of events. After its first
 // event a stream goes on within the same answer, if the route lets it.
 func (f *Forwarder) stream(ctx context.Context, w http.ResponseWriter, req *request) {
-	s := &streamer{f: f, w: w, req: req, order: newEventOrder(req.LastEvent)}
+	s := &streamer{f: f, ctx: ctx, w: w, req: req, order: sse.NewOrder(req.LastEvent)}
 	for req.triesLeft() && ctx.Err() == nil {
-		t, err := f.attempt(ctx, req, s.order.last)
+		t, err := f.attempt(ctx, req, s.order.Last)
 		if err != nil {
 			s.fail(err)
 			return
@@ -34,12 +34,13 @@
 // streamer relays the events of one request, over one or more tries.
 type streamer struct {
 	f   *Forwarder
+	ctx context.Context
 	w   http.ResponseWriter
 	req *request
 	// begun tells that the head of the answer is written.
 	begun bool
 	// order holds the id of the last event passed on.
-	order eventOrder
+	order sse.Order
 }
 
 // fail ends a stream that can't go on.
@@ -73,9 +74,13 @@
 		s.f.finished(s.req, t.answer.Status)
 		return true
 	}
+	outcome := OutcomeCut
+	if errors.Is(err, errClientGone) || s.ctx.Err() != nil {
+		outcome = OutcomeAbandoned
+	}
 	s.req.unknown = true
-	s.f.noteTry(s.req, t, OutcomeCut, err.Error())
-	t.end(OutcomeCut)
+	s.f.noteTry(s.req, t, outcome, err.Error())
+	t.end(outcome)
 	return false
 }
 
@@ -106,7 +111,7 @@
 			return err
 		}
 		order := s.order
-		if err := order.check(block.Events); err != nil {
+		if err := order.Check(block.Events); err != nil {
 			return err
 		}
 		if _, err := s.w.Write(block.Bytes); err != nil {
--- a/forward/try.go
+++ b/forward/try.go
@@ -13,12 +13,10 @@
 
 // try is one request at one endpoint.
 type try struct {
-	place  Place
-	answer *upstream.Answer
-	begun  time.Time
-	used   Use
-	// repeatable tells that an answer which does not settle the request may be
-	// dropped in favour of another try.
+	place   Place
+	answer  *upstream.Answer
+	begun   time.Time
+	used    Use
 	verdict platform.Verdict
 	cancel  context.CancelFunc
 }
@@ -27,7 +25,7 @@
 func (t *try) end(outcome Outcome) {
 	t.used.Outcome = outcome
 	if t.answer != nil {
-		t.answer.Close()
+		t.used.Reusable = t.answer.Close()
 	}
 	t.cancel()
 	t.place.Release(t.used)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -13,12 +14,17 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/peridotmount/peridotmount/balance"
+	"github.com/peridotmount/peridotmount/batch"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/settings"
+	"github.com/peridotmount/peridotmount/slots"
+	"github.com/peridotmount/peridotmount/sockopt"
 	"github.com/peridotmount/peridotmount/upstream"
 )
 
@@ -36,6 +42,12 @@
 	// configurationPause bounds the reads while configurations follow one
 	// another quickly.
 	configurationPause = 50 * time.Millisecond
+	// directoryPause is well below the time after which a host counts as lost.
+	directoryPause = time.Second
+	// peerDialTimeout bounds the time to connect to another host.
+	peerDialTimeout = 150 * time.Millisecond
+	// incarnationLength makes two runs of a host differ, in letters.
+	incarnationLength = 8
 )
 
 // Gateway is one host that serves the operator's routes.
@@ -43,17 +55,29 @@
 	settings *settings.Gateway
 	logger   log.Logger
 	registry *prometheus.Registry
+	self     peers.Host
+	// life ends with the process; recording results goes on until then.
+	life context.Context
+	end  context.CancelFunc
 
 	store         *platform.Store
 	configuration *configuration
 	endpoints     *endpoints
 	endpointFeed  *follow.Follower
+	directory     *peers.Directory
+	directoryFeed *follow.Follower
+	registrar     *peers.Registrar
 	pool          *upstream.Pool
-	balancer      *balance.Balancer
+	client        *slots.Client
+	scheduler     *slots.Duty
+	ledger        *batch.Ledger
+	runner        *batch.Runner
 	forwarder     *forward.Forwarder
+	balancer      *balance.Balancer
 	ready         *readiness
 	callers       *listener
 	operators     *listener
+	peers         *listener
 }
 
 // New puts a host together and binds its listeners.
@@ -61,12 +85,23 @@
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	g := &Gateway{
 		settings: s,
-		logger:   log.With(logger, "host", s.Name, "zone", s.Zone),
+		logger:   log.With(logger, "host", s.Name),
 		registry: prometheus.NewRegistry(),
+		self: peers.Host{
+			Name:        s.Name,
+			Incarnation: rand.Text()[:incarnationLength],
+			Address:     s.Peers,
+			Zone:        s.Zone,
+			Region:      s.Regions[s.Zone],
+			Token:       rand.Text(),
+		},
 	}
+	g.life, g.end = context.WithCancel(context.Background())
 	g.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.buildBeliefs()
+	g.buildScheduling()
+	g.buildJobs()
 	g.buildPath()
 	return g, g.listen()
 }
@@ -75,43 +110,115 @@
 func (g *Gateway) buildBeliefs() {
 	g.store = platform.NewStore(g.settings.Store, g.registry)
 	g.configuration = &configuration{logger: g.logger, adopted: g.adopted}
-	g.configuration.follower = follow.New(follow.Options{
-		Store: g.store, Topic: platform.TopicOperator, Handler: g.configuration,
-		Wait: followWait, Pause: configurationPause, Logger: g.logger,
-	})
+	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
 	g.endpoints = newEndpoints(g.logger, g.endpointsChanged)
-	g.endpointFeed = follow.New(follow.Options{
-		Store: g.store, Topic: platform.TopicEndpoints, Handler: g.endpoints,
-		Wait: followWait, Pause: endpointPause, Logger: g.logger,
-	})
+	g.endpointFeed = g.follow(platform.TopicEndpoints, g.endpoints, endpointPause)
+	g.directory = peers.NewDirectory(g.logger)
+	g.directoryFeed = g.follow(platform.TopicHosts, g.directory, directoryPause)
+	g.registrar = peers.NewRegistrar(g.store, g.self, g.logger)
 	g.ready = &readiness{configuration: g.configuration, endpoints: g.endpoints, logger: g.logger}
 }
 
+func (g *Gateway) follow(topic platform.Topic, h follow.Handler, pause time.Duration) *follow.Follower {
+	return follow.New(follow.Options{
+		Store: g.store, Topic: topic, Handler: h, Wait: followWait, Pause: pause, Logger: g.logger,
+	})
+}
+
+// buildScheduling makes what decides where generations run.
+func (g *Gateway) buildScheduling() {
+	g.client, g.scheduler = slots.NewClient(slots.Options{
+		Self:  g.self,
+		Hosts: g.directory.Hosts,
+		HTTP: &http.Client{Transport: &http.Transport{
+			DialContext:        sockopt.Dialer(peerDialTimeout).DialContext,
+			DisableCompression: true,
+		}},
+		Runner: func(ctx context.Context, s *scheduler.Start, release func(scheduler.Use)) {
+			g.runner.Run(ctx, s, release)
+		},
+		ServiceOf: func(id string) string {
+			if e := g.endpoints.View().Endpoint(id); e != nil {
+				return e.Service
+			}
+			return ""
+		},
+		Logger:     g.logger,
+		Registerer: g.registry,
+	})
+}
+
+// buildJobs makes what serves batch jobs.
+func (g *Gateway) buildJobs() {
+	g.pool = upstream.NewPool(upstream.Options{Registerer: g.registry})
+	g.ledger = batch.NewLedger(batch.Options{
+		Writer:        g.self.Name + "." + g.self.Incarnation,
+		Store:         g.store,
+		Scheduler:     g.scheduler,
+		Pool:          g.pool,
+		Configuration: g.configuration.Current,
+		Endpoint:      func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
+		StatusKept:    g.settings.JobStatus,
+		Logger:        g.logger,
+		Registerer:    g.registry,
+	})
+	g.runner = batch.NewRunner(g.life, g.ledger)
+}
+
 // buildPath makes what a request passes through.
 func (g *Gateway) buildPath() {
-	g.pool = upstream.NewPool(upstream.Options{Registerer: g.registry})
 	g.balancer = balance.New(g.settings.Zone, g.settings.Regions)
 	g.forwarder = forward.New(forward.Options{
 		Configuration: g.configuration,
-		Placer:        &localPlacer{endpoints: g.endpoints, balancer: g.balancer},
-		Pool:          g.pool,
-		Jobs:          http.NotFoundHandler(),
-		Draining:      g.ready.Draining,
-		BodyBudget:    int64(float64(g.settings.Memory) * bodyShare),
-		Logger:        g.logger,
-		Registerer:    g.registry,
+		Placer: &placer{
+			configuration: g.configuration, endpoints: g.endpoints, balancer: g.balancer, client: g.client,
+		},
+		Pool:       g.pool,
+		Jobs:       batch.NewAPI(g.ledger),
+		Draining:   g.ready.Draining,
+		BodyBudget: int64(float64(g.settings.Memory) * bodyShare),
+		Logger:     g.logger,
+		Registerer: g.registry,
 	})
 }
 
-func (g *Gateway) adopted(*route.Configuration) {}
+func (g *Gateway) adopted(c *route.Configuration) {
+	g.schedule(c, g.endpoints.View())
+	g.ledger.Reschedule()
+}
 
-func (g *Gateway) endpointsChanged(_ *endpoint.View, changes []endpoint.Change) {
+func (g *Gateway) endpointsChanged(view *endpoint.View, changes []endpoint.Change) {
 	for i := range changes {
 		if changes[i].After == nil {
 			g.pool.Forget(changes[i].Before.ID)
 			g.balancer.Forget(changes[i].Before.ID)
 		}
 	}
+	g.schedule(g.configuration.Current(), view)
+}
+
+// schedule hands the engines that take work to the scheduler.
+func (g *Gateway) schedule(c *route.Configuration, view *endpoint.View) {
+	if c == nil {
+		return
+	}
+	var engines []scheduler.Endpoint
+	for name, s := range c.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, e := range view.Ready(name) {
+			engines = append(engines, scheduler.Endpoint{
+				ID:          e.ID,
+				Service:     name,
+				Zone:        e.Zone,
+				Region:      g.settings.Regions[e.Zone],
+				Slots:       e.Slots,
+				CacheTokens: s.Engine.CacheTokens,
+			})
+		}
+	}
+	g.scheduler.SetEndpoints(engines)
 }
 
 // Run serves until ctx ends, then drains.
@@ -133,6 +240,7 @@
 	}
 	g.drain()
 	stop()
+	g.end()
 	<-ended
 	_ = level.Info(g.logger).Log("event", "stopped")
 	return nil
@@ -140,6 +248,7 @@
 
 func (g *Gateway) duties() []suture.Service {
 	return []suture.Service{
-		g.configuration.follower, g.endpointFeed, g.endpoints, g.pool, g.operators, g.callers,
+		g.configuration.follower, g.endpointFeed, g.endpoints, g.directoryFeed, g.directory, g.registrar,
+		g.ledger.Follower(), g.scheduler, g.client, g.pool, g.operators, g.peers, g.callers,
 	}
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/peridotmount/peridotmount/slots"
 	"github.com/peridotmount/peridotmount/sockopt"
 )
 
@@ -72,6 +73,11 @@
 	if g.callers, err = listen("callers", g.settings.Callers, g.forwarder); err != nil {
 		return err
 	}
+	own := http.NewServeMux()
+	own.Handle("POST "+slots.SessionPath, slots.NewServer(g.scheduler, g.self.Token, g.logger))
+	if g.peers, err = listen("peers", g.settings.Peers, own); err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /ready", g.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
--- /dev/null
+++ b/gateway/placer.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/balance"
+	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/scheduler"
+	"github.com/peridotmount/peridotmount/slots"
+)
+
+const (
+	// noEndpointRetry is the Retry-After while a service has no endpoint: about
+	// the time in which a new one is seen.
+	noEndpointRetry = time.Second
+	// maxPlaces bounds the endpoints that the scheduler may name before one is
+	// found that this host can use.
+	maxPlaces = 4
+)
+
+// placer places generations by the fleet's scheduler, and other requests by what
+// this host has in progress.
+type placer struct {
+	configuration *configuration
+	endpoints     *endpoints
+	balancer      *balance.Balancer
+	client        *slots.Client
+}
+
+// Place implements forward.Placer.
+func (p *placer) Place(ctx context.Context, ask *forward.Ask) (forward.Place, error) {
+	if c := p.configuration.Current(); c != nil {
+		if s := c.Services[ask.Service]; s != nil && s.Engine != nil {
+			return p.slot(ctx, ask)
+		}
+	}
+	ready := p.endpoints.View().Ready(ask.Service)
+	e := p.balancer.Choose(time.Now(), ready, func(id string) bool { return slices.Contains(ask.Avoid, id) })
+	if e == nil {
+		e = p.balancer.Choose(time.Now(), ready, func(string) bool { return false })
+	}
+	if e == nil {
+		return nil, &forward.Rejection{Reason: "no endpoint is ready", RetryAfter: noEndpointRetry}
+	}
+	return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
+}
+
+// slot asks the scheduler, until it names an endpoint that this host knows.
+func (p *placer) slot(ctx context.Context, ask *forward.Ask) (forward.Place, error) {
+	begun := time.Now()
+	a := scheduler.Ask{
+		Request:        ask.Request,
+		Service:        ask.Service,
+		Priority:       ask.Route.Priority,
+		Objective:      ask.Route.Objective,
+		PromptTokens:   ask.PromptTokens,
+		ExpectedTokens: ask.ExpectedTokens,
+		Prefix:         ask.Prefix,
+		Avoid:          slices.Clone(ask.Avoid),
+	}
+	for range maxPlaces {
+		waited := time.Since(begun)
+		a.Elapsed, a.Left = ask.Elapsed+waited, ask.Left-waited
+		lease, err := p.client.Acquire(ctx, a)
+		if err != nil {
+			return nil, rejectionOf(err)
+		}
+		if e := p.endpoints.View().Endpoint(lease.Endpoint); e != nil && e.State == endpoint.Ready {
+			return &leasedPlace{lease: lease, endpoint: e}, nil
+		}
+		lease.Release(scheduler.Use{Outcome: scheduler.Leaving})
+		a.Avoid = append(a.Avoid, lease.Endpoint)
+	}
+	return nil, &forward.Rejection{Reason: "no endpoint is ready", RetryAfter: noEndpointRetry}
+}
+
+// rejectionOf turns a refusal of the scheduler into one of the request.
+func rejectionOf(err error) error {
+	var refused *slots.RefusedError
+	if errors.As(err, &refused) {
+		return &forward.Rejection{Reason: string(refused.Reason), RetryAfter: refused.RetryAfter}
+	}
+	return err
+}
+
+// balancedPlace is room at an endpoint by the balancer's count.
+type balancedPlace struct {
+	balancer *balance.Balancer
+	endpoint *endpoint.Endpoint
+}
+
+// Endpoint implements forward.Place.
+func (p *balancedPlace) Endpoint() *endpoint.Endpoint {
+	return p.endpoint
+}
+
+// Release implements forward.Place.
+func (p *balancedPlace) Release(use forward.Use) {
+	failed := use.Outcome == forward.OutcomeNotSent || use.Outcome == forward.OutcomeUnknown ||
+		use.Outcome == forward.OutcomeMisdirected || use.Outcome == forward.OutcomeNotRun
+	p.balancer.Done(time.Now(), p.endpoint.ID, failed)
+}
+
+// leasedPlace is a slot granted by the scheduler.
+type leasedPlace struct {
+	lease    *slots.Lease
+	endpoint *endpoint.Endpoint
+}
+
+// Endpoint implements forward.Place.
+func (p *leasedPlace) Endpoint() *endpoint.Endpoint {
+	return p.endpoint
+}
+
+// Release implements forward.Place.
+func (p *leasedPlace) Release(use forward.Use) {
+	p.lease.Release(scheduler.Use{Outcome: outcomeOf(use.Outcome), Reusable: use.Reusable})
+}
+
+// outcomeOf says of a try's outcome what it means for the endpoint.
+func outcomeOf(o forward.Outcome) scheduler.Outcome {
+	switch o {
+	case forward.OutcomeAnswered, forward.OutcomeFailed:
+		return scheduler.Finished
+	case forward.OutcomeNotRun:
+		return scheduler.Refused
+	case forward.OutcomeMisdirected:
+		return scheduler.Misdirected
+	case forward.OutcomeNotSent:
+		return scheduler.Unreached
+	case forward.OutcomeAbandoned:
+		return scheduler.Abandoned
+	default:
+		return scheduler.Broken
+	}
+}
--- /dev/null
+++ b/peers/host.go
@@ -0,0 +1,51 @@
+package peers
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// ErrMalformed means that a host's record can't be read.
+var ErrMalformed = errors.New("record of a host is malformed")
+
+// Host is one host of the system, as its record says.
+type Host struct {
+	Name string `json:"name"`
+	// Incarnation tells runs of the same host apart.
+	Incarnation string `json:"incarnation"`
+	// Address is where the other hosts reach it, an IP address and port.
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+	// Token is the bearer token that the host asks of the others.
+	Token string `json:"token"`
+	// Joined is the offset of the incarnation's first record: it orders hosts by
+	// age without regard to their clocks. It is negative in that first record.
+	Joined int64 `json:"joined"`
+	// Beat counts the records of the incarnation.
+	Beat int64 `json:"beat"`
+	// Leaving hosts are shutting down.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// encode returns the value of the host's record.
+func (h *Host) encode() ([]byte, error) {
+	value, err := json.Marshal(h)
+	return value, errors.Wrap(err, "encode host")
+}
+
+// decodeHost reads the record at an offset.
+func decodeHost(key string, offset int64, value []byte) (Host, error) {
+	var h Host
+	if err := json.Unmarshal(value, &h); err != nil {
+		return h, errors.Wrap(ErrMalformed, err.Error())
+	}
+	if h.Name != key || h.Address == "" || h.Incarnation == "" {
+		return h, errors.Wrap(ErrMalformed, "name, address or incarnation is missing")
+	}
+	if h.Joined < 0 {
+		h.Joined = offset
+	}
+	return h, nil
+}
--- /dev/null
+++ b/peers/table.go
@@ -0,0 +1,95 @@
+package peers
+
+import (
+	"sort"
+	"time"
+)
+
+// Expiry is how long a host is believed alive after its last record: three
+// heartbeats.
+const Expiry = 3 * HeartbeatInterval
+
+// Table is what a host knows of the others. It is a deterministic state machine
+// without a clock; it is not safe for concurrent use.
+type Table struct {
+	entries map[string]*entry
+	// lost tells that the store can't be reached: no host expires meanwhile.
+	lost bool
+}
+
+// entry is a host and when its last record was read.
+type entry struct {
+	host   Host
+	offset int64
+	seen   time.Time
+}
+
+// NewTable returns an empty Table.
+func NewTable() *Table {
+	return &Table{entries: make(map[string]*entry)}
+}
+
+// Put applies a host's record.
+func (t *Table) Put(now time.Time, offset int64, h Host) {
+	old := t.entries[h.Name]
+	if old != nil && offset <= old.offset {
+		return
+	}
+	t.entries[h.Name] = &entry{host: h, offset: offset, seen: now}
+}
+
+// Remove applies the removal of a host's record.
+func (t *Table) Remove(offset int64, name string) {
+	if old := t.entries[name]; old != nil && offset > old.offset {
+		delete(t.entries, name)
+	}
+}
+
+// Lost notes that the store can't be reached.
+func (t *Table) Lost() {
+	t.lost = true
+}
+
+// Regained notes that the store is reached again: hosts get the time to write.
+func (t *Table) Regained(now time.Time) {
+	t.lost = false
+	for _, e := range t.entries {
+		e.seen = now
+	}
+}
+
+// Expire drops the hosts whose last record is old and returns their names.
+func (t *Table) Expire(now time.Time) []string {
+	if t.lost {
+		return nil
+	}
+	var out []string
+	for name, e := range t.entries {
+		if now.Sub(e.seen) > Expiry {
+			delete(t.entries, name)
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Hosts returns the hosts in the order in which they schedule: those that stay
+// before those that leave, the oldest first.
+func (t *Table) Hosts() []Host {
+	out := make([]Host, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, e.host)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := &out[i], &out[j]
+		if a.Leaving != b.Leaving {
+			return b.Leaving
+		}
+		if a.Joined != b.Joined {
+			return a.Joined < b.Joined
+		}
+		return a.Name < b.Name
+	})
+	return out
+}
--- /dev/null
+++ b/scheduler/options.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import "time"
+
+// Options bound a Core's decisions. Zero values mean the defaults.
+type Options struct {
+	// FirstToken is the time from the grant of a free slot to the first event:
+	// two crossings between regions, prefill and an engine's step.
+	FirstToken time.Duration
+	// Hold is the time that an online request keeps a slot, until measured.
+	Hold time.Duration
+	// PerToken is the time to generate one token, until measured.
+	PerToken time.Duration
+	// Rejoin is how long items of a host that left wait for it to come back.
+	Rejoin time.Duration
+	// Settle is how long an item that was run to its end may be missing in the
+	// ledger before it is run again.
+	Settle time.Duration
+}
+
+const (
+	defaultFirstToken = 50 * time.Millisecond
+	// defaultHold is some 29 events of 25 ms.
+	defaultHold = 730 * time.Millisecond
+	// defaultPerToken is one step of a full engine.
+	defaultPerToken = 4100 * time.Microsecond
+	defaultRejoin   = 600 * time.Millisecond
+	// defaultSettle covers an outage of the store for the host that ran the item:
+	// the result waits there, and another run would be in vain.
+	defaultSettle = 15 * time.Second
+
+	// decideShare is the part of its objective within which an ask that would
+	// wait too long is turned away, so that its client can still be in time.
+	decideShare = 0.2
+	// holdWeight is that of a new measurement in the moving averages.
+	holdWeight = 0.05
+	// noEndpointRetry is the Retry-After while a service has no endpoint.
+	noEndpointRetry = time.Second
+	// minReturn and maxReturn bound the Retry-After under overload: clients heed
+	// up to a third of the time they have left.
+	minReturn = 400 * time.Millisecond
+	maxReturn = 1600 * time.Millisecond
+	// failedRunDelay is the pause before an item whose run made nothing is run
+	// again; it doubles up to maxRunDelay.
+	failedRunDelay = 200 * time.Millisecond
+	maxRunDelay    = 3 * time.Second
+	// refusedPause and brokenPause are how long an endpoint that turned work
+	// away, or broke it off, gets no new work. They double up to maxPause, about
+	// the time after which a dead endpoint is off the list.
+	refusedPause = 100 * time.Millisecond
+	brokenPause  = 400 * time.Millisecond
+	maxPause     = 4 * time.Second
+	// connectionIdle is how long an endpoint keeps an idle connection, less a
+	// margin: it states ten seconds.
+	connectionIdle = 9 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.FirstToken == 0 {
+		o.FirstToken = defaultFirstToken
+	}
+	if o.Hold == 0 {
+		o.Hold = defaultHold
+	}
+	if o.PerToken == 0 {
+		o.PerToken = defaultPerToken
+	}
+	if o.Rejoin == 0 {
+		o.Rejoin = defaultRejoin
+	}
+	if o.Settle == 0 {
+		o.Settle = defaultSettle
+	}
+	return o
+}
--- /dev/null
+++ b/scheduler/service.go
@@ -0,0 +1,79 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// service is the engines of one service and what waits for them.
+type service struct {
+	name     string
+	stations []*station
+	queue    []*waiter
+	items    itemQueue
+	// hold is the mean time that an online request keeps a slot, perToken the
+	// mean time to generate one token.
+	hold, perToken time.Duration
+	// nextReturn is when the client turned away last was asked to come back.
+	nextReturn time.Time
+}
+
+// slots returns the slots of the stations that take work.
+func (v *service) slots(now time.Time) int {
+	n := 0
+	for _, s := range v.stations {
+		if s.usable(now) {
+			n += s.Slots
+		}
+	}
+	return n
+}
+
+// limit returns how many slots may be used: all, or this host's share of them
+// while other hosts schedule apart.
+func (v *service) limit(now time.Time, share float64) int {
+	return int(math.Ceil(float64(v.slots(now)) * share))
+}
+
+// kept returns the slots in use that are not being given back.
+func (v *service) kept() int {
+	n := 0
+	for _, s := range v.stations {
+		n += s.kept()
+	}
+	return n
+}
+
+// used returns the slots in use.
+func (v *service) used() int {
+	n := 0
+	for _, s := range v.stations {
+		n += len(s.tickets)
+	}
+	return n
+}
+
+// expectedWait returns the time until the ask behind ahead others gets a slot.
+func (v *service) expectedWait(now time.Time, share float64, ahead int) time.Duration {
+	return time.Duration(ahead+1) * v.hold / time.Duration(max(1, v.limit(now, share)))
+}
+
+// returnTime returns when a client that is turned away should come back: those
+// before it first, one for each time that a slot becomes free.
+func (v *service) returnTime(now time.Time, share float64) time.Duration {
+	earliest := now.Add(minReturn + v.expectedWait(now, share, len(v.queue)))
+	if v.nextReturn.Before(earliest) {
+		v.nextReturn = earliest
+	} else {
+		v.nextReturn = v.nextReturn.Add(v.hold / time.Duration(max(1, v.limit(now, share))))
+	}
+	if latest := now.Add(maxReturn); v.nextReturn.After(latest) {
+		v.nextReturn = latest
+	}
+	return v.nextReturn.Sub(now)
+}
+
+// observe takes the time that a finished online request kept its slot.
+func (v *service) observe(held time.Duration) {
+	v.hold += time.Duration(holdWeight * float64(held-v.hold))
+}
--- /dev/null
+++ b/slots/duty.go
@@ -0,0 +1,213 @@
+package slots
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/ring"
+	"github.com/peridotmount/peridotmount/scheduler"
+)
+
+// input is a call of the core.
+type input func(now time.Time, c *scheduler.Core)
+
+// Sink takes what a host has to be told; it must not block.
+type Sink func(Down)
+
+// Duty drives the scheduler of this host. It is a suture service; its methods
+// are safe for concurrent use and return before the input is handled.
+type Duty struct {
+	core    *scheduler.Core
+	hosts   func() []peers.Host
+	logger  log.Logger
+	metrics *metrics
+	inputs  *ring.Ring[input]
+
+	// mu guards the sessions.
+	mu       sync.Mutex
+	sessions map[string]*sessionSink
+	left     map[string]time.Time
+	// majority is when most hosts took part first, zero while they don't.
+	majority time.Time
+}
+
+// sessionSink is where a host's messages go.
+type sessionSink struct {
+	deliver Sink
+}
+
+// NewDuty returns a Duty; hosts lists the hosts of the system.
+func NewDuty(hosts func() []peers.Host, logger log.Logger, m *metrics) *Duty {
+	return &Duty{
+		core:     scheduler.NewCore(scheduler.Options{}),
+		hosts:    hosts,
+		logger:   logger,
+		metrics:  m,
+		inputs:   ring.New[input](inputRing),
+		sessions: make(map[string]*sessionSink),
+		left:     make(map[string]time.Time),
+	}
+}
+
+// String names the service to its supervisor.
+func (d *Duty) String() string {
+	return "scheduler"
+}
+
+// do hands an input over. The ring is full only if the host can't keep up; its
+// sessions wait then, which the hosts at the other end notice as silence.
+func (d *Duty) do(in input) {
+	_ = d.inputs.Put(context.Background(), in)
+}
+
+// Serve implements suture.Service.
+func (d *Duty) Serve(ctx context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	nextShare := time.Time{}
+	for {
+		now := time.Time{}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case in := <-d.inputs.C():
+			now = time.Now()
+			in(now, d.core)
+			d.drainInputs(now)
+		case now = <-tick.C:
+			if d.core.Busy() {
+				d.core.Tick(now)
+			}
+		}
+		if !now.Before(nextShare) {
+			nextShare = now.Add(shareEvery)
+			d.adjustShare(now)
+		}
+		d.deliver()
+	}
+}
+
+// drainInputs handles what else has come, so that its effects leave together.
+func (d *Duty) drainInputs(now time.Time) {
+	for {
+		select {
+		case in := <-d.inputs.C():
+			in(now, d.core)
+		default:
+			return
+		}
+	}
+}
+
+// deliver passes the effects on.
+func (d *Duty) deliver() {
+	for _, e := range d.core.Effects() {
+		d.metrics.observe(e)
+		d.mu.Lock()
+		s := d.sessions[e.To()]
+		d.mu.Unlock()
+		if s != nil {
+			s.deliver(downOf(e))
+		}
+	}
+}
+
+// adjustShare bounds the slots by the part of the hosts that take part here.
+func (d *Duty) adjustShare(now time.Time) {
+	d.mu.Lock()
+	here, all := len(d.sessions), len(d.sessions)
+	for _, h := range d.hosts() {
+		if d.sessions[h.Name] != nil {
+			continue
+		}
+		all++
+		if now.Sub(d.left[h.Name]) < rejoinGrace {
+			here++
+		}
+	}
+	if 2*here <= all {
+		d.majority = time.Time{}
+	} else if d.majority.IsZero() {
+		d.majority = now
+	}
+	settled := !d.majority.IsZero() && now.Sub(d.majority) >= settleTime
+	d.mu.Unlock()
+	if here == 0 {
+		return
+	}
+	d.core.SetShare(now, float64(here)/float64(all), settled)
+}
+
+// Join adds a host with what it runs; a session it had before is replaced.
+func (d *Duty) Join(h *Hello, deliver Sink) *sessionSink {
+	s := &sessionSink{deliver: deliver}
+	d.do(func(now time.Time, c *scheduler.Core) {
+		d.mu.Lock()
+		again := d.sessions[h.Host] != nil
+		d.sessions[h.Host] = s
+		n := len(d.sessions)
+		d.mu.Unlock()
+		if again {
+			c.Leave(now, h.Host)
+		}
+		c.Join(now, h.Host, h.Zone, h.Region, h.Running)
+		_ = level.Info(d.logger).Log("event", "session_opened", "peer", h.Host, "running", len(h.Running), "sessions", n)
+	})
+	return s
+}
+
+// Leave removes a host, unless it has another session by now.
+func (d *Duty) Leave(host string, s *sessionSink, reason string) {
+	d.do(func(now time.Time, c *scheduler.Core) {
+		d.mu.Lock()
+		current := d.sessions[host] == s
+		if current {
+			delete(d.sessions, host)
+			d.left[host] = now
+		}
+		n := len(d.sessions)
+		d.mu.Unlock()
+		if !current {
+			return
+		}
+		c.Leave(now, host)
+		_ = level.Info(d.logger).Log("event", "session_closed", "peer", host, "reason", reason, "sessions", n)
+	})
+}
+
+// Handle takes a message of a host.
+func (d *Duty) Handle(host string, m *Up) {
+	switch {
+	case m.Ask != nil:
+		a := *m.Ask
+		d.do(func(now time.Time, c *scheduler.Core) { c.Ask(now, host, a) })
+	case m.Use != nil:
+		u := *m.Use
+		d.do(func(now time.Time, c *scheduler.Core) { c.Done(now, u) })
+	case m.Withdraw != "":
+		id := m.Withdraw
+		d.do(func(now time.Time, c *scheduler.Core) { c.Withdraw(now, id) })
+	case m.Leaving:
+		d.do(func(_ time.Time, c *scheduler.Core) { c.SetLeaving(host) })
+	}
+}
+
+// SetEndpoints replaces the endpoints that take new work.
+func (d *Duty) SetEndpoints(endpoints []scheduler.Endpoint) {
+	d.do(func(now time.Time, c *scheduler.Core) { c.SetEndpoints(now, endpoints) })
+}
+
+// AddItem adds a batch item that is to be run.
+func (d *Duty) AddItem(i scheduler.Item) {
+	d.do(func(now time.Time, c *scheduler.Core) { c.AddItem(now, i) })
+}
+
+// DropItem forgets a batch item.
+func (d *Duty) DropItem(ref scheduler.ItemRef) {
+	d.do(func(now time.Time, c *scheduler.Core) { c.DropItem(now, ref) })
+}
--- /dev/null
+++ b/slots/message.go
@@ -0,0 +1,46 @@
+package slots
+
+import "github.com/peridotmount/peridotmount/scheduler"
+
+// Up is a message of a host to its scheduler, one line of JSON. One part is set;
+// a message without any shows that the host is there.
+type Up struct {
+	Hello    *Hello         `json:"hello,omitempty"`
+	Ask      *scheduler.Ask `json:"ask,omitempty"`
+	Use      *scheduler.Use `json:"use,omitempty"`
+	Withdraw string         `json:"withdraw,omitempty"`
+	Leaving  bool           `json:"leaving,omitempty"`
+}
+
+// Hello opens a session.
+type Hello struct {
+	Host    string              `json:"host"`
+	Zone    string              `json:"zone"`
+	Region  string              `json:"region"`
+	Running []scheduler.Running `json:"running"`
+}
+
+// Down is a message of the scheduler to a host, one line of JSON. One part is
+// set; a message without any shows that the scheduler is there.
+type Down struct {
+	Grant  *scheduler.Grant  `json:"grant,omitempty"`
+	Refuse *scheduler.Refuse `json:"refuse,omitempty"`
+	Revoke *scheduler.Revoke `json:"revoke,omitempty"`
+	Start  *scheduler.Start  `json:"start,omitempty"`
+}
+
+// downOf wraps an effect.
+func downOf(e scheduler.Effect) Down {
+	switch e := e.(type) {
+	case scheduler.Grant:
+		return Down{Grant: &e}
+	case scheduler.Refuse:
+		return Down{Refuse: &e}
+	case scheduler.Revoke:
+		return Down{Revoke: &e}
+	case scheduler.Start:
+		return Down{Start: &e}
+	default:
+		return Down{}
+	}
+}
--- /dev/null
+++ b/slots/times.go
@@ -0,0 +1,41 @@
+package slots
+
+import "time"
+
+const (
+	// tickEvery is the time between two looks at what waits.
+	tickEvery = 20 * time.Millisecond
+	// shareEvery is the time between two looks at which hosts take part.
+	shareEvery = 100 * time.Millisecond
+	// rejoinGrace is how long a host whose session ended counts as taking part.
+	rejoinGrace = 500 * time.Millisecond
+	// settleTime is the time in which the hosts announce what they run to a new
+	// scheduler, before it starts batch items.
+	settleTime = 300 * time.Millisecond
+
+	// downPing is the time between two signs of life of a scheduler, and
+	// upPing that of a host.
+	downPing = 100 * time.Millisecond
+	upPing   = 500 * time.Millisecond
+	// schedulerSilence is how long a scheduler may be silent: three signs of life
+	// and the time between regions.
+	schedulerSilence = 350 * time.Millisecond
+	// hostSilence is how long a host may be silent.
+	hostSilence = 1600 * time.Millisecond
+
+	// electEvery is the time between two looks at who should schedule.
+	electEvery = 100 * time.Millisecond
+	// connectTimeout bounds the opening of a session: some round trips between
+	// regions, and a slow host's work.
+	connectTimeout = 150 * time.Millisecond
+	// firstBackoff and lastBackoff bound how long a host that could not be
+	// reached is passed over.
+	firstBackoff = 500 * time.Millisecond
+	lastBackoff  = 4 * time.Second
+)
+
+// Bounds of the rings.
+const (
+	inputRing  = 4096
+	outboxRing = 1024
+)
--- a/sse/block.go
+++ b/sse/block.go
@@ -11,8 +11,16 @@
 type Block struct {
 	// Bytes are valid until the next call.
 	Bytes []byte
-	// Events lists the ids of the events in order; an event without one has "".
-	Events []string
+	// Events are in order and valid until the next call.
+	Events []Event
+}
+
+// Event is one event of a stream.
+type Event struct {
+	// ID is "" if the event has none.
+	ID string
+	// Data is the event's data; lines are joined by line feeds.
+	Data []byte
 }
 
 // Splitter cuts a stream into blocks of whole events.
@@ -21,7 +29,7 @@
 	// buf holds what was read; buf[:passed] was returned before.
 	buf    []byte
 	passed int
-	ids    []string
+	events []Event
 }
 
 // splitterBytes is the size of a read: several events of some 60 bytes.
@@ -40,8 +48,8 @@
 	for {
 		if end := lastEventEnd(s.buf); end > 0 {
 			s.passed = end
-			s.ids = eventIDs(s.ids[:0], s.buf[:end])
-			return Block{Bytes: s.buf[:end], Events: s.ids}, nil
+			s.events = parseEvents(s.events[:0], s.buf[:end])
+			return Block{Bytes: s.buf[:end], Events: s.events}, nil
 		}
 		if len(s.buf) > MaxEventBytes {
 			return Block{}, ErrEventTooLarge
@@ -87,24 +95,41 @@
 	return end
 }
 
-// eventIDs appends the ids of the events in b.
-func eventIDs(ids []string, b []byte) []string {
-	id, filled := "", false
+// parseEvents appends the events in b, which share its memory.
+func parseEvents(events []Event, b []byte) []Event {
+	var event Event
+	filled := false
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 {
 			if filled {
-				ids = append(ids, id)
+				events = append(events, event)
 			}
-			id, filled = "", false
+			event, filled = Event{}, false
 			continue
 		}
 		filled = true
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			event.ID = string(value)
+		case "data":
+			event.Data = joinLines(event.Data, value)
 		}
 	}
-	return ids
+	return events
+}
+
+// joinLines returns the data of an event with one more line.
+func joinLines(data, line []byte) []byte {
+	if data == nil {
+		return line
+	}
+	joined := make([]byte, 0, len(data)+1+len(line))
+	joined = append(joined, data...)
+	joined = append(joined, '\n')
+	return append(joined, line...)
 }
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -22,6 +22,7 @@
 	close    bool
 	whole    bool
 	closed   bool
+	kept     bool
 }
 
 func newAnswer(x *exchange, resp *http.Response) *Answer {
@@ -49,25 +50,22 @@
 	return n, nil
 }
 
-// Close ends the call. The connection is used again only after a complete
-// answer that nothing follows.
-func (a *Answer) Close() {
+// Close ends the call and reports whether its connection is kept for another one:
+// only after a complete answer that nothing follows. Closing again says the same.
+func (a *Answer) Close() bool {
 	if a.closed {
-		return
+		return a.kept
 	}
 	a.closed = true
 	x := a.exchange
 	// A watch that has begun closes the connection.
-	usable := x.stopWatch() && a.whole && !a.close && x.finished() && x.conn.reader.Buffered() == 0
-	if !usable {
+	a.kept = x.stopWatch() && a.whole && !a.close && x.finished() && x.conn.reader.Buffered() == 0
+	idle := idleTime(a.Header)
+	if !a.kept || idle <= 0 || !x.pool.put(x.conn, idle) {
+		a.kept = false
 		_ = x.conn.Close()
-		return
 	}
-	if idle := idleTime(a.Header); idle > 0 {
-		x.pool.put(x.conn, idle)
-		return
-	}
-	_ = x.conn.Close()
+	return a.kept
 }
 
 // idleTime returns how long a connection may be kept idle after an answer.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -101,18 +101,17 @@
 	return c
 }
 
-func (p *Pool) put(c *connection, idle time.Duration) {
+// put keeps an idle connection, unless there are enough.
+func (p *Pool) put(c *connection, idle time.Duration) bool {
 	c.idleUntil = time.Now().Add(idle)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	conns := p.idle[c.key]
-	full := len(conns) >= p.opts.IdlePerEndpoint
-	if !full {
-		p.idle[c.key] = append(conns, c)
-	}
-	p.mu.Unlock()
-	if full {
-		_ = c.Close()
+	if len(conns) >= p.opts.IdlePerEndpoint {
+		return false
 	}
+	p.idle[c.key] = append(conns, c)
+	return true
 }
 
 // sweep closes the connections that were idle for too long.
