Give sessions with silent hosts up

Cause: after a power loss most hosts hung in opening a session with a host that was not back yet: net/http's transport waits for its writer, which waits for the streamed body. Seen in a dump of the hanging process; ruled out: the election's order and back-off. Batch items lay still, as no scheduler had most hosts. TestOpenRemoteGivesUpOnSilentHost fails without the change.

--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -42,6 +42,8 @@
 		return nil, errors.Wrap(errSession, err.Error())
 	}
 	req.Header.Set("Authorization", "Bearer "+h.Token)
+	// The transport waits for its writer, which waits for the body.
+	context.AfterFunc(ctx, func() { _ = body.CloseWithError(ctx.Err()) })
 	giveUp := time.AfterFunc(connectTimeout, cancel)
 	resp, err := client.Do(req)
 	if err != nil {
