Leave what is newer than a listing to the reads, and keep slots free for online work

Cause 1: a host that listed the ledger while a job was written saw the job's submission and not its items, judged it incomplete, and skipped both when it read on; it then answered 404. Ruled out: trust in an old picture (its age was 178 ms). TestListingOfSeveralMoments fails without the change. Cause 2: each slot that became free for a moment was given to a batch item and taken back within milliseconds; each time cost a connection. Batch now leaves room for the spread of online arrivals.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,9 +63,12 @@
 	return l.follower
 }
 
-// Listed implements follow.Handler.
-func (l *Ledger) Listed(now time.Time, records []platform.KeyedRecord, _ int64) {
-	l.Changed(now, records)
+// Listed implements follow.Handler. The pages of a listing are not of one moment:
+// a later page may hold a record whose predecessors an earlier page lacks. Those
+// from end on are left to the reads that follow, which bring all in order.
+func (l *Ledger) Listed(now time.Time, records []platform.KeyedRecord, end int64) {
+	n := sort.Search(len(records), func(i int) bool { return records[i].Offset >= end })
+	l.Changed(now, records[:n])
 }
 
 // Changed implements follow.Handler.
--- /dev/null
+++ b/batch/ledger_test.go
@@ -0,0 +1,82 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/peridotmount/peridotmount/jobs"
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/scheduler"
+)
+
+// noStore is a store that is never asked.
+type noStore struct{}
+
+func (noStore) Append(context.Context, platform.Topic, [][]byte) (int64, error) {
+	return 0, platform.ErrUnavailable
+}
+
+func (noStore) Read(context.Context, platform.Topic, int64, time.Duration) (platform.Page, error) {
+	return platform.Page{}, platform.ErrUnavailable
+}
+
+func (noStore) Newest(context.Context, platform.Topic, string) (platform.Snapshot, error) {
+	return platform.Snapshot{}, platform.ErrUnavailable
+}
+
+// itemSet holds the items that the scheduler was told of.
+type itemSet map[scheduler.ItemRef]scheduler.Item
+
+func (s itemSet) AddItem(i scheduler.Item)       { s[i.Ref] = i }
+func (s itemSet) DropItem(ref scheduler.ItemRef) { delete(s, ref) }
+func testConfiguration() *route.Configuration {
+	c := &route.Configuration{Version: 1, Routes: []route.Route{{
+		Name: "lots", Host: "h", Prefix: "/lots-in/", Kind: route.Batch,
+		Backends: []route.Backend{{Service: "engine", Weight: 1}}, MaxAttempts: 3,
+		Window: 18 * time.Second, Retention: time.Minute,
+	}}}
+	c.Index()
+	return c
+}
+
+func newTestLedger() (*Ledger, itemSet) {
+	items := make(itemSet)
+	return NewLedger(Options{
+		Writer: "w", Store: noStore{}, Scheduler: items, Logger: log.NewNopLogger(),
+		Configuration: testConfiguration,
+	}), items
+}
+
+// keyed returns a record as the store keeps it.
+func keyed(t *testing.T, offset int64, key string, r *jobs.Record) platform.KeyedRecord {
+	t.Helper()
+	value, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.KeyedRecord{Offset: offset, Key: key, Value: value}
+}
+
+// TestListingOfSeveralMoments lists a ledger while a job is written: the page
+// that holds the job's submission was read after it, the one that should hold its
+// items before.
+func TestListingOfSeveralMoments(t *testing.T) {
+	l, items := newTestLedger()
+	part := keyed(t, 4, "part/j", &jobs.Record{Job: "j", Part: &jobs.Part{Attempt: "a", Items: []jobs.Item{{ID: "i", Path: "/x"}}}})
+	submit := keyed(t, 5, "submit/j", &jobs.Record{Job: "j", Submit: &jobs.Submission{
+		Attempt: "a", Items: 1, Host: "h", Path: "/lots-in/j", Route: "lots", WindowMillis: 18000,
+	}})
+	const end = 4
+	l.Listed(time.Time{}, []platform.KeyedRecord{submit}, end)
+	l.Changed(time.Time{}, []platform.KeyedRecord{part, submit})
+	if l.state.Job("j") == nil {
+		t.Fatal("the job is not known")
+	}
+	if len(items) != 1 {
+		t.Errorf("%d items are scheduled", len(items))
+	}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -135,6 +135,7 @@
 		c.emit(Refuse{Host: host, Ticket: a.Ticket, Reason: ReasonNoEndpoint, RetryAfter: noEndpointRetry})
 		return
 	}
+	v.arrivals.count(now)
 	c.seq++
 	w := &waiter{Ask: a, host: m, arrived: now.Add(-a.Elapsed), deadline: now.Add(a.Left), seq: c.seq}
 	c.waiting[a.Ticket] = w
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -34,6 +34,9 @@
 	decideShare = 0.2
 	// holdWeight is that of a new measurement in the moving averages.
 	holdWeight = 0.05
+	// reserveTime is how far ahead batch items leave room for online requests: a
+	// run that is revoked sooner costs more than it makes.
+	reserveTime = 250 * time.Millisecond
 	// noEndpointRetry is the Retry-After while a service has no endpoint.
 	noEndpointRetry = time.Second
 	// minReturn and maxReturn bound the Retry-After under overload: clients heed
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -14,6 +14,8 @@
 	// hold is the mean time that an online request keeps a slot, perToken the
 	// mean time to generate one token.
 	hold, perToken time.Duration
+	// arrivals is the rate of online requests.
+	arrivals rate
 	// nextReturn is when the client turned away last was asked to come back.
 	nextReturn time.Time
 }
@@ -73,6 +75,13 @@
 	return v.nextReturn.Sub(now)
 }
 
+// reserve returns the slots that batch items leave free for the online requests
+// of the next moments. Requests end about as fast as they come, so the slots have
+// to cover the spread of their number only.
+func (v *service) reserve(now time.Time) int {
+	return int(math.Ceil(math.Sqrt(v.arrivals.perSecond(now) * reserveTime.Seconds())))
+}
+
 // observe takes the time that a finished online request kept its slot.
 func (v *service) observe(held time.Duration) {
 	v.hold += time.Duration(holdWeight * float64(held-v.hold))
