Give each copy of a ledger record a key of its own, and refuse late copies

Cause: an append whose answer was lost was tried again under the same key. The store keeps the newest record of a key, so a host that listed the ledger saw the later copy's place in the order, others the first's: a result stood at two positions. Beside it, found by reading: a late copy of a submission that had been refused could be accepted, and a part that came twice counted twice.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -97,8 +97,9 @@
 		return
 	}
 	change := l.state.Apply(r.Offset, r.Key, record)
-	if ch := l.seen[r.Key]; ch != nil {
-		delete(l.seen, r.Key)
+	base := baseKey(r.Key)
+	if ch := l.seen[base]; ch != nil {
+		delete(l.seen, base)
 		close(ch)
 	}
 	l.react(r.Offset, record, &change)
@@ -220,45 +221,41 @@
 	return fmt.Sprintf("%s/%s/%s.%d", kind, job, l.opts.Writer, l.seq.Add(1))
 }
 
-// encode returns a record as the store keeps it, with its key.
-func (l *Ledger) encode(kind string, r *jobs.Record) (string, []byte, error) {
+// encode returns a record that is ready to be written.
+func (l *Ledger) encode(kind string, r *jobs.Record) (outgoing, error) {
 	r.Writer = l.opts.Writer
 	value, err := r.Encode()
-	if err != nil {
-		return "", nil, err
-	}
-	key := l.key(kind, r.Job)
-	return key, platform.EncodeKeyed(key, value), nil
+	return outgoing{key: l.key(kind, r.Job), value: value}, err
 }
 
 // Write writes one record and returns when it is in the ledger: the store has
 // said so, or it was read back. It tries until ctx ends. Errors are
 // ErrNotWritten and ErrUnknown.
 func (l *Ledger) Write(ctx context.Context, kind string, r *jobs.Record) error {
-	key, record, err := l.encode(kind, r)
+	record, err := l.encode(kind, r)
 	if err != nil {
 		return errors.Wrap(ErrNotWritten, err.Error())
 	}
 	seen := make(chan struct{})
 	l.mu.Lock()
-	l.seen[key] = seen
+	l.seen[record.key] = seen
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
-		delete(l.seen, key)
+		delete(l.seen, record.key)
 		l.mu.Unlock()
 	}()
-	return l.append(ctx, [][]byte{record}, seen)
+	return l.append(ctx, []outgoing{record}, seen)
 }
 
 // append tries an append until the store has answered it or it was seen in the
-// ledger. Records that arrive twice have the same key and change nothing.
-func (l *Ledger) append(ctx context.Context, records [][]byte, seen <-chan struct{}) error {
+// ledger. Records may arrive more than once; only the first copy counts.
+func (l *Ledger) append(ctx context.Context, records []outgoing, seen <-chan struct{}) error {
 	unknown := false
 	retry := firstRetry
-	for {
+	for try := 0; ; try++ {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := l.opts.Store.Append(call, platform.TopicJobs, records)
+		_, err := l.opts.Store.Append(call, platform.TopicJobs, encodeTry(records, try))
 		cancel()
 		switch {
 		case err == nil:
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -80,3 +80,75 @@
 		t.Errorf("%d items are scheduled", len(items))
 	}
 }
+
+// losingStore loses the answers of its first appends, after their effect.
+type losingStore struct {
+	noStore
+	lose    int
+	records []platform.Record
+}
+
+func (s *losingStore) Append(_ context.Context, _ platform.Topic, records [][]byte) (int64, error) {
+	first := int64(len(s.records))
+	for _, r := range records {
+		s.records = append(s.records, platform.Record{Offset: int64(len(s.records)), Data: r})
+	}
+	if s.lose--; s.lose >= 0 {
+		return 0, platform.ErrUnavailable
+	}
+	return first, nil
+}
+
+// TestCopiesHaveKeysOfTheirOwn writes a result whose first answer is lost. The
+// store keeps the newest record of a key for those that list the ledger; they
+// have to see the copy that those who follow have applied.
+func TestCopiesHaveKeysOfTheirOwn(t *testing.T) {
+	store := &losingStore{lose: 1}
+	l := NewLedger(Options{Writer: "w", Store: store, Logger: log.NewNopLogger(), Configuration: testConfiguration})
+	if err := l.Write(context.Background(), "result", &jobs.Record{Job: "j", Result: &jobs.Result{}}); err != nil {
+		t.Fatal(err)
+	}
+	keys := make(map[string]bool)
+	for _, r := range store.records {
+		k, err := platform.DecodeKeyed(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		keys[k.Key] = true
+	}
+	if len(store.records) != 2 || len(keys) != 2 {
+		t.Errorf("%d records under %d keys", len(store.records), len(keys))
+	}
+}
+
+func TestSplitKeepsBodies(t *testing.T) {
+	big := make([]byte, 3*recordBytes+7)
+	for i := range big {
+		big[i] = byte(i % 251)
+	}
+	items := []jobs.Item{{ID: "a", Body: []byte("small")}, {ID: "b", Body: big}, {ID: "c", Body: big[:recordBytes]}, {ID: "d"}}
+	state := jobs.NewState()
+	var offset int64
+	for _, p := range split("at", items) {
+		r := &jobs.Record{Job: "j", Part: p}
+		value, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(value) > 256<<10 {
+			t.Errorf("a record of %d bytes", len(value))
+		}
+		state.Apply(offset, "k", r)
+		offset++
+	}
+	state.Apply(offset, "k", &jobs.Record{Job: "j", Submit: &jobs.Submission{Attempt: "at", Items: len(items)}})
+	job := state.Job("j")
+	if job == nil {
+		t.Fatal("not accepted")
+	}
+	for i := range items {
+		if string(job.Items[i].Body) != string(items[i].Body) {
+			t.Errorf("item %s has another body", items[i].ID)
+		}
+	}
+}
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -74,34 +74,34 @@
 // write writes a job's parts and its submission, and waits for the verdict.
 func (l *Ledger) write(ctx context.Context, id string, sub *jobs.Submission, items []jobs.Item) (jobs.Verdict, error) {
 	sub.Attempt = l.key("attempt", id)
-	var calls [][][]byte
-	var call [][]byte
+	var calls [][]outgoing
+	var call []outgoing
 	size := 0
 	add := func(kind string, r *jobs.Record) error {
-		_, record, err := l.encode(kind, r)
+		record, err := l.encode(kind, r)
 		if err != nil {
-			return err
+			return errors.Wrap(ErrNotWritten, err.Error())
 		}
-		if size+len(record) > callBytes && len(call) > 0 {
+		if size+len(record.value) > callBytes && len(call) > 0 {
 			calls, call, size = append(calls, call), nil, 0
 		}
-		call, size = append(call, record), size+len(record)
+		call, size = append(call, record), size+len(record.value)
 		return nil
 	}
 	for _, p := range split(sub.Attempt, items) {
 		if err := add("part", &jobs.Record{Job: id, Part: p}); err != nil {
-			return 0, errors.Wrap(ErrNotWritten, err.Error())
+			return 0, err
 		}
 	}
 	if err := add("submit", &jobs.Record{Job: id, Submit: sub}); err != nil {
-		return 0, errors.Wrap(ErrNotWritten, err.Error())
+		return 0, err
 	}
 	return l.settleCalls(ctx, sub.Attempt, append(calls, call))
 }
 
 // settleCalls makes the appends one after the other, as the submission has to
 // follow its parts, and waits until the submission is read back.
-func (l *Ledger) settleCalls(ctx context.Context, attempt string, calls [][][]byte) (jobs.Verdict, error) {
+func (l *Ledger) settleCalls(ctx context.Context, attempt string, calls [][]outgoing) (jobs.Verdict, error) {
 	verdict := make(chan jobs.Verdict, 1)
 	l.mu.Lock()
 	l.verdicts[attempt] = verdict
@@ -143,37 +143,49 @@
 // split puts items into parts that fit into a record each. A body that doesn't
 // fit goes on in further parts.
 func split(attempt string, items []jobs.Item) []*jobs.Part {
-	var parts []*jobs.Part
-	part := &jobs.Part{Attempt: attempt}
-	size := 0
-	flush := func() {
-		if size > 0 {
-			parts = append(parts, part)
-			part, size = &jobs.Part{Attempt: attempt}, 0
-		}
-	}
+	s := &splitter{attempt: attempt}
 	for i := range items {
-		item := items[i]
-		if size+len(item.Body) > recordBytes {
-			flush()
-		}
-		rest := item.Body
-		if len(rest) > recordBytes {
-			item.Body, rest = rest[:recordBytes], rest[recordBytes:]
-		} else {
-			rest = nil
-		}
-		part.Items = append(part.Items, item)
-		size += len(item.Body) + itemOverhead
-		for len(rest) > 0 {
-			flush()
-			n := min(len(rest), recordBytes)
-			part.More, rest = rest[:n], rest[n:]
-			size += n
-		}
+		s.add(items[i])
+	}
+	s.flush()
+	return s.parts
+}
+
+// splitter collects the parts of an attempt.
+type splitter struct {
+	attempt string
+	parts   []*jobs.Part
+	part    jobs.Part
+	size    int
+}
+
+func (s *splitter) add(item jobs.Item) {
+	if s.size+len(item.Body) > recordBytes {
+		s.flush()
+	}
+	var rest []byte
+	if len(item.Body) > recordBytes {
+		item.Body, rest = item.Body[:recordBytes], item.Body[recordBytes:]
+	}
+	s.part.Items = append(s.part.Items, item)
+	s.size += len(item.Body) + itemOverhead
+	for len(rest) > 0 {
+		s.flush()
+		n := min(len(rest), recordBytes)
+		s.part.More, rest = rest[:n], rest[n:]
+		s.size += n
+	}
+}
+
+// flush ends a part that holds anything.
+func (s *splitter) flush() {
+	if s.size == 0 {
+		return
 	}
-	flush()
-	return parts
+	part := s.part
+	part.Attempt, part.Index = s.attempt, len(s.parts)
+	s.parts = append(s.parts, &part)
+	s.part, s.size = jobs.Part{}, 0
 }
 
 // itemOverhead is room for an item's path and headers in a record, in bytes.
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -26,6 +26,9 @@
 // submissions with the same attempt only.
 type Part struct {
 	Attempt string `json:"attempt"`
+	// Index numbers the parts of an attempt from 0: an append that was tried again
+	// may stand in the ledger twice.
+	Index int `json:"index"`
 	// More is the rest of the body of the attempt's last item so far.
 	More  []byte `json:"more,omitempty"`
 	Items []Item `json:"items,omitempty"`
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/peridotmount/peridotmount/recent"
+)
 
 // Verdict is what became of a submission.
 type Verdict int
@@ -36,25 +40,38 @@
 	waiting map[string]int64
 	// next is the offset behind the newest record applied.
 	next int64
+	// refused remembers the attempts that were turned away: a copy of one that
+	// comes late must not be accepted, as its client was told so.
+	refused *recent.Set
 	// orphans are the keys of records that belong to no job.
 	orphans []string
 }
 
 // attempt holds the items of one attempt to submit a job.
 type attempt struct {
-	items  []Item
+	items []Item
+	// parts counts those that were taken.
+	parts  int
 	keys   []string
 	offset int64
 }
 
-// add appends the items of a part, or the rest of the last item's body.
+// add appends the items of the next part, or the rest of the last item's body.
 func (a *attempt) add(p *Part) {
+	if p.Index != a.parts {
+		return
+	}
+	a.parts++
 	if n := len(a.items); p.More != nil && n > 0 {
 		a.items[n-1].Body = append(a.items[n-1].Body, p.More...)
 	}
 	a.items = append(a.items, p.Items...)
 }
 
+// refusedKept is how many attempts that were turned away are remembered: a copy
+// of a submission comes within seconds.
+const refusedKept = 4096
+
 // attemptsKept bounds the attempts whose submission has not come: a submission
 // follows its parts within seconds.
 const attemptsKept = 256
@@ -65,6 +82,7 @@
 		jobs:    make(map[string]*Job),
 		parts:   make(map[string]*attempt),
 		waiting: make(map[string]int64),
+		refused: recent.NewSet(refusedKept),
 	}
 }
 
@@ -157,6 +175,7 @@
 	case verdict == Repeated:
 		s.jobs[r.Job].keys = append(s.jobs[r.Job].keys, a.keys...)
 	case verdict != Accepted:
+		s.refused.Add(sub.Attempt)
 		s.orphans = append(s.orphans, a.keys...)
 	default:
 		s.accept(r, a)
@@ -180,6 +199,8 @@
 	switch {
 	case s.jobs[r.Job] != nil:
 		return Repeated
+	case s.refused.Has(r.Submit.Attempt):
+		return OverQuota
 	case len(a.items) != r.Submit.Items:
 		return Incomplete
 	case r.Submit.Quota > 0 && s.waiting[r.Submit.Route]+r.Submit.Tokens > r.Submit.Quota:
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -327,6 +327,6 @@
 		s.useConnection(t.host)
 	}
 	if n := len(prefix); n > 1 {
-		s.prompts.add(prefix[n-2])
+		s.prompts.Add(prefix[n-2])
 	}
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -44,7 +44,7 @@
 		}
 	}
 	// The last part belongs to the request itself.
-	if n := len(w.prefix); n > 1 && !s.prompts.has(w.prefix[n-2]) {
+	if n := len(w.prefix); n > 1 && !s.prompts.Has(w.prefix[n-2]) {
 		cost += costPrompt
 	}
 	return cost
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/recent"
+)
 
 // station is an endpoint with the slots in use there.
 type station struct {
@@ -17,7 +21,7 @@
 	// idle holds by host when the connections kept to this endpoint expire.
 	idle map[string][]time.Time
 	// prompts remembers the parts of prompts that were read here.
-	prompts *recentSet
+	prompts *recent.Set
 }
 
 // promptsKept is how many parts of prompts are remembered of an endpoint: its
@@ -29,7 +33,7 @@
 		Endpoint: e,
 		tickets:  make(map[string]*ticket),
 		idle:     make(map[string][]time.Time),
-		prompts:  newRecentSet(promptsKept),
+		prompts:  recent.NewSet(promptsKept),
 	}
 }
 
