Keep hosts in the directory that are heard of over a session

Cause: while the store turned a third of the hosts away, the others saw their heartbeats stop and dropped them, the scheduler among them; two schedulers then used the same slots, and 107 of 255 requests of a peak were late. Ruled out: slow engines; the same endpoints served in time before. TestHostHeardOfOtherwiseStays fails without Touch.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,7 @@
 	g.client, g.scheduler = slots.NewClient(slots.Options{
 		Self:  g.self,
 		Hosts: g.directory.Hosts,
+		Heard: g.directory.Touch,
 		HTTP: &http.Client{Transport: &http.Transport{
 			DialContext:        sockopt.Dialer(peerDialTimeout).DialContext,
 			DisableCompression: true,
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -40,6 +40,16 @@
 	return *d.hosts.Load()
 }
 
+// Touch notes that hosts were heard of by another way than the store.
+func (d *Directory) Touch(names ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Now()
+	for _, name := range names {
+		d.table.Touch(now, name)
+	}
+}
+
 // Listed implements follow.Handler.
 func (d *Directory) Listed(now time.Time, records []platform.KeyedRecord, _ int64) {
 	d.Changed(now, records)
--- a/peers/table.go
+++ b/peers/table.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Expiry is how long a host is believed alive after its last record: three
+// Expiry is how long a host is believed alive after it was heard of last: three
 // heartbeats.
 const Expiry = 3 * HeartbeatInterval
 
@@ -17,7 +17,7 @@
 	lost bool
 }
 
-// entry is a host and when its last record was read.
+// entry is a host and when it was heard of last.
 type entry struct {
 	host   Host
 	offset int64
@@ -38,6 +38,14 @@
 	t.entries[h.Name] = &entry{host: h, offset: offset, seen: now}
 }
 
+// Touch notes that a host was heard of by another way than the store: one that the
+// store turns away keeps working.
+func (t *Table) Touch(now time.Time, name string) {
+	if e := t.entries[name]; e != nil {
+		e.seen = now
+	}
+}
+
 // Remove applies the removal of a host's record.
 func (t *Table) Remove(offset int64, name string) {
 	if old := t.entries[name]; old != nil && offset > old.offset {
@@ -58,7 +66,7 @@
 	}
 }
 
-// Expire drops the hosts whose last record is old and returns their names.
+// Expire drops the hosts that were not heard of for long and returns their names.
 func (t *Table) Expire(now time.Time) []string {
 	if t.lost {
 		return nil
--- /dev/null
+++ b/peers/table_test.go
@@ -0,0 +1,78 @@
+package peers
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func host(name string, joined int64) Host {
+	return Host{Name: name, Incarnation: "i", Address: "10.0.0.1:1", Joined: joined}
+}
+
+func names(hosts []Host) []string {
+	var out []string
+	for i := range hosts {
+		out = append(out, hosts[i].Name)
+	}
+	return out
+}
+
+func TestOldestHostComesFirst(t *testing.T) {
+	table := NewTable()
+	leaving := host("d", 1)
+	leaving.Leaving = true
+	for i, h := range []Host{host("a", 7), host("b", 3), host("c", 5), leaving} {
+		table.Put(start, int64(10+i), h)
+	}
+	if got := names(table.Hosts()); !slices.Equal(got, []string{"b", "c", "a", "d"}) {
+		t.Errorf("order %v", got)
+	}
+}
+
+func TestSilentHostExpires(t *testing.T) {
+	table := NewTable()
+	table.Put(start, 1, host("a", 1))
+	if got := table.Expire(start.Add(Expiry)); got != nil {
+		t.Errorf("expired too early: %v", got)
+	}
+	if got := table.Expire(start.Add(Expiry + 1)); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("expired: %v", got)
+	}
+}
+
+// TestHostHeardOfOtherwiseStays plays an outage of the store for one host only:
+// its records stop, and its sessions go on.
+func TestHostHeardOfOtherwiseStays(t *testing.T) {
+	table := NewTable()
+	table.Put(start, 1, host("a", 1))
+	table.Touch(start.Add(Expiry), "a")
+	if got := table.Expire(start.Add(Expiry + time.Second)); got != nil {
+		t.Errorf("expired: %v", got)
+	}
+}
+
+func TestNobodyExpiresWhileTheStoreIsAway(t *testing.T) {
+	table := NewTable()
+	table.Put(start, 1, host("a", 1))
+	table.Lost()
+	if got := table.Expire(start.Add(time.Hour)); got != nil {
+		t.Errorf("expired: %v", got)
+	}
+	table.Regained(start.Add(time.Hour))
+	if got := table.Expire(start.Add(time.Hour + Expiry)); got != nil {
+		t.Errorf("expired before it could write: %v", got)
+	}
+}
+
+func TestOlderRecordsArePassedOver(t *testing.T) {
+	table := NewTable()
+	table.Put(start, 5, host("a", 5))
+	table.Put(start, 4, host("a", 4))
+	table.Remove(5, "a")
+	if got := table.Hosts(); len(got) != 1 || got[0].Joined != 5 {
+		t.Errorf("hosts %v", got)
+	}
+}
--- a/slots/client.go
+++ b/slots/client.go
@@ -40,6 +40,8 @@
 	Hosts func() []peers.Host
 	// HTTP calls other hosts.
 	HTTP *http.Client
+	// Heard is told of hosts that are alive.
+	Heard func(hosts ...string)
 	// Runner runs batch items.
 	Runner Runner
 	// ServiceOf returns the service of an endpoint.
@@ -331,6 +333,8 @@
 		}
 	case d.Start != nil:
 		c.started(ctx, d.Start)
+	case len(d.Members) > 0:
+		c.opts.Heard(d.Members...)
 	}
 }
 
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +71,7 @@
 func (d *Duty) Serve(ctx context.Context) error {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	nextShare := time.Time{}
+	var nextShare, nextMembers time.Time
 	for {
 		now := time.Time{}
 		select {
@@ -88,6 +90,10 @@
 			nextShare = now.Add(shareEvery)
 			d.adjustShare(now)
 		}
+		if !now.Before(nextMembers) {
+			nextMembers = now.Add(membersEvery)
+			d.tellMembers()
+		}
 		d.deliver()
 	}
 }
@@ -143,6 +149,17 @@
 	d.core.SetShare(now, float64(here)/float64(all), settled)
 }
 
+// tellMembers tells all hosts which ones take part.
+func (d *Duty) tellMembers() {
+	d.mu.Lock()
+	sinks := slices.Collect(maps.Values(d.sessions))
+	members := slices.Sorted(maps.Keys(d.sessions))
+	d.mu.Unlock()
+	for _, s := range sinks {
+		s.deliver(Down{Members: members})
+	}
+}
+
 // Join adds a host with what it runs; a session it had before is replaced.
 func (d *Duty) Join(h *Hello, deliver Sink) *sessionSink {
 	s := &sessionSink{deliver: deliver}
--- a/slots/message.go
+++ b/slots/message.go
@@ -27,6 +27,8 @@
 	Refuse *scheduler.Refuse `json:"refuse,omitempty"`
 	Revoke *scheduler.Revoke `json:"revoke,omitempty"`
 	Start  *scheduler.Start  `json:"start,omitempty"`
+	// Members are the hosts that have a session with the scheduler.
+	Members []string `json:"members,omitempty"`
 }
 
 // downOf wraps an effect.
--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -129,9 +129,7 @@
 			l.end("message can't be read: " + err.Error())
 			return
 		}
-		if m != (Down{}) {
-			l.deliver(m)
-		}
+		l.deliver(m)
 	}
 	reason := "closed by the scheduler"
 	if err := lines.Err(); err != nil {
--- a/slots/times.go
+++ b/slots/times.go
@@ -13,6 +13,10 @@
 	// scheduler, before it starts batch items.
 	settleTime = 300 * time.Millisecond
 
+	// membersEvery is the time between two lists of the hosts that take part, well
+	// below the time after which a host that is not heard of counts as lost.
+	membersEvery = time.Second
+
 	// downPing is the time between two signs of life of a scheduler, and
 	// upPing that of a host.
 	downPing = 100 * time.Millisecond
