Judge waits with their spread, let returning requests in first, plan batch items

Cause 1: asks were let in up to a mean wait of the whole objective, so that half of them were late. Ruled out: slow engines (of 212 late requests none had waited under 100 ms for its slot). A wait is now judged with two standard deviations. Cause 2: a client sent away came back as one of many and was sent away again; it goes first now, and is asked to come back after the burst. Cause 3: batch items went by their due time alone, so that under overload all were late together. Items that can't be in time are given up in a plan, the least done first.

--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -41,6 +41,8 @@
 	PromptTokens   int
 	ExpectedTokens int
 	Prefix         []string
+	// Fingerprint is the same for all attempts of a client at one request.
+	Fingerprint string
 	// Avoid lists endpoints that were tried.
 	Avoid []string
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
 )
@@ -59,6 +62,7 @@
 		Left:           r.left(now),
 		PromptTokens:   r.PromptTokens,
 		ExpectedTokens: r.ExpectedOutput(),
+		Fingerprint:    r.fingerprint(),
 		Avoid:          r.tried,
 	}
 	for _, part := range r.Prefix {
@@ -66,3 +70,13 @@
 	}
 	return a
 }
+
+// fingerprint tells the request apart from others, and is the same for all
+// attempts of a client at it, which differ in their ids only.
+func (r *request) fingerprint() string {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.http.Host)
+	_, _ = h.WriteString(r.http.RequestURI)
+	_, _ = h.Write(r.body)
+	return strconv.FormatUint(h.Sum64(), 36)
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -61,6 +61,7 @@
 		PromptTokens:   ask.PromptTokens,
 		ExpectedTokens: ask.ExpectedTokens,
 		Prefix:         ask.Prefix,
+		Fingerprint:    ask.Fingerprint,
 		Avoid:          slices.Clone(ask.Avoid),
 	}
 	for range maxPlaces {
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -21,6 +21,9 @@
 	ExpectedTokens int `json:"expected_tokens"`
 	// Prefix lists the parts of the prompt.
 	Prefix []string `json:"prefix,omitempty"`
+	// Fingerprint is the same for all attempts of a client to get one request
+	// answered, or "".
+	Fingerprint string `json:"fingerprint,omitempty"`
 	// Avoid lists endpoints that the request was tried at.
 	Avoid []string `json:"avoid,omitempty"`
 }
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -42,7 +42,7 @@
 	if v.best(now, &wish{}, free) == nil {
 		return false
 	}
-	i := v.items.pop(now, v.perToken)
+	i := v.items.pop(now)
 	if i == nil {
 		return false
 	}
@@ -55,7 +55,7 @@
 		return false
 	}
 	c.seq++
-	i.state = itemRunning
+	i.state, i.begun = itemRunning, now
 	i.ticket = fmt.Sprintf("%s/%d/%d", i.Ref.Job, i.Ref.Item, c.seq)
 	i.host = host.name
 	host.runs++
@@ -85,7 +85,7 @@
 
 // revokeOne takes a slot from the batch item that can spare it most, and reports
 // whether there was one.
-func (c *Core) revokeOne(now time.Time, v *service, w *wish) bool {
+func (c *Core) revokeOne(now time.Time, v *service) bool {
 	var victim *ticket
 	var most time.Duration
 	for _, s := range v.stations {
@@ -96,13 +96,12 @@
 			if t.item == nil || t.revoked {
 				continue
 			}
-			spare := t.item.Due.Sub(now) - t.item.remaining(v.perToken)
+			spare := t.item.spare(now, v.perToken)
 			if victim == nil || spare > most || (spare == most && t.id < victim.id) {
 				victim, most = t, spare
 			}
 		}
 	}
-	_ = w
 	if victim == nil {
 		return false
 	}
@@ -119,6 +118,50 @@
 	c.emit(Revoke{Host: t.host, Ticket: t.id})
 }
 
+// planItems decides which items are to be in time, and takes the slots of others
+// for them.
+func (c *Core) planItems(now time.Time, v *service) {
+	if now.Sub(v.plannedAt) < planEvery {
+		return
+	}
+	v.measureBatch(now)
+	v.plannedAt = now
+	var items []*openItem
+	for _, i := range c.items {
+		if i.Service == v.name && i.state != itemSettled {
+			items = append(items, i)
+		}
+	}
+	if len(items) == 0 {
+		return
+	}
+	plan(now, items, v.batchSlots, v.perToken)
+	v.items.rebuild(items)
+}
+
+// measureBatch averages the slots that batch items get, or could have.
+func (v *service) measureBatch(now time.Time) {
+	online, all := 0, 0
+	for _, s := range v.stations {
+		if !s.usable(now) {
+			continue
+		}
+		all += s.Slots
+		for _, t := range s.tickets {
+			if t.item == nil {
+				online++
+			}
+		}
+	}
+	free := float64(max(0, all-online-len(v.queue)))
+	if v.plannedAt.IsZero() {
+		v.batchSlots = free
+		return
+	}
+	weight := min(1, now.Sub(v.plannedAt).Seconds()/batchShareMemory.Seconds())
+	v.batchSlots += weight * (free - v.batchSlots)
+}
+
 // itemDone decides what becomes of an item whose run ended.
 func (c *Core) itemDone(now time.Time, v *service, t *ticket, u *Use) {
 	i := t.item
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/peridotmount/peridotmount/recent"
 )
 
 // Core schedules the slots of all engines. It is a deterministic state machine:
@@ -61,7 +63,9 @@
 func (c *Core) service(name string) *service {
 	v := c.services[name]
 	if v == nil {
-		v = &service{name: name, hold: c.opts.Hold, perToken: c.opts.PerToken}
+		v = &service{
+			name: name, hold: c.opts.Hold, perToken: c.opts.PerToken, turnedAway: recent.NewSet(turnedAwayKept),
+		}
 		c.services[name] = v
 	}
 	return v
@@ -137,7 +141,12 @@
 	}
 	v.arrivals.count(now)
 	c.seq++
-	w := &waiter{Ask: a, host: m, arrived: now.Add(-a.Elapsed), deadline: now.Add(a.Left), seq: c.seq}
+	w := &waiter{
+		Ask: a, host: m, seq: c.seq,
+		arrived:   now.Add(-a.Elapsed),
+		deadline:  now.Add(a.Left),
+		returning: a.Fingerprint != "" && v.turnedAway.Has(a.Fingerprint),
+	}
 	c.waiting[a.Ticket] = w
 	v.enqueue(w)
 	c.pump(now, v)
@@ -178,7 +187,7 @@
 // judge turns an ask away that would wait for longer than its objective.
 func (c *Core) judge(now time.Time, v *service, w *waiter) {
 	ahead := sort.Search(len(v.queue), func(i int) bool { return !v.queue[i].before(w) })
-	ready := now.Add(v.expectedWait(now, c.share, ahead) + c.opts.FirstToken)
+	ready := now.Add(v.wait(now, c.share, ahead) + c.opts.FirstToken)
 	if ready.After(w.arrived.Add(w.Objective)) {
 		c.refuse(now, v, w, ReasonOverload)
 	}
@@ -187,6 +196,9 @@
 func (c *Core) refuse(now time.Time, v *service, w *waiter, reason Reason) {
 	v.dequeue(w)
 	delete(c.waiting, w.Ticket)
+	if w.Fingerprint != "" {
+		v.turnedAway.Add(w.Fingerprint)
+	}
 	c.emit(Refuse{Host: w.host.name, Ticket: w.Ticket, Reason: reason, RetryAfter: v.returnTime(now, c.share)})
 }
 
@@ -250,6 +262,7 @@
 func (c *Core) Tick(now time.Time) {
 	for _, name := range c.serviceNames() {
 		c.tickQueue(now, c.services[name])
+		c.planItems(now, c.services[name])
 		c.pump(now, c.services[name])
 	}
 	for _, i := range c.items {
@@ -300,12 +313,12 @@
 // be, and reports whether there was one.
 func (c *Core) startOnline(now time.Time, v *service, a *waiter) bool {
 	w := &wish{host: a.host, tokens: a.PromptTokens + a.ExpectedTokens, prefix: a.Prefix, avoid: a.Avoid}
-	if v.kept() >= v.limit(now, c.share) && !c.revokeOne(now, v, w) {
+	if v.kept() >= v.limit(now, c.share) && !c.revokeOne(now, v) {
 		return false
 	}
 	s := v.best(now, w, func(s *station) bool { return s.kept() < s.Slots })
 	if s == nil {
-		if !c.revokeOne(now, v, w) {
+		if !c.revokeOne(now, v) {
 			return false
 		}
 		if s = v.best(now, w, func(s *station) bool { return s.kept() < s.Slots }); s == nil {
--- a/scheduler/itemqueue.go
+++ b/scheduler/itemqueue.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// itemQueue orders the items that wait: first those that can still be in time,
-// the one that is due first before others, then those that are late.
+// itemQueue orders the items that wait: first those that are to be in time, by
+// when they are due, then those that were given up as late.
 type itemQueue struct {
 	inTime, late itemHeap
 	// delayed items wait for their next try.
@@ -15,28 +15,29 @@
 
 func (q *itemQueue) push(i *openItem) {
 	i.state = itemWaiting
+	if i.late {
+		heap.Push(&q.late, i)
+		return
+	}
 	heap.Push(&q.inTime, i)
 }
 
 // pop returns the item to run next, or nil.
-func (q *itemQueue) pop(now time.Time, perToken time.Duration) *openItem {
+func (q *itemQueue) pop(now time.Time) *openItem {
 	q.wake(now)
-	for len(q.inTime) > 0 {
-		i := heap.Pop(&q.inTime).(*openItem)
-		switch {
-		case i.state != itemWaiting:
-		case now.Before(i.notBefore):
-			q.delayed = append(q.delayed, i)
-		case now.Add(i.remaining(perToken)).After(i.Due):
-			heap.Push(&q.late, i)
-		default:
-			return i
-		}
+	if i := q.popFrom(now, &q.inTime, false); i != nil {
+		return i
 	}
-	for len(q.late) > 0 {
-		i := heap.Pop(&q.late).(*openItem)
+	return q.popFrom(now, &q.late, true)
+}
+
+// popFrom passes over items that don't wait any more, or stand in the other heap
+// since the last plan.
+func (q *itemQueue) popFrom(now time.Time, h *itemHeap, late bool) *openItem {
+	for len(*h) > 0 {
+		i := heap.Pop(h).(*openItem)
 		switch {
-		case i.state != itemWaiting:
+		case i.state != itemWaiting || i.late != late:
 		case now.Before(i.notBefore):
 			q.delayed = append(q.delayed, i)
 		default:
@@ -53,13 +54,23 @@
 		if now.Before(i.notBefore) {
 			kept = append(kept, i)
 		} else if i.state == itemWaiting {
-			heap.Push(&q.inTime, i)
+			q.push(i)
 		}
 	}
 	clear(q.delayed[len(kept):])
 	q.delayed = kept
 }
 
+// rebuild orders the waiting items anew after a plan.
+func (q *itemQueue) rebuild(items []*openItem) {
+	q.inTime, q.late, q.delayed = nil, nil, nil
+	for _, i := range items {
+		if i.state == itemWaiting {
+			q.push(i)
+		}
+	}
+}
+
 // itemHeap orders items by when they are due.
 type itemHeap []*openItem
 
@@ -67,7 +78,7 @@
 func (h itemHeap) Len() int { return len(h) }
 
 // Less implements heap.Interface.
-func (h itemHeap) Less(i, j int) bool { return h[i].Due.Before(h[j].Due) }
+func (h itemHeap) Less(i, j int) bool { return h[i].before(h[j]) }
 
 // Swap implements heap.Interface.
 func (h itemHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -26,7 +26,7 @@
 	}
 	t := &ticket{id: r.Ticket, host: m.name, class: r.Class, since: now.Add(-r.Since), tokens: r.Tokens}
 	if r.Item != nil {
-		t.item = c.announcedItem(m, r)
+		t.item = c.announcedItem(now, m, r)
 		m.runs++
 	}
 	c.hold(now, s, t, nil)
@@ -37,13 +37,13 @@
 
 // announcedItem returns the item that a host runs. It is the host's, unless the
 // item is unknown or runs elsewhere.
-func (c *Core) announcedItem(m *member, r *Running) *openItem {
+func (c *Core) announcedItem(now time.Time, m *member, r *Running) *openItem {
 	i := c.items[*r.Item]
 	if i == nil {
 		return &openItem{Item: Item{Ref: *r.Item, Service: r.Service}}
 	}
 	if i.state == itemWaiting {
-		i.state, i.ticket, i.host = itemRunning, r.Ticket, m.name
+		i.state, i.ticket, i.host, i.begun = itemRunning, r.Ticket, m.name, now.Add(-r.Since)
 	}
 	return i
 }
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -37,12 +37,27 @@
 	// reserveTime is how far ahead batch items leave room for online requests: a
 	// run that is revoked sooner costs more than it makes.
 	reserveTime = 250 * time.Millisecond
+	// planEvery is the time between two plans of the batch items.
+	planEvery = 250 * time.Millisecond
+	// batchShareMemory is the time over which the slots that batch items get are
+	// averaged: some bursts of online work.
+	batchShareMemory = 6 * time.Second
+	// lateSpare is more than any item can spare that is to be in time.
+	lateSpare = time.Hour
 	// noEndpointRetry is the Retry-After while a service has no endpoint.
 	noEndpointRetry = time.Second
+	// waitDeviations is how many standard deviations a wait is judged by.
+	waitDeviations = 2
 	// minReturn and maxReturn bound the Retry-After under overload: clients heed
 	// up to a third of the time they have left.
-	minReturn = 400 * time.Millisecond
+	minReturn = 300 * time.Millisecond
 	maxReturn = 1600 * time.Millisecond
+	// burstReturn is the least Retry-After during a burst of callers, which lasts
+	// for some seconds.
+	burstReturn = 1200 * time.Millisecond
+	// turnedAwayKept is how many requests that were turned away are remembered,
+	// more than come in the time of a Retry-After.
+	turnedAwayKept = 2048
 	// failedRunDelay is the pause before an item whose run made nothing is run
 	// again; it doubles up to maxRunDelay.
 	failedRunDelay = 200 * time.Millisecond
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/peridotmount/peridotmount/recent"
 )
 
 // service is the engines of one service and what waits for them.
@@ -11,11 +13,17 @@
 	stations []*station
 	queue    []*waiter
 	items    itemQueue
+	// plannedAt is when the items were planned last, batchSlots the mean number
+	// of slots that they get.
+	plannedAt  time.Time
+	batchSlots float64
 	// hold is the mean time that an online request keeps a slot, perToken the
 	// mean time to generate one token.
 	hold, perToken time.Duration
 	// arrivals is the rate of online requests.
 	arrivals rate
+	// turnedAway remembers the requests that were asked to come back.
+	turnedAway *recent.Set
 	// nextReturn is when the client turned away last was asked to come back.
 	nextReturn time.Time
 }
@@ -55,19 +63,33 @@
 	return n
 }
 
-// expectedWait returns the time until the ask behind ahead others gets a slot.
-func (v *service) expectedWait(now time.Time, share float64, ahead int) time.Duration {
-	return time.Duration(ahead+1) * v.hold / time.Duration(max(1, v.limit(now, share)))
+// slotEvery returns the mean time between two slots that become free.
+func (v *service) slotEvery(now time.Time, share float64) time.Duration {
+	return v.hold / time.Duration(max(1, v.limit(now, share)))
+}
+
+// wait returns the time in which the ask behind ahead others has a slot for all
+// but a few percent of cases: slots become free at random, so that the time until
+// n of them did spreads by the root of n.
+func (v *service) wait(now time.Time, share float64, ahead int) time.Duration {
+	n := float64(ahead + 1)
+	return time.Duration((n + waitDeviations*math.Sqrt(n)) * float64(v.slotEvery(now, share)))
 }
 
-// returnTime returns when a client that is turned away should come back: those
-// before it first, one for each time that a slot becomes free.
+// returnTime returns when a client that is turned away should come back. While
+// more requests come than slots become free there is no room before the burst is
+// over, else when the queue has drained; those turned away first come first.
 func (v *service) returnTime(now time.Time, share float64) time.Duration {
-	earliest := now.Add(minReturn + v.expectedWait(now, share, len(v.queue)))
+	every := v.slotEvery(now, share)
+	room := minReturn + time.Duration(len(v.queue))*every
+	if v.arrivals.perSecond(now)*every.Seconds() >= 1 {
+		room = max(room, burstReturn)
+	}
+	earliest := now.Add(room)
 	if v.nextReturn.Before(earliest) {
 		v.nextReturn = earliest
 	} else {
-		v.nextReturn = v.nextReturn.Add(v.hold / time.Duration(max(1, v.limit(now, share))))
+		v.nextReturn = v.nextReturn.Add(every)
 	}
 	if latest := now.Add(maxReturn); v.nextReturn.After(latest) {
 		v.nextReturn = latest
--- a/scheduler/waiter.go
+++ b/scheduler/waiter.go
@@ -13,7 +13,9 @@
 	judged bool
 	// late tells that the objective has passed: others go first.
 	late bool
-	seq  uint64
+	// returning tells that the request was turned away before: it goes first.
+	returning bool
+	seq       uint64
 }
 
 // before reports whether w is served before o.
@@ -24,6 +26,9 @@
 	if w.Priority != o.Priority {
 		return w.Priority < o.Priority
 	}
+	if w.returning != o.returning {
+		return w.returning
+	}
 	return w.seq < o.seq
 }
 
