Hedge idempotent calls, report silent endpoints, leave them where a stream can go on

Ruled out: the keep-alive probes, which take 2.5 s by design, longer than the call's deadline. An idempotent call is tried at a second endpoint after half its objective, for one call in ten at most; endpoints silent for 250 ms get no new work for a moment; a resumable stream moves on after a second.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,9 +10,19 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 )
 
-// penalty is how long an endpoint that could not be used is passed over while
-// others are there: about the time between two records of a live endpoint.
-const penalty = 1500 * time.Millisecond
+// Penalty is how long an endpoint is passed over while others are there.
+type Penalty time.Duration
+
+// Penalties of endpoints.
+const (
+	None Penalty = 0
+	// Slow endpoints were full, or slower than another: such spells last for some
+	// hundred milliseconds.
+	Slow = Penalty(400 * time.Millisecond)
+	// Broken ones could not be used: about the time between two records of a live
+	// endpoint.
+	Broken = Penalty(1500 * time.Millisecond)
+)
 
 // Balancer chooses endpoints. It is safe for concurrent use.
 type Balancer struct {
@@ -84,18 +94,20 @@
 	return cost
 }
 
-// Done gives an endpoint back; failed ones are passed over for a while.
-func (b *Balancer) Done(now time.Time, id string, failed bool) {
+// Done gives an endpoint back, with its penalty.
+func (b *Balancer) Done(now time.Time, id string, p Penalty) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.inFlight[id]--; b.inFlight[id] <= 0 {
 		delete(b.inFlight, id)
 	}
-	if failed {
-		b.shunned[id] = now.Add(penalty)
+	if p == None {
+		delete(b.shunned, id)
 		return
 	}
-	delete(b.shunned, id)
+	if until := now.Add(time.Duration(p)); until.After(b.shunned[id]) {
+		b.shunned[id] = until
+	}
 }
 
 // Forget drops what is known of an endpoint that is gone.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -15,6 +15,7 @@
 
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/jobs"
+	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -62,6 +63,14 @@
 	r.leaving.Store(true)
 }
 
+// Slot is the slot that an item runs in.
+type Slot interface {
+	// Stalled reports that the endpoint is silent.
+	Stalled()
+	// Release ends the use of the slot.
+	Release(u scheduler.Use)
+}
+
 // run is one run of an item.
 type run struct {
 	*Runner
@@ -70,17 +79,18 @@
 	item     *jobs.Item
 	route    *route.Route
 	endpoint *endpoint.Endpoint
-	release  func(scheduler.Use)
+	slot     Slot
 	begun    time.Time
 	resumed  int
 	made     int
 	output   strings.Builder
+	watch    *pace.Watch
 	order    sse.Order
 }
 
 // Run implements slots.Runner.
-func (r *Runner) Run(ctx context.Context, s *scheduler.Start, release func(scheduler.Use)) {
-	x := &run{Runner: r, ref: s.Item, release: release, begun: time.Now()}
+func (r *Runner) Run(ctx context.Context, s *scheduler.Start, slot Slot) {
+	x := &run{Runner: r, ref: s.Item, slot: slot, begun: time.Now()}
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
 	if reason := x.prepare(); reason != "" {
 		x.done("misplaced", reason, scheduler.Use{Outcome: scheduler.Abandoned, Delay: misplacedDelay})
@@ -134,8 +144,8 @@
 
 // call sends the item to its endpoint.
 func (x *run) call(ctx context.Context, cancel context.CancelFunc) {
-	silence := time.AfterFunc(firstEventTimeout, cancel)
-	defer silence.Stop()
+	x.watch = pace.Start(pace.Limits{First: firstEventTimeout, Next: nextEventTimeout}, x.slot.Stalled, cancel)
+	defer x.watch.Stop()
 	header := platform.ItemHeader(x.item, x.endpoint.ID)
 	if x.made > 0 {
 		platform.SetLastEvent(header, strconv.Itoa(x.made))
@@ -153,13 +163,13 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			outcome = scheduler.Unreached
 		}
-		x.cut(ctx, silence, outcome, err)
+		x.cut(ctx, outcome, err)
 		return
 	}
 	defer answer.Close()
 	switch platform.Judge(answer.Status, answer.Header) {
 	case platform.Answered:
-		x.events(ctx, silence, answer)
+		x.events(ctx, answer)
 	case platform.NotRun:
 		x.done("not-run", "endpoint turned it away", scheduler.Use{Outcome: scheduler.Refused})
 	case platform.Misdirected:
@@ -168,12 +178,12 @@
 		answer.Close()
 		x.failed(answer.Status)
 	default:
-		x.cut(ctx, silence, scheduler.Broken, errors.New("answer is not marked as an endpoint's"))
+		x.cut(ctx, scheduler.Broken, errors.New("answer is not marked as an endpoint's"))
 	}
 }
 
 // events reads the item's events to their end.
-func (x *run) events(ctx context.Context, silence *time.Timer, answer *upstream.Answer) {
+func (x *run) events(ctx context.Context, answer *upstream.Answer) {
 	events := sse.NewSplitter(answer)
 	for {
 		block, err := events.Next()
@@ -182,12 +192,12 @@
 				x.finished(answer.Close())
 				return
 			}
-			x.cut(ctx, silence, scheduler.Broken, err)
+			x.cut(ctx, scheduler.Broken, err)
 			return
 		}
-		silence.Reset(nextEventTimeout)
+		x.watch.Heard()
 		if err := x.order.Check(block.Events); err != nil {
-			x.cut(ctx, silence, scheduler.Broken, err)
+			x.cut(ctx, scheduler.Broken, err)
 			return
 		}
 		for i := range block.Events {
@@ -201,13 +211,12 @@
 }
 
 // cut ends a run that did not finish, and keeps what it made.
-func (x *run) cut(ctx context.Context, silence *time.Timer, outcome scheduler.Outcome, err error) {
-	if ctx.Err() != nil {
-		if silence.Stop() {
-			outcome = scheduler.Abandoned
-		} else {
-			err = errSilent
-		}
+func (x *run) cut(ctx context.Context, outcome scheduler.Outcome, err error) {
+	switch {
+	case x.watch.Over():
+		err = errSilent
+	case ctx.Err() != nil:
+		outcome = scheduler.Abandoned
 	}
 	if x.made > x.resumed {
 		x.keep()
@@ -279,7 +288,7 @@
 
 // done gives the slot back and logs the run.
 func (x *run) done(outcome, reason string, u scheduler.Use) {
-	x.release(u)
+	x.slot.Release(u)
 	x.ledger.metrics.runs.WithLabelValues(outcome).Inc()
 	id, request := "", ""
 	if x.endpoint != nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,6 +16,7 @@
 type Forwarder struct {
 	opts    Options
 	bodies  *semaphore.Weighted
+	hedges  hedgeBudget
 	metrics *metrics
 }
 
--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -24,6 +24,8 @@
 // Place is room at an endpoint, held until Release.
 type Place interface {
 	Endpoint() *endpoint.Endpoint
+	// Stalled reports that the endpoint has been silent for longer than a slow one.
+	Stalled()
 	Release(use Use)
 }
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -14,6 +14,7 @@
 	rejections *prometheus.CounterVec
 	tries      *prometheus.CounterVec
 	resumed    prometheus.Counter
+	hedges     prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -39,9 +40,13 @@
 			Name: "peridotmount_route_streams_resumed_total",
 			Help: "Streams that went on at another endpoint.",
 		}),
+		hedges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "peridotmount_route_hedges_total",
+			Help: "Second tries beside a slow first one.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.seconds, m.rejections, m.tries, m.resumed)
+		r.MustRegister(m.requests, m.seconds, m.rejections, m.tries, m.resumed, m.hedges)
 	}
 	return m
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -38,6 +38,17 @@
 	// wholeAnswerBytes is the largest body that is held until it is complete, so
 	// that a cut answer can be repeated or refused.
 	wholeAnswerBytes = 256 << 10
+	// hedgeShare is the part of its objective after which an idempotent request is
+	// tried at a second endpoint too; half leaves the hedge as much.
+	hedgeShare = 0.5
+	// hedgesPerRequest and hedgeBurst bound the hedges, so that a slow service is
+	// not asked twice for everything.
+	hedgesPerRequest = 0.1
+	hedgeBurst       = 10
+	// silentFirst and silentNext are the silences after which a stream that can be
+	// resumed goes on elsewhere; clients bear pauses of two seconds.
+	silentFirst = 1000 * time.Millisecond
+	silentNext  = 800 * time.Millisecond
 	// shortRetry is the Retry-After of a refusal whose cause passes quickly.
 	shortRetry = 200 * time.Millisecond
 	// startRetry is that of a host that knows no configuration yet.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -13,4 +13,8 @@
 	OutcomeUnknown     Outcome = "unknown"
 	OutcomeCut         Outcome = "cut"
 	OutcomeAbandoned   Outcome = "abandoned"
+	// OutcomeOvertaken tries were given up for a hedge that was faster.
+	OutcomeOvertaken Outcome = "overtaken"
+	// OutcomeSilent streams went on elsewhere, as no events came.
+	OutcomeSilent Outcome = "silent"
 )
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -5,59 +5,89 @@
 	"io"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"github.com/peridotmount/peridotmount/platform"
 )
 
 // plain carries a request with one answer.
 func (f *Forwarder) plain(ctx context.Context, w http.ResponseWriter, req *request) {
 	for req.triesLeft() && ctx.Err() == nil {
-		t, err := f.attempt(ctx, req, "")
+		r, err := f.fastest(ctx, req)
 		if err != nil {
 			f.giveUp(w, req, err)
 			return
 		}
-		if t != nil && f.settle(w, req, t) {
+		if r != nil {
+			f.pass(w, req, r)
 			return
 		}
 	}
 	f.giveUp(w, req, nil)
 }
 
-// settle passes an answer on and reports whether it ended the request.
-func (f *Forwarder) settle(w http.ResponseWriter, req *request, t *try) bool {
+// reply is an answer whose body is read, as far as it is held.
+type reply struct {
+	*try
+	body  []byte
+	whole bool
+}
+
+// exchange makes one try and reads its answer. It returns nil and no error if
+// another try may be made.
+func (f *Forwarder) exchange(ctx context.Context, req *request) (*reply, error) {
+	t, err := f.attempt(ctx, req, "")
+	if t == nil || err != nil {
+		return nil, err
+	}
+	return f.read(ctx, req, t), nil
+}
+
+// read reads the body of an answer. It returns nil if the answer broke off, or is
+// a failure that another try may mend.
+func (f *Forwarder) read(ctx context.Context, req *request, t *try) *reply {
 	if t.verdict == platform.Failed && t.answer.Status >= http.StatusInternalServerError && req.triesLeft() {
 		f.noteTry(req, t, OutcomeFailed, http.StatusText(t.answer.Status))
 		t.end(OutcomeFailed)
-		return false
+		return nil
 	}
-	head := make([]byte, 0, min(max(t.answer.Length, 512), wholeAnswerBytes))
-	head, whole, err := readUpTo(t.answer, head, wholeAnswerBytes)
-	if err != nil {
-		req.unknown = true
-		f.noteTry(req, t, OutcomeCut, err.Error())
-		t.end(OutcomeCut)
-		return false
+	body := make([]byte, 0, min(max(t.answer.Length, 512), wholeAnswerBytes))
+	body, whole, err := readUpTo(t.answer, body, wholeAnswerBytes)
+	if err == nil {
+		return &reply{try: t, body: body, whole: whole}
 	}
-	if whole {
-		t.answer.Close()
+	outcome := OutcomeCut
+	switch {
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		outcome = OutcomeOvertaken
+	case ctx.Err() != nil:
+		outcome = OutcomeAbandoned
 	}
-	writeHead(w, t.answer)
-	_, err = w.Write(head)
-	if err == nil && !whole {
-		_, err = io.Copy(w, t.answer)
+	req.isUnknown()
+	f.noteTry(req, t, outcome, err.Error())
+	t.end(outcome)
+	return nil
+}
+
+// pass writes a reply to the client and ends the request.
+func (f *Forwarder) pass(w http.ResponseWriter, req *request, r *reply) {
+	writeHead(w, r.answer)
+	_, err := w.Write(r.body)
+	if err == nil && !r.whole {
+		_, err = io.Copy(w, r.answer)
 	}
 	if err != nil {
-		t.end(OutcomeCut)
+		r.end(OutcomeCut)
 		f.abort(req, "answer broke off: "+err.Error())
 	}
 	outcome := OutcomeAnswered
-	if t.verdict == platform.Failed {
+	if r.verdict == platform.Failed {
 		outcome = OutcomeFailed
 	}
 	f.metrics.tries.WithLabelValues(string(outcome)).Inc()
-	t.end(outcome)
-	f.finished(req, t.answer.Status)
-	return true
+	status := r.answer.Status
+	r.end(outcome)
+	f.finished(req, status)
 }
 
 // readUpTo reads a body to its end, or until limit bytes are read.
--- a/forward/request.go
+++ b/forward/request.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
 )
@@ -22,6 +25,8 @@
 	started  time.Time
 	deadline time.Time
 
+	// mu guards what follows: a hedge runs beside the first try.
+	mu sync.Mutex
 	// ran counts the tries that ran or may have run, refused those that did not.
 	ran, refused int
 	// tried lists the endpoints that were tried.
@@ -43,6 +48,8 @@
 
 // triesLeft reports whether the request may be run once more.
 func (r *request) triesLeft() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.refused >= maxRefusals {
 		return false
 	}
@@ -52,6 +59,57 @@
 	return r.route.Repeatable() && r.ran < r.route.MaxAttempts
 }
 
+// silenceLimits returns the silences after which the request leaves an endpoint
+// for another: none but for a stream that can be resumed, while it has a try left
+// beside the present one.
+func (r *request) silenceLimits() pace.Limits {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.route.Kind == route.Streaming && r.route.Resumable && r.ran+1 < r.route.MaxAttempts {
+		return pace.Limits{First: silentFirst, Next: silentNext}
+	}
+	return pace.Limits{}
+}
+
+// notRun counts a try that did not run.
+func (r *request) notRun() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused++
+}
+
+// hasRun counts a try that ran or may have run.
+func (r *request) hasRun(unknown bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ran++
+	r.unknown = r.unknown || unknown
+}
+
+// isUnknown notes that an answer broke off, so that nothing is known of its rest.
+func (r *request) isUnknown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unknown = true
+}
+
+// triedAt counts a try at an endpoint and the time waited for it.
+func (r *request) triedAt(endpoint string, waited time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tried = append(r.tried, endpoint)
+	r.placed += waited
+}
+
+// answered notes when the first byte of an answer came.
+func (r *request) answered(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.firstByte.IsZero() {
+		r.firstByte = now
+	}
+}
+
 // ask returns what the placer needs to know.
 func (r *request) ask(now time.Time) *Ask {
 	a := &Ask{
@@ -63,8 +121,10 @@
 		PromptTokens:   r.PromptTokens,
 		ExpectedTokens: r.ExpectedOutput(),
 		Fingerprint:    r.fingerprint(),
-		Avoid:          r.tried,
 	}
+	r.mu.Lock()
+	a.Avoid = slices.Clone(r.tried)
+	r.mu.Unlock()
 	for _, part := range r.Prefix {
 		a.Prefix = append(a.Prefix, part.ID)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -75,10 +75,13 @@
 		return true
 	}
 	outcome := OutcomeCut
-	if errors.Is(err, errClientGone) || s.ctx.Err() != nil {
+	switch {
+	case errors.Is(err, errClientGone) || s.ctx.Err() != nil:
 		outcome = OutcomeAbandoned
+	case t.watch.Over():
+		outcome = OutcomeSilent
 	}
-	s.req.unknown = true
+	s.req.isUnknown()
 	s.f.noteTry(s.req, t, outcome, err.Error())
 	t.end(outcome)
 	return false
@@ -89,7 +92,11 @@
 func (s *streamer) relayFailure(t *try) bool {
 	again := t.answer.Status >= http.StatusInternalServerError && s.req.triesLeft()
 	if !s.begun && !again {
-		return s.f.settle(s.w, s.req, t)
+		if r := s.f.read(s.ctx, s.req, t); r != nil {
+			s.f.pass(s.w, s.req, r)
+			return true
+		}
+		return false
 	}
 	s.f.noteTry(s.req, t, OutcomeFailed, http.StatusText(t.answer.Status))
 	t.end(OutcomeFailed)
@@ -110,6 +117,7 @@
 		if err != nil {
 			return err
 		}
+		t.watch.Heard()
 		order := s.order
 		if err := order.Check(block.Events); err != nil {
 			return err
--- a/forward/try.go
+++ b/forward/try.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/upstream"
 )
@@ -18,12 +19,14 @@
 	begun   time.Time
 	used    Use
 	verdict platform.Verdict
+	watch   *pace.Watch
 	cancel  context.CancelFunc
 }
 
 // end gives everything back that the try holds.
 func (t *try) end(outcome Outcome) {
 	t.used.Outcome = outcome
+	t.watch.Stop()
 	if t.answer != nil {
 		t.used.Reusable = t.answer.Close()
 	}
@@ -37,12 +40,11 @@
 	asked := time.Now()
 	place, err := f.opts.Placer.Place(ctx, req.ask(asked))
 	now := time.Now()
-	req.placed += now.Sub(asked)
 	if err != nil {
 		return nil, err
 	}
 	e := place.Endpoint()
-	req.tried = append(req.tried, e.ID)
+	req.triedAt(e.ID, now.Sub(asked))
 	t := &try{place: place, begun: now}
 	var sending context.Context
 	sending, t.cancel = context.WithCancel(ctx)
@@ -50,6 +52,7 @@
 	if lastEvent != "" {
 		platform.SetLastEvent(header, lastEvent)
 	}
+	t.watch = pace.Start(req.silenceLimits(), place.Stalled, t.cancel)
 	t.answer, err = f.opts.Pool.Send(sending, e.ID, e.Address, &upstream.Call{
 		Method:  req.http.Method,
 		Target:  req.http.RequestURI,
@@ -72,12 +75,17 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		outcome = OutcomeNotSent
-		req.refused++
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		outcome = OutcomeOvertaken
 	case ctx.Err() != nil:
 		outcome = OutcomeAbandoned
-		req.ran, req.unknown = req.ran+1, true
-	default:
-		req.ran, req.unknown = req.ran+1, true
+	case t.watch.Over():
+		outcome = OutcomeSilent
+	}
+	if outcome == OutcomeNotSent {
+		req.notRun()
+	} else {
+		req.hasRun(true)
 	}
 	f.noteTry(req, t, outcome, err.Error())
 	t.end(outcome)
@@ -89,19 +97,17 @@
 	outcome := OutcomeUnknown
 	switch t.verdict {
 	case platform.Answered, platform.Failed:
-		req.ran++
-		if req.firstByte.IsZero() {
-			req.firstByte = time.Now()
-		}
+		req.hasRun(false)
+		req.answered(time.Now())
 		return t
 	case platform.NotRun:
 		outcome = OutcomeNotRun
-		req.refused++
+		req.notRun()
 	case platform.Misdirected:
 		outcome = OutcomeMisdirected
-		req.refused++
+		req.notRun()
 	default:
-		req.ran, req.unknown = req.ran+1, true
+		req.hasRun(true)
 	}
 	f.noteTry(req, t, outcome, t.verdict.String())
 	t.end(outcome)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,8 +135,8 @@
 			DialContext:        sockopt.Dialer(peerDialTimeout).DialContext,
 			DisableCompression: true,
 		}},
-		Runner: func(ctx context.Context, s *scheduler.Start, release func(scheduler.Use)) {
-			g.runner.Run(ctx, s, release)
+		Runner: func(ctx context.Context, s *scheduler.Start, slot slots.RunnerSlot) {
+			g.runner.Run(ctx, s, slot)
 		},
 		ServiceOf: func(id string) string {
 			if e := g.endpoints.View().Endpoint(id); e != nil {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -100,11 +100,25 @@
 	return p.endpoint
 }
 
+// Stalled implements forward.Place. A plain answer has no parts whose pace could be
+// judged; hedges see to slow ones.
+func (p *balancedPlace) Stalled() {}
+
 // Release implements forward.Place.
 func (p *balancedPlace) Release(use forward.Use) {
-	failed := use.Outcome == forward.OutcomeNotSent || use.Outcome == forward.OutcomeUnknown ||
-		use.Outcome == forward.OutcomeMisdirected || use.Outcome == forward.OutcomeNotRun
-	p.balancer.Done(time.Now(), p.endpoint.ID, failed)
+	p.balancer.Done(time.Now(), p.endpoint.ID, penaltyOf(use.Outcome))
+}
+
+// penaltyOf says how badly an endpoint did.
+func penaltyOf(o forward.Outcome) balance.Penalty {
+	switch o {
+	case forward.OutcomeNotSent, forward.OutcomeUnknown, forward.OutcomeMisdirected, forward.OutcomeCut:
+		return balance.Broken
+	case forward.OutcomeNotRun, forward.OutcomeOvertaken:
+		return balance.Slow
+	default:
+		return balance.None
+	}
 }
 
 // leasedPlace is a slot granted by the scheduler.
@@ -118,6 +132,11 @@
 	return p.endpoint
 }
 
+// Stalled implements forward.Place.
+func (p *leasedPlace) Stalled() {
+	p.lease.Stalled()
+}
+
 // Release implements forward.Place.
 func (p *leasedPlace) Release(use forward.Use) {
 	p.lease.Release(scheduler.Use{Outcome: outcomeOf(use.Outcome), Reusable: use.Reusable})
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -228,6 +228,16 @@
 	c.pump(now, v)
 }
 
+// Stalled handles a report that the endpoint of a ticket is silent: it gets no
+// more work for a while, so that what it would swallow goes elsewhere.
+func (c *Core) Stalled(now time.Time, id string) {
+	if t := c.tickets[id]; t != nil {
+		if until := now.Add(stallPause); until.After(t.station.pausedUntil) {
+			t.station.pausedUntil = until
+		}
+	}
+}
+
 func (c *Core) release(t *ticket) {
 	delete(c.tickets, t.id)
 	t.station.remove(t)
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -68,6 +68,9 @@
 	refusedPause = 100 * time.Millisecond
 	brokenPause  = 400 * time.Millisecond
 	maxPause     = 4 * time.Second
+	// stallPause is how long a silent endpoint gets no new work; it is reported
+	// again every 250 ms.
+	stallPause = 350 * time.Millisecond
 	// connectionIdle is how long an endpoint keeps an idle connection, less a
 	// margin: it states ten seconds.
 	connectionIdle = 9 * time.Second
--- a/slots/client.go
+++ b/slots/client.go
@@ -29,8 +29,16 @@
 	return fmt.Sprintf("slot refused: %s, retry after %s", e.Reason, e.RetryAfter)
 }
 
-// Runner runs a batch item until it ends or ctx does, and calls release once.
-type Runner func(ctx context.Context, start *scheduler.Start, release func(scheduler.Use))
+// Runner runs a batch item until it ends or ctx does, and releases its slot once.
+type Runner func(ctx context.Context, start *scheduler.Start, slot RunnerSlot)
+
+// RunnerSlot is the slot of a batch item that runs.
+type RunnerSlot interface {
+	// Stalled reports that the endpoint is silent.
+	Stalled()
+	// Release ends the use of the slot.
+	Release(u scheduler.Use)
+}
 
 // Options are what a Client is made of.
 type Options struct {
@@ -141,6 +149,15 @@
 	}
 }
 
+// stalled passes on that the endpoint of a ticket is silent.
+func (c *Client) stalled(ticket string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil && c.held[ticket] != nil {
+		c.link.send(Up{Stalled: ticket})
+	}
+}
+
 // Scheduler returns the name of the host that schedules for this one.
 func (c *Client) Scheduler() string {
 	c.mu.Lock()
@@ -375,9 +392,6 @@
 	}}
 	go func() {
 		defer cancel()
-		c.opts.Runner(running, s, func(u scheduler.Use) {
-			u.Ticket = s.Ticket
-			c.release(u)
-		})
+		c.opts.Runner(running, s, &Lease{Ticket: s.Ticket, Endpoint: s.Endpoint, client: c})
 	}()
 }
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -209,6 +209,9 @@
 	case m.Withdraw != "":
 		id := m.Withdraw
 		d.do(func(now time.Time, c *scheduler.Core) { c.Withdraw(now, id) })
+	case m.Stalled != "":
+		id := m.Stalled
+		d.do(func(now time.Time, c *scheduler.Core) { c.Stalled(now, id) })
 	case m.Leaving:
 		d.do(func(_ time.Time, c *scheduler.Core) { c.SetLeaving(host) })
 	}
--- a/slots/lease.go
+++ b/slots/lease.go
@@ -25,6 +25,11 @@
 	l.client.release(u)
 }
 
+// Stalled reports that the endpoint is silent.
+func (l *Lease) Stalled() {
+	l.client.stalled(l.Ticket)
+}
+
 // waiting is an ask without an answer.
 type waiting struct {
 	ask    scheduler.Ask
--- a/slots/message.go
+++ b/slots/message.go
@@ -10,6 +10,8 @@
 	Use      *scheduler.Use `json:"use,omitempty"`
 	Withdraw string         `json:"withdraw,omitempty"`
 	Leaving  bool           `json:"leaving,omitempty"`
+	// Stalled names a ticket whose endpoint is silent.
+	Stalled string `json:"stalled,omitempty"`
 }
 
 // Hello opens a session.
