--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -26,6 +26,7 @@
 	follower *follow.Follower
 	metrics  *metrics
 	seq      atomic.Int64
+	kept     atomic.Int64
 	lost     atomic.Bool
 
 	mu    sync.Mutex
@@ -51,6 +52,7 @@
 		placed:   make(map[string]string),
 		watchers: make(map[string]chan struct{}),
 	}
+	l.SetStatusKept(o.StatusKept)
 	l.follower = follow.New(follow.Options{
 		Store: o.Store, Topic: platform.TopicJobs, Handler: l,
 		Wait: followWait, Pause: followPause, Logger: o.Logger,
@@ -58,6 +60,11 @@
 	return l
 }
 
+// SetStatusKept changes how long after its submission a job can be read.
+func (l *Ledger) SetStatusKept(d time.Duration) {
+	l.kept.Store(int64(d))
+}
+
 // Follower returns the service that follows the ledger.
 func (l *Ledger) Follower() *follow.Follower {
 	return l.follower
--- a/batch/options.go
+++ b/batch/options.go
@@ -38,7 +38,8 @@
 	Configuration func() *route.Configuration
 	// Endpoint returns an endpoint by its id, or nil.
 	Endpoint func(id string) *endpoint.Endpoint
-	// StatusKept is how long after its submission a job can be read.
+	// StatusKept is how long after its submission a job can be read, until
+	// SetStatusKept changes it.
 	StatusKept time.Duration
 	Logger     log.Logger
 	// Registerer takes the metrics; nil means none.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -48,6 +48,10 @@
 	leaving atomic.Bool
 
 	mu sync.Mutex
+	// running counts the runs; idle is closed when there are none and some wait
+	// for that.
+	running int
+	idle    chan struct{}
 	// partials keep what unfinished items have made.
 	partials map[scheduler.ItemRef]*jobs.Partial
 }
@@ -71,6 +75,39 @@
 	Release(u scheduler.Use)
 }
 
+// Wait waits until no item runs and every result is recorded, or ctx ends.
+func (r *Runner) Wait(ctx context.Context) {
+	r.mu.Lock()
+	if r.running == 0 {
+		r.mu.Unlock()
+		return
+	}
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	idle := r.idle
+	r.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running++
+}
+
+func (r *Runner) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running--; r.running == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
 // run is one run of an item.
 type run struct {
 	*Runner
@@ -90,6 +127,8 @@
 
 // Run implements slots.Runner.
 func (r *Runner) Run(ctx context.Context, s *scheduler.Start, slot Slot) {
+	r.begin()
+	defer r.finish()
 	x := &run{Runner: r, ref: s.Item, slot: slot, begun: time.Now()}
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
 	if reason := x.prepare(); reason != "" {
--- a/cli/daemonroutes.go
+++ b/cli/daemonroutes.go
@@ -1,15 +1,11 @@
 package cli
 
 import (
-	"context"
 	"os"
 
-	"github.com/go-kit/log/level"
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/peridotmount/peridotmount/gateway"
-	"github.com/peridotmount/peridotmount/settings"
 )
 
 // newRoutes returns the command that serves the operator's routes.
@@ -24,19 +20,19 @@
   peridotmountd routes --settings routes.ini --check-settings`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			data, err := os.ReadFile(file)
-			if err != nil {
-				return errors.Wrap(err, "read settings")
-			}
-			s, err := settings.LoadGateway(&settings.Source{File: file, Data: data, Flags: set})
-			if err != nil {
-				return err
-			}
+			source := gateway.Source{File: file, Flags: set}
 			if checkOnly {
+				if _, err := source.Load(); err != nil {
+					return err
+				}
 				cmd.Println("settings are valid")
 				return nil
 			}
-			return runRoutes(cmd.Context(), s)
+			g, err := gateway.New(source, os.Stdout)
+			if err != nil {
+				return err
+			}
+			return g.Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "routes.ini", "the settings file")
@@ -44,12 +40,3 @@
 	cmd.Flags().BoolVar(&checkOnly, "check-settings", false, "check the settings and exit")
 	return cmd
 }
-
-func runRoutes(ctx context.Context, s *settings.Gateway) error {
-	logger := level.NewFilter(newLogger(os.Stdout), level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
-	g, err := gateway.New(s, logger)
-	if err != nil {
-		return err
-	}
-	return g.Run(ctx)
-}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -12,20 +12,33 @@
 	// longer ready: the platform asks once a second, and takes a host out after
 	// two misses.
 	drainNotice = 2500 * time.Millisecond
-	// drainMargin is kept free at the end of the grace period.
-	drainMargin = 500 * time.Millisecond
+	// handOverTime is kept at the end of the grace period for what batch items
+	// have made: it goes to the ledger, and the host's record away.
+	handOverTime = 1500 * time.Millisecond
 )
 
 // drain shuts down without cutting off a request: the host is no longer ready,
-// asks clients to close their connections, and finishes what is in progress.
+// hands its duties over, asks clients to close their connections, and finishes
+// what is in progress. Batch items that don't end in time go on elsewhere.
 func (g *Gateway) drain() {
 	begun := time.Now()
 	g.ready.draining.Store(true)
 	_ = level.Info(g.logger).Log("event", "draining", "grace_ms", g.settings.Grace.Milliseconds())
+	g.registrar.Leave()
+	g.client.Leave()
+	g.runner.Leave()
 	time.Sleep(drainNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-drainMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-handOverTime))
 	defer cancel()
 	if err := g.callers.http.Shutdown(ctx); err != nil {
 		_ = level.Error(g.logger).Log("event", "drain_incomplete", "err", err)
 	}
+	g.runner.Wait(ctx)
+	g.client.Revoke()
+	over, stop := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-handOverTime/3))
+	defer stop()
+	g.runner.Wait(over)
+	if err := g.registrar.Remove(over); err != nil {
+		_ = level.Warn(g.logger).Log("event", "host_record_left", "err", err)
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"io"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/logring"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
@@ -53,7 +55,10 @@
 // Gateway is one host that serves the operator's routes.
 type Gateway struct {
 	settings *settings.Gateway
+	source   Source
+	lines    *logring.Writer
 	logger   log.Logger
+	levels   *levels
 	registry *prometheus.Registry
 	self     peers.Host
 	// life ends with the process; recording results goes on until then.
@@ -77,15 +82,20 @@
 	ready         *readiness
 	callers       *listener
 	operators     *listener
+	reloader      *reloader
 	peers         *listener
 }
 
-// New puts a host together and binds its listeners.
-func New(s *settings.Gateway, logger log.Logger) (*Gateway, error) {
+// New puts a host together and binds its listeners. Its log goes to out.
+func New(source Source, out io.Writer) (*Gateway, error) {
+	s, err := source.Load()
+	if err != nil {
+		return nil, err
+	}
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	g := &Gateway{
 		settings: s,
-		logger:   log.With(logger, "host", s.Name),
+		source:   source,
 		registry: prometheus.NewRegistry(),
 		self: peers.Host{
 			Name:        s.Name,
@@ -96,7 +106,11 @@
 			Token:       rand.Text(),
 		},
 	}
+	g.reloader = newReloader(g)
 	g.life, g.end = context.WithCancel(context.Background())
+	g.lines = logring.New(out, g.registry)
+	g.levels = newLevels(log.NewJSONLogger(g.lines), s.LogLevel)
+	g.logger = log.With(g.levels, "ts", log.DefaultTimestampUTC, "host", s.Name)
 	g.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.buildBeliefs()
@@ -244,12 +258,13 @@
 	g.end()
 	<-ended
 	_ = level.Info(g.logger).Log("event", "stopped")
-	return nil
+	return g.lines.Flush()
 }
 
 func (g *Gateway) duties() []suture.Service {
 	return []suture.Service{
-		g.configuration.follower, g.endpointFeed, g.endpoints, g.directoryFeed, g.directory, g.registrar,
-		g.ledger.Follower(), g.scheduler, g.client, g.pool, g.operators, g.peers, g.callers,
+		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.directoryFeed, g.directory, g.registrar,
+		g.ledger.Follower(), &janitor{host: g.self.Name, client: g.client, ledger: g.ledger},
+		g.scheduler, g.client, g.pool, g.operators, g.peers, g.callers,
 	}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -18,6 +18,8 @@
 	// noEndpointRetry is the Retry-After while a service has no endpoint: about
 	// the time in which a new one is seen.
 	noEndpointRetry = time.Second
+	// quarantineRetry is the Retry-After of a request that is kept from endpoints.
+	quarantineRetry = 30 * time.Second
 	// maxPlaces bounds the endpoints that the scheduler may name before one is
 	// found that this host can use.
 	maxPlaces = 4
@@ -34,6 +36,32 @@
 
 // Place implements forward.Placer.
 func (p *placer) Place(ctx context.Context, ask *forward.Ask) (forward.Place, error) {
+	if p.client.Quarantined(ask.Fingerprint) {
+		return nil, &forward.Rejection{Reason: "the request broke several endpoints", RetryAfter: quarantineRetry}
+	}
+	place, err := p.place(ctx, ask)
+	if err != nil {
+		return nil, err
+	}
+	return &watchedPlace{Place: place, client: p.client, fingerprint: ask.Fingerprint}, nil
+}
+
+// watchedPlace reports the requests that endpoints break off.
+type watchedPlace struct {
+	forward.Place
+	client      *slots.Client
+	fingerprint string
+}
+
+// Release implements forward.Place.
+func (p *watchedPlace) Release(use forward.Use) {
+	if use.Outcome == forward.OutcomeUnknown || use.Outcome == forward.OutcomeCut {
+		p.client.Broke(p.fingerprint, p.Endpoint().ID)
+	}
+	p.Place.Release(use)
+}
+
+func (p *placer) place(ctx context.Context, ask *forward.Ask) (forward.Place, error) {
 	if c := p.configuration.Current(); c != nil {
 		if s := c.Services[ask.Service]; s != nil && s.Engine != nil {
 			return p.slot(ctx, ask)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -34,6 +35,12 @@
 	JobStatus time.Duration
 }
 
+// Differs reports whether other settings differ in what needs a new start.
+func (s *Gateway) Differs(o *Gateway) bool {
+	return s.Name != o.Name || s.Zone != o.Zone || !maps.Equal(s.Regions, o.Regions) || s.Callers != o.Callers ||
+		s.Readiness != o.Readiness || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Grace != o.Grace
+}
+
 const (
 	defaultMemory    = 128 * MiB
 	defaultGrace     = 8 * time.Second
--- a/slots/client.go
+++ b/slots/client.go
@@ -74,6 +74,8 @@
 	held    map[string]*holding
 	seq     uint64
 	leaving bool
+	// quarantined holds the requests that break endpoints.
+	quarantined map[string]bool
 
 	// backoffs belongs to the electing goroutine.
 	backoffs map[string]*backoff
@@ -350,9 +352,39 @@
 		}
 	case d.Start != nil:
 		c.started(ctx, d.Start)
-	case len(d.Members) > 0:
+	default:
+		c.told(d)
+	}
+}
+
+// told takes what the scheduler tells all hosts. The lock is held.
+func (c *Client) told(d *Down) {
+	if len(d.Members) > 0 {
 		c.opts.Heard(d.Members...)
 	}
+	if len(d.Members) > 0 || len(d.Quarantined) > 0 {
+		c.quarantined = make(map[string]bool, len(d.Quarantined))
+		for _, fingerprint := range d.Quarantined {
+			c.quarantined[fingerprint] = true
+		}
+	}
+}
+
+// Broke reports that an endpoint broke off a request.
+func (c *Client) Broke(fingerprint, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil {
+		c.link.send(Up{Broke: &Broke{Request: fingerprint, Endpoint: endpoint}})
+	}
+}
+
+// Quarantined reports whether a request is kept from endpoints, as it broke
+// several.
+func (c *Client) Quarantined(fingerprint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quarantined[fingerprint]
 }
 
 // granted hands a slot to its ask, or gives it back if that was withdrawn. The
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -24,11 +24,12 @@
 // Duty drives the scheduler of this host. It is a suture service; its methods
 // are safe for concurrent use and return before the input is handled.
 type Duty struct {
-	core    *scheduler.Core
-	hosts   func() []peers.Host
-	logger  log.Logger
-	metrics *metrics
-	inputs  *ring.Ring[input]
+	core     *scheduler.Core
+	suspects *scheduler.Suspects
+	hosts    func() []peers.Host
+	logger   log.Logger
+	metrics  *metrics
+	inputs   *ring.Ring[input]
 
 	// mu guards the sessions.
 	mu       sync.Mutex
@@ -47,6 +48,7 @@
 func NewDuty(hosts func() []peers.Host, logger log.Logger, m *metrics) *Duty {
 	return &Duty{
 		core:     scheduler.NewCore(scheduler.Options{}),
+		suspects: scheduler.NewSuspects(),
 		hosts:    hosts,
 		logger:   logger,
 		metrics:  m,
@@ -92,7 +94,7 @@
 		}
 		if !now.Before(nextMembers) {
 			nextMembers = now.Add(membersEvery)
-			d.tellMembers()
+			d.tellMembers(now)
 		}
 		d.deliver()
 	}
@@ -149,14 +151,29 @@
 	d.core.SetShare(now, float64(here)/float64(all), settled)
 }
 
-// tellMembers tells all hosts which ones take part.
-func (d *Duty) tellMembers() {
+// tellMembers tells all hosts which ones take part, and which requests are kept
+// from endpoints.
+func (d *Duty) tellMembers(now time.Time) {
 	d.mu.Lock()
-	sinks := slices.Collect(maps.Values(d.sessions))
 	members := slices.Sorted(maps.Keys(d.sessions))
 	d.mu.Unlock()
+	d.tellAll(Down{Members: members, Quarantined: d.suspects.Quarantined(now)})
+}
+
+func (d *Duty) tellAll(m Down) {
+	d.mu.Lock()
+	sinks := slices.Collect(maps.Values(d.sessions))
+	d.mu.Unlock()
 	for _, s := range sinks {
-		s.deliver(Down{Members: members})
+		s.deliver(m)
+	}
+}
+
+// broke notes that an endpoint broke off a request.
+func (d *Duty) broke(now time.Time, b *Broke) {
+	if d.suspects.Broke(now, b.Request, b.Endpoint) {
+		_ = level.Warn(d.logger).Log("event", "request_quarantined", "fingerprint", b.Request, "endpoint", b.Endpoint)
+		d.tellAll(Down{Quarantined: d.suspects.Quarantined(now)})
 	}
 }
 
@@ -212,6 +229,9 @@
 	case m.Stalled != "":
 		id := m.Stalled
 		d.do(func(now time.Time, c *scheduler.Core) { c.Stalled(now, id) })
+	case m.Broke != nil:
+		b := *m.Broke
+		d.do(func(now time.Time, _ *scheduler.Core) { d.broke(now, &b) })
 	case m.Leaving:
 		d.do(func(_ time.Time, c *scheduler.Core) { c.SetLeaving(host) })
 	}
--- a/slots/message.go
+++ b/slots/message.go
@@ -12,6 +12,14 @@
 	Leaving  bool           `json:"leaving,omitempty"`
 	// Stalled names a ticket whose endpoint is silent.
 	Stalled string `json:"stalled,omitempty"`
+	Broke   *Broke `json:"broke,omitempty"`
+}
+
+// Broke tells that an endpoint broke off a request.
+type Broke struct {
+	// Request is the fingerprint of the request.
+	Request  string `json:"request"`
+	Endpoint string `json:"endpoint"`
 }
 
 // Hello opens a session.
@@ -31,6 +39,8 @@
 	Start  *scheduler.Start  `json:"start,omitempty"`
 	// Members are the hosts that have a session with the scheduler.
 	Members []string `json:"members,omitempty"`
+	// Quarantined are the fingerprints of requests that break endpoints.
+	Quarantined []string `json:"quarantined,omitempty"`
 }
 
 // downOf wraps an effect.
