Answer a plain call cut by its deadline as such, whether or not it may be repeated

Cause: the end of a call that may not be repeated was judged before the caller's deadline, so that it read as an interruption. The entry answers such calls from a run; whether the caller got 504 from its own deadline or 502 from the run's end was a race between the two, which is why the test failed in some runs only. Ruled out: the endpoint's connection breaking first (the error is the deadline's own in each run).

Test first: TestDeadlineCutsSentPlainCall failed with 'work was interrupted (unknown), want deadline passed'.

--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -122,10 +122,10 @@
 		a.state = Unknown
 	}
 	switch {
-	case a.state == Unknown && !a.call.Service.Idempotent:
-		return &Error{Cause: errors.Wrap(ErrInterrupted, err.Error()), RunState: Unknown}
 	case ctx.Err() != nil:
 		return &Error{Cause: ErrDeadline, RunState: a.state, RetryAfter: a.want.retryAfter}
+	case a.state == Unknown && !a.call.Service.Idempotent:
+		return &Error{Cause: errors.Wrap(ErrInterrupted, err.Error()), RunState: Unknown}
 	case errors.Is(err, admission.ErrSilent):
 		a.want.silent = true
 		return nil
