Reference pages and example settings cover hosts that serve routes

The pages listed the settings and metrics of one kind of daemon only. The table is made by package metricdoc from a registry's own descriptions; the registry that remembered them beside it goes. The checks of the pages move to cli, which knows both daemons; they are as strict, over both examples and both tables.

--- a/cli/daemonreference.go
+++ b/cli/daemonreference.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/peridotmount/peridotmount/node"
 	"github.com/peridotmount/peridotmount/settings"
 )
 
@@ -18,7 +17,7 @@
 		ValidArgs: []string{"settings", "metrics"},
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if args[0] == "metrics" {
-				return node.WriteMetricsReference(cmd.OutOrStdout())
+				return writeMetricsReference(cmd.OutOrStdout())
 			}
 			return settings.WriteReference(cmd.OutOrStdout())
 		},
--- a/node/docs_test.go
+++ b/cli/docs_test.go
@@ -1,4 +1,4 @@
-package node
+package cli
 
 import (
 	"os"
@@ -36,12 +36,11 @@
 }
 
 // TestDocsNameRealMetrics holds the metrics that pages name against the
-// registry of a daemon.
+// registries of the daemons.
 func TestDocsNameRealMetrics(t *testing.T) {
-	n, _ := newTestNode(t)
 	var names []string
-	for _, row := range n.registry.rows() {
-		names = append(names, row.name)
+	for _, row := range allMetrics(t) {
+		names = append(names, row.Name)
 	}
 	for page, text := range readDocs(t) {
 		for _, word := range metricWord.FindAllString(text, -1) {
@@ -71,7 +70,7 @@
 func TestDocsNameRealSettings(t *testing.T) {
 	known := make(map[string]bool)
 	sections := make(map[string]bool)
-	for _, k := range settings.Keys() {
+	for _, k := range append(settings.Keys(), settings.GatewayKeys()...) {
 		known[k.Name] = true
 		section, _, _ := strings.Cut(k.Name, ".")
 		sections[section] = true
--- a/node/errorsdoc_test.go
+++ b/cli/errorsdoc_test.go
@@ -1,4 +1,4 @@
-package node
+package cli
 
 import (
 	"go/ast"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,8 @@
 	memoryShare = 0.7
 	// bodyShare is the part of the host's memory that bodies may take.
 	bodyShare = 0.15
+	// cacheShare is that of the inputs and outputs of batch items that are kept.
+	cacheShare = 0.06
 	// followWait is how long a read of the store waits for a record. It bounds
 	// what a connection that fell silent can hide.
 	followWait = 1000 * time.Millisecond
@@ -93,6 +95,12 @@
 		return nil, err
 	}
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	g := newUnbound(s, source, out)
+	return g, g.listen()
+}
+
+// newUnbound returns a host without listeners.
+func newUnbound(s *settings.Gateway, source Source, out io.Writer) *Gateway {
 	g := &Gateway{
 		settings: s,
 		source:   source,
@@ -117,7 +125,7 @@
 	g.buildScheduling()
 	g.buildJobs()
 	g.buildPath()
-	return g, g.listen()
+	return g
 }
 
 // buildBeliefs makes what follows the store.
@@ -174,6 +182,7 @@
 		Configuration: g.configuration.Current,
 		Endpoint:      func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
 		StatusKept:    g.settings.JobStatus,
+		CacheBytes:    int(float64(g.settings.Memory) * cacheShare),
 		Logger:        g.logger,
 		Registerer:    g.registry,
 	})
--- /dev/null
+++ b/metricdoc/doc.go
@@ -0,0 +1,2 @@
+// Package metricdoc describes the metrics of a registry for the documentation.
+package metricdoc
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/peridotmount/peridotmount/dispatch"
@@ -37,7 +38,7 @@
 	settings *settings.Settings
 	levels   *levelSwitch
 	logger   log.Logger
-	registry *metricRegistry
+	registry *prometheus.Registry
 	metrics  *metrics
 	// listeners are the metrics of all listeners.
 	listeners *listenerVectors
@@ -100,7 +101,7 @@
 
 		drainRequest: newDrainRequest(),
 		logger:       log.With(levels, "host", s.Host.Name, "zone", s.Host.Zone),
-		registry:     newMetricRegistry(),
+		registry:     prometheus.NewRegistry(),
 
 		incarnation: time.Now().UnixNano(),
 	}
--- a/settings/example_test.go
+++ b/settings/example_test.go
@@ -8,11 +8,14 @@
 	"testing"
 )
 
-const examplePath = "../examples/settings/peridotmountd.ini"
+const (
+	examplePath       = "../examples/settings/peridotmountd.ini"
+	routesExamplePath = "../examples/settings/routes.ini"
+)
 
-func readExample(t *testing.T) string {
+func readExample(t *testing.T, path string) string {
 	t.Helper()
-	data, err := os.ReadFile(examplePath)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,33 +25,38 @@
 // TestExampleIsValid reads the example, with the secret given in place of its
 // file.
 func TestExampleIsValid(t *testing.T) {
-	text := strings.Replace(readExample(t), "secret_file = /etc/peridotmount/secret", "secret = s", 1)
+	text := strings.Replace(readExample(t, examplePath), "secret_file = /etc/peridotmount/secret", "secret = s", 1)
 	if _, err := Parse(examplePath, []byte(text)); err != nil {
 		t.Error(err)
 	}
+	if _, err := LoadGateway(&Source{File: routesExamplePath, Data: []byte(readExample(t, routesExamplePath))}); err != nil {
+		t.Error(err)
+	}
 }
 
 var commentedKey = regexp.MustCompile(`(?m)^#([a-z_0-9]+) =(.*)$`)
 
-// TestExampleNamesEveryKey takes the comment signs off the keys of the example:
-// every key that there is has to be in it, with its default, and no other.
+// TestExampleNamesEveryKey takes the comment signs off the keys of the examples:
+// every key that there is has to be in its example, with its default, and no other.
 func TestExampleNamesEveryKey(t *testing.T) {
-	text := commentedKey.ReplaceAllString(readExample(t), "$1 =$2")
-	r := newReader(&Source{File: examplePath, Data: []byte(text)})
-	if len(r.faults) > 0 {
-		t.Fatal(r.faults)
-	}
-	for _, k := range Keys() {
-		given, found := r.text(k.Name)
-		switch {
-		case !found:
-			t.Errorf("%s (%s) is not in the example", k.Name, k.Accepts)
-		case k.Default != "" && given.Value != k.Default && !sameDuration(given.Value, k.Default):
-			t.Errorf("%s is %q in the example, its default is %q", k.Name, given.Value, k.Default)
+	for path, keys := range map[string][]Key{examplePath: Keys(), routesExamplePath: GatewayKeys()} {
+		text := commentedKey.ReplaceAllString(readExample(t, path), "$1 =$2")
+		r := newReader(&Source{File: path, Data: []byte(text)})
+		if len(r.faults) > 0 {
+			t.Fatal(r.faults)
+		}
+		for _, k := range keys {
+			given, found := r.text(k.Name)
+			switch {
+			case !found:
+				t.Errorf("%s (%s) is not in %s", k.Name, k.Accepts, path)
+			case k.Default != "" && given.Value != k.Default && !sameDuration(given.Value, k.Default):
+				t.Errorf("%s is %q in %s, its default is %q", k.Name, given.Value, path, k.Default)
+			}
+		}
+		for name := range r.keys {
+			t.Errorf("%s is in %s but there is no such key", name, path)
 		}
-	}
-	for name := range r.keys {
-		t.Errorf("%s is in the example but there is no such key", name)
 	}
 }
 
@@ -59,17 +67,19 @@
 	return zeros.ReplaceAllString(a, "$1") == zeros.ReplaceAllString(b, "$1")
 }
 
-// TestEveryKeyIsExplained looks for a comment above each key of the example.
+// TestEveryKeyIsExplained looks for a comment above each key of the examples.
 func TestEveryKeyIsExplained(t *testing.T) {
-	explained := false
-	for i, line := range strings.Split(readExample(t), "\n") {
-		switch {
-		case strings.HasPrefix(line, "# "):
-			explained = true
-		case line == "" || strings.HasPrefix(line, "["):
-			explained = false
-		case !explained:
-			t.Errorf("line %d has no explanation: %s", i+1, line)
+	for _, path := range []string{examplePath, routesExamplePath} {
+		explained := false
+		for i, line := range strings.Split(readExample(t, path), "\n") {
+			switch {
+			case strings.HasPrefix(line, "# "):
+				explained = true
+			case line == "" || strings.HasPrefix(line, "["):
+				explained = false
+			case !explained:
+				t.Errorf("%s: line %d has no explanation: %s", path, i+1, line)
+			}
 		}
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -53,7 +53,19 @@
 // ErrInvalid.
 func LoadGateway(source *Source) (*Gateway, error) {
 	r := newReader(source)
-	s := &Gateway{
+	s := r.gateway()
+	if _, found := s.Regions[s.Zone]; !found && len(s.Regions) > 0 {
+		r.require(false, "host.regions does not name host.zone "+s.Zone)
+	}
+	r.refuseUnread()
+	if len(r.faults) > 0 {
+		return nil, errors.Wrap(ErrInvalid, strings.Join(r.faults, "\n"))
+	}
+	return s, nil
+}
+
+func (r *reader) gateway() *Gateway {
+	return &Gateway{
 		Name:      r.required("host.name"),
 		Zone:      r.required("host.zone"),
 		Regions:   r.pairs("host.regions"),
@@ -66,14 +78,6 @@
 		Store:     r.address("store.address"),
 		JobStatus: r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
 	}
-	if _, found := s.Regions[s.Zone]; !found && len(s.Regions) > 0 {
-		r.require(false, "host.regions does not name host.zone "+s.Zone)
-	}
-	r.refuseUnread()
-	if len(r.faults) > 0 {
-		return nil, errors.Wrap(ErrInvalid, strings.Join(r.faults, "\n"))
-	}
-	return s, nil
 }
 
 // pairs reads a list of name=value, separated by commas.
--- a/settings/key.go
+++ b/settings/key.go
@@ -27,10 +27,31 @@
 	return r.asked
 })
 
-// WriteReference writes a page that describes every setting.
+// GatewayKeys returns every setting of a host that serves routes, in the order in
+// which they are read.
+var GatewayKeys = sync.OnceValue(func() []Key {
+	r := &reader{keys: make(map[string]inifile.Key)}
+	_ = r.gateway()
+	return r.asked
+})
+
+// WriteReference writes a page that describes every setting, or returns the
+// writer's error.
 func WriteReference(w io.Writer) error {
-	_, _ = fmt.Fprint(w, referenceHead)
-	for _, k := range Keys() {
+	if _, err := fmt.Fprint(w, referenceHead); err != nil {
+		return errors.Wrap(err, "write reference")
+	}
+	if err := writeKeys(w, Keys()); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprint(w, gatewayReferenceHead); err != nil {
+		return errors.Wrap(err, "write reference")
+	}
+	return writeKeys(w, GatewayKeys())
+}
+
+func writeKeys(w io.Writer, keys []Key) error {
+	for _, k := range keys {
 		otherwise := "none"
 		if k.Default != "" {
 			otherwise = "`" + k.Default + "`"
@@ -42,10 +63,17 @@
 	return nil
 }
 
-const referenceHead = "# Settings\n\n" +
-	"Written by `make docs`. The keys are explained in\n" +
-	"`examples/settings/peridotmountd.ini`. The environment overrides the file\n" +
-	"(`PERIDOTMOUNT_LEDGER_POLL` stands for `ledger.poll`), and\n" +
-	"`--set ledger.poll=50ms` overrides both. `peridotmountd --check-settings` names\n" +
-	"every fault at once.\n\n" +
-	"| key | accepts | default |\n| --- | --- | --- |\n"
+const (
+	keysHead      = "| key | accepts | default |\n| --- | --- | --- |\n"
+	referenceHead = "# Settings\n\n" +
+		"Written by `make docs`. The environment overrides the file\n" +
+		"(`PERIDOTMOUNT_LEDGER_POLL` stands for `ledger.poll`), and\n" +
+		"`--set ledger.poll=50ms` overrides both. `--check-settings` names every fault\n" +
+		"at once.\n\n" +
+		"## peridotmountd\n\n" +
+		"The keys are explained in `examples/settings/peridotmountd.ini`.\n\n" + keysHead
+	gatewayReferenceHead = "\n## peridotmountd routes\n\n" +
+		"The keys are explained in `examples/settings/routes.ini`. On SIGHUP, or when the\n" +
+		"file changes, `host.log_level` and `jobs.status_kept` take effect; the others\n" +
+		"need a new start.\n\n" + keysHead
+)
