--- a/batch/api.go
+++ b/batch/api.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -89,9 +90,7 @@
 		a.refuse(w, r, http.StatusServiceUnavailable, "the ledger can't be read", outageRetry)
 		return
 	}
-	a.ledger.mu.Lock()
-	body, err := platform.EncodeResults(job, call.After)
-	a.ledger.mu.Unlock()
+	body, err := a.results(r.Context(), job, call.After)
 	if err != nil {
 		a.refuse(w, r, http.StatusServiceUnavailable, err.Error(), outageRetry)
 		return
@@ -102,6 +101,63 @@
 	_, _ = w.Write(body)
 }
 
+// results returns the answer to a read from a position on: as many results as
+// fit, and whose outputs can be read. The error is ErrUnread if there are none of
+// these though there are results.
+func (a *API) results(ctx context.Context, job *jobs.Job, after int) ([]byte, error) {
+	chosen := a.choose(job, after)
+	outputs, err := a.outputs(ctx, chosen)
+	if err != nil && len(outputs) == 0 {
+		return nil, err
+	}
+	out := make([]platform.JobResult, len(outputs))
+	for i := range outputs {
+		r := &chosen[i]
+		out[i] = platform.JobResult{ID: job.Items()[r.Item].ID, Dead: r.Dead, Output: outputs[i]}
+	}
+	return platform.EncodeResults(len(job.Items()), after+len(out), out)
+}
+
+// choose returns the results from a position on that fit into an answer, one at
+// least if there is one.
+func (a *API) choose(job *jobs.Job, after int) []jobs.Result {
+	a.ledger.mu.Lock()
+	defer a.ledger.mu.Unlock()
+	size := 0
+	first := min(after, len(job.Results))
+	for i, r := range job.Results[first:] {
+		if size += r.Output.Bytes; i > 0 && (size > resultBytes || i == resultsPerRead) {
+			return job.Results[first : first+i]
+		}
+	}
+	return job.Results[first:]
+}
+
+// outputs returns the outputs of results up to the first that can't be read, and
+// why that is.
+func (a *API) outputs(ctx context.Context, results []jobs.Result) ([][]byte, error) {
+	out := make([][]byte, len(results))
+	failures := make([]error, len(results))
+	var reads sync.WaitGroup
+	room := make(chan struct{}, parallelReads)
+	for i := range results {
+		reads.Add(1)
+		go func() {
+			defer reads.Done()
+			room <- struct{}{}
+			out[i], failures[i] = a.ledger.payloads.get(ctx, &results[i].Output)
+			<-room
+		}()
+	}
+	reads.Wait()
+	for i, err := range failures {
+		if err != nil {
+			return out[:i], err
+		}
+	}
+	return out, nil
+}
+
 // awaitResults waits until a job has results from a position on, has ended, or
 // the wait is over. It reports false if there may be results that this host
 // doesn't know.
@@ -138,10 +194,15 @@
 		a.refuse(w, r, http.StatusNotFound, "no such item", 0)
 		return
 	}
+	item, err := a.ledger.item(r.Context(), job, n)
+	if err != nil {
+		a.refuse(w, r, http.StatusServiceUnavailable, err.Error(), outageRetry)
+		return
+	}
 	h := w.Header()
 	h.Set("Content-Type", "application/octet-stream")
-	h.Set("Content-Length", strconv.Itoa(len(job.Items[n].Body)))
-	_, _ = w.Write(job.Items[n].Body)
+	h.Set("Content-Length", strconv.Itoa(len(item.Body)))
+	_, _ = w.Write(item.Body)
 }
 
 // cancel ends a job.
@@ -192,8 +253,6 @@
 		a.refuse(w, r, http.StatusServiceUnavailable, err.Error(), outageRetry)
 	case verdict == jobs.OverQuota:
 		a.refuse(w, r, http.StatusTooManyRequests, "too many tokens wait on the route", quotaRetry)
-	case verdict == jobs.Incomplete:
-		a.refuse(w, r, http.StatusServiceUnavailable, "items of the job are missing in the ledger", outageRetry)
 	default:
 		w.WriteHeader(http.StatusAccepted)
 	}
--- a/batch/errors.go
+++ b/batch/errors.go
@@ -8,4 +8,6 @@
 	ErrNotWritten = errors.New("ledger not written")
 	// ErrUnknown means that the records may be in the ledger, or come later.
 	ErrUnknown = errors.New("outcome of the write to the ledger is unknown")
+	// ErrUnread means that an input or output can't be read from the store.
+	ErrUnread = errors.New("payload not read")
 )
--- a/batch/janitor.go
+++ b/batch/janitor.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		g := givenUp{job: id, reason: reason}
-		for i := range job.Items {
+		for i := range job.Items() {
 			if !job.Ended(i) {
 				g.items = append(g.items, i)
 			}
@@ -79,41 +79,49 @@
 // Forget drops the jobs that need not be readable any more. The host that owns
 // the ledger's records deletes theirs from the store too.
 func (l *Ledger) Forget(now time.Time, owns bool) {
-	keys := l.drop(now)
-	if !owns || len(keys) == 0 {
+	gone := l.drop(now)
+	if !owns {
 		return
 	}
-	for len(keys) > 0 {
-		n := min(len(keys), tombstonesPerCall)
-		l.bury(keys[:n])
-		keys = keys[n:]
+	// Payloads go first: what the ledger still names can be found again.
+	if l.bury(platform.TopicPayloads, gone.Payloads) {
+		l.bury(platform.TopicJobs, gone.Records)
 	}
 }
 
 // drop forgets jobs and returns the keys of their records.
-func (l *Ledger) drop(now time.Time) []string {
+func (l *Ledger) drop(now time.Time) jobs.Dropped {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	keys := l.state.TakeOrphans()
+	gone := l.state.TakeOrphans()
 	for id, job := range l.state.Jobs() {
 		if job.Open() == 0 && age(job, now) > time.Duration(l.kept.Load())+clockMargin {
-			keys = append(keys, l.state.Drop(id)...)
+			dropped := l.state.Drop(id)
+			gone.Records = append(gone.Records, dropped.Records...)
+			gone.Payloads = append(gone.Payloads, dropped.Payloads...)
 			delete(l.placed, id)
 		}
 	}
-	return keys
+	return gone
 }
 
-// bury deletes keys from the store. One that fails is left: it costs room until
-// a host lists the ledger anew, and finds the job too old.
-func (l *Ledger) bury(keys []string) {
-	records := make([][]byte, len(keys))
-	for i, key := range keys {
-		records[i] = platform.EncodeKeyed(key, nil)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
-	if _, err := l.opts.Store.Append(ctx, platform.TopicJobs, records); err != nil {
-		_ = level.Warn(l.opts.Logger).Log("event", "ledger_records_left", "keys", len(keys), "err", err)
+// bury deletes keys from the store and reports whether all are. Those that are
+// left cost room until a host lists the ledger anew, and finds the job too old.
+func (l *Ledger) bury(topic platform.Topic, keys []string) bool {
+	for len(keys) > 0 {
+		n := min(len(keys), tombstonesPerCall)
+		records := make([][]byte, n)
+		for i, key := range keys[:n] {
+			records[i] = platform.EncodeKeyed(key, nil)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+		_, err := l.opts.Store.Append(ctx, topic, records)
+		cancel()
+		if err != nil {
+			_ = level.Warn(l.opts.Logger).Log("event", "records_left", "topic", topic.Name, "keys", len(keys), "err", err)
+			return false
+		}
+		keys = keys[n:]
 	}
+	return true
 }
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -24,6 +24,7 @@
 type Ledger struct {
 	opts     Options
 	follower *follow.Follower
+	payloads *payloads
 	metrics  *metrics
 	seq      atomic.Int64
 	kept     atomic.Int64
@@ -45,6 +46,7 @@
 func NewLedger(o Options) *Ledger {
 	l := &Ledger{
 		opts:     o,
+		payloads: newPayloads(o.Store, o.CacheBytes),
 		metrics:  newMetrics(o.Registerer),
 		state:    jobs.NewState(),
 		verdicts: make(map[string]chan jobs.Verdict),
@@ -122,7 +124,7 @@
 		l.opts.Scheduler.DropItem(scheduler.ItemRef{Job: c.Job.ID, Item: c.Item})
 		l.notify(c.Job.ID)
 	case c.Cancelled:
-		for i := range c.Job.Items {
+		for i := range c.Job.Items() {
 			l.opts.Scheduler.DropItem(scheduler.ItemRef{Job: c.Job.ID, Item: i})
 		}
 		_ = level.Info(l.opts.Logger).Log("event", "job_cancelled", "job", c.Job.ID, "offset", offset, "results", len(c.Job.Results))
@@ -135,7 +137,7 @@
 	if c.Verdict == jobs.Accepted {
 		l.schedule(c.Job)
 		_ = level.Info(l.opts.Logger).Log("event", "job_accepted", "job", c.Job.ID, "offset", offset,
-			"items", len(c.Job.Items), "tokens", c.Job.Submission.Tokens, "route", c.Job.Submission.Route)
+			"items", len(c.Job.Items()), "tokens", c.Job.Submission.Tokens, "route", c.Job.Submission.Route)
 	}
 	if ch := l.verdicts[c.Attempt]; ch != nil {
 		delete(l.verdicts, c.Attempt)
@@ -154,20 +156,17 @@
 	if age := time.Since(time.UnixMilli(job.Submission.SubmittedMillis)); age > 0 {
 		due = due.Add(-age)
 	}
-	for i := range job.Items {
+	for i, meta := range job.Items() {
 		if job.Ended(i) {
 			continue
 		}
-		meta := platform.ParseRequest(job.Items[i].HTTPHeader())
 		item := scheduler.Item{
 			Ref:            scheduler.ItemRef{Job: job.ID, Item: i},
 			Service:        service,
 			Due:            due,
 			PromptTokens:   meta.PromptTokens,
-			ExpectedTokens: meta.ExpectedOutput(),
-		}
-		for _, part := range meta.Prefix {
-			item.Prefix = append(item.Prefix, part.ID)
+			ExpectedTokens: meta.ExpectedTokens,
+			Prefix:         meta.Prefix,
 		}
 		l.opts.Scheduler.AddItem(item)
 	}
@@ -212,6 +211,24 @@
 	return ch
 }
 
+// item returns an item as it was handed in. The error is ErrUnread.
+func (l *Ledger) item(ctx context.Context, job *jobs.Job, number int) (*jobs.Item, error) {
+	// The inputs of an accepted job don't change.
+	in, i := job.Input(number)
+	if in == nil {
+		return nil, errors.Wrapf(ErrUnread, "job %s has no input of item %d", job.ID, number)
+	}
+	content, err := l.payloads.get(ctx, &in.Blob)
+	if err != nil {
+		return nil, err
+	}
+	items, err := jobs.DecodeItems(content)
+	if err != nil || i >= len(items) {
+		return nil, errors.Wrapf(ErrUnread, "input of item %d of job %s: %v", number, job.ID, err)
+	}
+	return &items[i], nil
+}
+
 // Confirm makes sure that what was written before is known, unless it was so a
 // moment ago. The error is follow.ErrStale.
 func (l *Ledger) Confirm(ctx context.Context) error {
@@ -258,39 +275,35 @@
 		delete(l.seen, record.key)
 		l.mu.Unlock()
 	}()
-	return l.append(ctx, []outgoing{record}, seen)
+	return l.append(ctx, record, seen)
 }
 
 // append tries an append until the store has answered it or it was seen in the
 // ledger. Records may arrive more than once; only the first copy counts.
-func (l *Ledger) append(ctx context.Context, records []outgoing, seen <-chan struct{}) error {
+func (l *Ledger) append(ctx context.Context, record outgoing, seen <-chan struct{}) error {
 	unknown := false
-	retry := firstRetry
+	retry := newBackoff()
 	for try := 0; ; try++ {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := l.opts.Store.Append(call, platform.TopicJobs, encodeTry(records, try))
+		_, err := l.opts.Store.Append(call, platform.TopicJobs, [][]byte{record.encode(try)})
 		cancel()
 		switch {
 		case err == nil:
 			return nil
 		case errors.Is(err, platform.ErrRejected):
 			return errors.Wrap(ErrNotWritten, err.Error())
-		case !errors.Is(err, platform.ErrRefused) && !errors.Is(err, platform.ErrThrottled):
-			unknown = true
 		}
-		t := time.NewTimer(retry)
-		retry = min(2*retry, lastRetry)
-		select {
-		case <-seen:
-			t.Stop()
+		unknown = unknown || mayHaveEffect(err)
+		if retry.wait(ctx, seen) {
+			continue
+		}
+		switch {
+		case ctx.Err() == nil:
 			return nil
-		case <-ctx.Done():
-			t.Stop()
-			if unknown {
-				return errors.Wrap(ErrUnknown, err.Error())
-			}
+		case unknown:
+			return errors.Wrap(ErrUnknown, err.Error())
+		default:
 			return errors.Wrap(ErrNotWritten, err.Error())
-		case <-t.C:
 		}
 	}
 }
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -20,7 +20,7 @@
 	return 0, platform.ErrUnavailable
 }
 
-func (noStore) Read(context.Context, platform.Topic, int64, time.Duration) (platform.Page, error) {
+func (noStore) Read(context.Context, platform.Topic, int64, int, time.Duration) (platform.Page, error) {
 	return platform.Page{}, platform.ErrUnavailable
 }
 
@@ -61,23 +61,24 @@
 	return platform.KeyedRecord{Offset: offset, Key: key, Value: value}
 }
 
-// TestListingOfSeveralMoments lists a ledger while a job is written: the page
-// that holds the job's submission was read after it, the one that should hold its
-// items before.
+// TestListingOfSeveralMoments lists a ledger while a job runs: the page that holds
+// a result of it was read after that, the one that should hold its submission
+// before.
 func TestListingOfSeveralMoments(t *testing.T) {
 	l, items := newTestLedger()
-	part := keyed(t, 4, "part/j", &jobs.Record{Job: "j", Part: &jobs.Part{Attempt: "a", Items: []jobs.Item{{ID: "i", Path: "/x"}}}})
-	submit := keyed(t, 5, "submit/j", &jobs.Record{Job: "j", Submit: &jobs.Submission{
-		Attempt: "a", Items: 1, Host: "h", Path: "/lots-in/j", Route: "lots", WindowMillis: 18000,
+	submit := keyed(t, 4, "submit/j", &jobs.Record{Job: "j", Submit: &jobs.Submission{
+		Attempt: "a", Items: []jobs.ItemMeta{{ID: "i"}, {ID: "k"}}, Host: "h", Path: "/lots-in/j", Route: "lots", WindowMillis: 18000,
 	}})
+	result := keyed(t, 5, "result/j", &jobs.Record{Job: "j", Result: &jobs.Result{Item: 1}})
 	const end = 4
-	l.Listed(time.Time{}, []platform.KeyedRecord{submit}, end)
-	l.Changed(time.Time{}, []platform.KeyedRecord{part, submit})
-	if l.state.Job("j") == nil {
+	l.Listed(time.Time{}, []platform.KeyedRecord{result}, end)
+	l.Changed(time.Time{}, []platform.KeyedRecord{submit, result})
+	job := l.state.Job("j")
+	if job == nil {
 		t.Fatal("the job is not known")
 	}
-	if len(items) != 1 {
-		t.Errorf("%d items are scheduled", len(items))
+	if len(items) != 1 || len(job.Results) != 1 {
+		t.Errorf("%d items are scheduled, %d have results", len(items), len(job.Results))
 	}
 }
 
@@ -120,35 +121,3 @@
 		t.Errorf("%d records under %d keys", len(store.records), len(keys))
 	}
 }
-
-func TestSplitKeepsBodies(t *testing.T) {
-	big := make([]byte, 3*recordBytes+7)
-	for i := range big {
-		big[i] = byte(i % 251)
-	}
-	items := []jobs.Item{{ID: "a", Body: []byte("small")}, {ID: "b", Body: big}, {ID: "c", Body: big[:recordBytes]}, {ID: "d"}}
-	state := jobs.NewState()
-	var offset int64
-	for _, p := range split("at", items) {
-		r := &jobs.Record{Job: "j", Part: p}
-		value, err := r.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if len(value) > 256<<10 {
-			t.Errorf("a record of %d bytes", len(value))
-		}
-		state.Apply(offset, "k", r)
-		offset++
-	}
-	state.Apply(offset, "k", &jobs.Record{Job: "j", Submit: &jobs.Submission{Attempt: "at", Items: len(items)}})
-	job := state.Job("j")
-	if job == nil {
-		t.Fatal("not accepted")
-	}
-	for i := range items {
-		if string(job.Items[i].Body) != string(items[i].Body) {
-			t.Errorf("item %s has another body", items[i].ID)
-		}
-	}
-}
--- a/batch/options.go
+++ b/batch/options.go
@@ -17,7 +17,7 @@
 // Store is what the ledger needs of the platform's store.
 type Store interface {
 	Append(ctx context.Context, topic platform.Topic, records [][]byte) (int64, error)
-	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (platform.Page, error)
+	Read(ctx context.Context, topic platform.Topic, from int64, kilobytes int, wait time.Duration) (platform.Page, error)
 	Newest(ctx context.Context, topic platform.Topic, after string) (platform.Snapshot, error)
 }
 
@@ -41,6 +41,8 @@
 	// StatusKept is how long after its submission a job can be read, until
 	// SetStatusKept changes it.
 	StatusKept time.Duration
+	// CacheBytes bounds the inputs and outputs that are kept in memory.
+	CacheBytes int
 	Logger     log.Logger
 	// Registerer takes the metrics; nil means none.
 	Registerer prometheus.Registerer
@@ -64,11 +66,24 @@
 	// firstRetry and lastRetry bound the pause after an append that failed.
 	firstRetry = 30 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
-	// recordBytes bounds the content of a record of items, well below the 256 KiB
-	// that the store takes, as JSON adds to it.
-	recordBytes = 120 << 10
-	// callBytes bounds the records of one append, below the store's 2 MiB.
-	callBytes = 1500 << 10
+	// recordBytes is the content of a record of a payload, below the 256 KiB that
+	// the store takes with its key.
+	recordBytes = 200 << 10
+	// recordOverhead bounds what a record has besides its content, in bytes.
+	recordOverhead = 300
+	// callBytes is the content of one append, below the store's 2 MiB.
+	callBytes = 7 * recordBytes
+	// inputBytes is about the most that the inputs of some items have together: a
+	// host reads those of all of them to run one.
+	inputBytes = 64 << 10
+	// payloadTimeout bounds the reads of one payload: the store answers in 4 ms,
+	// and in 60 times that when it is slow.
+	payloadTimeout = 1500 * time.Millisecond
+	// parallelReads bounds the payloads that one answer reads at a time.
+	parallelReads = 8
+	// resultsPerRead and resultBytes bound the results in one answer.
+	resultsPerRead = 64
+	resultBytes    = 1 << 20
 	// submitWait bounds the time in which a submission is settled; clients ask
 	// again after that anyway.
 	submitWait = 3500 * time.Millisecond
--- a/batch/outgoing.go
+++ b/batch/outgoing.go
@@ -16,15 +16,11 @@
 // tryMark separates a record's key from the number of the try that wrote it.
 const tryMark = "#"
 
-// encodeTry returns records as the store keeps them. Each try has keys of its own:
+// encode returns the record as the store keeps it. Each try has a key of its own:
 // of two copies under one key the store would keep the later one only, and a host
 // that lists the ledger would see another order than one that has followed it.
-func encodeTry(records []outgoing, try int) [][]byte {
-	out := make([][]byte, len(records))
-	for i, r := range records {
-		out[i] = platform.EncodeKeyed(r.key+tryMark+strconv.Itoa(try), r.value)
-	}
-	return out
+func (o *outgoing) encode(try int) []byte {
+	return platform.EncodeKeyed(o.key+tryMark+strconv.Itoa(try), o.value)
 }
 
 // baseKey returns the key of a record without the number of its try.
--- a/batch/reschedule.go
+++ b/batch/reschedule.go
@@ -12,7 +12,7 @@
 		if job.Open() == 0 || service == l.placed[job.ID] {
 			continue
 		}
-		for i := range job.Items {
+		for i := range job.Items() {
 			l.opts.Scheduler.DropItem(scheduler.ItemRef{Job: job.ID, Item: i})
 		}
 		l.schedule(job)
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -53,12 +53,12 @@
 	running int
 	idle    chan struct{}
 	// partials keep what unfinished items have made.
-	partials map[scheduler.ItemRef]*jobs.Partial
+	partials map[scheduler.ItemRef]partial
 }
 
 // NewRunner returns a Runner; the results it records are given up with ctx.
 func NewRunner(ctx context.Context, l *Ledger) *Runner {
-	return &Runner{ledger: l, recording: ctx, partials: make(map[scheduler.ItemRef]*jobs.Partial)}
+	return &Runner{ledger: l, recording: ctx, partials: make(map[scheduler.ItemRef]partial)}
 }
 
 // Leave makes items that end unfinished keep what they have made in the ledger,
@@ -108,6 +108,12 @@
 	}
 }
 
+// partial is what an item has made so far.
+type partial struct {
+	events int
+	output string
+}
+
 // run is one run of an item.
 type run struct {
 	*Runner
@@ -131,7 +137,7 @@
 	defer r.finish()
 	x := &run{Runner: r, ref: s.Item, slot: slot, begun: time.Now()}
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
-	if reason := x.prepare(); reason != "" {
+	if reason := x.prepare(ctx); reason != "" {
 		x.done("misplaced", reason, scheduler.Use{Outcome: scheduler.Abandoned, Delay: misplacedDelay})
 		return
 	}
@@ -145,40 +151,57 @@
 }
 
 // prepare finds the item and what was made of it; it returns why it can't be run.
-func (x *run) prepare() string {
+func (x *run) prepare(ctx context.Context) string {
+	kept, reason := x.find()
+	if reason != "" {
+		return reason
+	}
+	item, err := x.ledger.item(ctx, x.job, x.ref.Item)
+	if err != nil {
+		return err.Error()
+	}
+	x.item = item
+	x.restore(ctx, kept)
+	return ""
+}
+
+// find returns what the ledger keeps of earlier runs, and why the item can't be run.
+func (x *run) find() (*jobs.Partial, string) {
 	l := x.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x.job = l.state.Job(x.ref.Job)
-	if x.job == nil || x.ref.Item >= len(x.job.Items) {
-		return "item is not known yet"
+	if x.job == nil || x.ref.Item >= len(x.job.Items()) {
+		return nil, "item is not known yet"
 	}
 	if x.job.Cancelled || x.job.Ended(x.ref.Item) {
-		return "item has ended"
+		return nil, "item has ended"
 	}
 	x.route = l.routeOf(x.job)
 	if x.route == nil || (x.endpoint != nil && !x.route.Allows(x.endpoint.Service)) {
-		return "the route sends the item elsewhere"
+		return nil, "the route sends the item elsewhere"
 	}
-	x.item = &x.job.Items[x.ref.Item]
-	x.restore(x.job.Partial(x.ref.Item))
-	return ""
+	return x.job.Partial(x.ref.Item), ""
 }
 
-// restore takes up what earlier runs made, here or at another host.
-func (x *run) restore(kept *jobs.Partial) {
+// restore goes on behind what earlier runs made, here or at another host. What
+// can't be read is made again.
+func (x *run) restore(ctx context.Context, kept *jobs.Partial) {
 	x.Runner.mu.Lock()
-	own := x.partials[x.ref]
+	p := x.partials[x.ref]
 	x.Runner.mu.Unlock()
-	if own != nil && (kept == nil || own.Events > kept.Events) {
-		kept = own
-	}
-	x.order = sse.NewOrder("0")
-	if kept != nil {
-		x.made, x.resumed = kept.Events, kept.Events
-		x.output.WriteString(kept.Output)
-		x.order = sse.NewOrder(strconv.Itoa(kept.Events))
+	if kept != nil && kept.Events > p.events {
+		output, err := x.ledger.payloads.get(ctx, &kept.Output)
+		if err != nil {
+			_ = level.Warn(x.ledger.opts.Logger).Log("event", "partial_unread", "job", x.ref.Job, "item", x.ref.Item,
+				"events", kept.Events, "err", err)
+		} else {
+			p = partial{events: kept.Events, output: string(output)}
+		}
 	}
+	x.made, x.resumed = p.events, p.events
+	x.output.WriteString(p.output)
+	x.order = sse.NewOrder(strconv.Itoa(p.events))
 }
 
 // call sends the item to its endpoint.
@@ -265,15 +288,27 @@
 
 // keep keeps what the item has made, in the ledger if this host is leaving.
 func (x *run) keep() {
-	p := &jobs.Partial{Item: x.ref.Item, Events: x.made, Output: x.output.String()}
 	x.Runner.mu.Lock()
-	x.partials[x.ref] = p
+	x.partials[x.ref] = partial{events: x.made, output: x.output.String()}
 	x.Runner.mu.Unlock()
-	if x.leaving.Load() {
-		x.write("partial", &jobs.Record{Job: x.ref.Job, Partial: p})
+	if !x.leaving.Load() {
+		return
+	}
+	if blob, kept := x.putOutput(); kept {
+		x.write("partial", &jobs.Record{Job: x.ref.Job, Partial: &jobs.Partial{Item: x.ref.Item, Events: x.made, Output: blob}})
 	}
 }
 
+// putOutput writes what the item has made to the store, for as long as the
+// process lives, and reports whether it is there.
+func (x *run) putOutput() (jobs.Blob, bool) {
+	blob, err := x.ledger.payloads.put(x.recording, x.ledger.key("output", x.ref.Job), []byte(x.output.String()))
+	if err != nil {
+		x.notRecorded("output", err)
+	}
+	return blob, err == nil
+}
+
 // tokensMade returns the tokens in the events made so far.
 func (x *run) tokensMade() int {
 	perEvent := 1
@@ -288,8 +323,10 @@
 // finished records the item's result; its slot is free before that.
 func (x *run) finished(reusable bool) {
 	x.done("done", "", scheduler.Use{Outcome: scheduler.Finished, Settled: true, Reusable: reusable})
-	x.write("result", &jobs.Record{Job: x.ref.Job, Result: &jobs.Result{Item: x.ref.Item, Output: x.output.String()}})
-	x.forget()
+	if blob, kept := x.putOutput(); kept {
+		x.write("result", &jobs.Record{Job: x.ref.Job, Result: &jobs.Result{Item: x.ref.Item, Output: blob}})
+		x.forget()
+	}
 }
 
 // failed records a failure of the item, or its end after too many.
@@ -315,10 +352,14 @@
 // write writes to the ledger for as long as the process lives.
 func (x *run) write(kind string, r *jobs.Record) {
 	if err := x.ledger.Write(x.recording, kind, r); err != nil {
-		_ = level.Error(x.ledger.opts.Logger).Log("event", "item_not_recorded", "job", x.ref.Job, "item", x.ref.Item, "kind", kind, "err", err)
+		x.notRecorded(kind, err)
 	}
 }
 
+func (x *run) notRecorded(kind string, err error) {
+	_ = level.Error(x.ledger.opts.Logger).Log("event", "item_not_recorded", "job", x.ref.Job, "item", x.ref.Item, "kind", kind, "err", err)
+}
+
 func (x *run) forget() {
 	x.Runner.mu.Lock()
 	delete(x.partials, x.ref)
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -8,6 +8,7 @@
 
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/jobs"
+	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
 )
 
@@ -50,7 +51,11 @@
 	case !fits:
 		return jobs.OverQuota, nil
 	}
-	return l.write(ctx, id, sub, items)
+	sub.Attempt = l.key("attempt", id)
+	if err := l.putInputs(ctx, id, sub, items); err != nil {
+		return 0, err
+	}
+	return l.settleSubmission(ctx, id, sub)
 }
 
 func submission(r *route.Route, host, path string, items []jobs.Item) *jobs.Submission {
@@ -58,7 +63,7 @@
 		Route:           r.Name,
 		Host:            host,
 		Path:            path,
-		Items:           len(items),
+		Items:           make([]jobs.ItemMeta, len(items)),
 		Quota:           r.WaitingTokens,
 		SubmittedMillis: time.Now().UnixMilli(),
 		WindowMillis:    r.Window.Milliseconds(),
@@ -66,60 +71,64 @@
 		MaxFailures:     r.MaxAttempts,
 	}
 	for i := range items {
+		s.Items[i] = platform.ItemMeta(&items[i])
 		s.Tokens += items[i].Tokens
 	}
 	return s
 }
 
-// write writes a job's parts and its submission, and waits for the verdict.
-func (l *Ledger) write(ctx context.Context, id string, sub *jobs.Submission, items []jobs.Item) (jobs.Verdict, error) {
-	sub.Attempt = l.key("attempt", id)
-	var calls [][]outgoing
-	var call []outgoing
-	size := 0
-	add := func(kind string, r *jobs.Record) error {
-		record, err := l.encode(kind, r)
+// putInputs writes the inputs of a job. They stand before its submission does, so
+// that whoever knows of the job can read them.
+func (l *Ledger) putInputs(ctx context.Context, id string, sub *jobs.Submission, items []jobs.Item) error {
+	for first := 0; first < len(items); {
+		count := group(items[first:])
+		content, err := jobs.EncodeItems(items[first : first+count])
 		if err != nil {
 			return errors.Wrap(ErrNotWritten, err.Error())
 		}
-		if size+len(record.value) > callBytes && len(call) > 0 {
-			calls, call, size = append(calls, call), nil, 0
+		blob, err := l.payloads.put(ctx, l.key("input", id), content)
+		if err != nil {
+			return err
 		}
-		call, size = append(call, record), size+len(record.value)
-		return nil
+		sub.Inputs = append(sub.Inputs, jobs.Input{First: first, Count: count, Blob: blob})
+		first += count
 	}
-	for _, p := range split(sub.Attempt, items) {
-		if err := add("part", &jobs.Record{Job: id, Part: p}); err != nil {
-			return 0, err
+	return nil
+}
+
+// group returns how many of the items, one at least, are written together.
+func group(items []jobs.Item) int {
+	size := 0
+	for i := range items {
+		if size += len(items[i].Body); size > inputBytes && i > 0 {
+			return i
 		}
 	}
-	if err := add("submit", &jobs.Record{Job: id, Submit: sub}); err != nil {
-		return 0, err
-	}
-	return l.settleCalls(ctx, sub.Attempt, append(calls, call))
+	return len(items)
 }
 
-// settleCalls makes the appends one after the other, as the submission has to
-// follow its parts, and waits until the submission is read back.
-func (l *Ledger) settleCalls(ctx context.Context, attempt string, calls [][]outgoing) (jobs.Verdict, error) {
+// settleSubmission writes a job's submission and waits until it is read back.
+func (l *Ledger) settleSubmission(ctx context.Context, id string, sub *jobs.Submission) (jobs.Verdict, error) {
+	record, err := l.encode("submit", &jobs.Record{Job: id, Submit: sub})
+	if err != nil {
+		return 0, errors.Wrap(ErrNotWritten, err.Error())
+	}
 	verdict := make(chan jobs.Verdict, 1)
 	l.mu.Lock()
-	l.verdicts[attempt] = verdict
+	l.verdicts[sub.Attempt] = verdict
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
-		delete(l.verdicts, attempt)
+		delete(l.verdicts, sub.Attempt)
 		l.mu.Unlock()
 	}()
 	appending, settled := context.WithCancel(ctx)
 	defer settled()
 	failed := make(chan error, 1)
 	go func() {
-		for _, records := range calls {
-			if err := l.append(appending, records, nil); err != nil {
-				failed <- err
-				return
-			}
+		if err := l.append(appending, record, nil); err != nil {
+			failed <- err
+			return
 		}
 		// The record is there; what was written before is read at once.
 		_ = l.follower.Refresh(appending)
@@ -139,54 +148,3 @@
 		}
 	}
 }
-
-// split puts items into parts that fit into a record each. A body that doesn't
-// fit goes on in further parts.
-func split(attempt string, items []jobs.Item) []*jobs.Part {
-	s := &splitter{attempt: attempt}
-	for i := range items {
-		s.add(items[i])
-	}
-	s.flush()
-	return s.parts
-}
-
-// splitter collects the parts of an attempt.
-type splitter struct {
-	attempt string
-	parts   []*jobs.Part
-	part    jobs.Part
-	size    int
-}
-
-func (s *splitter) add(item jobs.Item) {
-	if s.size+len(item.Body) > recordBytes {
-		s.flush()
-	}
-	var rest []byte
-	if len(item.Body) > recordBytes {
-		item.Body, rest = item.Body[:recordBytes], item.Body[recordBytes:]
-	}
-	s.part.Items = append(s.part.Items, item)
-	s.size += len(item.Body) + itemOverhead
-	for len(rest) > 0 {
-		s.flush()
-		n := min(len(rest), recordBytes)
-		s.part.More, rest = rest[:n], rest[n:]
-		s.size += n
-	}
-}
-
-// flush ends a part that holds anything.
-func (s *splitter) flush() {
-	if s.size == 0 {
-		return
-	}
-	part := s.part
-	part.Attempt, part.Index = s.attempt, len(s.parts)
-	s.parts = append(s.parts, &part)
-	s.part, s.size = jobs.Part{}, 0
-}
-
-// itemOverhead is room for an item's path and headers in a record, in bytes.
-const itemOverhead = 512
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -28,6 +28,7 @@
 	next     int64
 	lost     bool
 	complete time.Time
+	page     pageSize
 
 	// refreshing admits one confirming read at a time.
 	refreshing sync.Mutex
@@ -35,7 +36,7 @@
 
 // New returns a Follower.
 func New(o Options) *Follower {
-	return &Follower{opts: o}
+	return &Follower{opts: o, page: newPageSize()}
 }
 
 // String names the service to its supervisor.
@@ -110,7 +111,11 @@
 	sent := clock.Now()
 	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	page, err := f.opts.Store.Read(call, f.opts.Topic, from, wait)
+	f.mu.Lock()
+	kilobytes := f.page.kilobytes
+	f.mu.Unlock()
+	page, err := f.opts.Store.Read(call, f.opts.Topic, from, kilobytes, wait)
+	f.judgePage(err)
 	if errors.Is(err, platform.ErrTrimmed) {
 		f.relist()
 		return nil
@@ -126,6 +131,18 @@
 	return nil
 }
 
+// judgePage lets the outcome of a read choose the size of the next.
+func (f *Follower) judgePage(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil:
+		f.page.arrived()
+	case errors.Is(err, platform.ErrUnavailable):
+		f.page.failed()
+	}
+}
+
 // applyPage hands over the records that no other read brought before.
 func (f *Follower) applyPage(sent time.Time, wait time.Duration, page platform.Page, records []platform.KeyedRecord) {
 	f.mu.Lock()
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -178,3 +178,45 @@
 		t.Errorf("refresh without a store: %v", err)
 	}
 }
+
+// narrowStore sends pages up to a size in time, and larger ones never.
+type narrowStore struct {
+	kilobytes int
+	asked     []int
+}
+
+func (s *narrowStore) Read(_ context.Context, _ platform.Topic, from int64, kilobytes int, _ time.Duration) (platform.Page, error) {
+	s.asked = append(s.asked, kilobytes)
+	if kilobytes > s.kilobytes {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return platform.Page{Next: from + 1, End: from + 2, Records: []platform.Record{{Offset: from, Data: []byte("\x01kv")}}}, nil
+}
+
+func (s *narrowStore) Newest(context.Context, platform.Topic, string) (platform.Snapshot, error) {
+	return platform.Snapshot{}, nil
+}
+
+// TestPagesThatComeTooLateGetSmaller reads from a store that many others read from
+// too: on the grown ajloun deployment pages of 1 MiB came too late, were asked for
+// again at that size by all hosts, and none ever caught up.
+func TestPagesThatComeTooLateGetSmaller(t *testing.T) {
+	store := &narrowStore{kilobytes: 100}
+	f := New(Options{Store: store, Topic: topic, Handler: newPicture(), Logger: log.NewNopLogger()})
+	for range 8 {
+		// A read that fails is what the test is about.
+		_ = f.step(context.Background())
+	}
+	if f.next == 0 {
+		t.Errorf("nothing was read, with pages of %v KiB", store.asked)
+	}
+	store.kilobytes = platform.PageKilobytes
+	for range 8 {
+		if err := f.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := store.asked[len(store.asked)-1]; got != platform.PageKilobytes {
+		t.Errorf("pages are still of %d KiB", got)
+	}
+}
--- a/follow/store.go
+++ b/follow/store.go
@@ -9,6 +9,6 @@
 
 // Store is what a Follower needs of the platform's store.
 type Store interface {
-	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (platform.Page, error)
+	Read(ctx context.Context, topic platform.Topic, from int64, kilobytes int, wait time.Duration) (platform.Page, error)
 	Newest(ctx context.Context, topic platform.Topic, after string) (platform.Snapshot, error)
 }
--- a/jobs/item.go
+++ b/jobs/item.go
@@ -2,16 +2,16 @@
 
 import "net/http"
 
-// Item is one request of a batch job.
+// Item is one request of a batch job, as it is sent to an endpoint.
 type Item struct {
 	// ID is unique within the job.
-	ID string `json:"id"`
+	ID string
 	// Path is the path and query that the request is sent to.
-	Path   string            `json:"path"`
-	Header map[string]string `json:"header,omitempty"`
-	Body   []byte            `json:"body,omitempty"`
+	Path   string
+	Header map[string]string
+	Body   []byte
 	// Tokens is the size of the prompt and the most that is generated, summed.
-	Tokens int64 `json:"tokens"`
+	Tokens int64
 }
 
 // HTTPHeader returns the item's headers.
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -4,15 +4,15 @@
 type Job struct {
 	ID         string
 	Submission Submission
-	Items      []Item
 	Cancelled  bool
 	// Results are in the order of their positions.
 	Results []Result
 
 	progress []progress
 	open     int
-	// keys are those of the job's records in the store.
-	keys []string
+	// keys are those of the job's records in the ledger, payloads those of the
+	// records that hold its inputs and outputs.
+	keys, payloads []string
 }
 
 // progress is what is known of an item that has no result.
@@ -22,6 +22,22 @@
 	partial  *Partial
 }
 
+// Items returns what every host knows of the job's items.
+func (j *Job) Items() []ItemMeta {
+	return j.Submission.Items
+}
+
+// Input returns the payload that holds an item, and the item's number in it.
+func (j *Job) Input(item int) (*Input, int) {
+	for i := range j.Submission.Inputs {
+		in := &j.Submission.Inputs[i]
+		if item >= in.First && item < in.First+in.Count {
+			return in, item - in.First
+		}
+	}
+	return nil, 0
+}
+
 // Open returns the number of items without a result, none if the job is cancelled.
 func (j *Job) Open() int {
 	if j.Cancelled {
@@ -47,8 +63,8 @@
 
 // ItemByID returns the number of an item, or -1.
 func (j *Job) ItemByID(id string) int {
-	for i := range j.Items {
-		if j.Items[i].ID == id {
+	for i := range j.Submission.Items {
+		if j.Submission.Items[i].ID == id {
 			return i
 		}
 	}
@@ -57,5 +73,5 @@
 
 // has reports whether the job has an item with this number.
 func (j *Job) has(item int) bool {
-	return item >= 0 && item < len(j.Items)
+	return item >= 0 && item < len(j.Submission.Items)
 }
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -14,7 +14,6 @@
 	Job string `json:"job"`
 	// Writer names the process that wrote the record.
 	Writer  string      `json:"writer"`
-	Part    *Part       `json:"part,omitempty"`
 	Submit  *Submission `json:"submit,omitempty"`
 	Result  *Result     `json:"result,omitempty"`
 	Failure *Failure    `json:"failure,omitempty"`
@@ -22,28 +21,18 @@
 	Cancel  *Cancel     `json:"cancel,omitempty"`
 }
 
-// Part holds some of the items of a job whose submission follows. It counts for
-// submissions with the same attempt only.
-type Part struct {
-	Attempt string `json:"attempt"`
-	// Index numbers the parts of an attempt from 0: an append that was tried again
-	// may stand in the ledger twice.
-	Index int `json:"index"`
-	// More is the rest of the body of the attempt's last item so far.
-	More  []byte `json:"more,omitempty"`
-	Items []Item `json:"items,omitempty"`
-}
-
-// Submission asks that a job is accepted, with the items of its attempt's parts.
+// Submission asks that a job is accepted.
 type Submission struct {
+	// Attempt names one call to hand the job in; copies of its record share it.
 	Attempt string `json:"attempt"`
 	// Route is the name of the route that the job came in on, Host and Path are
 	// where it was sent.
 	Route string `json:"route"`
 	Host  string `json:"host"`
 	Path  string `json:"path"`
-	// Items is the number of items in the parts.
-	Items int `json:"items"`
+	// Items are the job's, Inputs the places of the rest of them.
+	Items  []ItemMeta `json:"items"`
+	Inputs []Input    `json:"inputs"`
 	// Tokens is the sum of the items' tokens.
 	Tokens int64 `json:"tokens"`
 	// Quota is the most tokens that may wait on the route; 0 is no bound.
@@ -65,7 +54,8 @@
 	// Dead tells that the item was given up, for Reason.
 	Dead   bool   `json:"dead,omitempty"`
 	Reason string `json:"reason,omitempty"`
-	Output string `json:"output,omitempty"`
+	// Output is the place of the item's output; a dead item has none.
+	Output Blob `json:"output"`
 }
 
 // Failure counts a run of an item that its endpoint answered with a failure.
@@ -80,8 +70,8 @@
 type Partial struct {
 	Item int `json:"item"`
 	// Events is the number of events in Output.
-	Events int    `json:"events"`
-	Output string `json:"output"`
+	Events int  `json:"events"`
+	Output Blob `json:"output"`
 }
 
 // Cancel ends a job: its open items are not run any more.
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -1,10 +1,6 @@
 package jobs
 
-import (
-	"sort"
-
-	"github.com/peridotmount/peridotmount/recent"
-)
+import "github.com/peridotmount/peridotmount/recent"
 
 // Verdict is what became of a submission.
 type Verdict int
@@ -17,25 +13,26 @@
 	Repeated
 	// OverQuota jobs don't fit beside what waits on their route.
 	OverQuota
-	// Incomplete submissions lack some of their items.
-	Incomplete
 )
 
 // String names the verdict in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"accepted", "repeated", "over-quota", "incomplete"}[v]
+	return [...]string{"accepted", "repeated", "over-quota"}[v]
 }
 
+// attemptsKept is how many attempts are remembered: a copy of a submission comes
+// within seconds.
+const attemptsKept = 4096
+
 // State is what the ledger says, up to an offset. It is a deterministic state
 // machine: all that apply the same records hold the same. It is not safe for
 // concurrent use.
 //
 // Invariants: the first submission of a job that fits stands, the first result
-// of an item stands, and a result keeps its position.
+// of an item stands, a result keeps its position, and each attempt to submit a
+// job has one verdict.
 type State struct {
 	jobs map[string]*Job
-	// parts holds the items of submissions that have not come, by attempt.
-	parts map[string]*attempt
 	// waiting counts the tokens of open items by route.
 	waiting map[string]int64
 	// next is the offset behind the newest record applied.
@@ -44,45 +41,15 @@
 	// comes late must not be accepted, as its client was told so.
 	refused *recent.Set
 	// orphans are the keys of records that belong to no job.
-	orphans []string
+	orphans Dropped
 }
 
-// attempt holds the items of one attempt to submit a job.
-type attempt struct {
-	items []Item
-	// parts counts those that were taken.
-	parts  int
-	keys   []string
-	offset int64
-}
-
-// add appends the items of the next part, or the rest of the last item's body.
-func (a *attempt) add(p *Part) {
-	if p.Index != a.parts {
-		return
-	}
-	a.parts++
-	if n := len(a.items); p.More != nil && n > 0 {
-		a.items[n-1].Body = append(a.items[n-1].Body, p.More...)
-	}
-	a.items = append(a.items, p.Items...)
-}
-
-// refusedKept is how many attempts that were turned away are remembered: a copy
-// of a submission comes within seconds.
-const refusedKept = 4096
-
-// attemptsKept bounds the attempts whose submission has not come: a submission
-// follows its parts within seconds.
-const attemptsKept = 256
-
 // NewState returns an empty State.
 func NewState() *State {
 	return &State{
 		jobs:    make(map[string]*Job),
-		parts:   make(map[string]*attempt),
 		waiting: make(map[string]int64),
-		refused: recent.NewSet(refusedKept),
+		refused: recent.NewSet(attemptsKept),
 	}
 }
 
@@ -108,16 +75,12 @@
 		return Change{}
 	}
 	s.next = offset + 1
-	if r.Part != nil {
-		s.addPart(offset, key, r.Part)
-		return Change{}
-	}
 	if r.Submit != nil {
 		return s.submit(key, r)
 	}
 	job := s.jobs[r.Job]
 	if job == nil {
-		s.orphans = append(s.orphans, key)
+		s.orphans.Records = append(s.orphans.Records, key)
 		return Change{}
 	}
 	job.keys = append(job.keys, key)
@@ -135,74 +98,32 @@
 	}
 }
 
-func (s *State) addPart(offset int64, key string, p *Part) {
-	a := s.parts[p.Attempt]
-	if a == nil {
-		a = &attempt{offset: offset}
-		s.parts[p.Attempt] = a
-	}
-	a.add(p)
-	a.keys = append(a.keys, key)
-	s.dropOldAttempts()
-}
-
-// dropOldAttempts forgets the parts of submissions that never came.
-func (s *State) dropOldAttempts() {
-	if len(s.parts) <= attemptsKept {
-		return
-	}
-	names := make([]string, 0, len(s.parts))
-	for name := range s.parts {
-		names = append(names, name)
-	}
-	sort.Slice(names, func(i, j int) bool { return s.parts[names[i]].offset < s.parts[names[j]].offset })
-	for _, name := range names[:len(names)-attemptsKept] {
-		s.orphans = append(s.orphans, s.parts[name].keys...)
-		delete(s.parts, name)
-	}
-}
-
 func (s *State) submit(key string, r *Record) Change {
 	sub := r.Submit
-	a := s.parts[sub.Attempt]
-	delete(s.parts, sub.Attempt)
-	if a == nil {
-		a = &attempt{}
-	}
-	a.keys = append(a.keys, key)
-	verdict := s.judge(r, a)
-	switch {
-	case verdict == Repeated:
-		s.jobs[r.Job].keys = append(s.jobs[r.Job].keys, a.keys...)
-	case verdict != Accepted:
-		s.refused.Add(sub.Attempt)
-		s.orphans = append(s.orphans, a.keys...)
+	verdict := s.judge(r)
+	switch verdict {
+	case Accepted:
+		s.accept(key, r)
+	case Repeated:
+		job := s.jobs[r.Job]
+		job.keys = append(job.keys, key)
+		if job.Submission.Attempt != sub.Attempt {
+			job.payloads = append(job.payloads, inputKeys(sub)...)
+		}
 	default:
-		s.accept(r, a)
+		s.refused.Add(sub.Attempt)
+		s.orphans.Records = append(s.orphans.Records, key)
+		s.orphans.Payloads = append(s.orphans.Payloads, inputKeys(sub)...)
 	}
 	return Change{Attempt: sub.Attempt, Verdict: verdict, Job: s.jobs[r.Job]}
 }
 
-func (s *State) accept(r *Record, a *attempt) {
-	s.jobs[r.Job] = &Job{
-		ID:         r.Job,
-		Submission: *r.Submit,
-		Items:      a.items,
-		progress:   make([]progress, len(a.items)),
-		open:       len(a.items),
-		keys:       a.keys,
-	}
-	s.waiting[r.Submit.Route] += r.Submit.Tokens
-}
-
-func (s *State) judge(r *Record, a *attempt) Verdict {
+func (s *State) judge(r *Record) Verdict {
 	switch {
 	case s.jobs[r.Job] != nil:
 		return Repeated
 	case s.refused.Has(r.Submit.Attempt):
 		return OverQuota
-	case len(a.items) != r.Submit.Items:
-		return Incomplete
 	case r.Submit.Quota > 0 && s.waiting[r.Submit.Route]+r.Submit.Tokens > r.Submit.Quota:
 		return OverQuota
 	default:
@@ -210,14 +131,36 @@
 	}
 }
 
+func (s *State) accept(key string, r *Record) {
+	items := len(r.Submit.Items)
+	s.jobs[r.Job] = &Job{
+		ID:         r.Job,
+		Submission: *r.Submit,
+		progress:   make([]progress, items),
+		open:       items,
+		keys:       []string{key},
+		payloads:   inputKeys(r.Submit),
+	}
+	s.waiting[r.Submit.Route] += r.Submit.Tokens
+}
+
+func inputKeys(s *Submission) []string {
+	var out []string
+	for i := range s.Inputs {
+		out = append(out, s.Inputs[i].Blob.Keys()...)
+	}
+	return out
+}
+
 func (s *State) end(job *Job, r *Result) Change {
+	job.payloads = append(job.payloads, r.Output.Keys()...)
 	if job.Cancelled || !job.has(r.Item) || job.progress[r.Item].ended {
 		return Change{}
 	}
 	job.progress[r.Item] = progress{ended: true, failures: job.progress[r.Item].failures}
 	job.open--
 	job.Results = append(job.Results, *r)
-	s.release(job, job.Items[r.Item].Tokens)
+	s.release(job, job.Items()[r.Item].Tokens)
 	return Change{Job: job, Item: r.Item, Ended: true}
 }
 
@@ -236,6 +179,7 @@
 }
 
 func keepPartial(job *Job, p *Partial) Change {
+	job.payloads = append(job.payloads, p.Output.Keys()...)
 	if !job.has(p.Item) || job.Ended(p.Item) || job.Cancelled {
 		return Change{}
 	}
@@ -250,30 +194,28 @@
 		return Change{}
 	}
 	job.Cancelled = true
-	for i := range job.Items {
+	for i := range job.Items() {
 		if !job.progress[i].ended {
-			s.release(job, job.Items[i].Tokens)
+			s.release(job, job.Items()[i].Tokens)
 		}
 	}
 	return Change{Job: job, Cancelled: true}
 }
 
 // TakeOrphans returns the keys of records that belong to no job, once.
-func (s *State) TakeOrphans() []string {
+func (s *State) TakeOrphans() Dropped {
 	keys := s.orphans
-	s.orphans = nil
+	s.orphans = Dropped{}
 	return keys
 }
 
 // Drop forgets a job that is no longer kept and returns the keys of its records.
-func (s *State) Drop(id string) []string {
+func (s *State) Drop(id string) Dropped {
 	job := s.jobs[id]
 	if job == nil {
-		return nil
-	}
-	if !job.Cancelled {
-		s.cancel(job)
+		return Dropped{}
 	}
+	s.cancel(job)
 	delete(s.jobs, id)
-	return job.keys
+	return Dropped{Records: job.keys, Payloads: job.payloads}
 }
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -1,11 +1,12 @@
 package jobs
 
 import (
-	"bytes"
+	"fmt"
+	"slices"
 	"testing"
 )
 
-// log applies records at rising offsets.
+// ledgerLog applies records at rising offsets.
 type ledgerLog struct {
 	t      *testing.T
 	state  *State
@@ -15,34 +16,34 @@
 func (l *ledgerLog) apply(r *Record) Change {
 	l.t.Helper()
 	l.offset++
-	return l.state.Apply(l.offset, "key", r)
+	return l.state.Apply(l.offset, fmt.Sprintf("key-%d", l.offset), r)
 }
 
 func newLedgerLog(t *testing.T) *ledgerLog {
 	return &ledgerLog{t: t, state: NewState()}
 }
 
-func part(job, attempt string, index int, items ...Item) *Record {
-	return &Record{Job: job, Part: &Part{Attempt: attempt, Index: index, Items: items}}
+func submit(job, attempt string, quota int64, ids ...string) *Record {
+	s := &Submission{Attempt: attempt, Route: "r", Quota: quota, Inputs: []Input{{Count: len(ids), Blob: blob(attempt)}}}
+	for _, id := range ids {
+		s.Items = append(s.Items, ItemMeta{ID: id, Tokens: 10})
+		s.Tokens += 10
+	}
+	return &Record{Job: job, Submit: s}
 }
 
-func submit(job, attempt string, items int, tokens, quota int64) *Record {
-	return &Record{Job: job, Submit: &Submission{Attempt: attempt, Route: "r", Items: items, Tokens: tokens, Quota: quota}}
+func blob(key string) Blob {
+	return Blob{Segments: []Segment{{Keys: []string{"payload-" + key}}}}
 }
 
 func result(job string, item int, output string) *Record {
-	return &Record{Job: job, Result: &Result{Item: item, Output: output}}
+	return &Record{Job: job, Result: &Result{Item: item, Output: blob(output)}}
 }
 
 // accept submits a job of items with ten tokens each.
 func (l *ledgerLog) accept(job string, ids ...string) {
 	l.t.Helper()
-	var items []Item
-	for _, id := range ids {
-		items = append(items, Item{ID: id, Tokens: 10})
-	}
-	l.apply(part(job, job+"-1", 0, items...))
-	if c := l.apply(submit(job, job+"-1", len(ids), int64(10*len(ids)), 0)); c.Verdict != Accepted {
+	if c := l.apply(submit(job, job+"-1", 0, ids...)); c.Verdict != Accepted {
 		l.t.Fatalf("verdict on %s: %s", job, c.Verdict)
 	}
 }
@@ -54,7 +55,7 @@
 	l.apply(result("j", 0, "second"))
 	l.apply(result("j", 1, "again"))
 	job := l.state.Job("j")
-	if len(job.Results) != 2 || job.Results[0].Output != "first" || job.Results[1].Output != "second" {
+	if len(job.Results) != 2 || job.Results[0].Output.Keys()[0] != "payload-first" || job.Results[1].Output.Keys()[0] != "payload-second" {
 		t.Errorf("results %+v", job.Results)
 	}
 	if job.Open() != 0 {
@@ -65,7 +66,7 @@
 func TestAppliedRecordsArePassedOver(t *testing.T) {
 	l := newLedgerLog(t)
 	l.accept("j", "a")
-	c := l.state.Apply(l.offset, "key", submit("k", "k-1", 0, 0, 0))
+	c := l.state.Apply(l.offset, "key", submit("k", "k-1", 0))
 	if c != (Change{}) || l.state.Job("k") != nil {
 		t.Errorf("an offset was applied twice: %+v", c)
 	}
@@ -77,36 +78,18 @@
 	l := newLedgerLog(t)
 	l.accept("big", "a", "b")
 	const quota = 25
-	l.apply(part("j", "j-1", 0, Item{ID: "x", Tokens: 10}))
-	if c := l.apply(submit("j", "j-1", 1, 10, quota)); c.Verdict != OverQuota {
+	if c := l.apply(submit("j", "j-1", quota, "x")); c.Verdict != OverQuota {
 		t.Fatalf("verdict %s", c.Verdict)
 	}
 	l.apply(&Record{Job: "big", Cancel: &Cancel{}})
-	l.apply(part("j", "j-1", 0, Item{ID: "x", Tokens: 10}))
-	if c := l.apply(submit("j", "j-1", 1, 10, quota)); c.Verdict == Accepted {
+	if c := l.apply(submit("j", "j-1", quota, "x")); c.Verdict == Accepted {
 		t.Error("the copy of a refused submission was accepted")
 	}
-	l.apply(part("j", "j-2", 0, Item{ID: "x", Tokens: 10}))
-	if c := l.apply(submit("j", "j-2", 1, 10, quota)); c.Verdict != Accepted {
+	if c := l.apply(submit("j", "j-2", quota, "x")); c.Verdict != Accepted {
 		t.Errorf("verdict on a new attempt: %s", c.Verdict)
 	}
 }
 
-// TestCopyOfAPart plays an append of parts whose answer was lost.
-func TestCopyOfAPart(t *testing.T) {
-	l := newLedgerLog(t)
-	l.apply(part("j", "j-1", 0, Item{ID: "a", Body: []byte("x")}))
-	l.apply(part("j", "j-1", 0, Item{ID: "a", Body: []byte("x")}))
-	l.apply(&Record{Job: "j", Part: &Part{Attempt: "j-1", Index: 1, More: []byte("y"), Items: []Item{{ID: "b"}}}})
-	l.apply(&Record{Job: "j", Part: &Part{Attempt: "j-1", Index: 1, More: []byte("y"), Items: []Item{{ID: "b"}}}})
-	if c := l.apply(submit("j", "j-1", 2, 0, 0)); c.Verdict != Accepted {
-		t.Fatalf("verdict %s", c.Verdict)
-	}
-	if items := l.state.Job("j").Items; !bytes.Equal(items[0].Body, []byte("xy")) {
-		t.Errorf("body %q", items[0].Body)
-	}
-}
-
 func TestQuotaCountsWhatIsOpen(t *testing.T) {
 	l := newLedgerLog(t)
 	l.accept("j", "a", "b", "c")
@@ -128,11 +111,10 @@
 func TestRepeatedSubmissionChangesNothing(t *testing.T) {
 	l := newLedgerLog(t)
 	l.accept("j", "a")
-	l.apply(part("j", "j-2", 0, Item{ID: "other"}))
-	if c := l.apply(submit("j", "j-2", 1, 10, 0)); c.Verdict != Repeated {
+	if c := l.apply(submit("j", "j-2", 0, "other")); c.Verdict != Repeated {
 		t.Errorf("verdict %s", c.Verdict)
 	}
-	if id := l.state.Job("j").Items[0].ID; id != "a" {
+	if id := l.state.Job("j").Items()[0].ID; id != "a" {
 		t.Errorf("item %q", id)
 	}
 }
@@ -148,14 +130,39 @@
 	}
 }
 
+// TestDroppedJobNamesItsRecords holds that nothing of a job stays in the store:
+// neither its records nor any payload, also those of copies and of late results.
 func TestDroppedJobNamesItsRecords(t *testing.T) {
 	l := newLedgerLog(t)
 	l.accept("j", "a")
-	l.apply(result("j", 0, ""))
-	if keys := l.state.Drop("j"); len(keys) != 3 {
-		t.Errorf("%d keys", len(keys))
+	l.apply(submit("j", "j-1", 0, "a"))
+	l.apply(submit("j", "j-2", 0, "a"))
+	l.apply(result("j", 0, "first"))
+	l.apply(result("j", 0, "second"))
+	dropped := l.state.Drop("j")
+	slices.Sort(dropped.Payloads)
+	want := []string{"payload-first", "payload-j-1", "payload-j-2", "payload-second"}
+	if len(dropped.Records) != 5 || !slices.Equal(dropped.Payloads, want) {
+		t.Errorf("dropped %+v", dropped)
 	}
 	if l.state.Job("j") != nil || l.state.Waiting("r") != 0 {
 		t.Error("the job is still there")
 	}
+	l.apply(result("j", 0, "late"))
+	if orphans := l.state.TakeOrphans(); len(orphans.Records) != 1 {
+		t.Errorf("orphans %+v", orphans)
+	}
+}
+
+func TestInputOfAnItem(t *testing.T) {
+	j := Job{Submission: Submission{Inputs: []Input{{First: 0, Count: 2}, {First: 2, Count: 3}}}}
+	for item, want := range map[int][2]int{0: {0, 0}, 1: {0, 1}, 2: {2, 0}, 4: {2, 2}} {
+		in, n := j.Input(item)
+		if in == nil || in.First != want[0] || n != want[1] {
+			t.Errorf("item %d: %+v, %d", item, in, n)
+		}
+	}
+	if in, _ := j.Input(5); in != nil {
+		t.Error("an item beyond the last has an input")
+	}
 }
--- a/standin/partition.go
+++ b/standin/partition.go
@@ -14,8 +14,9 @@
 const (
 	// pageHead is the size of a page's head: the partition's end and first offset.
 	pageHead = 16
-	// listedKeys is the most keys on a page of a listing.
-	listedKeys = 500
+	// listedKeys and listedBytes are the most on a page of a listing.
+	listedKeys  = 500
+	listedBytes = 1 << 20
 )
 
 // storedRecord is one record of a partition.
@@ -111,11 +112,13 @@
 		}
 	}
 	sort.Strings(names)
-	if len(names) > listedKeys {
-		names, page.More = names[:listedKeys], true
-	}
-	for _, key := range names {
+	size := 0
+	for i, key := range names {
 		r := p.keys[key]
+		if size += len(r.data); i == listedKeys || (i > 0 && size > listedBytes) {
+			page.More = true
+			break
+		}
 		page.Items = append(page.Items, newestItem{Key: key, Value: r.data[1+len(key):], Offset: r.offset})
 	}
 	return page
