--- a/forward/rejection.go
+++ b/forward/rejection.go
@@ -11,6 +11,8 @@
 	Reason string
 	// RetryAfter is when it is worth to come back; zero if that is not known.
 	RetryAfter time.Duration
+	// Inputs are what the decision rested on, for the log; "" if there are none.
+	Inputs string
 }
 
 // Error implements error.
--- a/forward/request.go
+++ b/forward/request.go
@@ -37,8 +37,11 @@
 	firstByte time.Time
 	// placed is the time that the request waited for places, all tries together.
 	placed time.Duration
-	// reason says why the request ended as it did, for the log.
-	reason string
+	// reason says why the request ended as it did, inputs what that rested on, for
+	// the log.
+	reason, inputs string
+	// retryAfter is what a client that was turned away was told.
+	retryAfter time.Duration
 }
 
 // left returns the time until the deadline.
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -27,6 +27,7 @@
 	if r.RetryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), r.RetryAfter)
 	}
+	req.inputs, req.retryAfter = r.Inputs, r.RetryAfter
 	f.metrics.rejections.WithLabelValues(r.Reason).Inc()
 	f.answer(w, req, http.StatusServiceUnavailable, r.Reason)
 }
@@ -88,7 +89,8 @@
 		first = req.firstByte.Sub(req.started)
 	}
 	_ = level.Info(f.opts.Logger).Log("event", "request", "request", req.ID, "route", name, "kind", kind,
-		"config", req.version, "status", status, "reason", req.reason, "endpoints", req.tried,
+		"config", req.version, "status", status, "reason", req.reason, "inputs", req.inputs,
+		"retry_after_ms", req.retryAfter.Milliseconds(), "endpoints", req.tried,
 		"ran", req.ran, "refused", req.refused, "placed_ms", req.placed.Milliseconds(),
 		"first_ms", first.Milliseconds(), "total_ms", now.Sub(req.started).Milliseconds())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/peridotmount/peridotmount/balance"
 	"github.com/peridotmount/peridotmount/batch"
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/forward"
@@ -196,6 +197,7 @@
 		Configuration: g.configuration,
 		Placer: &placer{
 			configuration: g.configuration, endpoints: g.endpoints, balancer: g.balancer, client: g.client,
+			age: func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
 		Pool:       g.pool,
 		Jobs:       batch.NewAPI(g.ledger),
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -32,6 +33,8 @@
 	endpoints     *endpoints
 	balancer      *balance.Balancer
 	client        *slots.Client
+	// age returns how old the picture of the endpoints is.
+	age func() time.Duration
 }
 
 // Place implements forward.Placer.
@@ -73,7 +76,7 @@
 		e = p.balancer.Choose(time.Now(), ready, func(string) bool { return false })
 	}
 	if e == nil {
-		return nil, &forward.Rejection{Reason: "no endpoint is ready", RetryAfter: noEndpointRetry}
+		return nil, p.noEndpoint(ask)
 	}
 	return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
 }
@@ -105,14 +108,27 @@
 		lease.Release(scheduler.Use{Outcome: scheduler.Leaving})
 		a.Avoid = append(a.Avoid, lease.Endpoint)
 	}
-	return nil, &forward.Rejection{Reason: "no endpoint is ready", RetryAfter: noEndpointRetry}
+	return nil, p.noEndpoint(ask)
+}
+
+// noEndpoint is the refusal of a request whose service has no endpoint to use.
+func (p *placer) noEndpoint(ask *forward.Ask) error {
+	view := p.endpoints.View()
+	return &forward.Rejection{
+		Reason: "no endpoint is ready", RetryAfter: noEndpointRetry,
+		Inputs: fmt.Sprintf("%d endpoints of %s are ready, %d are known, as read %s ago",
+			len(view.Ready(ask.Service)), ask.Service, view.Len(), p.age().Round(time.Millisecond)),
+	}
 }
 
 // rejectionOf turns a refusal of the scheduler into one of the request.
 func rejectionOf(err error) error {
 	var refused *slots.RefusedError
 	if errors.As(err, &refused) {
-		return &forward.Rejection{Reason: string(refused.Reason), RetryAfter: refused.RetryAfter}
+		return &forward.Rejection{
+			Reason: string(refused.Reason), RetryAfter: refused.RetryAfter,
+			Inputs: refused.Scheduler + ": " + refused.Load.String(),
+		}
 	}
 	return err
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -175,6 +175,11 @@
 	v.queue[at] = w
 }
 
+// ahead returns how many asks are served before w.
+func (v *service) ahead(w *waiter) int {
+	return sort.Search(len(v.queue), func(i int) bool { return !v.queue[i].before(w) })
+}
+
 func (v *service) dequeue(w *waiter) {
 	for i, o := range v.queue {
 		if o == w {
@@ -186,20 +191,22 @@
 
 // judge turns an ask away that would wait for longer than its objective.
 func (c *Core) judge(now time.Time, v *service, w *waiter) {
-	ahead := sort.Search(len(v.queue), func(i int) bool { return !v.queue[i].before(w) })
-	ready := now.Add(v.wait(now, c.share, ahead) + c.opts.FirstToken)
+	ready := now.Add(v.wait(now, c.share, v.ahead(w)) + c.opts.FirstToken)
 	if ready.After(w.arrived.Add(w.Objective)) {
 		c.refuse(now, v, w, ReasonOverload)
 	}
 }
 
 func (c *Core) refuse(now time.Time, v *service, w *waiter, reason Reason) {
+	load := v.load(now, c.share, v.ahead(w))
 	v.dequeue(w)
 	delete(c.waiting, w.Ticket)
 	if w.Fingerprint != "" {
 		v.turnedAway.Add(w.Fingerprint)
 	}
-	c.emit(Refuse{Host: w.host.name, Ticket: w.Ticket, Reason: reason, RetryAfter: v.returnTime(now, c.share)})
+	c.emit(Refuse{
+		Host: w.host.name, Ticket: w.Ticket, Reason: reason, RetryAfter: v.returnTime(now, c.share), Load: load,
+	})
 }
 
 // Withdraw takes an ask back, or ends its use if it was granted.
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -23,6 +23,7 @@
 	Ticket     string        `json:"ticket"`
 	Reason     Reason        `json:"reason"`
 	RetryAfter time.Duration `json:"retry_after"`
+	Load       Load          `json:"load"`
 }
 
 // Revoke takes a slot back from a batch item.
--- a/slots/client.go
+++ b/slots/client.go
@@ -22,11 +22,14 @@
 	Reason scheduler.Reason
 	// RetryAfter is when it is worth to ask again.
 	RetryAfter time.Duration
+	// Scheduler is the host that decided, Load what it decided on.
+	Scheduler string
+	Load      scheduler.Load
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("slot refused: %s, retry after %s", e.Reason, e.RetryAfter)
+	return fmt.Sprintf("slot refused by %s: %s (%s), retry after %s", e.Scheduler, e.Reason, e.Load, e.RetryAfter)
 }
 
 // Runner runs a batch item until it ends or ctx does, and releases its slot once.
@@ -118,7 +121,9 @@
 	select {
 	case d := <-w.answer:
 		if d.Refuse != nil {
-			return nil, &RefusedError{Reason: d.Refuse.Reason, RetryAfter: d.Refuse.RetryAfter}
+			return nil, &RefusedError{
+				Reason: d.Refuse.Reason, RetryAfter: d.Refuse.RetryAfter, Scheduler: c.Scheduler(), Load: d.Refuse.Load,
+			}
 		}
 		return &Lease{Ticket: d.Grant.Ticket, Endpoint: d.Grant.Endpoint, Scheduler: c.Scheduler(), client: c}, nil
 	case <-ctx.Done():
