Confirm a picture only when all that was written is known

The reader of a job confirms its picture by Follower.Refresh, which did one read and took its success for the answer. Two ways that isn't so: the read finds that the history was trimmed, and the picture is only to be listed anew; or one page doesn't hold all that was written.

Ruled out: trustedAge (a job that is not known is always confirmed, never trusted) and the verdict (202 comes after the ledger's own answer).

Refresh now reads on until the picture is as new as the call, and is ErrStale, answered 503, while it has to be listed. Two tests, both fail before: TestRefreshOfForgottenHistory and TestRefreshReadsAllPages.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -91,19 +91,22 @@
 	asked := clock.Now()
 	f.refreshing.Lock()
 	defer f.refreshing.Unlock()
-	f.mu.Lock()
-	listed, next, known := f.listed, f.next, !f.complete.Before(asked)
-	f.mu.Unlock()
-	if known {
-		return nil
-	}
-	if !listed {
-		return ErrStale
-	}
-	if err := f.read(ctx, next, 0); err != nil {
-		return errors.Wrap(ErrStale, err.Error())
+	for {
+		f.mu.Lock()
+		listed, next, known := f.listed, f.next, !f.complete.Before(asked)
+		f.mu.Unlock()
+		if known {
+			return nil
+		}
+		if !listed {
+			return ErrStale
+		}
+		// One page need not hold all that was written, and a read may find only
+		// that the history is gone.
+		if err := f.read(ctx, next, 0); err != nil {
+			return errors.Wrap(ErrStale, err.Error())
+		}
 	}
-	return nil
 }
 
 // read reads on from an offset that everything before was read.
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -179,6 +179,44 @@
 	}
 }
 
+// TestRefreshOfForgottenHistory refreshes when the records to read are gone: the
+// read shows that, and nothing of what they said. The soak found it, as a batch job
+// that was accepted and then not known.
+func TestRefreshOfForgottenHistory(t *testing.T) {
+	r := newRig(t, time.Second)
+	r.store.Put(topic.Name, "a", []byte("1"))
+	if err := r.follower.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	r.store.Put(topic.Name, "b", []byte("2"))
+	r.store.Trim(standin.TrimRequest{Topic: topic.Name, Before: -1})
+	if err := r.follower.Refresh(context.Background()); !errors.Is(err, ErrStale) {
+		t.Errorf("refresh: %v, value %q", err, r.picture.value("b"))
+	}
+	if err := r.follower.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.follower.Refresh(context.Background()); err != nil || r.picture.value("b") != "2" {
+		t.Errorf("refresh after the listing: %v, value %q", err, r.picture.value("b"))
+	}
+}
+
+// TestRefreshReadsAllPages refreshes over more than one page holds.
+func TestRefreshReadsAllPages(t *testing.T) {
+	r := newRig(t, time.Second)
+	if err := r.follower.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	large := make([]byte, 200<<10)
+	for i := range 12 {
+		r.store.Put(topic.Name, fmt.Sprint(i), large)
+	}
+	r.store.Put(topic.Name, "last", []byte("2"))
+	if err := r.follower.Refresh(context.Background()); err != nil || r.picture.value("last") != "2" {
+		t.Errorf("refresh: %v, value %q", err, r.picture.value("last"))
+	}
+}
+
 // narrowStore sends pages up to a size in time, and larger ones never.
 type narrowStore struct {
 	kilobytes int
