--- a/batch/runner.go
+++ b/batch/runner.go
@@ -36,6 +36,9 @@
 	misplacedDelay = 250 * time.Millisecond
 )
 
+// unknownItem is the reason not to run an item that this host hasn't read of.
+const unknownItem = "item is not known yet"
+
 // errSilent means that an endpoint makes no events.
 var errSilent = errors.New("endpoint is silent")
 
@@ -153,6 +156,13 @@
 // prepare finds the item and what was made of it; it returns why it can't be run.
 func (x *run) prepare(ctx context.Context) string {
 	kept, reason := x.find()
+	if reason == unknownItem {
+		// The scheduler has read further: so may this host.
+		if err := x.ledger.confirm(ctx); err != nil {
+			return err.Error()
+		}
+		kept, reason = x.find()
+	}
 	if reason != "" {
 		return reason
 	}
@@ -172,7 +182,7 @@
 	defer l.mu.Unlock()
 	x.job = l.state.Job(x.ref.Job)
 	if x.job == nil || x.ref.Item >= len(x.job.Items()) {
-		return nil, "item is not known yet"
+		return nil, unknownItem
 	}
 	if x.job.Cancelled || x.job.Ended(x.ref.Item) {
 		return nil, "item has ended"
--- /dev/null
+++ b/batch/runner_test.go
@@ -0,0 +1,84 @@
+package batch
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/jobs"
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/scheduler"
+	"github.com/peridotmount/peridotmount/standin"
+	"github.com/peridotmount/peridotmount/upstream"
+)
+
+const testPatience = 20 * time.Second
+
+// releases are the uses that a slot was released with.
+type releases []scheduler.Use
+
+func (r *releases) Stalled()                {}
+func (r *releases) Release(u scheduler.Use) { *r = append(*r, u) }
+
+// newStoredLedger returns a ledger in a store, whose engine is a replica.
+func newStoredLedger(writer, store string, replica *standin.Replica) *Ledger {
+	return NewLedger(Options{
+		Writer: writer, Store: platform.NewStore(store, platform.StoreOptions{}), Scheduler: make(itemSet),
+		Pool: upstream.NewPool(upstream.Options{}), Logger: log.NewNopLogger(),
+		Configuration: testConfiguration, CacheBytes: 1 << 20,
+		Endpoint: func(id string) *endpoint.Endpoint {
+			return &endpoint.Endpoint{ID: id, Service: "engine", Address: replica.Address(), State: endpoint.Ready}
+		},
+	})
+}
+
+// followLedger follows a ledger; the func returned stops that.
+func followLedger(t *testing.T, l *Ledger) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = l.Follower().Serve(ctx); close(done) }()
+	deadline := time.Now().Add(testPatience)
+	for l.Follower().Complete().IsZero() {
+		if time.Now().After(deadline) {
+			t.Fatal("the ledger was not listed")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return func() { cancel(); <-done }
+}
+
+// TestItemKnownToTheSchedulerOnly starts an item of a job that its scheduler has read
+// of and this host hasn't yet: the host reads on, rather than give the slot back.
+func TestItemKnownToTheSchedulerOnly(t *testing.T) {
+	server := httptest.NewServer(standin.NewStore(standin.StoreFaults{}).Handler())
+	defer server.Close()
+	defer server.CloseClientConnections()
+	replica, err := standin.StartReplica("engine-0", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer replica.Close()
+	ahead := newStoredLedger("ahead", server.Listener.Addr().String(), replica)
+	defer followLedger(t, ahead)()
+	behind := newStoredLedger("behind", server.Listener.Addr().String(), replica)
+	followLedger(t, behind)()
+
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	items := []jobs.Item{{ID: "i", Path: "/lots-in/run", Tokens: 3, Body: []byte("q")}}
+	if v, err := ahead.Submit(ctx, "j", "h", "/lots-in/j", items); err != nil || v != jobs.Accepted {
+		t.Fatalf("verdict %v, error %v", v, err)
+	}
+	var uses releases
+	NewRunner(ctx, behind).Run(ctx, &scheduler.Start{
+		Ticket: "t", Endpoint: "engine-0", Item: scheduler.ItemRef{Job: "j"},
+	}, &uses)
+	if len(uses) != 1 || uses[0].Outcome != scheduler.Finished {
+		t.Errorf("slot released with %+v", uses)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,9 +151,9 @@
 // buildScheduling makes what decides where generations run.
 func (g *Gateway) buildScheduling() {
 	g.client, g.scheduler = slots.NewClient(slots.Options{
-		Self:  g.self,
-		Hosts: g.directory.Hosts,
-		Heard: g.directory.Touch,
+		Self:      g.self,
+		Directory: g.directory,
+		Known:     g.directoryFeed.Complete,
 		HTTP: &http.Client{Transport: &http.Transport{
 			DialContext:        sockopt.Dialer(peerDialTimeout).DialContext,
 			DisableCompression: true,
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -40,6 +40,14 @@
 	return *d.hosts.Load()
 }
 
+// Beat returns when the newest record of a host was read, by package clock, zero
+// if none was.
+func (d *Directory) Beat(name string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Beat(name)
+}
+
 // Touch notes that hosts were heard of by another way than the store.
 func (d *Directory) Touch(names ...string) {
 	d.mu.Lock()
--- a/peers/table.go
+++ b/peers/table.go
@@ -21,7 +21,9 @@
 type entry struct {
 	host   Host
 	offset int64
-	seen   time.Time
+	// seen is when the host was heard of, beat when its record was read.
+	seen time.Time
+	beat time.Time
 }
 
 // NewTable returns an empty Table.
@@ -35,7 +37,15 @@
 	if old != nil && offset <= old.offset {
 		return
 	}
-	t.entries[h.Name] = &entry{host: h, offset: offset, seen: now}
+	t.entries[h.Name] = &entry{host: h, offset: offset, seen: now, beat: now}
+}
+
+// Beat returns when the newest record of a host was read, zero if none was.
+func (t *Table) Beat(name string) time.Time {
+	if e := t.entries[name]; e != nil {
+		return e.beat
+	}
+	return time.Time{}
 }
 
 // Touch notes that a host was heard of by another way than the store: one that the
--- a/slots/client.go
+++ b/slots/client.go
@@ -47,12 +47,13 @@
 type Options struct {
 	// Self is this host.
 	Self peers.Host
-	// Hosts lists the hosts of the system in the order in which they schedule.
-	Hosts func() []peers.Host
+	// Directory tells which hosts there are.
+	Directory Directory
+	// Known returns the time, by package clock, up to which the records of hosts
+	// were read.
+	Known func() time.Time
 	// HTTP calls other hosts.
 	HTTP *http.Client
-	// Heard is told of hosts that are alive.
-	Heard func(hosts ...string)
 	// Runner runs batch items.
 	Runner Runner
 	// ServiceOf returns the service of an endpoint.
@@ -95,7 +96,7 @@
 	m := newMetrics(o.Registerer)
 	c := &Client{
 		opts:     o,
-		duty:     NewDuty(o.Hosts, o.Logger, m),
+		duty:     NewDuty(o.Directory, o.Known, o.Logger, m),
 		metrics:  m,
 		inbox:    ring.New[Down](inputRing),
 		wake:     make(chan struct{}, 1),
@@ -238,7 +239,7 @@
 
 // elect attaches to the first host in order that can be reached.
 func (c *Client) elect(ctx context.Context) {
-	for _, h := range c.opts.Hosts() {
+	for _, h := range c.opts.Directory.Hosts() {
 		current := c.Scheduler()
 		if h.Name == current {
 			return
@@ -365,7 +366,7 @@
 // told takes what the scheduler tells all hosts. The lock is held.
 func (c *Client) told(d *Down) {
 	if len(d.Members) > 0 {
-		c.opts.Heard(d.Members...)
+		c.opts.Directory.Touch(d.Members...)
 	}
 	if len(d.Members) > 0 || len(d.Quarantined) > 0 {
 		c.quarantined = make(map[string]bool, len(d.Quarantined))
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/ring"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
@@ -26,7 +26,8 @@
 type Duty struct {
 	core     *scheduler.Core
 	suspects *scheduler.Suspects
-	hosts    func() []peers.Host
+	hosts    Directory
+	known    func() time.Time
 	logger   log.Logger
 	metrics  *metrics
 	inputs   *ring.Ring[input]
@@ -34,27 +35,41 @@
 	// mu guards the sessions.
 	mu       sync.Mutex
 	sessions map[string]*sessionSink
-	left     map[string]time.Time
-	// majority is when most hosts took part first, zero while they don't.
+	// attendance tells which hosts take part, turnout how many at the last look.
+	attendance *attendance
+	turnout    turnout
+	// majority is when most hosts took part first, zero while they don't; it
+	// belongs to Serve.
 	majority time.Time
 }
 
+// ending is how a session ended.
+type ending struct {
+	reason string
+	how    departure
+	// heard is when the host was heard last, by package clock.
+	heard time.Time
+}
+
 // sessionSink is where a host's messages go.
 type sessionSink struct {
 	deliver Sink
 }
 
-// NewDuty returns a Duty; hosts lists the hosts of the system.
-func NewDuty(hosts func() []peers.Host, logger log.Logger, m *metrics) *Duty {
+// NewDuty returns a Duty. Hosts tells which hosts there are, known the time up to
+// which their records were read.
+func NewDuty(hosts Directory, known func() time.Time, logger log.Logger, m *metrics) *Duty {
 	return &Duty{
 		core:     scheduler.NewCore(scheduler.Options{}),
 		suspects: scheduler.NewSuspects(),
 		hosts:    hosts,
+		known:    known,
 		logger:   logger,
 		metrics:  m,
 		inputs:   ring.New[input](inputRing),
 		sessions: make(map[string]*sessionSink),
-		left:     make(map[string]time.Time),
+
+		attendance: newAttendance(),
 	}
 }
 
@@ -127,28 +142,40 @@
 
 // adjustShare bounds the slots by the part of the hosts that take part here.
 func (d *Duty) adjustShare(now time.Time) {
-	d.mu.Lock()
-	here, all := len(d.sessions), len(d.sessions)
-	for _, h := range d.hosts() {
-		if d.sessions[h.Name] != nil {
-			continue
-		}
-		all++
-		if now.Sub(d.left[h.Name]) < rejoinGrace {
-			here++
-		}
+	t, changed := d.count()
+	if t.here == 0 {
+		return
 	}
-	if 2*here <= all {
+	settled := d.settled(now, t)
+	if changed {
+		_ = level.Info(d.logger).Log("event", "attendance_changed", "here", t.here, "elsewhere", t.elsewhere,
+			"unclear", t.unclear, "share", t.share(), "majority", t.majority())
+	}
+	d.core.SetShare(now, t.share(), settled)
+}
+
+// count counts the hosts and reports whether that changed.
+func (d *Duty) count() (turnout, bool) {
+	hosts, known := d.hosts.Hosts(), d.known()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.attendance.count(clock.Now(), known, hosts, d.hosts.Beat)
+	changed := t != d.turnout
+	d.turnout = t
+	return t, changed
+}
+
+// settled reports whether most hosts have taken part for long enough to have said
+// what they run.
+func (d *Duty) settled(now time.Time, t turnout) bool {
+	if !t.majority() {
 		d.majority = time.Time{}
-	} else if d.majority.IsZero() {
-		d.majority = now
+		return false
 	}
-	settled := !d.majority.IsZero() && now.Sub(d.majority) >= settleTime
-	d.mu.Unlock()
-	if here == 0 {
-		return
+	if d.majority.IsZero() {
+		d.majority = now
 	}
-	d.core.SetShare(now, float64(here)/float64(all), settled)
+	return now.Sub(d.majority) >= settleTime
 }
 
 // tellMembers tells all hosts which ones take part, and which requests are kept
@@ -184,6 +211,7 @@
 		d.mu.Lock()
 		again := d.sessions[h.Host] != nil
 		d.sessions[h.Host] = s
+		d.attendance.join(h.Host)
 		n := len(d.sessions)
 		d.mu.Unlock()
 		if again {
@@ -196,13 +224,13 @@
 }
 
 // Leave removes a host, unless it has another session by now.
-func (d *Duty) Leave(host string, s *sessionSink, reason string) {
+func (d *Duty) Leave(host string, s *sessionSink, end ending) {
 	d.do(func(now time.Time, c *scheduler.Core) {
 		d.mu.Lock()
 		current := d.sessions[host] == s
 		if current {
 			delete(d.sessions, host)
-			d.left[host] = now
+			d.attendance.leave(host, absence{since: end.heard, how: end.how})
 		}
 		n := len(d.sessions)
 		d.mu.Unlock()
@@ -210,7 +238,7 @@
 			return
 		}
 		c.Leave(now, host)
-		_ = level.Info(d.logger).Log("event", "session_closed", "peer", host, "reason", reason, "sessions", n)
+		_ = level.Info(d.logger).Log("event", "session_closed", "peer", host, "reason", end.reason, "sessions", n)
 	})
 }
 
--- a/slots/link.go
+++ b/slots/link.go
@@ -1,5 +1,7 @@
 package slots
 
+import "github.com/peridotmount/peridotmount/clock"
+
 // link is a host's way to a scheduler, its own or another host's.
 type link interface {
 	// send passes a message on without blocking.
@@ -27,7 +29,7 @@
 }
 
 func (l *localLink) close(reason string) {
-	l.duty.Leave(l.host, l.sink, reason)
+	l.duty.Leave(l.host, l.sink, ending{reason: reason, how: closed, heard: clock.Now()})
 }
 
 func (l *localLink) scheduler() string {
--- a/slots/server.go
+++ b/slots/server.go
@@ -5,13 +5,16 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/ring"
 )
 
@@ -81,27 +84,36 @@
 		defer func() { _ = control.SetReadDeadline(time.Now()) }()
 		writeDown(ctx, w, control, outbox)
 	}()
-	reason := s.read(control, lines, hello.Host)
+	end := s.read(control, lines, hello.Host)
 	cancel()
 	<-written
-	s.duty.Leave(hello.Host, sink, reason)
+	s.duty.Leave(hello.Host, sink, end)
 }
 
-// read hands the host's messages over until there are no more, and returns why.
-func (s *Server) read(control *http.ResponseController, lines *bufio.Scanner, host string) string {
+// read hands the host's messages over until there are no more, and returns how the
+// session ended.
+func (s *Server) read(control *http.ResponseController, lines *bufio.Scanner, host string) ending {
+	end := ending{how: closed, heard: clock.Now()}
 	for lines.Scan() {
+		end.heard = clock.Now()
 		_ = control.SetReadDeadline(time.Now().Add(hostSilence))
 		var m Up
 		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
 			_ = level.Warn(s.logger).Log("event", "session_message_unreadable", "peer", host, "err", err)
-			return "message can't be read"
+			end.reason = "message can't be read"
+			return end
 		}
 		s.duty.Handle(host, &m)
 	}
+	end.reason = "closed by the host"
 	if err := lines.Err(); err != nil {
-		return err.Error()
+		end.reason = err.Error()
+		var failure net.Error
+		if errors.As(err, &failure) && failure.Timeout() {
+			end.how = silent
+		}
 	}
-	return "closed by the host"
+	return end
 }
 
 // writeDown writes messages, and signs of life between them.
--- a/slots/times.go
+++ b/slots/times.go
@@ -7,8 +7,6 @@
 	tickEvery = 20 * time.Millisecond
 	// shareEvery is the time between two looks at which hosts take part.
 	shareEvery = 100 * time.Millisecond
-	// rejoinGrace is how long a host whose session ended counts as taking part.
-	rejoinGrace = 500 * time.Millisecond
 	// settleTime is the time in which the hosts announce what they run to a new
 	// scheduler, before it starts batch items.
 	settleTime = 300 * time.Millisecond
