--- a/slots/duty.go
+++ b/slots/duty.go
@@ -46,7 +46,8 @@
 // ending is how a session ended.
 type ending struct {
 	reason string
-	how    departure
+	// closed tells that the connection was closed, rather than silent.
+	closed bool
 	// heard is when the host was heard last, by package clock.
 	heard time.Time
 }
@@ -149,7 +150,7 @@
 	settled := d.settled(now, t)
 	if changed {
 		_ = level.Info(d.logger).Log("event", "attendance_changed", "here", t.here, "elsewhere", t.elsewhere,
-			"unclear", t.unclear, "share", t.share(), "majority", t.majority())
+			"share", t.share(), "majority", t.majority())
 	}
 	d.core.SetShare(now, t.share(), settled)
 }
@@ -230,7 +231,7 @@
 		current := d.sessions[host] == s
 		if current {
 			delete(d.sessions, host)
-			d.attendance.leave(host, absence{since: end.heard, how: end.how})
+			d.attendance.leave(host, absence{since: end.heard, closed: end.closed})
 		}
 		n := len(d.sessions)
 		d.mu.Unlock()
