--- a/slots/attendance.go
+++ b/slots/attendance.go
@@ -10,11 +10,24 @@
 type absence struct {
 	// since is when the host was heard last, or first missed.
 	since time.Time
-	// closed tells that its connection was closed: the process is gone, or has gone
-	// to another scheduler. Any other host may be cut off, and schedule for itself.
-	closed bool
+	// how it went.
+	how departure
 }
 
+// departure tells apart how a host came to have no session.
+type departure int
+
+const (
+	// unmet hosts had no session with this scheduler.
+	unmet departure = iota
+	// closed sessions ended with their connection: the process is gone, or has
+	// gone to another scheduler.
+	closed
+	// silent sessions ended for want of a sign of life: the host may be cut off
+	// and schedule for itself.
+	silent
+)
+
 // attendance tells which hosts take part in this host's scheduling. It is a
 // deterministic state machine without a clock; it is not safe for concurrent use.
 //
@@ -25,6 +38,9 @@
 type attendance struct {
 	here   map[string]bool
 	absent map[string]absence
+	// cutOff tells that the scheduler before this one fell silent: then hosts that
+	// have not come may be with it, behind a cut. Else it is gone, and they come.
+	cutOff bool
 }
 
 func newAttendance() *attendance {
@@ -43,18 +59,23 @@
 	a.absent[name] = how
 }
 
-// turnout counts hosts: those here take part, those elsewhere may be alive and
-// use slots that this scheduler doesn't know of.
-type turnout struct{ here, elsewhere int }
+// turnout counts hosts.
+type turnout struct {
+	// here take part; elsewhere are alive and don't, so they may use slots that
+	// this scheduler doesn't know of.
+	here, elsewhere int
+	// unclear may be alive, and have no scheduler yet.
+	unclear int
+}
 
 // share is the part of all slots that this scheduler may use.
 func (t turnout) share() float64 {
 	return float64(t.here) / float64(t.here+t.elsewhere)
 }
 
-// majority reports whether no other scheduler can have as many hosts.
+// majority reports whether no other scheduler can have more hosts.
 func (t turnout) majority() bool {
-	return t.here > t.elsewhere
+	return 2*t.here > t.here+t.elsewhere+t.unclear
 }
 
 // count counts the hosts listed. known is the time up to which their records were
@@ -71,9 +92,14 @@
 			away = absence{since: now}
 			a.absent[name] = away
 		}
-		gone := away.closed || known.Sub(away.since) > peers.BeatBound
-		if !gone || beat(name).After(away.since) {
+		switch {
+		case beat(name).After(away.since):
+			t.elsewhere++
+		case away.how == closed, known.Sub(away.since) > peers.BeatBound:
+		case away.how == silent, a.cutOff:
 			t.elsewhere++
+		default:
+			t.unclear++
 		}
 	}
 	return t
--- a/slots/attendance_test.go
+++ b/slots/attendance_test.go
@@ -54,7 +54,7 @@
 func TestKilledHostsAreGoneAtOnce(t *testing.T) {
 	r := newRoll()
 	for _, name := range []string{"host-1", "host-2", "host-3"} {
-		r.leave(name, absence{since: r.now, closed: true})
+		r.leave(name, absence{since: r.now, how: closed})
 	}
 	r.expect(t, turnout{here: 3})
 	if got := r.turnout(); got.share() != 1 || !got.majority() {
@@ -72,7 +72,7 @@
 func TestCutOffHostsKeepTheirShare(t *testing.T) {
 	r := newRoll()
 	for _, name := range []string{"host-1", "host-2", "host-3"} {
-		r.leave(name, absence{since: r.now})
+		r.leave(name, absence{since: r.now, how: silent})
 	}
 	for range 10 {
 		r.expect(t, turnout{here: 3, elsewhere: 3})
@@ -88,7 +88,7 @@
 func TestFrozenHostsTakeNoShare(t *testing.T) {
 	r := newRoll()
 	for _, name := range []string{"host-1", "host-2"} {
-		r.leave(name, absence{since: r.now})
+		r.leave(name, absence{since: r.now, how: silent})
 	}
 	r.pass(peers.BeatBound)
 	r.expect(t, turnout{here: 4, elsewhere: 2})
@@ -100,22 +100,39 @@
 // was read says nothing about the host.
 func TestUnreadRecordsProveNothing(t *testing.T) {
 	r := newRoll()
-	r.leave("host-1", absence{since: r.now})
+	r.leave("host-1", absence{since: r.now, how: silent})
 	r.now = r.now.Add(time.Minute)
 	r.expect(t, turnout{here: 5, elsewhere: 1})
 }
 
-// TestNewSchedulerWaitsForTheLiving takes over from a scheduler that is dead: the
-// hosts that have not come may use slots until their records say that they are gone.
-func TestNewSchedulerWaitsForTheLiving(t *testing.T) {
+// TestNewSchedulerBehindACut takes over as the scheduler before fell silent: those
+// that don't come may be with it.
+func TestNewSchedulerBehindACut(t *testing.T) {
 	r := newRoll()
 	r.attendance = newAttendance()
+	r.cutOff = true
 	for _, name := range []string{"host-1", "host-2", "host-3"} {
 		r.join(name)
 	}
 	r.expect(t, turnout{here: 3, elsewhere: 3})
+	r.pass(peers.BeatBound+time.Second, "host-4")
+	r.expect(t, turnout{here: 3, elsewhere: 1})
+}
+
+// TestNewSchedulerWaitsForNobody takes over from a scheduler that is dead: the hosts
+// that have not come may use slots, or may be gone. Batch items wait for a majority.
+func TestNewSchedulerWaitsForNobody(t *testing.T) {
+	r := newRoll()
+	r.attendance = newAttendance()
+	for _, name := range []string{"host-1", "host-2", "host-3"} {
+		r.join(name)
+	}
+	r.expect(t, turnout{here: 3, unclear: 3})
+	if got := r.turnout(); got.share() != 1 || got.majority() {
+		t.Errorf("share %v, majority %v", got.share(), got.majority())
+	}
 	r.pass(peers.HeartbeatInterval, "host-4")
-	r.expect(t, turnout{here: 3, elsewhere: 3})
+	r.expect(t, turnout{here: 3, elsewhere: 1, unclear: 2})
 	r.pass(peers.BeatBound, "host-4")
 	r.expect(t, turnout{here: 3, elsewhere: 1})
 }
--- a/slots/client.go
+++ b/slots/client.go
@@ -316,7 +316,7 @@
 
 // lost handles the end of a session: until another is open, the host schedules
 // for itself.
-func (c *Client) lost(l *remoteLink, reason string) {
+func (c *Client) lost(l *remoteLink, end ending) {
 	c.mu.Lock()
 	current := c.link == link(l)
 	c.mu.Unlock()
@@ -324,7 +324,8 @@
 		return
 	}
 	c.metrics.sessions.WithLabelValues("lost").Inc()
-	_ = level.Warn(c.opts.Logger).Log("event", "scheduler_lost", "scheduler", l.host, "reason", reason)
+	_ = level.Warn(c.opts.Logger).Log("event", "scheduler_lost", "scheduler", l.host, "reason", end.reason)
+	c.duty.Orphaned(end.how == closed)
 	c.attach(c.local())
 	c.nudge()
 }
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -46,8 +46,7 @@
 // ending is how a session ended.
 type ending struct {
 	reason string
-	// closed tells that the connection was closed, rather than silent.
-	closed bool
+	how    departure
 	// heard is when the host was heard last, by package clock.
 	heard time.Time
 }
@@ -150,7 +149,7 @@
 	settled := d.settled(now, t)
 	if changed {
 		_ = level.Info(d.logger).Log("event", "attendance_changed", "here", t.here, "elsewhere", t.elsewhere,
-			"share", t.share(), "majority", t.majority())
+			"unclear", t.unclear, "share", t.share(), "majority", t.majority())
 	}
 	d.core.SetShare(now, t.share(), settled)
 }
@@ -231,7 +230,7 @@
 		current := d.sessions[host] == s
 		if current {
 			delete(d.sessions, host)
-			d.attendance.leave(host, absence{since: end.heard, closed: end.closed})
+			d.attendance.leave(host, absence{since: end.heard, how: end.how})
 		}
 		n := len(d.sessions)
 		d.mu.Unlock()
@@ -243,6 +242,13 @@
 	})
 }
 
+// Orphaned notes how the scheduler before this one ended.
+func (d *Duty) Orphaned(closed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attendance.cutOff = !closed
+}
+
 // Handle takes a message of a host.
 func (d *Duty) Handle(host string, m *Up) {
 	switch {
--- a/slots/link.go
+++ b/slots/link.go
@@ -29,7 +29,7 @@
 }
 
 func (l *localLink) close(reason string) {
-	l.duty.Leave(l.host, l.sink, ending{reason: reason, closed: true, heard: clock.Now()})
+	l.duty.Leave(l.host, l.sink, ending{reason: reason, how: closed, heard: clock.Now()})
 }
 
 func (l *localLink) scheduler() string {
--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/ring"
 )
@@ -27,12 +28,12 @@
 	heard   atomic.Int64
 	deliver Sink
 	// lost is called once, when the session ends by itself.
-	lost   func(*remoteLink, string)
+	lost   func(*remoteLink, ending)
 	ending sync.Once
 }
 
 // openRemote opens a session; ctx bounds its whole life.
-func openRemote(ctx context.Context, client *http.Client, h peers.Host, deliver Sink, lost func(*remoteLink, string)) (*remoteLink, error) {
+func openRemote(ctx context.Context, client *http.Client, h peers.Host, deliver Sink, lost func(*remoteLink, ending)) (*remoteLink, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &remoteLink{host: h.Name, outbox: ring.New[Up](outboxRing), cancel: cancel, deliver: deliver, lost: lost}
 	body, pipe := io.Pipe()
@@ -64,7 +65,7 @@
 
 func (l *remoteLink) send(m Up) {
 	if l.outbox.Offer(m) != nil {
-		l.end("outbox is full")
+		l.end("outbox is full", silent)
 	}
 }
 
@@ -77,11 +78,11 @@
 }
 
 // end closes a session that broke off.
-func (l *remoteLink) end(reason string) {
+func (l *remoteLink) end(reason string, how departure) {
 	l.ending.Do(func() {
 		l.cancel()
 		// The caller may hold the client's lock.
-		go l.lost(l, reason)
+		go l.lost(l, ending{reason: reason, how: how, heard: clock.Now()})
 	})
 }
 
@@ -112,7 +113,7 @@
 			err = out.Flush()
 		}
 		if err != nil {
-			l.end(err.Error())
+			l.end(err.Error(), closed)
 		}
 	}
 }
@@ -126,7 +127,7 @@
 		l.hear()
 		var m Down
 		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
-			l.end("message can't be read: " + err.Error())
+			l.end("message can't be read: "+err.Error(), closed)
 			return
 		}
 		l.deliver(m)
@@ -135,7 +136,7 @@
 	if err := lines.Err(); err != nil {
 		reason = err.Error()
 	}
-	l.end(reason)
+	l.end(reason, closed)
 }
 
 // watch ends the session when the scheduler falls silent.
@@ -148,7 +149,7 @@
 			return
 		case <-tick.C:
 			if silence := time.Since(time.Unix(0, l.heard.Load())); silence > schedulerSilence {
-				l.end("silent for " + silence.String())
+				l.end("silent for "+silence.String(), silent)
 				return
 			}
 		}
--- a/slots/server.go
+++ b/slots/server.go
@@ -93,7 +93,7 @@
 // read hands the host's messages over until there are no more, and returns how the
 // session ended.
 func (s *Server) read(control *http.ResponseController, lines *bufio.Scanner, host string) ending {
-	end := ending{closed: true, heard: clock.Now()}
+	end := ending{how: closed, heard: clock.Now()}
 	for lines.Scan() {
 		end.heard = clock.Now()
 		_ = control.SetReadDeadline(time.Now().Add(hostSilence))
@@ -109,7 +109,9 @@
 	if err := lines.Err(); err != nil {
 		end.reason = err.Error()
 		var failure net.Error
-		end.closed = !errors.As(err, &failure) || !failure.Timeout()
+		if errors.As(err, &failure) && failure.Timeout() {
+			end.how = silent
+		}
 	}
 	return end
 }
