A fault soak of hosts that serve routes

Four hosts as separate processes, a store and six endpoints behind loopback proxies. Three series of faults overlap: hosts are killed, ended, frozen and reloaded; links to the store and to engines are cut or held; the store is away in each way that it has, slow, loses answers and appends, trims its history; endpoints fail in twelve ways; versions are published; endpoints drain. Callers of all kinds check meanwhile: whole answers are right and broken ones their beginnings, 503 ran nowhere, at most one run of what may run once, no 404 for what is there, positions of results never change, jobs that were refused don't run, all accepted ones end.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build demo test soak lint docs format
+.PHONY: build demo test soak soak-routes lint docs format
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -22,6 +22,12 @@
 soak:
 	LEDGER_SEED=$$(date +%s%N | cut -c1-15) LEDGER_RUNS=$(SOAK_RUNS) $(GO) test -count=1 -timeout 2h -run 'TestHistories|TestPlans' ./keeper/core
 
+# soak-routes serves routes under faults of all kinds, from fresh seeds; a failing
+# seed is in the name of its test: SOAK_SEED=n runs it again.
+SOAK_SEEDS ?= 50
+soak-routes:
+	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 2h -run TestSoakRoutes ./e2e
+
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run: make format"; exit 1; }
 	$(GO) vet ./...
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -1,10 +1,12 @@
 package e2e
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -46,10 +48,23 @@
 	if t.Failed() {
 		data, _ := os.ReadFile(p.log.Name())
 		t.Logf("log of %s:\n%s", p.name, tail(data))
+		p.keep(t, data)
 	}
 	_ = p.log.Close()
 }
 
+// keep writes a log to the folder that TEST_LOGS names, if any.
+func (p *process) keep(t *testing.T, data []byte) {
+	dir := os.Getenv("TEST_LOGS")
+	if dir == "" {
+		return
+	}
+	name := fmt.Sprintf("%s-%s-%d.log", strings.ReplaceAll(t.Name(), "/", "-"), p.name, p.cmd.Process.Pid)
+	if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+		t.Error(err)
+	}
+}
+
 const tailBytes = 4000
 
 func tail(data []byte) []byte {
@@ -84,18 +99,27 @@
 // freeAddress returns a loopback address that nothing listens on and that it
 // has not returned before.
 func freeAddress(t *testing.T) string {
+	t.Helper()
+	return freeAddressAt(t, "127.0.0.1")
+}
+
+// listenersOnly is a loopback address that no connection is made from, so that a
+// process that is started again finds its port as it left it.
+const listenersOnly = "127.0.0.2"
+
+func freeAddressAt(t *testing.T, ip string) string {
 	t.Helper()
 	for {
-		address := listenOnce(t)
+		address := listenOnce(t, ip)
 		if _, taken := handedOut.LoadOrStore(address, true); !taken {
 			return address
 		}
 	}
 }
 
-func listenOnce(t *testing.T) string {
+func listenOnce(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/e2e/routes_test.go
+++ b/e2e/routes_test.go
@@ -104,7 +104,8 @@
 
 func (f *routedFleet) newGateway(name, store string) *gateway {
 	f.t.Helper()
-	callers, ready, peers := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	callers, ready := freeAddressAt(f.t, listenersOnly), freeAddressAt(f.t, listenersOnly)
+	peers := freeAddressAt(f.t, listenersOnly)
 	text := fmt.Sprintf(`[host]
 name = %s
 zone = sk-central-a
