--- a/slots/attendance.go
+++ b/slots/attendance.go
@@ -89,7 +89,7 @@
 		}
 		away, met := a.absent[name]
 		if !met {
-			away = absence{since: now}
+			away = absence{since: now, how: unmet}
 			a.absent[name] = away
 		}
 		switch {
