Run batch items first where their input is in memory

The host that took the job had the input in memory all the while.

The submission names the host that took it; the scheduler starts its items there unless it leaves or is gone. An input that isn't read pauses the item for a second.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -167,6 +167,7 @@
 			PromptTokens:   meta.PromptTokens,
 			ExpectedTokens: meta.ExpectedTokens,
 			Prefix:         meta.Prefix,
+			Home:           job.Submission.TakenBy,
 		}
 		l.opts.Scheduler.AddItem(item)
 	}
--- a/batch/options.go
+++ b/batch/options.go
@@ -30,7 +30,9 @@
 // Options are what the parts of this package are made of.
 type Options struct {
 	// Writer names this process; it is unique over all processes.
-	Writer    string
+	Writer string
+	// Host is the name of this host.
+	Host      string
 	Store     Store
 	Scheduler Scheduler
 	Pool      *upstream.Pool
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -32,8 +32,11 @@
 	nextEventTimeout = 1200 * time.Millisecond
 	// failureDelay is the pause before an item that failed is run again.
 	failureDelay = 200 * time.Millisecond
-	// misplacedDelay is that before an item that can't be run yet.
+	// misplacedDelay is that before an item that can't be run yet, unreadDelay that
+	// before one whose input the store did not send: an outage lasts for seconds, and
+	// each try holds a slot meanwhile.
 	misplacedDelay = 250 * time.Millisecond
+	unreadDelay    = time.Second
 )
 
 // unknownItem is the reason not to run an item that this host hasn't read of.
@@ -140,8 +143,8 @@
 	defer r.finish()
 	x := &run{Runner: r, ref: s.Item, slot: slot, begun: time.Now()}
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
-	if reason := x.prepare(ctx); reason != "" {
-		x.done("misplaced", reason, scheduler.Use{Outcome: scheduler.Abandoned, Delay: misplacedDelay})
+	if reason, delay := x.prepare(ctx); reason != "" {
+		x.done("misplaced", reason, scheduler.Use{Outcome: scheduler.Abandoned, Delay: delay})
 		return
 	}
 	if x.endpoint == nil || x.endpoint.State != endpoint.Ready {
@@ -153,26 +156,27 @@
 	x.call(ctx, cancel)
 }
 
-// prepare finds the item and what was made of it; it returns why it can't be run.
-func (x *run) prepare(ctx context.Context) string {
+// prepare finds the item and what was made of it; it returns why it can't be run,
+// and the pause until it may be.
+func (x *run) prepare(ctx context.Context) (string, time.Duration) {
 	kept, reason := x.find()
 	if reason == unknownItem {
 		// The scheduler has read further: so may this host.
 		if err := x.ledger.confirm(ctx); err != nil {
-			return err.Error()
+			return err.Error(), misplacedDelay
 		}
 		kept, reason = x.find()
 	}
 	if reason != "" {
-		return reason
+		return reason, misplacedDelay
 	}
 	item, err := x.ledger.item(ctx, x.job, x.ref.Item)
 	if err != nil {
-		return err.Error()
+		return err.Error(), unreadDelay
 	}
 	x.item = item
 	x.restore(ctx, kept)
-	return ""
+	return "", 0
 }
 
 // find returns what the ledger keeps of earlier runs, and why the item can't be run.
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -51,6 +51,7 @@
 	case !fits:
 		return jobs.OverQuota, nil
 	}
+	sub.TakenBy = l.opts.Host
 	sub.Attempt = l.key("attempt", id)
 	if err := l.putInputs(ctx, id, sub, items); err != nil {
 		return 0, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,6 +177,7 @@
 	g.pool = upstream.NewPool(upstream.Options{Registerer: g.registry})
 	g.ledger = batch.NewLedger(batch.Options{
 		Writer:        g.self.Name + "." + g.self.Incarnation,
+		Host:          g.self.Name,
 		Store:         g.store,
 		Scheduler:     g.scheduler,
 		Pool:          g.pool,
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -10,7 +10,7 @@
 	if c.items[i.Ref] != nil {
 		return
 	}
-	o := &openItem{Item: i}
+	o := &openItem{Item: i, host: i.Home}
 	c.items[i.Ref] = o
 	v := c.service(i.Service)
 	v.items.push(o)
@@ -65,8 +65,9 @@
 	return true
 }
 
-// hostFor returns the host that keeps what an earlier run made, or the one that
-// runs the fewest items.
+// hostFor returns the host that keeps what an earlier run made, or has the item's
+// input, or else the one that runs the fewest items. The load it answers: an outage
+// of the store, in which the other hosts can't read the input and slots stand idle.
 func (c *Core) hostFor(i *openItem) *member {
 	if m := c.members[i.host]; m != nil && !m.leaving {
 		return m
--- a/scheduler/item.go
+++ b/scheduler/item.go
@@ -12,6 +12,8 @@
 	PromptTokens   int
 	ExpectedTokens int
 	Prefix         []string
+	// Home is the host that has the item's input in memory, or "".
+	Home string
 	// Done is how many of the expected tokens an earlier run made and left.
 	Done int
 }
@@ -35,7 +37,7 @@
 	// ticket is that of the present run, begun its start.
 	ticket string
 	begun  time.Time
-	// host ran the item last and keeps what it made.
+	// host ran the item last and keeps what it made; at first, it is the home.
 	host string
 	// notBefore delays the next run after one that failed.
 	notBefore time.Time
