Tell a new scheduler what hosts keep of items; forget it with the item

Three causes:

A new scheduler doesn't know which host keeps what an item has made. A host now says so when it opens its session (Hello.Kept). TestNewSchedulerLearnsWhatIsKept. 2. A host that has read of nobody has no majority now. TestNobodyIsAloneUnread. 3. Seen on the way: what a host kept of an item stayed in memory for good when the item ended elsewhere. TestPartialsEndWithTheirItems.

Each test fails before.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -25,6 +25,7 @@
 	opts     Options
 	follower *follow.Follower
 	payloads *payloads
+	partials *partials
 	metrics  *metrics
 	seq      atomic.Int64
 	kept     atomic.Int64
@@ -47,6 +48,7 @@
 	l := &Ledger{
 		opts:     o,
 		payloads: newPayloads(o.Store, o.CacheBytes),
+		partials: newPartials(),
 		metrics:  newMetrics(o.Registerer),
 		state:    jobs.NewState(),
 		verdicts: make(map[string]chan jobs.Verdict),
@@ -121,17 +123,29 @@
 		l.settle(offset, c)
 	case c.Ended:
 		l.metrics.results.WithLabelValues(resultState(r.Result)).Inc()
-		l.opts.Scheduler.DropItem(scheduler.ItemRef{Job: c.Job.ID, Item: c.Item})
+		l.dropItem(c.Job, c.Item)
 		l.notify(c.Job.ID)
 	case c.Cancelled:
 		for i := range c.Job.Items() {
-			l.opts.Scheduler.DropItem(scheduler.ItemRef{Job: c.Job.ID, Item: i})
+			l.dropItem(c.Job, i)
 		}
 		_ = level.Info(l.opts.Logger).Log("event", "job_cancelled", "job", c.Job.ID, "offset", offset, "results", len(c.Job.Results))
 		l.notify(c.Job.ID)
 	}
 }
 
+// dropItem forgets an item that is not to be run any more.
+func (l *Ledger) dropItem(job *jobs.Job, item int) {
+	ref := scheduler.ItemRef{Job: job.ID, Item: item}
+	l.partials.drop(ref)
+	l.opts.Scheduler.DropItem(ref)
+}
+
+// Kept returns the unfinished items that this host can go on with.
+func (l *Ledger) Kept() []scheduler.Kept {
+	return l.partials.list()
+}
+
 // settle handles the verdict on a submission. The lock is held.
 func (l *Ledger) settle(offset int64, c *jobs.Change) {
 	if c.Verdict == jobs.Accepted {
--- /dev/null
+++ b/batch/partials.go
@@ -0,0 +1,54 @@
+package batch
+
+import (
+	"sync"
+
+	"github.com/peridotmount/peridotmount/scheduler"
+)
+
+// partials keep what unfinished items have made at this host. They are safe for
+// concurrent use.
+type partials struct {
+	mu   sync.Mutex
+	kept map[scheduler.ItemRef]partial
+}
+
+// partial is what an item has made so far.
+type partial struct {
+	events, tokens int
+	output         string
+}
+
+func newPartials() *partials {
+	return &partials{kept: make(map[scheduler.ItemRef]partial)}
+}
+
+func (p *partials) put(ref scheduler.ItemRef, made partial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kept[ref] = made
+}
+
+func (p *partials) get(ref scheduler.ItemRef) partial {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.kept[ref]
+}
+
+// drop forgets an item, as it has ended here or elsewhere.
+func (p *partials) drop(ref scheduler.ItemRef) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.kept, ref)
+}
+
+// list returns what a scheduler is told of them.
+func (p *partials) list() []scheduler.Kept {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]scheduler.Kept, 0, len(p.kept))
+	for ref, made := range p.kept {
+		out = append(out, scheduler.Kept{Item: ref, Made: made.tokens})
+	}
+	return out
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -58,13 +58,11 @@
 	// for that.
 	running int
 	idle    chan struct{}
-	// partials keep what unfinished items have made.
-	partials map[scheduler.ItemRef]partial
 }
 
 // NewRunner returns a Runner; the results it records are given up with ctx.
 func NewRunner(ctx context.Context, l *Ledger) *Runner {
-	return &Runner{ledger: l, recording: ctx, partials: make(map[scheduler.ItemRef]partial)}
+	return &Runner{ledger: l, recording: ctx}
 }
 
 // Leave makes items that end unfinished keep what they have made in the ledger,
@@ -114,12 +112,6 @@
 	}
 }
 
-// partial is what an item has made so far.
-type partial struct {
-	events int
-	output string
-}
-
 // run is one run of an item.
 type run struct {
 	*Runner
@@ -201,9 +193,7 @@
 // restore goes on behind what earlier runs made, here or at another host. What
 // can't be read is made again.
 func (x *run) restore(ctx context.Context, kept *jobs.Partial) {
-	x.Runner.mu.Lock()
-	p := x.partials[x.ref]
-	x.Runner.mu.Unlock()
+	p := x.ledger.partials.get(x.ref)
 	if kept != nil && kept.Events > p.events {
 		output, err := x.ledger.payloads.get(ctx, &kept.Output)
 		if err != nil {
@@ -302,9 +292,7 @@
 
 // keep keeps what the item has made, in the ledger if this host is leaving.
 func (x *run) keep() {
-	x.Runner.mu.Lock()
-	x.partials[x.ref] = partial{events: x.made, output: x.output.String()}
-	x.Runner.mu.Unlock()
+	x.ledger.partials.put(x.ref, partial{events: x.made, tokens: x.tokensMade(), output: x.output.String()})
 	if !x.leaving.Load() {
 		return
 	}
@@ -339,7 +327,7 @@
 	x.done("done", "", scheduler.Use{Outcome: scheduler.Finished, Settled: true, Reusable: reusable})
 	if blob, kept := x.putOutput(); kept {
 		x.write("result", &jobs.Record{Job: x.ref.Job, Result: &jobs.Result{Item: x.ref.Item, Output: blob}})
-		x.forget()
+		x.ledger.partials.drop(x.ref)
 	}
 }
 
@@ -354,7 +342,7 @@
 	case never, status == http.StatusInternalServerError && failures >= x.job.Submission.MaxFailures:
 		x.done("dead", reason, scheduler.Use{Outcome: scheduler.Finished, Settled: true})
 		x.write("result", &jobs.Record{Job: x.ref.Job, Result: &jobs.Result{Item: x.ref.Item, Dead: true, Reason: reason}})
-		x.forget()
+		x.ledger.partials.drop(x.ref)
 	case status == http.StatusInternalServerError:
 		x.done("failed", reason, scheduler.Use{Outcome: scheduler.Finished, Delay: failureDelay, Made: x.tokensMade()})
 		x.write("failure", &jobs.Record{Job: x.ref.Job, Failure: &jobs.Failure{Item: x.ref.Item, Status: status}})
@@ -374,12 +362,6 @@
 	_ = level.Error(x.ledger.opts.Logger).Log("event", "item_not_recorded", "job", x.ref.Job, "item", x.ref.Item, "kind", kind, "err", err)
 }
 
-func (x *run) forget() {
-	x.Runner.mu.Lock()
-	delete(x.partials, x.ref)
-	x.Runner.mu.Unlock()
-}
-
 // done gives the slot back and logs the run.
 func (x *run) done(outcome, reason string, u scheduler.Use) {
 	x.slot.Release(u)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,6 +161,7 @@
 		Runner: func(ctx context.Context, s *scheduler.Start, slot slots.RunnerSlot) {
 			g.runner.Run(ctx, s, slot)
 		},
+		Kept: func() []scheduler.Kept { return g.ledger.Kept() },
 		ServiceOf: func(id string) string {
 			if e := g.endpoints.View().Endpoint(id); e != nil {
 				return e.Service
--- a/scheduler/home_test.go
+++ b/scheduler/home_test.go
@@ -23,7 +23,7 @@
 	now := time.Unix(1000, 0)
 	c := NewCore(Options{})
 	for _, host := range []string{"host-0", "host-1", "host-2"} {
-		c.Join(now, host, "a", "r", nil)
+		c.Join(now, &Hello{Host: host, Zone: "a", Region: "r"})
 	}
 	c.SetShare(now, 1, true)
 	c.SetEndpoints(now, []Endpoint{{ID: "e", Service: "s", Zone: "a", Region: "r", Slots: 16}})
@@ -42,3 +42,20 @@
 		t.Error("an item was started at a host that is leaving")
 	}
 }
+
+// TestNewSchedulerLearnsWhatIsKept replays the death of a scheduler between two bursts
+// of online work: the items that gave way go on at the hosts that keep what they made.
+func TestNewSchedulerLearnsWhatIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := NewCore(Options{})
+	c.SetShare(now, 1, true)
+	ref := ItemRef{Job: "j", Item: 3}
+	c.AddItem(now, Item{Ref: ref, Service: "s", Due: now.Add(time.Minute), ExpectedTokens: 100, Home: "host-0"})
+	c.Join(now, &Hello{Host: "host-0", Zone: "a", Region: "r"})
+	c.Join(now, &Hello{Host: "host-1", Zone: "a", Region: "r", Kept: []Kept{{Item: ref, Made: 40}, {Item: ItemRef{Job: "ended"}, Made: 7}}})
+	c.Join(now, &Hello{Host: "host-2", Zone: "a", Region: "r", Kept: []Kept{{Item: ref, Made: 20}}})
+	c.SetEndpoints(now, []Endpoint{{ID: "e", Service: "s", Zone: "a", Region: "r", Slots: 1}})
+	if at := startedAt(t, c, 3); at != "host-1" || c.items[ref].Done != 40 {
+		t.Errorf("the item went on at %s behind token %d", at, c.items[ref].Done)
+	}
+}
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -2,12 +2,16 @@
 
 import "time"
 
-// Join adds a host with the slots that it uses already.
-func (c *Core) Join(now time.Time, host, zone, region string, running []Running) {
-	m := &member{name: host, zone: zone, region: region}
-	c.members[host] = m
-	for i := range running {
-		c.announce(now, m, &running[i])
+// Join adds a host with the slots that it uses already, and the items that it can
+// go on with.
+func (c *Core) Join(now time.Time, h *Hello) {
+	m := &member{name: h.Host, zone: h.Zone, region: h.Region}
+	c.members[m.name] = m
+	for i := range h.Running {
+		c.announce(now, m, &h.Running[i])
+	}
+	for i := range h.Kept {
+		c.keep(m, &h.Kept[i])
 	}
 	c.pumpAll(now)
 }
@@ -35,6 +39,16 @@
 	}
 }
 
+// keep notes that a host can go on with an item that waits. The load it answers: a
+// scheduler that takes over from one that knew, while batch items give way to bursts
+// of online work every second.
+func (c *Core) keep(m *member, k *Kept) {
+	i := c.items[k.Item]
+	if i != nil && i.state == itemWaiting && k.Made > i.Done {
+		i.host, i.Done = m.name, k.Made
+	}
+}
+
 // announcedItem returns the item that a host runs. It is the host's, unless the
 // item is unknown or runs elsewhere.
 func (c *Core) announcedItem(now time.Time, m *member, r *Running) *openItem {
--- a/scheduler/replay_test.go
+++ b/scheduler/replay_test.go
@@ -133,7 +133,7 @@
 		asks: make(map[string]*onlineRequest), runs: make(map[string]*itemRun),
 		sizes: make(map[ItemRef]int), made: make(map[ItemRef]int), due: make(map[ItemRef]time.Duration),
 	}
-	r.core.Join(replayStart, "h", "z", "r", nil)
+	r.core.Join(replayStart, &Hello{Host: "h", Zone: "z", Region: "r"})
 	if l.share > 0 {
 		r.core.SetShare(replayStart, l.share, true)
 	}
--- a/slots/attendance.go
+++ b/slots/attendance.go
@@ -82,6 +82,11 @@
 // read: without a record for peers.BeatBound after it was heard last, a host is gone.
 func (a *attendance) count(now, known time.Time, hosts []peers.Host, beat func(string) time.Time) turnout {
 	t := turnout{here: len(a.here)}
+	if known.IsZero() {
+		// A host that has read of nobody may be one of many.
+		t.unclear = t.here
+		return t
+	}
 	for i := range hosts {
 		name := hosts[i].Name
 		if a.here[name] {
--- a/slots/attendance_test.go
+++ b/slots/attendance_test.go
@@ -119,6 +119,20 @@
 	r.expect(t, turnout{here: 3, elsewhere: 1})
 }
 
+// TestNobodyIsAloneUnread starts a host, before it has read which others there are:
+// with no majority it starts no batch items, which run elsewhere already.
+func TestNobodyIsAloneUnread(t *testing.T) {
+	r := newRoll()
+	r.attendance = newAttendance()
+	r.join("host-1")
+	r.hosts, r.known = nil, time.Time{}
+	if got := r.turnout(); got.majority() || got.share() != 1 {
+		t.Errorf("counted %+v", got)
+	}
+	r.hosts, r.known = []peers.Host{{Name: "host-1"}}, r.now
+	r.expect(t, turnout{here: 1})
+}
+
 // TestNewSchedulerWaitsForNobody takes over from a scheduler that is dead: the hosts
 // that have not come may use slots, or may be gone. Batch items wait for a majority.
 func TestNewSchedulerWaitsForNobody(t *testing.T) {
--- a/slots/client.go
+++ b/slots/client.go
@@ -56,6 +56,8 @@
 	HTTP *http.Client
 	// Runner runs batch items.
 	Runner Runner
+	// Kept returns the unfinished items that this host can go on with.
+	Kept func() []scheduler.Kept
 	// ServiceOf returns the service of an endpoint.
 	ServiceOf func(endpoint string) string
 	Logger    log.Logger
@@ -292,7 +294,9 @@
 		return
 	}
 	now := time.Now()
-	hello := &Hello{Host: c.opts.Self.Name, Zone: c.opts.Self.Zone, Region: c.opts.Self.Region}
+	hello := &scheduler.Hello{
+		Host: c.opts.Self.Name, Zone: c.opts.Self.Zone, Region: c.opts.Self.Region, Kept: c.opts.Kept(),
+	}
 	for _, h := range c.held {
 		r := h.running
 		r.Since = now.Sub(h.since)
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -205,7 +205,7 @@
 }
 
 // Join adds a host with what it runs; a session it had before is replaced.
-func (d *Duty) Join(h *Hello, deliver Sink) *sessionSink {
+func (d *Duty) Join(h *scheduler.Hello, deliver Sink) *sessionSink {
 	s := &sessionSink{deliver: deliver}
 	d.do(func(now time.Time, c *scheduler.Core) {
 		d.mu.Lock()
@@ -217,8 +217,8 @@
 		if again {
 			c.Leave(now, h.Host)
 		}
-		c.Join(now, h.Host, h.Zone, h.Region, h.Running)
-		_ = level.Info(d.logger).Log("event", "session_opened", "peer", h.Host, "running", len(h.Running), "sessions", n)
+		c.Join(now, h)
+		_ = level.Info(d.logger).Log("event", "session_opened", "peer", h.Host, "running", len(h.Running), "kept", len(h.Kept), "sessions", n)
 	})
 	return s
 }
--- a/slots/message.go
+++ b/slots/message.go
@@ -5,11 +5,11 @@
 // Up is a message of a host to its scheduler, one line of JSON. One part is set;
 // a message without any shows that the host is there.
 type Up struct {
-	Hello    *Hello         `json:"hello,omitempty"`
-	Ask      *scheduler.Ask `json:"ask,omitempty"`
-	Use      *scheduler.Use `json:"use,omitempty"`
-	Withdraw string         `json:"withdraw,omitempty"`
-	Leaving  bool           `json:"leaving,omitempty"`
+	Hello    *scheduler.Hello `json:"hello,omitempty"`
+	Ask      *scheduler.Ask   `json:"ask,omitempty"`
+	Use      *scheduler.Use   `json:"use,omitempty"`
+	Withdraw string           `json:"withdraw,omitempty"`
+	Leaving  bool             `json:"leaving,omitempty"`
 	// Stalled names a ticket whose endpoint is silent.
 	Stalled string `json:"stalled,omitempty"`
 	Broke   *Broke `json:"broke,omitempty"`
@@ -22,14 +22,6 @@
 	Endpoint string `json:"endpoint"`
 }
 
-// Hello opens a session.
-type Hello struct {
-	Host    string              `json:"host"`
-	Zone    string              `json:"zone"`
-	Region  string              `json:"region"`
-	Running []scheduler.Running `json:"running"`
-}
-
 // Down is a message of the scheduler to a host, one line of JSON. One part is
 // set; a message without any shows that the scheduler is there.
 type Down struct {
--- a/slots/server.go
+++ b/slots/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/ring"
+	"github.com/peridotmount/peridotmount/scheduler"
 )
 
 // SessionPath is the path that sessions are opened at.
@@ -67,7 +68,7 @@
 }
 
 // run serves one session to its end.
-func (s *Server) run(ctx context.Context, w http.ResponseWriter, control *http.ResponseController, lines *bufio.Scanner, hello *Hello) {
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, control *http.ResponseController, lines *bufio.Scanner, hello *scheduler.Hello) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outbox := ring.New[Down](outboxRing)
