Find a scheduler behind a cut sooner, and come back from it sooner

A host that can't be reached was passed over for up to 4 s; now 1 s.

They are tried in rounds of one, two, four and so on; a session that ended while others were still tried is noticed when it is taken.

TestHostBehindACutIsTriedEverySecond, TestRoundsKeepTheOrder fail before; TestElectsBehindACut and TestSchedulesForItselfFirst hold what stays.

--- a/slots/client.go
+++ b/slots/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/ring"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -241,34 +242,96 @@
 
 // elect attaches to the first host in order that can be reached.
 func (c *Client) elect(ctx context.Context) {
-	for _, h := range c.opts.Directory.Hosts() {
-		current := c.Scheduler()
-		if h.Name == current {
+	candidates, stay := c.candidates()
+	for _, round := range rounds(candidates) {
+		links := c.tryAll(ctx, round)
+		if ctx.Err() != nil {
+			closeAll(links)
 			return
 		}
-		if h.Name == c.opts.Self.Name {
-			break
-		}
-		if c.passedOver(h.Name) {
-			continue
-		}
-		l, err := openRemote(ctx, c.opts.HTTP, h, c.deliver, c.lost)
-		if err != nil {
-			if ctx.Err() != nil {
+		for i, l := range links {
+			if l != nil {
+				closeAll(links[i+1:])
+				c.attachRemote(l)
 				return
 			}
-			c.passOver(h.Name, err)
-			continue
 		}
-		delete(c.backoffs, h.Name)
-		c.attach(l)
-		return
 	}
-	if c.Scheduler() != c.opts.Self.Name {
+	if !stay && c.Scheduler() != c.opts.Self.Name {
 		c.attach(c.local())
 	}
 }
 
+// attachRemote moves to a link that may have ended since it was opened.
+func (c *Client) attachRemote(l *remoteLink) {
+	c.attach(l)
+	if l.ctx.Err() != nil {
+		c.lost(l, ending{reason: "ended before it was used", how: closed, heard: clock.Now()})
+	}
+}
+
+// candidates returns the hosts that come before this host's scheduler and may be
+// reached, and whether the scheduler is to stay if none is: it comes before this
+// host.
+func (c *Client) candidates() (out []peers.Host, stay bool) {
+	current := c.Scheduler()
+	for _, h := range c.opts.Directory.Hosts() {
+		if h.Name == c.opts.Self.Name {
+			return out, false
+		}
+		if h.Name == current {
+			return out, true
+		}
+		if !c.passedOver(h.Name) {
+			out = append(out, h)
+		}
+	}
+	return out, false
+}
+
+// rounds splits hosts into those that are tried at the same time: one, then twice as
+// many each time. The load it answers: a cut that leaves a host without the forty
+// before it, each of which takes connectTimeout.
+func rounds(hosts []peers.Host) [][]peers.Host {
+	var out [][]peers.Host
+	for n := 1; len(hosts) > 0; n *= 2 {
+		n = min(n, len(hosts))
+		out = append(out, hosts[:n])
+		hosts = hosts[n:]
+	}
+	return out
+}
+
+// tryAll opens sessions with hosts, and returns nil for each that can't be reached.
+func (c *Client) tryAll(ctx context.Context, hosts []peers.Host) []*remoteLink {
+	links := make([]*remoteLink, len(hosts))
+	failures := make([]error, len(hosts))
+	var tries sync.WaitGroup
+	for i := range hosts {
+		tries.Go(func() {
+			links[i], failures[i] = openRemote(ctx, c.opts.HTTP, hosts[i], c.deliver, c.lost)
+		})
+	}
+	tries.Wait()
+	for i, err := range failures {
+		switch {
+		case err == nil:
+			delete(c.backoffs, hosts[i].Name)
+		case ctx.Err() == nil:
+			c.passOver(hosts[i].Name, err)
+		}
+	}
+	return links
+}
+
+func closeAll(links []*remoteLink) {
+	for _, l := range links {
+		if l != nil {
+			l.close("another host comes first")
+		}
+	}
+}
+
 func (c *Client) passedOver(host string) bool {
 	b := c.backoffs[host]
 	return b != nil && time.Now().Before(b.until)
--- /dev/null
+++ b/slots/election_test.go
@@ -0,0 +1,152 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/scheduler"
+)
+
+// listing is a Directory whose hosts the test chooses.
+type listing struct{ hosts atomic.Pointer[[]peers.Host] }
+
+func newListing(hosts ...peers.Host) *listing {
+	l := &listing{}
+	l.set(hosts...)
+	return l
+}
+
+func (l *listing) set(hosts ...peers.Host)   { l.hosts.Store(&hosts) }
+func (l *listing) Hosts() []peers.Host       { return *l.hosts.Load() }
+func (l *listing) Beat(string) (z time.Time) { return z }
+func (l *listing) Touch(...string)           {}
+
+// newTestClient returns the client of host "self", its duty running.
+func newTestClient(t *testing.T, d Directory) *Client {
+	t.Helper()
+	c, duty := NewClient(Options{
+		Self: peers.Host{Name: "self", Incarnation: "i"}, Directory: d,
+		Known: time.Now, Kept: func() []scheduler.Kept { return nil },
+		HTTP: &http.Client{Transport: &http.Transport{}}, Logger: log.NewNopLogger(),
+	})
+	run(t, duty.Serve)
+	return c
+}
+
+// run runs a duty until the test ends.
+func run(t *testing.T, serve func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = serve(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// silentHost accepts connections and says nothing, as a host behind a cut.
+func silentHost(t *testing.T, name string) peers.Host {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return peers.Host{Name: name, Address: "http://" + l.Addr().String()}
+}
+
+// servingHost is a host that takes sessions.
+func servingHost(t *testing.T, name string) peers.Host {
+	t.Helper()
+	duty := NewDuty(newListing(), time.Now, log.NewNopLogger(), newMetrics(nil))
+	run(t, duty.Serve)
+	server := httptest.NewServer(NewServer(duty, "token", log.NewNopLogger()))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	return peers.Host{Name: name, Address: server.URL, Token: "token"}
+}
+
+// TestElectsBehindACut elects while the hosts that come first can't be reached, and
+// again when one of them can.
+func TestElectsBehindACut(t *testing.T) {
+	var hosts []peers.Host
+	for i := range 6 {
+		hosts = append(hosts, silentHost(t, fmt.Sprint("cut-", i)))
+	}
+	hosts = append(hosts, servingHost(t, "second"), servingHost(t, "third"), peers.Host{Name: "self"})
+	directory := newListing(hosts...)
+	c := newTestClient(t, directory)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.elect(ctx)
+	if got := c.Scheduler(); got != "second" {
+		t.Fatalf("elected %q", got)
+	}
+	c.elect(ctx)
+	if got := c.Scheduler(); got != "second" {
+		t.Errorf("a second look moved to %q", got)
+	}
+	healed := slices.Clone(hosts)
+	healed[2] = servingHost(t, "cut-2")
+	directory.set(healed...)
+	clear(c.backoffs)
+	c.elect(ctx)
+	if got := c.Scheduler(); got != "cut-2" {
+		t.Errorf("after the cut, elected %q", got)
+	}
+}
+
+// TestSchedulesForItselfFirst lists the host before the scheduler that it has.
+func TestSchedulesForItselfFirst(t *testing.T) {
+	other := servingHost(t, "other")
+	self := peers.Host{Name: "self"}
+	directory := newListing(other, self)
+	c := newTestClient(t, directory)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.elect(ctx)
+	if got := c.Scheduler(); got != "other" {
+		t.Fatalf("elected %q", got)
+	}
+	directory.set(self, other)
+	c.elect(ctx)
+	if got := c.Scheduler(); got != "self" {
+		t.Errorf("elected %q", got)
+	}
+}
+
+// TestRoundsKeepTheOrder splits the forty hosts of a cut half of a grown deployment:
+// each round takes connectTimeout, and callers wait meanwhile.
+func TestRoundsKeepTheOrder(t *testing.T) {
+	hosts := make([]peers.Host, 40)
+	for i := range hosts {
+		hosts[i].Name = fmt.Sprint(i)
+	}
+	got := rounds(hosts)
+	if len(got) > 6 || len(got[0]) != 1 {
+		t.Errorf("%d rounds, %d hosts in the first", len(got), len(got[0]))
+	}
+	if !slices.Equal(slices.Concat(got...), hosts) {
+		t.Error("the order changed, or a host is missing")
+	}
+}
+
+// TestHostBehindACutIsTriedEverySecond fails to reach a host for as long as a cut
+// lasts: at its end, the sides are to be one again within a second.
+func TestHostBehindACutIsTriedEverySecond(t *testing.T) {
+	c := newTestClient(t, newListing())
+	for range 10 {
+		c.passOver("cut", errSession)
+	}
+	if b := c.backoffs["cut"]; time.Until(b.until) > time.Second {
+		t.Errorf("passed over for %s", time.Until(b.until))
+	}
+}
--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -22,7 +22,9 @@
 
 // remoteLink is a session with another host.
 type remoteLink struct {
-	host    string
+	host string
+	// ctx ends with the session.
+	ctx     context.Context
 	outbox  *ring.Ring[Up]
 	cancel  context.CancelFunc
 	heard   atomic.Int64
@@ -35,7 +37,7 @@
 // openRemote opens a session; ctx bounds its whole life.
 func openRemote(ctx context.Context, client *http.Client, h peers.Host, deliver Sink, lost func(*remoteLink, ending)) (*remoteLink, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &remoteLink{host: h.Name, outbox: ring.New[Up](outboxRing), cancel: cancel, deliver: deliver, lost: lost}
+	l := &remoteLink{host: h.Name, ctx: ctx, outbox: ring.New[Up](outboxRing), cancel: cancel, deliver: deliver, lost: lost}
 	body, pipe := io.Pipe()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.Address+SessionPath, body)
 	if err != nil {
--- a/slots/times.go
+++ b/slots/times.go
@@ -31,9 +31,10 @@
 	// regions, and a slow host's work.
 	connectTimeout = 150 * time.Millisecond
 	// firstBackoff and lastBackoff bound how long a host that could not be
-	// reached is passed over.
+	// reached is passed over; behind a cut that is over, each host takes its
+	// share of the slots for as long as the other side still does without it.
 	firstBackoff = 500 * time.Millisecond
-	lastBackoff  = 4 * time.Second
+	lastBackoff  = time.Second
 )
 
 // Bounds of the rings.
