--- a/e2e/operations_outage_test.go
+++ b/e2e/operations_outage_test.go
@@ -56,7 +56,7 @@
 	return resp
 }
 
-// TestLogOutage holds what docs/OPERATING.md says of a log that is down.
+// TestLogOutage holds what docs/OPERATIONS.md says of a log that is down.
 func TestLogOutage(t *testing.T) {
 	f := newFleet(t, fleetOptions{daemons: 2, engines: 2})
 	f.storeFaults(standin.StoreFaults{Outage: standin.OutageBusy})
--- a/e2e/operations_tls_test.go
+++ b/e2e/operations_tls_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestCertificatesAreRenewedInAFleet moves a running fleet to another
-// authority, in the order that docs/OPERATING.md gives.
+// authority, in the order that docs/OPERATIONS.md gives.
 func TestCertificatesAreRenewedInAFleet(t *testing.T) {
 	f := newLocalFleet(t, "--tls", "--hosts", "3", "--engines", "2", "--plain", "1", "--daemon-flags", "--set tls.reload=100ms")
 	file := filepath.Join(f.dir, "fleet.json")
