Hosts that start while the store is away learn from others what those have read

Ruled out: the store's own grace (nothing is answered), and a copy on disk (hosts have none).

A host whose first listing of a topic fails asks them, and takes the newest picture of the configuration, the endpoints and the hosts, until it can list the topic itself. It is no second store: only what the store has said is handed over, once, and never passed on from hand to hand; batch jobs are not part of it. Tokens of hosts are left out, as those who ask have no secret: such a host schedules for itself, within its share of the hosts it was told of, and starts no batch items.

TestRoutesHostStartsInAnOutage (its hosts were never ready before), TestPictureIsBorrowedUntilTheStoreAnswers, package picture's tests.

--- a/e2e/routes_test.go
+++ b/e2e/routes_test.go
@@ -32,6 +32,8 @@
 	t        *testing.T
 	store    *standin.Store
 	gateways []*gateway
+	// controls are the control addresses of the first hosts.
+	controls []string
 	engines  []*standin.Replica
 	plain    []*standin.Replica
 }
@@ -106,18 +108,27 @@
 	f.t.Helper()
 	callers, ready := freeAddressAt(f.t, listenersOnly), freeAddressAt(f.t, listenersOnly)
 	peers := freeAddressAt(f.t, listenersOnly)
+	for len(f.controls) < 3 {
+		f.controls = append(f.controls, freeAddressAt(f.t, listenersOnly))
+	}
+	control := ""
+	if n := len(f.gateways); n < len(f.controls) {
+		control = "control = " + f.controls[n]
+	}
 	text := fmt.Sprintf(`[host]
 name = %s
 zone = sk-central-a
 regions = sk-central-a=sk-central
+seeds = %s
 grace = 8s
 [listen]
 callers = %s
 readiness = %s
 peers = %s
+%s
 [store]
 address = %s
-`, name, callers, ready, peers, store)
+`, name, strings.Join(f.controls, ","), callers, ready, peers, control, store)
 	file := filepath.Join(f.t.TempDir(), name+".ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
@@ -360,6 +371,36 @@
 	}
 }
 
+// TestRoutesHostStartsInAnOutage kills hosts and starts them again while the store is
+// away: they serve by what the others know.
+func TestRoutesHostStartsInAnOutage(t *testing.T) {
+	f := newRoutedFleet(t, 3)
+	f.store.SetFaults(standin.StoreFaults{Outage: standin.OutageReset})
+	for _, g := range f.gateways[1:] {
+		g.kill()
+		f.restart(g)
+	}
+	f.awaitReady(f.gateways...)
+	for i, g := range f.gateways {
+		id := fmt.Sprintf("s%d", i)
+		if r := g.send(http.MethodPost, "/stream/x", id, nil); string(r.body) != wholeStream(id, 20) {
+			t.Errorf("stream at %s: %+v", g.name, r)
+		}
+		id = fmt.Sprintf("p%d", i)
+		if r := g.send(http.MethodPost, "/check/x", id, nil); string(r.body) != "answer to "+id {
+			t.Errorf("check at %s: %+v", g.name, r)
+		}
+		if r := g.send(http.MethodGet, "/lots/none?after=0", "", nil); r.status != http.StatusServiceUnavailable {
+			t.Errorf("unknown job at %s: status %d", g.name, r.status)
+		}
+	}
+	f.store.SetFaults(standin.StoreFaults{})
+	eventually(t, "jobs are taken again", func() bool {
+		return f.gateways[2].send(http.MethodPost, "/lots-in/j", "j", job("j", 4)).status == http.StatusAccepted
+	})
+	f.awaitJob("j", 4)
+}
+
 // TestRoutesLostAnswersOfTheStore loses the answers of appends that take effect,
 // at once and late: each job is accepted once, and has each result once.
 func TestRoutesLostAnswersOfTheStore(t *testing.T) {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -29,6 +29,9 @@
 	lost     bool
 	complete time.Time
 	page     pageSize
+	kept     kept
+	// borrowed tells that the handler has the picture of another host.
+	borrowed bool
 
 	// refreshing admits one confirming read at a time.
 	refreshing sync.Mutex
@@ -36,7 +39,7 @@
 
 // New returns a Follower.
 func New(o Options) *Follower {
-	return &Follower{opts: o, page: newPageSize()}
+	return &Follower{opts: o, page: newPageSize(), kept: make(kept)}
 }
 
 // String names the service to its supervisor.
@@ -64,6 +67,7 @@
 				break
 			}
 			f.noteLost(err)
+			f.borrow(ctx)
 			pause = retry/2 + rand.N(retry)
 			retry = min(2*retry, lastRetry)
 		} else {
@@ -156,6 +160,7 @@
 		skip := sort.Search(len(records), func(i int) bool { return records[i].Offset >= f.next })
 		f.next = page.Next
 		if skip < len(records) {
+			f.hold(records[skip:])
 			f.opts.Handler.Changed(now, records[skip:])
 		}
 	}
@@ -205,11 +210,44 @@
 	now := clock.Now()
 	f.noteRegained(now)
 	f.listed, f.next, f.complete = true, max(f.next, end), sent
+	f.kept = make(kept)
+	f.hold(records)
 	f.opts.Handler.Listed(now, records, end)
 	_ = level.Info(f.opts.Logger).Log("event", "topic_listed", "topic", f.opts.Topic.Name, "keys", len(records), "next", end)
 	return nil
 }
 
+// hold keeps records for other hosts. The lock is held.
+func (f *Follower) hold(records []platform.KeyedRecord) {
+	if f.opts.Keep {
+		f.kept.apply(records)
+	}
+}
+
+// borrow takes the picture of another host over, once, while this one has none.
+func (f *Follower) borrow(ctx context.Context) {
+	f.mu.Lock()
+	needed := f.opts.Borrow != nil && f.complete.IsZero() && !f.borrowed
+	f.mu.Unlock()
+	if !needed {
+		return
+	}
+	records, err := f.opts.Borrow(ctx)
+	if err != nil {
+		_ = level.Info(f.opts.Logger).Log("event", "picture_not_borrowed", "topic", f.opts.Topic.Name, "err", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.borrowed = true
+	end := int64(0)
+	if n := len(records); n > 0 {
+		end = records[n-1].Offset + 1
+	}
+	f.opts.Handler.Listed(clock.Now(), records, end)
+	_ = level.Info(f.opts.Logger).Log("event", "picture_borrowed", "topic", f.opts.Topic.Name, "keys", len(records), "next", end)
+}
+
 func (f *Follower) newest(ctx context.Context, after string) (platform.Snapshot, error) {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -217,6 +217,36 @@
 	}
 }
 
+// TestPictureIsBorrowedUntilTheStoreAnswers starts a follower in an outage: it takes
+// what another has read, gives none of that on, and lists the topic after the outage.
+func TestPictureIsBorrowedUntilTheStoreAnswers(t *testing.T) {
+	r := newRig(t, 50*time.Millisecond)
+	r.follower.opts.Keep = true
+	asked := 0
+	r.follower.opts.Borrow = func(context.Context) ([]platform.KeyedRecord, error) {
+		if asked++; asked == 1 {
+			return nil, ErrStale
+		}
+		return []platform.KeyedRecord{{Key: "a", Offset: 4, Value: []byte("borrowed")}}, nil
+	}
+	r.store.SetFaults(standin.StoreFaults{Outage: standin.OutageBusy})
+	r.run()
+	r.awaitValue("a", "borrowed")
+	if records, whole := r.follower.Records(); whole || len(records) > 0 {
+		t.Errorf("gives %d borrowed records on", len(records))
+	}
+	if err := r.follower.Refresh(context.Background()); !errors.Is(err, ErrStale) {
+		t.Errorf("a borrowed picture is confirmed: %v", err)
+	}
+	r.store.SetFaults(standin.StoreFaults{})
+	r.store.Put(topic.Name, "a", []byte("listed"))
+	r.awaitValue("a", "listed")
+	records, whole := r.follower.Records()
+	if !whole || len(records) != 1 || string(records[0].Value) != "listed" {
+		t.Errorf("keeps %+v", records)
+	}
+}
+
 // narrowStore sends pages up to a size in time, and larger ones never.
 type narrowStore struct {
 	kilobytes int
--- a/follow/options.go
+++ b/follow/options.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,11 @@
 	// one another closely are read together.
 	Pause  time.Duration
 	Logger log.Logger
+	// Keep keeps the newest record of each key, for Records.
+	Keep bool
+	// Borrow returns the records that another host has, for a process that can't
+	// list the topic yet; nil means that there is no other way.
+	Borrow func(ctx context.Context) ([]platform.KeyedRecord, error)
 }
 
 const (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/peridotmount/peridotmount/forward"
 	"github.com/peridotmount/peridotmount/logring"
 	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/picture"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -87,6 +88,10 @@
 	operators     *listener
 	reloader      *reloader
 	peers         *listener
+	// control is nil unless the settings name its address.
+	control *listener
+	// asker asks other hosts what they know.
+	asker *picture.Client
 }
 
 // New puts a host together and binds its listeners. Its log goes to out.
@@ -133,6 +138,9 @@
 func (g *Gateway) buildBeliefs() {
 	g.store = platform.NewStore(g.settings.Store, platform.StoreOptions{Registerer: g.registry})
 	g.configuration = &configuration{logger: g.logger, adopted: g.adopted}
+	g.asker = picture.NewClient(g.settings.Seeds, &http.Client{Transport: &http.Transport{
+		DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableKeepAlives: true,
+	}})
 	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
 	g.endpoints = newEndpoints(g.logger, g.endpointsChanged)
 	g.endpointFeed = g.follow(platform.TopicEndpoints, g.endpoints, endpointPause)
@@ -144,7 +152,8 @@
 
 func (g *Gateway) follow(topic platform.Topic, h follow.Handler, pause time.Duration) *follow.Follower {
 	return follow.New(follow.Options{
-		Store: g.store, Topic: topic, Handler: h, Wait: followWait, Pause: pause, Logger: g.logger,
+		Store: g.store, Topic: topic, Handler: h, Wait: followWait, Pause: pause, Logger: g.logger, Keep: true,
+		Borrow: func(ctx context.Context) ([]platform.KeyedRecord, error) { return g.asker.Ask(ctx, topic) },
 	})
 }
 
@@ -275,9 +284,8 @@
 }
 
 func (g *Gateway) duties() []suture.Service {
-	return []suture.Service{
+	return append(g.listeners(),
 		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.directoryFeed, g.directory, g.registrar,
 		g.ledger.Follower(), &janitor{host: g.self.Name, client: g.client, ledger: g.ledger},
-		g.scheduler, g.client, g.pool, g.operators, g.peers, g.callers,
-	}
+		g.scheduler, g.client, g.pool)
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -78,6 +78,11 @@
 	if g.peers, err = listen("peers", g.settings.Peers, own); err != nil {
 		return err
 	}
+	if g.settings.Control != "" {
+		if g.control, err = listen("control", g.settings.Control, g.pictures()); err != nil {
+			return err
+		}
+	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /ready", g.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
--- a/peers/host.go
+++ b/peers/host.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/platform"
 )
 
 // ErrMalformed means that a host's record can't be read.
@@ -20,7 +22,8 @@
 	Operators string `json:"operators,omitempty"`
 	Zone      string `json:"zone"`
 	Region    string `json:"region"`
-	// Token is the bearer token that the host asks of the others.
+	// Token is the bearer token that the host asks of the others, "" if it is not
+	// known.
 	Token string `json:"token"`
 	// Joined is the offset of the incarnation's first record: it orders hosts by
 	// age without regard to their clocks. It is negative in that first record.
@@ -37,6 +40,23 @@
 	return value, errors.Wrap(err, "encode host")
 }
 
+// WithoutTokens returns records of hosts without their tokens. Those that can't be
+// read are left out.
+func WithoutTokens(records []platform.KeyedRecord) []platform.KeyedRecord {
+	out := make([]platform.KeyedRecord, 0, len(records))
+	for i := range records {
+		h, err := decodeHost(records[i].Key, records[i].Offset, records[i].Value)
+		if err != nil {
+			continue
+		}
+		h.Token = ""
+		if value, err := h.encode(); err == nil {
+			out = append(out, platform.KeyedRecord{Key: records[i].Key, Offset: records[i].Offset, Value: value})
+		}
+	}
+	return out
+}
+
 // decodeHost reads the record at an offset.
 func decodeHost(key string, offset int64, value []byte) (Host, error) {
 	var h Host
--- a/peers/table.go
+++ b/peers/table.go
@@ -34,7 +34,8 @@
 // Put applies a host's record.
 func (t *Table) Put(now time.Time, offset int64, h Host) {
 	old := t.entries[h.Name]
-	if old != nil && offset <= old.offset {
+	if old != nil && (offset < old.offset || offset == old.offset && old.host.Token != "") {
+		// The same record may come again with the token, which another host left out.
 		return
 	}
 	t.entries[h.Name] = &entry{host: h, offset: offset, seen: now, beat: now}
--- a/peers/table_test.go
+++ b/peers/table_test.go
@@ -1,9 +1,12 @@
 package peers
 
 import (
+	"bytes"
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/peridotmount/peridotmount/platform"
 )
 
 var start = time.Unix(1000, 0)
@@ -67,6 +70,33 @@
 	}
 }
 
+// TestTokenComesWithTheStore reads a host's record first from another host, which
+// leaves the token out, and then the same one from the store.
+func TestTokenComesWithTheStore(t *testing.T) {
+	table := NewTable()
+	bare, whole := host("a", 5), host("a", 5)
+	whole.Token = "secret"
+	table.Put(start, 5, bare)
+	table.Put(start, 5, whole)
+	table.Put(start, 5, bare)
+	if got := table.Hosts(); len(got) != 1 || got[0].Token != "secret" {
+		t.Errorf("hosts %+v", got)
+	}
+}
+
+func TestTokensAreLeftOut(t *testing.T) {
+	h := host("a", 5)
+	h.Token = "secret"
+	value, err := h.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := WithoutTokens([]platform.KeyedRecord{{Key: "a", Offset: 5, Value: value}, {Key: "b", Value: []byte("{")}})
+	if len(got) != 1 || got[0].Offset != 5 || bytes.Contains(got[0].Value, []byte("secret")) {
+		t.Errorf("records %+v", got)
+	}
+}
+
 func TestOlderRecordsArePassedOver(t *testing.T) {
 	table := NewTable()
 	table.Put(start, 5, host("a", 5))
--- /dev/null
+++ b/picture/picture_test.go
@@ -0,0 +1,80 @@
+package picture
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/platform"
+)
+
+var topic = platform.Topic{Name: "keyed.test"}
+
+// seed serves a picture and returns its address.
+func seed(t *testing.T, whole bool, records ...platform.KeyedRecord) string {
+	t.Helper()
+	server := httptest.NewServer(NewServer(map[string]Read{
+		topic.Name: func() ([]platform.KeyedRecord, bool) { return records, whole },
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// deadSeed is the address of nobody, silentSeed one that says nothing.
+func deadSeed(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	return l.Addr().String()
+}
+
+func silentSeed(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+func TestNewestPictureIsTaken(t *testing.T) {
+	old := platform.KeyedRecord{Key: "a", Offset: 3, Value: []byte("old")}
+	fresh := platform.KeyedRecord{Key: "a", Offset: 7, Value: []byte{0, 255}}
+	c := NewClient([]string{
+		deadSeed(t), seed(t, true, old), silentSeed(t), seed(t, true, fresh), seed(t, false),
+	}, &http.Client{})
+	got, err := c.Ask(context.Background(), topic)
+	if err != nil || !reflect.DeepEqual(got, []platform.KeyedRecord{fresh}) {
+		t.Errorf("records %+v, error %v", got, err)
+	}
+}
+
+func TestNobodyHasAPicture(t *testing.T) {
+	for _, seeds := range [][]string{nil, {deadSeed(t), seed(t, false)}} {
+		if got, err := NewClient(seeds, &http.Client{}).Ask(context.Background(), topic); !errors.Is(err, ErrNobody) {
+			t.Errorf("records %+v, error %v", got, err)
+		}
+	}
+	c := NewClient([]string{seed(t, true)}, &http.Client{})
+	if _, err := c.Ask(context.Background(), platform.Topic{Name: "other"}); !errors.Is(err, ErrNobody) {
+		t.Errorf("topic that is not given out: %v", err)
+	}
+}
+
+// TestEmptyPicture asks for a topic that holds nothing.
+func TestEmptyPicture(t *testing.T) {
+	c := NewClient([]string{seed(t, true)}, &http.Client{})
+	if got, err := c.Ask(context.Background(), topic); err != nil || len(got) != 0 {
+		t.Errorf("records %+v, error %v", got, err)
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,10 @@
 	Readiness string
 	// Peers is that for the other hosts of the system.
 	Peers string
+	// Control is that at which hosts that start ask for what this one knows, or "".
+	Control string
+	// Seeds are such addresses of other hosts; they may be out of date.
+	Seeds []string
 	// Store is the address of the platform's metadata store.
 	Store string
 	// Memory is what the process may use.
@@ -38,7 +43,7 @@
 // Differs reports whether other settings differ in what needs a new start.
 func (s *Gateway) Differs(o *Gateway) bool {
 	return s.Name != o.Name || s.Zone != o.Zone || !maps.Equal(s.Regions, o.Regions) || s.Callers != o.Callers ||
-		s.Readiness != o.Readiness || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Grace != o.Grace
+		s.Readiness != o.Readiness || s.Control != o.Control || !slices.Equal(s.Seeds, o.Seeds) || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Grace != o.Grace
 }
 
 const (
@@ -75,11 +80,26 @@
 		Callers:   r.address("listen.callers"),
 		Readiness: r.address("listen.readiness"),
 		Peers:     r.address("listen.peers"),
+		Control:   r.optionalAddress("listen.control"),
+		Seeds:     r.list("host.seeds"),
 		Store:     r.address("store.address"),
 		JobStatus: r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
 	}
 }
 
+// list reads values that are separated by commas.
+func (r *reader) list(name string) []string {
+	r.ask(name, "value, ...", "")
+	k, _ := r.text(name)
+	var out []string
+	for _, field := range strings.Split(k.Value, ",") {
+		if field = strings.TrimSpace(field); field != "" {
+			out = append(out, field)
+		}
+	}
+	return out
+}
+
 // pairs reads a list of name=value, separated by commas.
 func (r *reader) pairs(name string) map[string]string {
 	r.ask(name, "name=value, ...", "")
--- a/settings/values.go
+++ b/settings/values.go
@@ -45,7 +45,17 @@
 // address reads a host:port to listen on.
 func (r *reader) address(name string) string {
 	r.ask(name, "ip:port, required", "")
-	k := r.needed(name)
+	return r.addressOf(name, r.needed(name))
+}
+
+// optionalAddress reads one that may be missing.
+func (r *reader) optionalAddress(name string) string {
+	r.ask(name, "ip:port", "")
+	k, _ := r.text(name)
+	return r.addressOf(name, k)
+}
+
+func (r *reader) addressOf(name string, k inifile.Key) string {
 	if k.Value == "" {
 		return ""
 	}
--- a/slots/attendance.go
+++ b/slots/attendance.go
@@ -78,14 +78,25 @@
 	return 2*t.here > t.here+t.elsewhere+t.unclear
 }
 
+// others counts the hosts that don't take part.
+func (a *attendance) others(hosts []peers.Host) int {
+	n := 0
+	for i := range hosts {
+		if !a.here[hosts[i].Name] {
+			n++
+		}
+	}
+	return n
+}
+
 // count counts the hosts listed. known is the time up to which their records were
 // read: without a record for peers.BeatBound after it was heard last, a host is gone.
 func (a *attendance) count(now, known time.Time, hosts []peers.Host, beat func(string) time.Time) turnout {
 	t := turnout{here: len(a.here)}
 	if known.IsZero() {
-		// A host that has read of nobody may be one of many.
-		t.unclear = t.here
-		return t
+		// A host that has not read of the others may be one of many; those that it
+		// was told of are alive for all it knows.
+		return turnout{here: t.here, elsewhere: a.others(hosts), unclear: t.here}
 	}
 	for i := range hosts {
 		name := hosts[i].Name
--- a/slots/attendance_test.go
+++ b/slots/attendance_test.go
@@ -129,6 +129,10 @@
 	if got := r.turnout(); got.majority() || got.share() != 1 {
 		t.Errorf("counted %+v", got)
 	}
+	r.hosts = []peers.Host{{Name: "host-1"}, {Name: "host-2"}}
+	if got := r.turnout(); got.majority() || got.share() != 0.5 {
+		t.Errorf("told of another host, counted %+v", got)
+	}
 	r.hosts, r.known = []peers.Host{{Name: "host-1"}}, r.now
 	r.expect(t, turnout{here: 1})
 }
--- a/slots/client.go
+++ b/slots/client.go
@@ -271,7 +271,7 @@
 }
 
 // candidates returns the hosts that come before this host's scheduler and may be
-// reached, and whether the scheduler is to stay if none is: it comes before this
+// reached: their token is known, and they were not unreachable a moment ago; and whether the scheduler is to stay if none is: it comes before this
 // host.
 func (c *Client) candidates() (out []peers.Host, stay bool) {
 	current := c.Scheduler()
@@ -282,7 +282,7 @@
 		if h.Name == current {
 			return out, true
 		}
-		if !c.passedOver(h.Name) {
+		if h.Token != "" && !c.passedOver(h.Name) {
 			out = append(out, h)
 		}
 	}
--- a/slots/election_test.go
+++ b/slots/election_test.go
@@ -60,7 +60,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	return peers.Host{Name: name, Address: "http://" + l.Addr().String()}
+	return peers.Host{Name: name, Address: "http://" + l.Addr().String(), Token: "token"}
 }
 
 // servingHost is a host that takes sessions.
