--- a/follow/follower.go
+++ b/follow/follower.go
@@ -58,6 +58,8 @@
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
 	retry := firstRetry
+	early := time.AfterFunc(borrowAfter, func() { f.borrow(ctx) })
+	defer early.Stop()
 	for ctx.Err() == nil {
 		began := clock.Now()
 		err := f.step(ctx)
@@ -229,7 +231,7 @@
 	f.mu.Lock()
 	needed := f.opts.Borrow != nil && f.complete.IsZero() && !f.borrowed
 	f.mu.Unlock()
-	if !needed {
+	if !needed || ctx.Err() != nil {
 		return
 	}
 	records, err := f.opts.Borrow(ctx)
@@ -239,6 +241,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.borrowed || !f.complete.IsZero() {
+		return
+	}
 	f.borrowed = true
 	end := int64(0)
 	if n := len(records); n > 0 {
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,9 +223,9 @@
 func TestPictureIsBorrowedUntilTheStoreAnswers(t *testing.T) {
 	r := newRig(t, 50*time.Millisecond)
 	r.follower.opts.Keep = true
-	asked := 0
+	var asked atomic.Int64
 	r.follower.opts.Borrow = func(context.Context) ([]platform.KeyedRecord, error) {
-		if asked++; asked == 1 {
+		if asked.Add(1) == 1 {
 			return nil, ErrStale
 		}
 		return []platform.KeyedRecord{{Key: "a", Offset: 4, Value: []byte("borrowed")}}, nil
@@ -247,6 +248,31 @@
 	}
 }
 
+// stuckStore answers no listing until it is released.
+type stuckStore struct {
+	Store
+	released chan struct{}
+}
+
+func (s *stuckStore) Newest(context.Context, platform.Topic, string) (platform.Snapshot, error) {
+	<-s.released
+	return platform.Snapshot{}, platform.ErrUnavailable
+}
+
+// TestPictureIsBorrowedBesideASilentStore starts a follower whose first call gets no
+// answer: others are asked meanwhile.
+func TestPictureIsBorrowedBesideASilentStore(t *testing.T) {
+	r := newRig(t, 50*time.Millisecond)
+	stuck := &stuckStore{Store: r.follower.opts.Store, released: make(chan struct{})}
+	r.follower.opts.Store = stuck
+	r.follower.opts.Borrow = func(context.Context) ([]platform.KeyedRecord, error) {
+		return []platform.KeyedRecord{{Key: "a", Offset: 4, Value: []byte("borrowed")}}, nil
+	}
+	r.run()
+	t.Cleanup(func() { close(stuck.released) })
+	r.awaitValue("a", "borrowed")
+}
+
 // narrowStore sends pages up to a size in time, and larger ones never.
 type narrowStore struct {
 	kilobytes int
--- a/follow/options.go
+++ b/follow/options.go
@@ -33,6 +33,9 @@
 	callTimeout = 800 * time.Millisecond
 	// listTimeout is that of one page of a listing.
 	listTimeout = 2 * time.Second
+	// borrowAfter is how long a first listing may take before other hosts are asked:
+	// a store that answers does so in less, also when it is slow.
+	borrowAfter = 300 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
