Bound the connections of hosts that serve routes by their descriptors and memory

The listeners of routes took any number of connections; a flood would have ended in descriptors or memory.

--- a/node/limitedlistener.go
+++ b/bounded/listener.go
@@ -1,4 +1,4 @@
-package node
+package bounded
 
 import (
 	"context"
@@ -12,39 +12,41 @@
 // that it is full; further ones are closed at once.
 const (
 	refusalsDivisor = 8
-	minRefusals     = 16
+	// MinRefusals is the least number of connections that are told so.
+	MinRefusals = 16
 )
 
-// limitedListener bounds the connections that are open at the same time.
-type limitedListener struct {
+// Listener bounds the connections that are open at the same time.
+type Listener struct {
 	net.Listener
 	limit    int64
 	refusals int64
 	open     atomic.Int64
-	metrics  *listenerMetrics
+	metrics  *Metrics
 }
 
-func newLimitedListener(l net.Listener, limit int, m *listenerMetrics) *limitedListener {
-	return &limitedListener{
+// NewListener returns a Listener that serves so many connections of l.
+func NewListener(l net.Listener, limit int, m *Metrics) *Listener {
+	return &Listener{
 		Listener: l,
 		limit:    int64(limit),
-		refusals: max(minRefusals, int64(limit/refusalsDivisor)),
+		refusals: max(MinRefusals, int64(limit/refusalsDivisor)),
 		metrics:  m,
 	}
 }
 
 // Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		accepted, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
 		n := l.open.Add(1)
-		l.metrics.open.Inc()
-		limited := &limitedConn{Conn: conn, listener: l, refused: n > l.limit}
+		l.metrics.Open.Inc()
+		limited := &conn{Conn: accepted, listener: l, refused: n > l.limit}
 		if limited.refused {
-			l.metrics.refused.Inc()
+			l.metrics.Refused.Inc()
 		}
 		if n <= l.limit+l.refusals {
 			return limited, nil
@@ -53,20 +55,20 @@
 	}
 }
 
-// limitedConn is a connection of a limitedListener.
-type limitedConn struct {
+// conn is a connection of a Listener.
+type conn struct {
 	net.Conn
-	listener *limitedListener
+	listener *Listener
 	// refused tells that the listener was full when the connection came.
 	refused bool
 	closed  atomic.Bool
 }
 
 // Close implements net.Conn.
-func (c *limitedConn) Close() error {
+func (c *conn) Close() error {
 	if !c.closed.Swap(true) {
 		c.listener.open.Add(-1)
-		c.listener.metrics.open.Dec()
+		c.listener.metrics.Open.Dec()
 	}
 	return c.Conn.Close()
 }
@@ -74,19 +76,19 @@
 // refusedKey is the context key that tells that a connection is refused.
 type refusedKey struct{}
 
-// noteRefused is the http.Server.ConnContext of a listener that is limited.
-func noteRefused(ctx context.Context, c net.Conn) context.Context {
+// NoteRefused is the http.Server.ConnContext of a listener that is limited.
+func NoteRefused(ctx context.Context, c net.Conn) context.Context {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
-	if l, ok := c.(*limitedConn); ok && l.refused {
+	if l, ok := c.(*conn); ok && l.refused {
 		return context.WithValue(ctx, refusedKey{}, true)
 	}
 	return ctx
 }
 
-// refuseWhenFull answers calls on refused connections by full in the place of h.
-func refuseWhenFull(h http.Handler, full http.HandlerFunc) http.Handler {
+// Refuse answers calls on refused connections by full in the place of h.
+func Refuse(h http.Handler, full http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Context().Value(refusedKey{}) == nil {
 			h.ServeHTTP(w, r)
@@ -97,8 +99,8 @@
 	})
 }
 
-// tellFull is the answer of listeners that aren't for callers.
-func tellFull(w http.ResponseWriter, _ *http.Request) {
+// TellFull is the answer of listeners that aren't for callers.
+func TellFull(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Retry-After", "1")
 	http.Error(w, "the host serves as many connections as it may", http.StatusServiceUnavailable)
 }
--- a/node/listenermetrics.go
+++ b/bounded/metrics.go
@@ -1,4 +1,4 @@
-package node
+package bounded
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
@@ -6,21 +6,23 @@
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
-// listenerVectors are the metrics of all listeners.
-type listenerVectors struct {
+// Vectors are the metrics of all listeners.
+type Vectors struct {
 	open    *prometheus.GaugeVec
 	refused *prometheus.CounterVec
 }
 
-// listenerMetrics are those of one listener.
-type listenerMetrics struct {
-	open    prometheus.Gauge
-	refused prometheus.Counter
+// Metrics are those of one listener.
+type Metrics struct {
+	// Open counts the connections open, Refused those that came when it was full.
+	Open    prometheus.Gauge
+	Refused prometheus.Counter
 }
 
-func newListenerVectors(r prometheus.Registerer) *listenerVectors {
+// NewVectors returns Vectors that are registered.
+func NewVectors(r prometheus.Registerer) *Vectors {
 	labels := []string{"party"}
-	v := &listenerVectors{
+	v := &Vectors{
 		open: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "peridotmount_listener_connections",
 			Help: "Connections open at a listener.",
@@ -34,9 +36,10 @@
 	return v
 }
 
-func (v *listenerVectors) of(p traffic.Party) *listenerMetrics {
-	return &listenerMetrics{
-		open:    v.open.WithLabelValues(string(p)),
-		refused: v.refused.WithLabelValues(string(p)),
+// Of returns the metrics of the listener for a party.
+func (v *Vectors) Of(p traffic.Party) *Metrics {
+	return &Metrics{
+		Open:    v.open.WithLabelValues(string(p)),
+		Refused: v.refused.WithLabelValues(string(p)),
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -51,6 +51,12 @@
 	f.serve(w, req, config.Limits)
 }
 
+// Full turns away requests on connections beyond those that the host serves.
+func (f *Forwarder) Full(w http.ResponseWriter, hr *http.Request) {
+	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: time.Now()}
+	f.reject(w, req, &Rejection{Reason: "the host serves as many connections as it may", RetryAfter: fullRetry})
+}
+
 // match finds the route of a request, or answers that there is none.
 func (f *Forwarder) match(w http.ResponseWriter, req *request, config *route.Configuration) bool {
 	req.route = config.Match(req.http.Host, req.http.URL.Path)
--- a/forward/options.go
+++ b/forward/options.go
@@ -38,6 +38,9 @@
 	// wholeAnswerBytes is the largest body that is held until it is complete, so
 	// that a cut answer can be repeated or refused.
 	wholeAnswerBytes = 256 << 10
+	// fullRetry is the Retry-After of a host that serves as many connections as it
+	// may: some requests end meanwhile, and the caller may reach another host.
+	fullRetry = time.Second
 	// hedgeShare is the part of its objective after which an idempotent request is
 	// tried at a second endpoint too; half leaves the hedge as much.
 	hedgeShare = 0.5
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/peridotmount/peridotmount/balance"
 	"github.com/peridotmount/peridotmount/batch"
+	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
@@ -92,6 +93,8 @@
 	control *listener
 	// asker asks other hosts what they know.
 	asker *picture.Client
+	// listenerMetrics are those of all listeners.
+	listenerMetrics *bounded.Vectors
 }
 
 // New puts a host together and binds its listeners. Its log goes to out.
@@ -127,6 +130,7 @@
 	g.logger = log.With(g.levels, "ts", log.DefaultTimestampUTC, "host", s.Name)
 	g.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	g.listenerMetrics = bounded.NewVectors(g.registry)
 	g.buildBeliefs()
 	g.buildScheduling()
 	g.buildJobs()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -9,8 +9,10 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/slots"
 	"github.com/peridotmount/peridotmount/sockopt"
+	"github.com/peridotmount/peridotmount/traffic"
 )
 
 const (
@@ -30,16 +32,29 @@
 	http   *http.Server
 }
 
-func listen(name, address string, handler http.Handler) (*listener, error) {
-	socket, err := sockopt.ListenConfig().Listen(context.Background(), "tcp", address)
+// listenerOptions shape a listener.
+type listenerOptions struct {
+	name    string
+	address string
+	handler http.Handler
+	// connections bounds those open at the same time.
+	connections int
+	metrics     *bounded.Metrics
+	// full answers calls when there are too many connections.
+	full http.HandlerFunc
+}
+
+func listen(o *listenerOptions) (*listener, error) {
+	socket, err := sockopt.ListenConfig().Listen(context.Background(), "tcp", o.address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for "+name)
+		return nil, errors.Wrap(err, "listen for "+o.name)
 	}
 	return &listener{
-		name:   name,
-		socket: socket,
+		name:   o.name,
+		socket: bounded.NewListener(socket, o.connections, o.metrics),
 		http: &http.Server{
-			Handler:           handler,
+			Handler:           bounded.Refuse(o.handler, o.full),
+			ConnContext:       bounded.NoteRefused,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    headerBytes,
@@ -69,23 +84,36 @@
 }
 
 func (g *Gateway) listen() error {
-	var err error
-	if g.callers, err = listen("callers", g.settings.Callers, g.forwarder); err != nil {
-		return err
-	}
 	own := http.NewServeMux()
 	own.Handle("POST "+slots.SessionPath, slots.NewServer(g.scheduler, g.self.Token, g.logger))
-	if g.peers, err = listen("peers", g.settings.Peers, own); err != nil {
-		return err
-	}
-	if g.settings.Control != "" {
-		if g.control, err = listen("control", g.settings.Control, g.pictures()); err != nil {
-			return err
-		}
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /ready", g.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
-	g.operators, err = listen("operators", g.settings.Readiness, mux)
-	return err
+	others := connectionsOfHosts
+	for _, l := range []struct {
+		at *(*listener)
+		o  listenerOptions
+	}{
+		{&g.callers, listenerOptions{
+			name: "callers", address: g.settings.Callers, handler: g.forwarder, full: g.forwarder.Full,
+			connections: callersConnections(g.settings.Descriptors, int64(g.settings.Memory)),
+		}},
+		{&g.peers, listenerOptions{name: "peers", address: g.settings.Peers, handler: own, full: bounded.TellFull, connections: others}},
+		{&g.operators, listenerOptions{
+			name: "operators", address: g.settings.Readiness, handler: mux, full: bounded.TellFull, connections: others,
+		}},
+		{&g.control, listenerOptions{
+			name: "control", address: g.settings.Control, handler: g.pictures(), full: bounded.TellFull, connections: others,
+		}},
+	} {
+		if l.o.address == "" {
+			continue
+		}
+		l.o.metrics = g.listenerMetrics.Of(traffic.Party(l.o.name))
+		var err error
+		if *l.at, err = listen(&l.o); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/node/limitedlistener_test.go
+++ b/node/limitedlistener_test.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/standin"
 	"github.com/peridotmount/peridotmount/traffic"
@@ -26,12 +27,12 @@
 	t       *testing.T
 	address string
 	client  *tls.Config
-	metrics *listenerMetrics
+	metrics *bounded.Metrics
 }
 
 func newLimitedServer(t *testing.T, secured bool) *limitedServer {
 	t.Helper()
-	s := &limitedServer{t: t, metrics: newListenerVectors(prometheus.NewRegistry()).of(traffic.PartyCallers)}
+	s := &limitedServer{t: t, metrics: bounded.NewVectors(prometheus.NewRegistry()).Of(traffic.PartyCallers)}
 	o := serverOptions{
 		party: traffic.PartyCallers, address: "127.0.0.1:0", connections: testConnections,
 		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
@@ -127,7 +128,7 @@
 	if state := resp.Header.Get("Peridotmount-Run-State"); state != "unknown" {
 		t.Errorf("run state of a keyed call: %q", state)
 	}
-	if n := testutil.ToFloat64(s.metrics.refused); n != 2 {
+	if n := testutil.ToFloat64(s.metrics.Refused); n != 2 {
 		t.Errorf("%v refusals counted", n)
 	}
 	s.expect(served[0], http.StatusOK)
@@ -139,7 +140,7 @@
 // await waits until so many connections are open.
 func (s *limitedServer) await(open float64) {
 	s.t.Helper()
-	for testutil.ToFloat64(s.metrics.open) != open {
+	for testutil.ToFloat64(s.metrics.Open) != open {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -148,15 +149,15 @@
 // without sending anything on them.
 func TestFloodIsBounded(t *testing.T) {
 	s := newLimitedServer(t, false)
-	const flood = 5 * (testConnections + minRefusals)
+	const flood = 5 * (testConnections + bounded.MinRefusals)
 	for range flood {
 		s.dial()
 	}
-	for testutil.ToFloat64(s.metrics.refused) != flood-testConnections {
+	for testutil.ToFloat64(s.metrics.Refused) != flood-testConnections {
 		time.Sleep(time.Millisecond)
 	}
 	// The last connection that was accepted may just be closing.
-	if open := testutil.ToFloat64(s.metrics.open); open > testConnections+minRefusals+1 {
+	if open := testutil.ToFloat64(s.metrics.Open); open > testConnections+bounded.MinRefusals+1 {
 		t.Errorf("%v connections are open", open)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/dispatch"
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/gossip"
@@ -41,7 +42,7 @@
 	registry *prometheus.Registry
 	metrics  *metrics
 	// listeners are the metrics of all listeners.
-	listeners *listenerVectors
+	listeners *bounded.Vectors
 	// buildErr is what stopped the parts from being made.
 	buildErr error
 	clock    *timeline.Clock
@@ -106,7 +107,7 @@
 		incarnation: time.Now().UnixNano(),
 	}
 	n.metrics = newMetrics(n.registry)
-	n.listeners = newListenerVectors(n.registry)
+	n.listeners = bounded.NewVectors(n.registry)
 	n.traffic = traffic.NewCounter(n.registry)
 	n.clock = timeline.NewClock(time.Now)
 	if s.Timeline.Record {
--- a/node/server.go
+++ b/node/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
@@ -33,7 +34,7 @@
 	// tls is nil for plain HTTP.
 	tls     *tls.Config
 	traffic *traffic.Counter
-	metrics *listenerMetrics
+	metrics *bounded.Metrics
 }
 
 // server is one HTTP listener as a suture service.
@@ -47,11 +48,11 @@
 	return &server{
 		opts: o,
 		http: &http.Server{
-			Handler:           refuseWhenFull(o.handler, o.full),
+			Handler:           bounded.Refuse(o.handler, o.full),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    o.headerLimit,
-			ConnContext:       noteRefused,
+			ConnContext:       bounded.NoteRefused,
 		},
 	}
 }
@@ -63,7 +64,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", s.opts.party)
 	}
-	l = newLimitedListener(s.opts.traffic.Listener(l, s.opts.party), s.opts.connections, s.opts.metrics)
+	l = bounded.NewListener(s.opts.traffic.Listener(l, s.opts.party), s.opts.connections, s.opts.metrics)
 	if s.opts.tls != nil {
 		l = tls.NewListener(l, s.opts.tls)
 	}
--- a/node/servers.go
+++ b/node/servers.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/peridotmount/peridotmount/admission"
+	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/gossip"
 	"github.com/peridotmount/peridotmount/httpjson"
@@ -29,7 +30,7 @@
 		address:     listen.Operators,
 		connections: listen.OperatorsConnections,
 		handler:     n.operatorHandler(),
-		full:        tellFull,
+		full:        bounded.TellFull,
 		tls:         n.listenerTLS(files.Operators),
 	})
 	n.peers = n.newServer(serverOptions{
@@ -37,7 +38,7 @@
 		address:     listen.Peers,
 		connections: listen.PeersConnections,
 		handler:     httpjson.RequireSecret(listen.Secret, peers),
-		full:        tellFull,
+		full:        bounded.TellFull,
 		tls:         n.listenerTLS(files.Peers),
 	})
 }
@@ -47,7 +48,7 @@
 	o.drain = n.settings.Host.DrainTimeout
 	o.headerLimit = int(n.settings.Listen.HeaderLimit)
 	o.traffic = n.traffic
-	o.metrics = n.listeners.of(o.party)
+	o.metrics = n.listeners.Of(o.party)
 	return newServer(o)
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -34,6 +34,8 @@
 	Store string
 	// Memory is what the process may use.
 	Memory Bytes
+	// Descriptors is how many files and sockets the process may have open.
+	Descriptors int
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// JobStatus is how long after its submission a batch job can be read.
@@ -43,7 +45,7 @@
 // Differs reports whether other settings differ in what needs a new start.
 func (s *Gateway) Differs(o *Gateway) bool {
 	return s.Name != o.Name || s.Zone != o.Zone || !maps.Equal(s.Regions, o.Regions) || s.Callers != o.Callers ||
-		s.Readiness != o.Readiness || s.Control != o.Control || !slices.Equal(s.Seeds, o.Seeds) || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Grace != o.Grace
+		s.Readiness != o.Readiness || s.Control != o.Control || !slices.Equal(s.Seeds, o.Seeds) || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Descriptors != o.Descriptors || s.Grace != o.Grace
 }
 
 const (
@@ -51,7 +53,11 @@
 	defaultGrace     = 8 * time.Second
 	defaultJobStatus = 120 * time.Second
 	minMemory        = 32 * MiB
-	maxMemory        = 1024 * GiB
+
+	defaultDescriptors = 4096
+	minDescriptors     = 256
+	maxDescriptors     = 1 << 20
+	maxMemory          = 1024 * GiB
 )
 
 // LoadGateway reads the settings of a host that serves routes. The error is
@@ -71,19 +77,20 @@
 
 func (r *reader) gateway() *Gateway {
 	return &Gateway{
-		Name:      r.required("host.name"),
-		Zone:      r.required("host.zone"),
-		Regions:   r.pairs("host.regions"),
-		LogLevel:  r.oneOf("host.log_level", "info", "debug", "info", "warn", "error"),
-		Memory:    r.size("host.memory", minMemory, maxMemory, defaultMemory),
-		Grace:     r.duration("host.grace", time.Second, time.Hour, defaultGrace),
-		Callers:   r.address("listen.callers"),
-		Readiness: r.address("listen.readiness"),
-		Peers:     r.address("listen.peers"),
-		Control:   r.optionalAddress("listen.control"),
-		Seeds:     r.list("host.seeds"),
-		Store:     r.address("store.address"),
-		JobStatus: r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
+		Name:        r.required("host.name"),
+		Zone:        r.required("host.zone"),
+		Regions:     r.pairs("host.regions"),
+		LogLevel:    r.oneOf("host.log_level", "info", "debug", "info", "warn", "error"),
+		Memory:      r.size("host.memory", minMemory, maxMemory, defaultMemory),
+		Descriptors: r.number("host.descriptors", minDescriptors, maxDescriptors, defaultDescriptors),
+		Grace:       r.duration("host.grace", time.Second, time.Hour, defaultGrace),
+		Callers:     r.address("listen.callers"),
+		Readiness:   r.address("listen.readiness"),
+		Peers:       r.address("listen.peers"),
+		Control:     r.optionalAddress("listen.control"),
+		Seeds:       r.list("host.seeds"),
+		Store:       r.address("store.address"),
+		JobStatus:   r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
 	}
 }
 
