--- a/admission/renewer.go
+++ b/admission/renewer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/objects"
 	"github.com/peridotmount/peridotmount/platform"
 )
@@ -22,16 +23,9 @@
 
 // Serve implements suture.Service.
 func (r *Renewer) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(r.client.opts.Renew)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			r.renew(ctx)
-		}
-	}
+	return clock.Every(ctx, r.client.opts.Renew, func(time.Time) {
+		r.renew(ctx)
+	})
 }
 
 // renew sends each ticket to its endpoint's home of now, so that a new home
--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -41,13 +41,13 @@
 	}
 }
 
-// gatewayFor picks a gateway that no other fault has in hand; free gives it back.
-func (s *soak) gatewayFor(r *rand.Rand) (g *gateway, free func()) {
+// withGateway does harm to a gateway that no other fault has in hand.
+func (s *soak) withGateway(r *rand.Rand, harm func(g *gateway)) {
 	i := r.IntN(len(s.gateways))
-	if !s.inHand[i].TryLock() {
-		return nil, nil
+	if s.inHand[i].TryLock() {
+		defer s.inHand[i].Unlock()
+		harm(s.gateways[i])
 	}
-	return s.gateways[i], s.inHand[i].Unlock
 }
 
 // again starts a gateway again, and gives it time to be ready.
@@ -60,46 +60,34 @@
 }
 
 func soakKill(s *soak, r *rand.Rand, d time.Duration) {
-	g, free := s.gatewayFor(r)
-	if g == nil {
-		return
-	}
-	defer free()
-	g.kill()
-	time.Sleep(d)
-	s.again(g)
+	s.withGateway(r, func(g *gateway) {
+		g.kill()
+		time.Sleep(d)
+		s.again(g)
+	})
 }
 
 func soakTerminate(s *soak, r *rand.Rand, d time.Duration) {
-	g, free := s.gatewayFor(r)
-	if g == nil {
-		return
-	}
-	defer free()
-	g.stop()
-	if code := g.cmd.ProcessState.ExitCode(); code != 0 {
-		s.t.Errorf("%s ended with code %d", g.name, code)
-	}
-	time.Sleep(d)
-	s.again(g)
+	s.withGateway(r, func(g *gateway) {
+		g.stop()
+		if code := g.cmd.ProcessState.ExitCode(); code != 0 {
+			s.t.Errorf("%s ended with code %d", g.name, code)
+		}
+		time.Sleep(d)
+		s.again(g)
+	})
 }
 
 func soakFreeze(s *soak, r *rand.Rand, d time.Duration) {
-	g, free := s.gatewayFor(r)
-	if g == nil {
-		return
-	}
-	defer free()
-	g.freeze()
-	time.Sleep(d)
-	g.thaw()
+	s.withGateway(r, func(g *gateway) {
+		g.freeze()
+		time.Sleep(d)
+		g.thaw()
+	})
 }
 
 func soakReload(s *soak, r *rand.Rand, _ time.Duration) {
-	if g, free := s.gatewayFor(r); g != nil {
-		defer free()
-		g.signal(syscall.SIGHUP)
-	}
+	s.withGateway(r, func(g *gateway) { g.signal(syscall.SIGHUP) })
 }
 
 // storeFault plays a fault of the store, one at a time.
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -100,18 +100,11 @@
 
 // Serve implements suture.Service.
 func (e *endpoints) Serve(ctx context.Context) error {
-	tick := time.NewTicker(endpointTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			e.mu.Lock()
-			e.publish(e.table.Tick(clock.Now()))
-			e.mu.Unlock()
-		}
-	}
+	return clock.Every(ctx, endpointTick, func(time.Time) {
+		e.mu.Lock()
+		e.publish(e.table.Tick(clock.Now()))
+		e.mu.Unlock()
+	})
 }
 
 // publish replaces the view and says what changed.
--- a/gateway/janitor.go
+++ b/gateway/janitor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/peridotmount/peridotmount/batch"
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/slots"
 )
 
@@ -26,17 +27,10 @@
 
 // Serve implements suture.Service.
 func (j *janitor) Serve(ctx context.Context) error {
-	tick := time.NewTicker(janitorEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-tick.C:
-			j.ledger.Forget(now, j.client.Scheduler() == j.host)
-			if j.client.Scheduler() == j.host {
-				j.ledger.GiveUp(ctx, now)
-			}
+	return clock.Every(ctx, janitorEvery, func(now time.Time) {
+		j.ledger.Forget(now, j.client.Scheduler() == j.host)
+		if j.client.Scheduler() == j.host {
+			j.ledger.GiveUp(ctx, now)
 		}
-	}
+	})
 }
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/gossip"
 	"github.com/peridotmount/peridotmount/objects"
 )
@@ -73,16 +74,9 @@
 
 // Serve implements suture.Service.
 func (l *Limiter) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			l.exchange(time.Now())
-		}
-	}
+	return clock.Every(ctx, exchangeInterval, func(now time.Time) {
+		l.exchange(now)
+	})
 }
 
 // exchange publishes this entry's demand and takes up that of the live others.
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -107,21 +107,14 @@
 
 // Serve implements suture.Service.
 func (d *Directory) Serve(ctx context.Context) error {
-	tick := time.NewTicker(expireEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			d.mu.Lock()
-			for _, name := range d.table.Expire(clock.Now()) {
-				_ = level.Info(d.logger).Log("event", "host_expired", "name", name, "after_ms", Expiry.Milliseconds())
-			}
-			d.publish()
-			d.mu.Unlock()
+	return clock.Every(ctx, expireEvery, func(time.Time) {
+		d.mu.Lock()
+		for _, name := range d.table.Expire(clock.Now()) {
+			_ = level.Info(d.logger).Log("event", "host_expired", "name", name, "after_ms", Expiry.Milliseconds())
 		}
-	}
+		d.publish()
+		d.mu.Unlock()
+	})
 }
 
 // publish replaces the list if it changed but for heartbeats.
--- a/publication/refresher.go
+++ b/publication/refresher.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/clock"
 )
 
 // Refresher appends refreshes of the revision in force before the start of the
@@ -28,18 +30,11 @@
 
 // Serve implements suture.Service.
 func (r *Refresher) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(max(r.interval/refreshChecks, time.Millisecond))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			if r.leads() && r.follower.needsRefresh(now, r.interval) {
-				r.refresh(ctx)
-			}
+	return clock.Every(ctx, max(r.interval/refreshChecks, time.Millisecond), func(now time.Time) {
+		if r.leads() && r.follower.needsRefresh(now, r.interval) {
+			r.refresh(ctx)
 		}
-	}
+	})
 }
 
 // String names the service to its supervisor.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/sockopt"
 )
 
@@ -41,16 +42,9 @@
 
 // Serve implements suture.Service.
 func (p *Pool) Serve(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			p.sweep(time.Now())
-		}
-	}
+	return clock.Every(ctx, sweepEvery, func(now time.Time) {
+		p.sweep(now)
+	})
 }
 
 // Warm reports whether a connection to an endpoint is idle.
