--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -66,6 +67,8 @@
 	rota     *rota
 	server   *httptest.Server
 	seq      int
+	// lines is the log; read it after the server is closed.
+	lines bytes.Buffer
 }
 
 func newBench(t *testing.T, r route.Route, replicas, events int) *bench {
@@ -91,7 +94,7 @@
 		Jobs:          http.NotFoundHandler(),
 		Draining:      func() bool { return false },
 		BodyBudget:    16 << 20,
-		Logger:        log.NewNopLogger(),
+		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.lines)),
 	})
 	b.server = httptest.NewServer(f)
 	t.Cleanup(b.server.Close)
@@ -310,6 +313,10 @@
 	if _, a := b.send(context.Background(), "", nil); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
 		t.Errorf("status %d without a configuration", a.status)
 	}
+	b.server.Close()
+	if n := strings.Count(b.lines.String(), `"target":"h.example/p/`); n != 3 {
+		t.Errorf("%d of 3 lines say what was asked for:\n%s", n, b.lines.String())
+	}
 }
 
 // events returns the events that a client should have got of a stream.
--- a/forward/options.go
+++ b/forward/options.go
@@ -38,6 +38,8 @@
 	// wholeAnswerBytes is the largest body that is held until it is complete, so
 	// that a cut answer can be repeated or refused.
 	wholeAnswerBytes = 256 << 10
+	// targetBytes bounds the host and path in a line of the log; callers choose them.
+	targetBytes = 200
 	// fullRetry is the Retry-After of a host that serves as many connections as it
 	// may: some requests end meanwhile, and the caller may reach another host.
 	fullRetry = time.Second
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -79,16 +79,18 @@
 // finished logs and counts the end of a request.
 func (f *Forwarder) finished(req *request, status int) {
 	now := time.Now()
-	kind, name := "none", ""
+	// Where no route says what was asked for, the line has to.
+	kind, name, target := "none", "", req.http.Host+req.http.URL.Path
+	target = target[:min(len(target), targetBytes)]
 	if req.route != nil {
-		kind, name = req.route.Kind.String(), req.route.Name
+		kind, name, target = req.route.Kind.String(), req.route.Name, ""
 	}
 	f.metrics.observe(kind, status, now.Sub(req.started))
 	first := time.Duration(0)
 	if !req.firstByte.IsZero() {
 		first = req.firstByte.Sub(req.started)
 	}
-	_ = level.Info(f.opts.Logger).Log("event", "request", "request", req.ID, "route", name, "kind", kind,
+	_ = level.Info(f.opts.Logger).Log("event", "request", "request", req.ID, "route", name, "kind", kind, "target", target,
 		"config", req.version, "status", status, "reason", req.reason, "inputs", req.inputs,
 		"retry_after_ms", req.retryAfter.Milliseconds(), "endpoints", req.tried,
 		"ran", req.ran, "refused", req.refused, "placed_ms", req.placed.Milliseconds(),
