--- a/admission/client.go
+++ b/admission/client.go
@@ -104,7 +104,7 @@
 	return t
 }
 
-// Reachable tells whether the home of an endpoint is known and not silent.
+// Reachable reports whether the home of an endpoint is known and not silent.
 func (c *Client) Reachable(endpoint string) bool {
 	_, err := c.home(endpoint)
 	return err == nil
--- a/admission/duty.go
+++ b/admission/duty.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// Ask takes up a request; its one Outcome is sent on the channel returned.
+// Ask handles a request; its one Outcome is sent on the channel returned.
 func (d *Duty) Ask(req *Request) <-chan Outcome {
 	reply := make(chan Outcome, 1)
 	lane := d.others
@@ -141,7 +141,7 @@
 	})
 }
 
-// Renew takes up the tickets that an entry uses.
+// Renew records the tickets that an entry uses.
 func (d *Duty) Renew(tickets []Running) {
 	byEndpoint := make(map[string][]Running)
 	for i := range tickets {
--- a/admission/home.go
+++ b/admission/home.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// Resize takes up a new number of slots.
+// Resize sets a new number of slots.
 func (h *Home) Resize(now time.Time, slots int) []Effect {
 	h.begin()
 	if slots != h.slots && slots > 0 {
@@ -88,7 +88,7 @@
 	return h.pump(now)
 }
 
-// Ask takes up a request. Asking again for a ticket in use grants it again.
+// Ask handles a request. Asking again for a ticket in use grants it again.
 func (h *Home) Ask(now time.Time, req *Request) []Effect {
 	h.begin()
 	if t := h.running[req.Ticket]; t != nil {
@@ -131,7 +131,7 @@
 	return h.pump(now)
 }
 
-// Release gives a ticket back and takes up what its entry measured.
+// Release gives a ticket back and records what its entry measured.
 func (h *Home) Release(now time.Time, r *Release) []Effect {
 	h.begin()
 	h.concurrency.sample(r.Times)
@@ -139,7 +139,7 @@
 	return h.pump(now)
 }
 
-// Renew takes up the tickets that an entry uses. Tickets not known are counted
+// Renew records the tickets that an entry uses. Tickets not known are counted
 // from now on, so that a new home learns what runs.
 func (h *Home) Renew(now time.Time, tickets []Running) []Effect {
 	h.begin()
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -73,7 +73,7 @@
 	return h.nextBatch(now)
 }
 
-// free tells whether an online or batch ticket may start.
+// free reports whether an online or batch ticket may start.
 func (h *Home) free() bool {
 	return h.active() < h.shared() && len(h.running) < h.slots
 }
--- a/bounded/listener.go
+++ b/bounded/listener.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 )
 
-// Beyond its limit a listener takes up a few connections more, just to answer
+// Beyond its limit a listener accepts a few connections more, just to answer
 // that it is full; further ones are closed at once.
 const (
 	refusalsDivisor = 8
--- a/cli/docs_test.go
+++ b/cli/docs_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// matchesMetric tells whether word is a metric, a series of one, or, if it ends
+// matchesMetric reports whether word is a metric, a series of one, or, if it ends
 // with _, the start of one.
 func matchesMetric(word string, names []string) bool {
 	for _, name := range names {
--- a/cli/publish.go
+++ b/cli/publish.go
@@ -31,7 +31,7 @@
 // published is the JSON output of the publish command.
 type published struct {
 	Revision int64 `json:"revision"`
-	// Changed tells whether there was anything to publish.
+	// Changed reports whether there was anything to publish.
 	Changed bool `json:"changed"`
 	// InForce tells that all live hosts act by the revision.
 	InForce bool `json:"in_force"`
--- a/cli/standinready.go
+++ b/cli/standinready.go
@@ -11,7 +11,7 @@
 	"github.com/peridotmount/peridotmount/httpjson"
 )
 
-// newStandinReady returns the command that tells whether a local fleet listens.
+// newStandinReady returns the command that reports whether a local fleet listens.
 func newStandinReady() *cobra.Command {
 	var serving bool
 	cmd := &cobra.Command{
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -101,7 +101,7 @@
 	return d.opts.Tickets.Reachable
 }
 
-// ticketed tells whether calls wait for tickets.
+// ticketed reports whether calls wait for tickets.
 func (d *Dispatcher) ticketed() bool {
 	return d.opts.Tickets != nil && !d.opts.Policy.Baseline
 }
--- a/dispatch/feeder.go
+++ b/dispatch/feeder.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// news tells whether an entry is newer than the last one of its origin.
+// news reports whether an entry is newer than the last one of its origin.
 func (f *Feeder) news(e *gossip.Entry) bool {
 	key := string(e.Kind) + " " + e.Origin
 	last, found := f.seen[key]
--- a/dispatch/guarded.go
+++ b/dispatch/guarded.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-// died tells whether the endpoint died under a stream that broke off.
+// died reports whether the endpoint died under a stream that broke off.
 func (a *attempt) died(ctx context.Context, l *leg, err error) bool {
 	if a.d.opts.Guard == nil || ctx.Err() != nil || !errors.Is(err, engine.ErrBroken) {
 		return false
@@ -50,7 +50,7 @@
 // prober asks endpoints on connections of its own.
 var prober = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-// listens tells whether a process still serves at an address. A paused one
+// listens reports whether a process still serves at an address. A paused one
 // does not answer in time, and still counts. A connection that is accepted is
 // not enough: a dying process may close its listener last.
 func listens(ctx context.Context, address string) bool {
--- a/dispatch/lag.go
+++ b/dispatch/lag.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// fired tells whether the stream was given up.
+// fired reports whether the stream was given up.
 func (g *lag) fired() bool {
 	return g != nil && g.late.Load()
 }
--- a/dispatch/leg.go
+++ b/dispatch/leg.go
@@ -115,7 +115,7 @@
 	return l.a.d.router.measured(l.a.pool, l.host.Name, times)
 }
 
-// revoked tells whether the home took the stream off.
+// revoked reports whether the home took the stream off.
 func (l *leg) revoked() bool {
 	if l.ticket == nil {
 		return false
@@ -128,7 +128,7 @@
 	}
 }
 
-// canceledByHome tells whether err is the engine's side of a revocation that
+// canceledByHome reports whether err is the engine's side of a revocation that
 // arrived before the home's message.
 func (l *leg) canceledByHome(err error) bool {
 	return l.ticket != nil && l.a.want.req.Revocable && errors.Is(err, engine.ErrCanceled)
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -24,7 +24,7 @@
 	Urgent, Online, Batch *http.Client
 	// Tickets asks homes; nil sends calls without tickets.
 	Tickets *admission.Client
-	// Observe takes up what a failure says of a run of an endpoint; nil drops it.
+	// Observe handles what a failure says of a run of an endpoint; nil drops it.
 	Observe func(endpoint string, incarnation int64, c membership.Condition)
 	// Guard keeps requests that crash endpoints away; nil allows all.
 	Guard Guard
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// refresh takes up a new view. The caller holds mu.
+// refresh applies a new view. The caller holds mu.
 func (r *router) refresh() {
 	view := r.view()
 	if view == r.seen {
@@ -124,7 +124,7 @@
 	r.table(pool).Done(endpoint, class)
 }
 
-// measured takes up times of a stream in progress and returns the time between
+// measured records times of a stream in progress and returns the time between
 // tokens that is typical of the pool, or 0.
 func (r *router) measured(pool, endpoint string, times admission.Times) time.Duration {
 	r.mu.Lock()
--- a/dispatch/runstate.go
+++ b/dispatch/runstate.go
@@ -1,6 +1,6 @@
 package dispatch
 
-// RunState tells whether a request's work ran.
+// RunState reports whether a request's work ran.
 type RunState string
 
 // Run states of a finished request.
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -79,7 +79,7 @@
 	return t, nil
 }
 
-// follows tells whether the call starts before its ticket: urgent always, as
+// follows reports whether the call starts before its ticket: urgent always, as
 // the home takes batch off for it, online where there is headroom.
 func (w *want) follows(choice *routing.Choice) bool {
 	if w.req.Alone {
@@ -119,7 +119,7 @@
 	return err
 }
 
-// over tells whether the call has waited as long as it may.
+// over reports whether the call has waited as long as it may.
 func (w *want) over() bool {
 	if w.class != objects.ClassBatch && w.refusals >= maxRefusals {
 		return true
@@ -141,7 +141,7 @@
 	}
 }
 
-// again tells whether all endpoints are asked once more: those whose homes
+// again reports whether all endpoints are asked once more: those whose homes
 // refused, until the call has waited long enough, and once those whose homes
 // were silent, then without waiting for a ticket.
 func (w *want) again(ctx context.Context) bool {
--- a/e2e/entry_stream_test.go
+++ b/e2e/entry_stream_test.go
@@ -70,7 +70,7 @@
 	return p
 }
 
-// line takes up one line of the stream. The id of an event comes before its
+// line handles one line of the stream. The id of an event comes before its
 // data; an event that broke off between them counts as not read.
 func (p *streamPart) line(t *testing.T, line string) {
 	t.Helper()
--- a/e2e/ledger_jobs_test.go
+++ b/e2e/ledger_jobs_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// getJSON reads a URL of a stand-in or an operators' listener and tells whether
+// getJSON reads a URL of a stand-in or an operators' listener and reports whether
 // it was answered.
 func getJSON(url string, out any) bool {
 	req, err := http.NewRequest(http.MethodGet, url, nil)
--- a/e2e/operations_fleet_test.go
+++ b/e2e/operations_fleet_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// alive tells whether a process runs; one that ended and waits for its parent
+// alive reports whether a process runs; one that ended and waits for its parent
 // to take note does not.
 func alive(pid int) bool {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/entry/eventid.go
+++ b/entry/eventid.go
@@ -69,7 +69,7 @@
 	return e, nil
 }
 
-// ownsStream tells whether the stream belongs to the event's request: the id
+// ownsStream reports whether the stream belongs to the event's request: the id
 // comes from outside, and must not open another request's stream.
 func (e *eventID) ownsStream() bool {
 	return strings.HasPrefix(e.at.StreamID, e.request+".")
@@ -86,7 +86,7 @@
 	return p
 }
 
-// add takes up the next token and returns the hash of all tokens so far. The
+// add appends the next token and returns the hash of all tokens so far. The
 // token's length goes in too, so that other cuts of the same text differ.
 func (p *prefixHash) add(token string) uint64 {
 	// Writes to a hash never fail.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -33,7 +33,7 @@
 	return nil, err
 }
 
-// join tells whether a request may follow a run of this host.
+// join reports whether a request may follow a run of this host.
 func join(r *run, k *keyedCall) error {
 	switch {
 	case r.digest != k.digest:
@@ -168,7 +168,7 @@
 	}
 }
 
-// outOfReach tells whether the partition gave no answer.
+// outOfReach reports whether the partition gave no answer.
 func outOfReach(err error) bool {
 	return errors.Is(err, keeper.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded)
 }
--- a/entry/keyedcall.go
+++ b/entry/keyedcall.go
@@ -108,7 +108,7 @@
 	return attemptKey(k.key, k.attempt)
 }
 
-// resumable tells whether the engine that ran the request may still be asked.
+// resumable reports whether the engine that ran the request may still be asked.
 func (k *keyedCall) resumable() bool {
 	return k.resume != nil && k.resume.at.Endpoint != "" && k.resume.ownsStream()
 }
--- a/entry/keyedcompletion.go
+++ b/entry/keyedcompletion.go
@@ -94,7 +94,7 @@
 	return writer.Whole(a.Tokens, a.Finish)
 }
 
-// writeRecording tells whether the answer is durable.
+// writeRecording reports whether the answer is durable.
 func writeRecording(w http.ResponseWriter, r *run) {
 	w.Header().Set(HeaderRecording, recordingState(r))
 }
--- a/entry/keyedplain.go
+++ b/entry/keyedplain.go
@@ -38,7 +38,7 @@
 	return nil
 }
 
-// callPlain carries the call out and takes up the whole answer. An answer that
+// callPlain carries the call out and reads the whole answer. An answer that
 // breaks off is none: the call has run, and what came of it is not known.
 func (e *Entry) callPlain(ctx context.Context, call *dispatch.PlainCall) *answer {
 	resp, err := e.opts.Dispatcher.Plain(ctx, call)
--- a/entry/keyedstream.go
+++ b/entry/keyedstream.go
@@ -57,7 +57,7 @@
 	return s.finish(end)
 }
 
-// token takes up the token at an offset and writes it if the caller lacks it.
+// token handles the token at an offset and writes it if the caller lacks it.
 func (s *keyedStream) token(offset int, token string) error {
 	prefix := s.prefix.add(token)
 	s.count = offset + 1
--- a/entry/options.go
+++ b/entry/options.go
@@ -37,7 +37,7 @@
 	Requests Requests
 	// Limiter bounds what customers send; nil bounds nothing.
 	Limiter Limiter
-	// Registerer takes up the metrics; nil means none.
+	// Registerer registers the metrics; nil means none.
 	Registerer prometheus.Registerer
 	// Drain bounds the time that a shutdown waits for results to be recorded.
 	Drain  time.Duration
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -17,7 +17,7 @@
 	return &outage{until: make(map[int]time.Time)}
 }
 
-// open tells whether a call may try the partition at now. After a failure one
+// open reports whether a call may try the partition at now. After a failure one
 // call in each pause goes through.
 func (o *outage) open(partition int, now time.Time) bool {
 	o.mu.Lock()
@@ -33,7 +33,7 @@
 	return true
 }
 
-// note takes up the outcome of a call.
+// note records the outcome of a call.
 func (o *outage) note(partition int, failed bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -16,7 +16,7 @@
 // compressors keeps the tables of writers, which cost more than a message.
 var compressors = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
 
-// wireEntry is an Entry whose data stands in the message as JSON.
+// wireEntry is an Entry whose data is in the message as JSON.
 type wireEntry struct {
 	Entry
 	Data json.RawMessage `json:"data"`
--- a/gossip/entry.go
+++ b/gossip/entry.go
@@ -37,7 +37,7 @@
 	Counter uint64 `json:"counter"`
 }
 
-// Before tells whether v is older than w.
+// Before reports whether v is older than w.
 func (v Version) Before(w Version) bool {
 	if v.Incarnation != w.Incarnation {
 		return v.Incarnation < w.Incarnation
@@ -63,7 +63,7 @@
 	Data []byte `json:"data"`
 }
 
-// visible tells whether a host in zone and region may hold the entry.
+// visible reports whether a host in zone and region may hold the entry.
 func (e *Entry) visible(zone, region string) bool {
 	switch e.Scope {
 	case ScopeZone:
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -10,7 +10,7 @@
 	return Message{From: s.self(), Digest: s.digest(), Entries: entries}
 }
 
-// Answer takes up the first half of an exchange and builds the second.
+// Answer applies the first half of an exchange and builds the second.
 func (s *Store) Answer(m *Message) Message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -24,7 +24,7 @@
 	return Message{From: s.self(), Entries: append(entries, without(pushed, entries)...)}
 }
 
-// Receive takes up the second half of an exchange and returns the number of
+// Receive applies the second half of an exchange and returns the number of
 // entries that were news.
 func (s *Store) Receive(m *Message) int {
 	s.mu.Lock()
@@ -49,7 +49,7 @@
 	return news
 }
 
-// confirm takes up a better Since of an entry that is held already.
+// confirm applies a better Since of an entry that is held already.
 func (s *Store) confirm(e *Entry) {
 	r := s.index[e.Kind][e.Key][e.Origin]
 	if r == nil || r.from == "" || r.Version != e.Version || e.Since >= r.Since {
--- a/gossip/store.go
+++ b/gossip/store.go
@@ -67,7 +67,7 @@
 	s.put(o, &record{Entry: e})
 }
 
-// Merge takes up a single entry from another host and tells whether it was
+// Merge applies a single entry from another host and reports whether it was
 // news. It takes nothing from it about the origin's other entries.
 func (s *Store) Merge(e Entry) bool {
 	s.mu.Lock()
--- a/keeper/core/core.go
+++ b/keeper/core/core.go
@@ -72,7 +72,7 @@
 	return c.replay.State()
 }
 
-// Leads tells whether this host leads the partition at now.
+// Leads reports whether this host leads the partition at now.
 func (c *Core) Leads(now time.Time) bool {
 	return c.led != lease.NoEpoch && !c.closing && c.elector.Holds(now)
 }
@@ -96,7 +96,7 @@
 	return c.elector.Holder()
 }
 
-// mine tells whether the lease in force is this run's.
+// mine reports whether the lease in force is this run's.
 func (c *Core) mine() bool {
 	s := c.replay.State()
 	return !c.replay.Seeking() && s.Lease.HeldBy(c.opts.Host, c.opts.Incarnation)
--- a/keeper/core/history_test.go
+++ b/keeper/core/history_test.go
@@ -8,7 +8,7 @@
 
 // observation is one read of a register that is set at most once: the digest or
 // the end of a job, the result of an item or of a keyed request. A write is an
-// observation too: its answer says what stands in the register.
+// observation too: its answer says what is in the register.
 type observation struct {
 	register string
 	value    string
--- a/keeper/core/leadership.go
+++ b/keeper/core/leadership.go
@@ -109,7 +109,7 @@
 	c.advance(now)
 }
 
-// Closed tells whether the lease is given up, or was never held.
+// Closed reports whether the lease is given up, or was never held.
 func (c *Core) Closed() bool {
 	return c.led == lease.NoEpoch
 }
--- a/keeper/core/scheduler.go
+++ b/keeper/core/scheduler.go
@@ -135,7 +135,7 @@
 	s.shares[customer] = served + 1/float64(max(weight(customer), 1))
 }
 
-// more moves the job's cursor to its next open item and tells whether there is
+// more moves the job's cursor to its next open item and reports whether there is
 // one.
 func (s *scheduler) more(j *ledger.Job) bool {
 	i := s.cursors[j.Job]
@@ -160,7 +160,7 @@
 	}
 }
 
-// ended takes up an outcome and tells whether the item is still wanted.
+// ended applies an outcome and reports whether the item is still wanted.
 func (s *scheduler) ended(now time.Time, o *Outcome) bool {
 	r := s.running[o.Key]
 	if r == nil || !r.executing {
--- a/keeper/core/watch.go
+++ b/keeper/core/watch.go
@@ -53,7 +53,7 @@
 	c.resetReplay(now)
 }
 
-// sawEnd takes up the stream's end while it is only watched.
+// sawEnd records the stream's end while it is only watched.
 func (c *Core) sawEnd(now time.Time, end int64) {
 	w := &c.watch
 	if !w.known || end != w.end {
@@ -80,7 +80,7 @@
 	return now
 }
 
-// Following tells whether the stream is followed record by record.
+// Following reports whether the stream is followed record by record.
 func (c *Core) Following() bool {
 	return c.watch.following
 }
--- a/keeper/fleet_test.go
+++ b/keeper/fleet_test.go
@@ -27,7 +27,7 @@
 	t    *testing.T
 	log  platform.Log
 	view membership.View
-	// running tells whether endpoints answer; calls counts what they were sent.
+	// running reports whether endpoints answer; calls counts what they were sent.
 	mu      sync.Mutex
 	blocked bool
 	calls   map[string]int
--- a/keeper/intake.go
+++ b/keeper/intake.go
@@ -169,7 +169,7 @@
 // abandonTimeout bounds the drop of an intake that failed.
 const abandonTimeout = time.Second
 
-// abandon drops what stands in the stream of an intake that failed. Without it
+// abandon drops what is in the stream of an intake that failed. Without it
 // the chunks are dropped by the next epoch.
 func (in *intake) abandon() {
 	if !in.proposed {
--- a/keeper/pagesize.go
+++ b/keeper/pagesize.go
@@ -25,7 +25,7 @@
 	return firstPage
 }
 
-// read takes up the size of a page; only a full one tells of the next.
+// read records the size of a page; only a full one tells of the next.
 func (s *pageSize) read(records, bytes int) {
 	n := s.next()
 	switch {
--- a/keeper/partition.go
+++ b/keeper/partition.go
@@ -169,7 +169,7 @@
 	_ = p.inputs.Put(ctx, appendDone{})
 }
 
-// Leads tells whether this host leads the partition now.
+// Leads reports whether this host leads the partition now.
 func (p *Partition) Leads() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/keeper/requests.go
+++ b/keeper/requests.go
@@ -133,7 +133,7 @@
 	return s, nil
 }
 
-// listed tells whether a host is on the host list, or is not named.
+// listed reports whether a host is on the host list, or is not named.
 func (l *leader) listed(host string) bool {
 	_, found := l.p.opts.View().ByName(host)
 	return host == "" || found
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -43,14 +43,14 @@
 	return &Elector{opts: opts, host: host, incarnation: incarnation, state: NewState(), heardAt: now}
 }
 
-// Restore takes up the state of the lease that a snapshot gave at now.
+// Restore applies the state of the lease that a snapshot gave at now.
 func (e *Elector) Restore(state State, now time.Time) {
 	e.state = state
 	e.heardAt = now
 	e.sentAt = time.Time{}
 }
 
-// Observe takes up the state of the lease after each valid record of its
+// Observe applies the state of the lease after each valid record of its
 // holder, read at now.
 func (e *Elector) Observe(state State, now time.Time) {
 	before := e.state
@@ -115,7 +115,7 @@
 	return a
 }
 
-// vacant tells whether the lease may be claimed: nobody holds it, or the whole
+// vacant reports whether the lease may be claimed: nobody holds it, or the whole
 // TTL has passed since the last sign of its holder was read. Candidates wait
 // one after the other.
 func (e *Elector) vacant(now time.Time, rank int) bool {
@@ -126,7 +126,7 @@
 	return now.Sub(e.heardAt) >= wait
 }
 
-// Holds tells whether this host may act on the lease at now.
+// Holds reports whether this host may act on the lease at now.
 func (e *Elector) Holds(now time.Time) bool {
 	return now.Before(e.HoldsUntil())
 }
--- a/lease/state.go
+++ b/lease/state.go
@@ -34,7 +34,7 @@
 	return State{Epoch: NoEpoch}
 }
 
-// Claim replays a claim at offset and tells whether it is valid: the first
+// Claim replays a claim at offset and reports whether it is valid: the first
 // claim that names the record in force wins.
 func (s *State) Claim(offset int64, c Claim) bool {
 	if c.Previous != s.Epoch || c.PreviousSeq != s.Seq {
@@ -48,12 +48,12 @@
 	return true
 }
 
-// InForce tells whether epoch is held now.
+// InForce reports whether epoch is held now.
 func (s *State) InForce(epoch int64) bool {
 	return epoch != NoEpoch && epoch == s.Epoch && !s.Released
 }
 
-// Accept replays the holder's record seq and tells whether it is the first of
+// Accept replays the holder's record seq and reports whether it is the first of
 // that number.
 func (s *State) Accept(seq int64) bool {
 	if seq <= s.Seq {
@@ -63,7 +63,7 @@
 	return true
 }
 
-// Release replays a release under epoch and tells whether it is valid.
+// Release replays a release under epoch and reports whether it is valid.
 func (s *State) Release(epoch int64) bool {
 	if !s.InForce(epoch) {
 		return false
@@ -72,7 +72,7 @@
 	return true
 }
 
-// HeldBy tells whether the claim in force is of that run of the host.
+// HeldBy reports whether the claim in force is of that run of the host.
 func (s *State) HeldBy(holder string, incarnation int64) bool {
 	return s.InForce(s.Epoch) && s.Holder == holder && s.Incarnation == incarnation
 }
--- a/ledger/carry.go
+++ b/ledger/carry.go
@@ -2,7 +2,7 @@
 
 import "sort"
 
-// applyCarried takes up the new place of content that was carried forward. It
+// applyCarried applies the new place of content that was carried forward. It
 // is void unless the content still lies where the entry says.
 func (s *State) applyCarried(at, from Place, e *Entry) {
 	if place := s.place(e); place != nil && *place == from {
--- a/ledger/decode.go
+++ b/ledger/decode.go
@@ -52,7 +52,7 @@
 	return nil
 }
 
-// valid tells whether exactly one member is set and its numbers are in range.
+// valid reports whether exactly one member is set and its numbers are in range.
 func (e *Entry) valid() bool {
 	members, ok := 0, true
 	member := func(set, valid bool) {
--- a/ledger/expire.go
+++ b/ledger/expire.go
@@ -47,7 +47,7 @@
 	return past(f.touched, f.TTLSeconds, now)
 }
 
-// past tells whether ttl seconds have passed since a time; 0 means for good.
+// past reports whether ttl seconds have passed since a time; 0 means for good.
 func past(since, ttl, now int64) bool {
 	return ttl > 0 && now-since > ttl*millisPerSecond
 }
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -119,7 +119,7 @@
 	return s, nil
 }
 
-// ordered tells whether the chunks begin at the first item and rise, all below
+// ordered reports whether the chunks begin at the first item and rise, all below
 // count.
 func ordered(chunks []chunkRef, count int) bool {
 	next := 0
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -74,7 +74,7 @@
 	return int(j.items[index].tries)
 }
 
-// Started tells whether an item has a durable start.
+// Started reports whether an item has a durable start.
 func (j *Job) Started(index int) bool {
 	return j.items[index].started
 }
@@ -103,7 +103,7 @@
 	return low
 }
 
-// wants tells whether the request of any item of a chunk may still be read: an
+// wants reports whether the request of any item of a chunk may still be read: an
 // item with a result needs it no more.
 func (j *Job) wants(chunk int) bool {
 	end := j.Count
--- a/ledger/replayer.go
+++ b/ledger/replayer.go
@@ -34,7 +34,7 @@
 	return p.next
 }
 
-// Seeking tells whether a snapshot has yet to be found.
+// Seeking reports whether a snapshot has yet to be found.
 func (p *Replayer) Seeking() bool {
 	return p.seeking
 }
@@ -50,7 +50,7 @@
 	p.partial = make(map[string]*assembly)
 }
 
-// Apply takes up the record at offset; r is nil for bytes that do not decode.
+// Apply applies the record at offset; r is nil for bytes that do not decode.
 // While a snapshot is looked for, every record is VoidUnknown.
 func (p *Replayer) Apply(offset int64, r *Record) Verdict {
 	p.next = offset + 1
@@ -68,7 +68,7 @@
 	return VoidUnknown
 }
 
-// collect takes up a chunk and tells whether the snapshot is whole now.
+// collect applies a chunk and reports whether the snapshot is whole now.
 func (p *Replayer) collect(c *SnapshotChunk) bool {
 	if c.At < p.floor {
 		return false
--- a/ledger/request.go
+++ b/ledger/request.go
@@ -8,7 +8,7 @@
 	Key      string `json:"key"`
 	// Digest is the hash of what the request asks for.
 	Digest string `json:"digest"`
-	// Idempotent tells whether the request may be run again.
+	// Idempotent reports whether the request may be run again.
 	Idempotent bool `json:"idempotent"`
 	// Nonce tells starts of the same request apart.
 	Nonce string `json:"nonce"`
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -79,7 +79,7 @@
 	})
 }
 
-// exchange publishes this entry's demand and takes up that of the live others.
+// exchange publishes this entry's demand and applies that of the live others.
 func (l *Limiter) exchange(now time.Time) {
 	hosts := l.opts.Hosts()
 	live := make(map[string]bool, len(hosts))
--- a/limit/share.go
+++ b/limit/share.go
@@ -12,7 +12,7 @@
 	started bool
 }
 
-// use takes up the value that the demand known now gives, and returns the one
+// use applies the value that the demand known now gives, and returns the one
 // to use.
 func (s *share) use(now time.Time, value float64) float64 {
 	switch {
--- a/limit/state.go
+++ b/limit/state.go
@@ -44,12 +44,12 @@
 	return &State{entries: 1, customers: make(map[string]*customer), others: make(map[string]float64)}
 }
 
-// SetEntries takes up the number of entries.
+// SetEntries sets the number of entries.
 func (s *State) SetEntries(n int) {
 	s.entries = max(n, 1)
 }
 
-// SetOthers takes up the demand at the other entries.
+// SetOthers sets the demand at the other entries.
 func (s *State) SetOthers(published []Published) {
 	s.others = make(map[string]float64)
 	for i := range published {
--- a/load/online.go
+++ b/load/online.go
@@ -108,7 +108,7 @@
 	return req, nil
 }
 
-// read reads a streamed answer and tells whether it came to its proper end.
+// read reads a streamed answer and reports whether it came to its proper end.
 func read(resp *http.Response, due time.Time) (*answer, bool) {
 	events := sse.NewReader(resp.Body)
 	got := &answer{}
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -73,7 +73,7 @@
 	return out
 }
 
-// leavingEndpoint tells whether a run of an endpoint was seen leaving, and
+// leavingEndpoint reports whether a run of an endpoint was seen leaving, and
 // remembers it.
 func (t *Table) leavingEndpoint(name string, l *listed) bool {
 	for _, s := range t.observed[name] {
@@ -84,7 +84,7 @@
 	return l.leaving
 }
 
-// dead tells whether an endpoint is to be passed over at now: this host saw it
+// dead reports whether an endpoint is to be passed over at now: this host saw it
 // dead, or several others did.
 func (t *Table) dead(name string, h *platform.Host, now time.Time) bool {
 	observers := 0
--- a/membership/table.go
+++ b/membership/table.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// SetList takes up the host list as read at now. What an older list said of a
+// SetList applies the host list as read at now. What an older list said of a
 // newer incarnation stays.
 func (t *Table) SetList(hosts []platform.Host, now time.Time) {
 	for _, l := range t.listed {
@@ -89,7 +89,7 @@
 	}
 }
 
-// Heartbeat takes up a heartbeat received at now.
+// Heartbeat applies a heartbeat received at now.
 func (t *Table) Heartbeat(b Heartbeat, now time.Time) {
 	p := t.peers[b.Name]
 	if p != nil && p.Incarnation > b.Incarnation {
@@ -102,7 +102,7 @@
 	t.peers[b.Name] = &peer{Heartbeat: b, leaving: leaving, heard: now}
 }
 
-// Observe takes up what a host saw of an endpoint at now.
+// Observe applies what a host saw of an endpoint at now.
 func (t *Table) Observe(observer string, o Observation, now time.Time) {
 	if l := t.listed[o.Endpoint]; l != nil && l.host.Incarnation == o.Incarnation && o.Condition == Leaving {
 		l.leaving = true
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -94,7 +94,7 @@
 	return w.view.Load()
 }
 
-// Observe takes up what this host saw of a run of an endpoint, and tells the
+// Observe applies what this host saw of a run of an endpoint, and tells the
 // other hosts. It never blocks.
 func (w *Watcher) Observe(endpoint string, incarnation int64, c Condition) {
 	// A full ring means the endpoint's news is repeated by the next call to it.
@@ -146,7 +146,7 @@
 	}
 }
 
-// step takes up gossip, publishes this host's heartbeat and renews the view.
+// step applies gossip, publishes this host's heartbeat and renews the view.
 func (w *Watcher) step(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -179,7 +179,7 @@
 	}
 }
 
-// fresh tells whether e was not taken up before.
+// fresh reports whether e was not taken up before.
 func (w *Watcher) fresh(e *gossip.Entry) bool {
 	k := versionKey{e.Kind, e.Key, e.Origin}
 	if old, found := w.versions[k]; found && !old.Before(e.Version) {
@@ -227,7 +227,7 @@
 	}
 }
 
-// observe takes up an observation of this host and spreads what others need:
+// observe applies an observation of this host and spreads what others need:
 // that an endpoint leaves, and that it is dead.
 func (w *Watcher) observe(o Observation, now time.Time) {
 	key := o.Endpoint + "/" + strconv.FormatInt(o.Incarnation, 10)
--- a/node/drain.go
+++ b/node/drain.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 )
 
-// drainer tells whether the host is shutting down.
+// drainer reports whether the host is shutting down.
 type drainer struct {
 	draining atomic.Bool
 }
--- a/node/limitedlistener_test.go
+++ b/node/limitedlistener_test.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// TestFloodIsBounded opens far more connections than the listener takes up,
+// TestFloodIsBounded opens far more connections than the listener accepts,
 // without sending anything on them.
 func TestFloodIsBounded(t *testing.T) {
 	s := newLimitedServer(t, false)
--- a/node/publication.go
+++ b/node/publication.go
@@ -42,7 +42,7 @@
 	return out
 }
 
-// refreshes tells whether it is for this host to refresh the configuration.
+// refreshes reports whether it is for this host to refresh the configuration.
 func (n *Node) refreshes() bool {
 	return membership.Preferred(publication.Stream, n.watcher.View().System()) == n.settings.Host.Name
 }
--- a/objects/customer.go
+++ b/objects/customer.go
@@ -16,7 +16,7 @@
 	MaxInFlight int
 }
 
-// MayUse tells whether the customer may call a service.
+// MayUse reports whether the customer may call a service.
 func (c *Customer) MayUse(service string) bool {
 	for _, s := range c.Services {
 		if s == service {
@@ -26,7 +26,7 @@
 	return false
 }
 
-// MayAsk tells whether the customer may ask for a class.
+// MayAsk reports whether the customer may ask for a class.
 func (c *Customer) MayAsk(class Class) bool {
 	for _, k := range c.Classes {
 		if k == class {
--- a/objects/object.go
+++ b/objects/object.go
@@ -38,7 +38,7 @@
 	return o.Position
 }
 
-// Equal tells whether o and p hold the same fields, wherever they were read.
+// Equal reports whether o and p hold the same fields, wherever they were read.
 func (o *Object) Equal(p *Object) bool {
 	if o.Ref != p.Ref || len(o.Fields) != len(p.Fields) {
 		return false
--- a/objects/service.go
+++ b/objects/service.go
@@ -15,9 +15,9 @@
 	MaxTokens int
 	// Fallback names the service that answers when this one has no endpoint.
 	Fallback string
-	// Idempotent tells whether a call may be repeated.
+	// Idempotent reports whether a call may be repeated.
 	Idempotent bool
-	// Fenced tells whether the endpoints check the number of an order.
+	// Fenced reports whether the endpoints check the number of an order.
 	Fenced bool
 	// Zones restricts the service to availability zones; empty means any.
 	Zones []string
--- a/orders/leaseholder.go
+++ b/orders/leaseholder.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// holds tells whether this host may give orders at now.
+// holds reports whether this host may give orders at now.
 func (h *holder) holds(now time.Time) bool {
 	return h.elector.Holds(now)
 }
--- a/publication/change.go
+++ b/publication/change.go
@@ -67,7 +67,7 @@
 	Through int64 `json:"through"`
 	// Recent are the changes applied last, oldest first.
 	Recent []AppliedChange `json:"recent,omitempty"`
-	// Objects is the whole set; in a Refresh it stands in chunks.
+	// Objects is the whole set; in a Refresh it is in chunks.
 	Objects []objects.Object `json:"objects,omitempty"`
 }
 
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -76,7 +76,7 @@
 	return f.current.Load()
 }
 
-// CaughtUp tells whether the stream has been read to its end once, or, while
+// CaughtUp reports whether the stream has been read to its end once, or, while
 // the log was out, the highest revision of the hosts in reach was taken up.
 func (f *Follower) CaughtUp() bool {
 	return f.caught.Load()
@@ -105,7 +105,7 @@
 	}
 }
 
-// due tells whether to read the log at now: another host is ahead, or it is
+// due reports whether to read the log at now: another host is ahead, or it is
 // time to. Many hosts share a bounded number of reads a second.
 func (f *Follower) due(now time.Time) bool {
 	number := f.Current().Number
@@ -137,7 +137,7 @@
 	}
 }
 
-// ask takes up the highest revision of the hosts in reach.
+// ask adopts the highest revision of the hosts in reach.
 func (f *Follower) ask(ctx context.Context) {
 	if f.opts.Peers == nil {
 		return
@@ -183,7 +183,7 @@
 	f.replica.Lose(horizon)
 }
 
-// take replays a page and tells whether it ends the stream.
+// take replays a page and reports whether it ends the stream.
 func (f *Follower) take(page *platform.Page) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/publication/publisher.go
+++ b/publication/publisher.go
@@ -31,7 +31,7 @@
 }
 
 // Load replays the stream to its end and returns the offset to read on from.
-// It returns ErrLost if the start is trimmed and no refresh stands in the log.
+// It returns ErrLost if the start is trimmed and no refresh is in the log.
 func (p *Publisher) Load(ctx context.Context) (*Replica, int64, error) {
 	replica := NewReplica()
 	if _, err := p.replay(ctx, replica, ""); err != nil {
--- a/publication/refresher.go
+++ b/publication/refresher.go
@@ -16,7 +16,7 @@
 type Refresher struct {
 	follower *Follower
 	interval time.Duration
-	// leads tells whether it is for this host to refresh.
+	// leads reports whether it is for this host to refresh.
 	leads func() bool
 }
 
@@ -52,7 +52,7 @@
 	}
 }
 
-// needsRefresh tells whether a reader that starts at now would soon find no
+// needsRefresh reports whether a reader that starts at now would soon find no
 // whole configuration in the log.
 func (f *Follower) needsRefresh(now time.Time, interval time.Duration) bool {
 	f.mu.Lock()
--- a/publication/replica.go
+++ b/publication/replica.go
@@ -59,7 +59,7 @@
 	return r.through + 1
 }
 
-// Lost tells whether records are missing. The revision stays in force until a
+// Lost reports whether records are missing. The revision stays in force until a
 // refresh or a snapshot of another host brings a newer one.
 func (r *Replica) Lost() bool {
 	return r.lost
--- a/publication/snapshot.go
+++ b/publication/snapshot.go
@@ -21,7 +21,7 @@
 	}, true
 }
 
-// Adopt takes up the state of another reader that has replayed more, and tells
+// Adopt applies the state of another reader that has replayed more, and tells
 // whether it did. It never falls back.
 //
 // A change behind the snapshot may name chunks before it, which are not known
@@ -50,7 +50,7 @@
 	return true
 }
 
-// Prime takes up a record that the snapshot adopted last covers already, for
+// Prime applies a record that the snapshot adopted last covers already, for
 // the chunks that a later change may name.
 func (r *Replica) Prime(offset int64, data []byte) {
 	var record Record
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -108,7 +108,7 @@
 	return out
 }
 
-// Take takes up a notice at now and tells whether it was news. A conviction
+// Take applies a notice at now and reports whether it was news. A conviction
 // outweighs the rest, and a later notice an earlier one.
 func (b *Book) Take(n Notice, now time.Time) bool {
 	if now.Sub(n.At) >= b.opts.TTL {
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -110,7 +110,7 @@
 	r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
 }
 
-// runsAlone tells whether a host runs a suspect already.
+// runsAlone reports whether a host runs a suspect already.
 func (r *fleetRun) runsAlone(f dispatch.Fingerprint, host int) bool {
 	for _, fl := range r.flights {
 		if fl.f == f && fl.host == host && fl.alone {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -275,7 +275,7 @@
 	return "quarantine"
 }
 
-// Serve implements suture.Service: it keeps notices in the log and takes up
+// Serve implements suture.Service: it keeps notices in the log and applies
 // those of others.
 func (g *Guard) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(g.opts.Poll)
@@ -295,7 +295,7 @@
 	}
 }
 
-// takeGossip takes up the notices of other hosts, and takes this host's own
+// takeGossip applies the notices of other hosts, and takes this host's own
 // back once all have heard them: the log keeps them for those that start later.
 func (g *Guard) takeGossip() {
 	var notices []Notice
--- a/quarantine/permits.go
+++ b/quarantine/permits.go
@@ -24,7 +24,7 @@
 	return &permits{held: make(map[dispatch.Fingerprint]permit)}
 }
 
-// take gives host the permit for a request, or renews it, and tells whether it
+// take gives host the permit for a request, or renews it, and reports whether it
 // did.
 func (p *permits) take(f dispatch.Fingerprint, host string, now time.Time) bool {
 	for g, other := range p.held {
--- a/routing/node.go
+++ b/routing/node.go
@@ -93,7 +93,7 @@
 	return cost
 }
 
-// mayHave tells whether the adapter is loaded as far as is known.
+// mayHave reports whether the adapter is loaded as far as is known.
 func (n *node) mayHave(adapter string) bool {
 	if n.load.Adapters == nil {
 		return true
--- a/routing/query.go
+++ b/routing/query.go
@@ -15,7 +15,7 @@
 	Zones []string
 	// Exclude names endpoints that must not be chosen.
 	Exclude []string
-	// Usable tells whether an endpoint can be asked for now; nil means all can.
+	// Usable reports whether an endpoint can be asked for now; nil means all can.
 	Usable func(endpoint string) bool
 }
 
--- a/routing/table.go
+++ b/routing/table.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// Report takes up what a home gossiped of its endpoint.
+// Report applies what a home gossiped of its endpoint.
 func (t *Table) Report(now time.Time, load *admission.Load) {
 	n := t.nodes[load.Endpoint]
 	if n == nil {
@@ -89,7 +89,7 @@
 	n.since = sent{}
 }
 
-// ReportZone takes up the mean load of an availability zone's endpoints, for
+// ReportZone applies the mean load of an availability zone's endpoints, for
 // those that have no report of their own because they are far away.
 func (t *Table) ReportZone(zone string, load *admission.Load) {
 	for _, n := range t.near[tierRemote] {
@@ -126,7 +126,7 @@
 	}
 }
 
-// Measured takes up what this entry measured of a stream in progress. The
+// Measured records what this entry measured of a stream in progress. The
 // times of a wait that was given up are lower bounds, and good enough to tell a
 // slow endpoint.
 func (t *Table) Measured(now time.Time, endpoint string, times admission.Times) {
@@ -143,7 +143,7 @@
 	n.ownToken = average(n.ownToken, float64(times.TokenMicros))
 }
 
-// Cached takes up a cache event of an endpoint. Events are late and have gaps;
+// Cached applies a cache event of an endpoint. Events are late and have gaps;
 // a wrong guess costs time only.
 func (t *Table) Cached(endpoint string, prefix uint64, stored bool) {
 	t.prefixes.event(endpoint, prefix, stored)
--- a/settings/example_test.go
+++ b/settings/example_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// sameDuration tells whether two texts are the same but for the zero units that
+// sameDuration reports whether two texts are the same but for the zero units that
 // time.Duration writes, as in 1h0m0s.
 func sameDuration(a, b string) bool {
 	zeros := regexp.MustCompile(`([hm])0m?0?s?$`)
--- a/settings/timeline.go
+++ b/settings/timeline.go
@@ -2,7 +2,7 @@
 
 // TimelineSettings are the settings of section [timeline].
 type TimelineSettings struct {
-	// Record tells whether events are kept at all.
+	// Record reports whether events are kept at all.
 	Record bool
 	// Events is the number of events kept.
 	Events int
--- a/settings/values.go
+++ b/settings/values.go
@@ -69,7 +69,7 @@
 	return k.Value
 }
 
-// anyPort tells whether the operating system chooses the port of an address.
+// anyPort reports whether the operating system chooses the port of an address.
 func anyPort(address string) bool {
 	return strings.HasSuffix(address, ":0")
 }
--- a/standin/faultystream.go
+++ b/standin/faultystream.go
@@ -110,7 +110,7 @@
 	}
 }
 
-// spoil plays the fault and tells whether the stream goes on after it.
+// spoil plays the fault and reports whether the stream goes on after it.
 func (e *FaultyEngine) spoil(out *sse.Writer, r *http.Request, req *engine.StreamRequest) bool {
 	switch e.fault {
 	case FaultBreakMidway:
--- a/standin/keptstreams.go
+++ b/standin/keptstreams.go
@@ -21,7 +21,7 @@
 	order []string
 }
 
-// keep takes up a stream and drops the ones that are too old or too many.
+// keep adds a stream and drops the ones that are too old or too many.
 func (k *keptStreams) keep(g *generation, now time.Time) {
 	if k.byID == nil {
 		k.byID = make(map[string]keptStream)
--- a/standin/prefixcache.go
+++ b/standin/prefixcache.go
@@ -55,7 +55,7 @@
 	return missing
 }
 
-// touch makes a block the newest and tells whether it was cached.
+// touch makes a block the newest and reports whether it was cached.
 func (c *prefixCache) touch(block uint64) bool {
 	if e, found := c.blocks[block]; found {
 		c.order.MoveToFront(e)
--- a/timeline/clock.go
+++ b/timeline/clock.go
@@ -29,7 +29,7 @@
 	return c.Observe(Stamp{})
 }
 
-// Observe takes up a stamp received from another process and returns the next
+// Observe applies a stamp received from another process and returns the next
 // stamp.
 func (c *Clock) Observe(seen Stamp) Stamp {
 	c.mu.Lock()
--- a/timeline/filter.go
+++ b/timeline/filter.go
@@ -40,7 +40,7 @@
 	return v
 }
 
-// Matches tells whether f selects e.
+// Matches reports whether f selects e.
 func (f Filter) Matches(e *Event) bool {
 	return (f.Request == "" || f.Request == e.Request) &&
 		(f.Job == "" || f.Job == e.Job) &&
--- a/timeline/kind_test.go
+++ b/timeline/kind_test.go
@@ -78,7 +78,7 @@
 	return kinds
 }
 
-// importsTimeline tells whether a file uses this package.
+// importsTimeline reports whether a file uses this package.
 func importsTimeline(f *ast.File) bool {
 	for _, i := range f.Imports {
 		if strings.HasSuffix(i.Path.Value, `/timeline"`) {
--- a/timeline/middleware.go
+++ b/timeline/middleware.go
@@ -2,7 +2,7 @@
 
 import "net/http"
 
-// Middleware takes up the stamps of the calls to h and stamps its answers.
+// Middleware applies the stamps of the calls to h and stamps its answers.
 // Unstamped is called for each call without a stamp; nil calls nothing.
 func Middleware(c *Clock, unstamped func(*http.Request), h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/timeline/stamp.go
+++ b/timeline/stamp.go
@@ -18,7 +18,7 @@
 	Logical int64 `json:"logical"`
 }
 
-// Before tells whether s is ordered before t.
+// Before reports whether s is ordered before t.
 func (s Stamp) Before(t Stamp) bool {
 	if s.WallMicros != t.WallMicros {
 		return s.WallMicros < t.WallMicros
--- a/timeline/transport.go
+++ b/timeline/transport.go
@@ -6,7 +6,7 @@
 // system's own processes.
 const HeaderStamp = "Peridotmount-Stamp"
 
-// Transport stamps the calls that go through it and takes up the stamps of
+// Transport stamps the calls that go through it and applies the stamps of
 // their answers, so that events on both sides are in causal order.
 type Transport struct {
 	Clock *Clock
@@ -33,7 +33,7 @@
 	}
 }
 
-// observe takes up the stamp in h and tells whether there was one.
+// observe applies the stamp in h and reports whether there was one.
 func observe(c *Clock, h http.Header) bool {
 	s, err := ParseStamp(h.Get(HeaderStamp))
 	if err != nil {
