--- a/slots/attendance.go
+++ b/slots/attendance.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotmount/peridotmount/peers"
@@ -59,6 +60,20 @@
 	a.absent[name] = how
 }
 
+// unconfirmed returns the hosts that take part and of which no record was read for
+// peers.BeatBound: others may be about to give them up. The load it answers: some
+// hundred hosts, each of which would be told of all others every second.
+func (a *attendance) unconfirmed(now time.Time, beat func(string) time.Time) []string {
+	var out []string
+	for name := range a.here {
+		if now.Sub(beat(name)) > peers.BeatBound {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // turnout counts hosts.
 type turnout struct {
 	// here take part; elsewhere are alive and don't, so they may use slots that
--- a/slots/attendance_test.go
+++ b/slots/attendance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,6 +120,25 @@
 	r.expect(t, turnout{here: 3, elsewhere: 1})
 }
 
+// TestOnlyUnconfirmedHostsAreTold has two hosts turned away by the store, which the
+// others would give up; then the store is away for all.
+func TestOnlyUnconfirmedHostsAreTold(t *testing.T) {
+	r := newRoll()
+	beat := func(name string) time.Time { return r.beats[name] }
+	r.pass(peers.HeartbeatInterval, "host-0", "host-1", "host-2", "host-3")
+	if got := r.unconfirmed(r.now, beat); got != nil {
+		t.Errorf("told of %v between two records", got)
+	}
+	r.pass(peers.HeartbeatInterval, "host-0", "host-1", "host-2", "host-3")
+	if got := r.unconfirmed(r.now, beat); !slices.Equal(got, []string{"host-4", "host-5"}) {
+		t.Errorf("told of %v", got)
+	}
+	r.now = r.now.Add(time.Minute)
+	if got := r.unconfirmed(r.now, beat); len(got) != 6 {
+		t.Errorf("told of %v in an outage", got)
+	}
+}
+
 // TestNobodyIsAloneUnread starts a host, before it has read which others there are:
 // with no majority it starts no batch items, which run elsewhere already.
 func TestNobodyIsAloneUnread(t *testing.T) {
--- a/slots/client.go
+++ b/slots/client.go
@@ -310,21 +310,19 @@
 		}
 	case d.Start != nil:
 		c.started(ctx, d.Start)
-	default:
-		c.told(d)
+	case d.News != nil:
+		c.told(d.News)
 	}
 }
 
-// told takes what the scheduler tells all hosts. The lock is held.
-func (c *Client) told(d *Down) {
-	if len(d.Members) > 0 {
-		c.opts.Directory.Touch(d.Members...)
+// told applies what the scheduler tells all hosts. The lock is held.
+func (c *Client) told(n *News) {
+	if len(n.Alive) > 0 {
+		c.opts.Directory.Touch(n.Alive...)
 	}
-	if len(d.Members) > 0 || len(d.Quarantined) > 0 {
-		c.quarantined = make(map[string]bool, len(d.Quarantined))
-		for _, fingerprint := range d.Quarantined {
-			c.quarantined[fingerprint] = true
-		}
+	c.quarantined = make(map[string]bool, len(n.Quarantined))
+	for _, fingerprint := range n.Quarantined {
+		c.quarantined[fingerprint] = true
 	}
 }
 
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -88,7 +88,7 @@
 func (d *Duty) Serve(ctx context.Context) error {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	var nextShare, nextMembers time.Time
+	var nextShare, nextNews time.Time
 	for {
 		now := time.Time{}
 		select {
@@ -107,9 +107,9 @@
 			nextShare = now.Add(shareEvery)
 			d.adjustShare(now)
 		}
-		if !now.Before(nextMembers) {
-			nextMembers = now.Add(membersEvery)
-			d.tellMembers(now)
+		if !now.Before(nextNews) {
+			nextNews = now.Add(newsEvery)
+			d.tellNews(now)
 		}
 		d.deliver()
 	}
@@ -178,13 +178,13 @@
 	return now.Sub(d.majority) >= settleTime
 }
 
-// tellMembers tells all hosts which ones take part, and which requests are kept
-// from endpoints.
-func (d *Duty) tellMembers(now time.Time) {
+// tellNews tells all hosts which ones are alive though the store doesn't say so, and
+// which requests are kept from endpoints.
+func (d *Duty) tellNews(now time.Time) {
 	d.mu.Lock()
-	members := slices.Sorted(maps.Keys(d.sessions))
+	alive := d.attendance.unconfirmed(clock.Now(), d.hosts.Beat)
 	d.mu.Unlock()
-	d.tellAll(Down{Members: members, Quarantined: d.suspects.Quarantined(now)})
+	d.tellAll(Down{News: &News{Alive: alive, Quarantined: d.suspects.Quarantined(now)}})
 }
 
 func (d *Duty) tellAll(m Down) {
@@ -200,7 +200,7 @@
 func (d *Duty) broke(now time.Time, b *Broke) {
 	if d.suspects.Broke(now, b.Request, b.Endpoint) {
 		_ = level.Warn(d.logger).Log("event", "request_quarantined", "fingerprint", b.Request, "endpoint", b.Endpoint)
-		d.tellAll(Down{Quarantined: d.suspects.Quarantined(now)})
+		d.tellNews(now)
 	}
 }
 
--- a/slots/message.go
+++ b/slots/message.go
@@ -29,9 +29,15 @@
 	Refuse *scheduler.Refuse `json:"refuse,omitempty"`
 	Revoke *scheduler.Revoke `json:"revoke,omitempty"`
 	Start  *scheduler.Start  `json:"start,omitempty"`
-	// Members are the hosts that have a session with the scheduler.
-	Members []string `json:"members,omitempty"`
-	// Quarantined are the fingerprints of requests that break endpoints.
+	News   *News             `json:"news,omitempty"`
+}
+
+// News is what a scheduler tells all its hosts again and again.
+type News struct {
+	// Alive are hosts that have a session with the scheduler and whose records it
+	// has not read of late.
+	Alive []string `json:"alive,omitempty"`
+	// Quarantined are the fingerprints of all requests that break endpoints.
 	Quarantined []string `json:"quarantined,omitempty"`
 }
 
--- a/slots/times.go
+++ b/slots/times.go
@@ -11,9 +11,9 @@
 	// scheduler, before it starts batch items.
 	settleTime = 300 * time.Millisecond
 
-	// membersEvery is the time between two lists of the hosts that take part, well
-	// below the time after which a host that is not heard of counts as lost.
-	membersEvery = time.Second
+	// newsEvery is the time between two lists of the hosts that are alive though the
+	// store doesn't say so, well below the time after which they count as lost.
+	newsEvery = time.Second
 
 	// downPing is the time between two signs of life of a scheduler, and
 	// upPing that of a host.
