Go on with a listing that failed; bound the pictures given out at a time

All list the store at once, 3,000 endpoints each; a page that failed made a host begin anew, so that the same pages were sent again and again. A listing goes on behind its last page now (TestListingGoesOnAfterAFailure fails before).

By the same reasoning, a host answers four pictures at a time (TestPicturesAreBounded).

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -30,6 +30,8 @@
 	complete time.Time
 	page     pageSize
 	kept     kept
+	// listing is one that has begun; it belongs to Serve.
+	listing *listing
 	// borrowed tells that the handler has the picture of another host.
 	borrowed bool
 
@@ -187,35 +189,33 @@
 	_ = level.Info(f.opts.Logger).Log("event", "history_trimmed", "topic", f.opts.Topic.Name, "next", f.next)
 }
 
-// list reads the newest record of every key.
+// list reads the newest record of every key. One that failed goes on where it was:
+// its pages are not of one moment anyway, and what was appended since the first is
+// read again behind them.
 func (f *Follower) list(ctx context.Context) error {
-	sent := clock.Now()
-	var records []platform.KeyedRecord
-	end := int64(-1)
-	for after := ""; ; {
-		page, err := f.newest(ctx, after)
+	l := f.listing
+	if l == nil {
+		l = &listing{sent: clock.Now(), end: -1}
+		f.listing = l
+	}
+	for whole := false; !whole; {
+		page, err := f.newest(ctx, l.after)
 		if err != nil {
 			return err
 		}
-		if end < 0 {
-			// What is appended during the listing is read again behind it.
-			end = page.End
-		}
-		records = append(records, page.Records...)
-		if after = page.After; after == "" {
-			break
-		}
+		whole = l.add(page)
 	}
-	sort.Slice(records, func(i, j int) bool { return records[i].Offset < records[j].Offset })
+	f.listing = nil
+	records := l.sorted()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
 	f.noteRegained(now)
-	f.listed, f.next, f.complete = true, max(f.next, end), sent
+	f.listed, f.next, f.complete = true, max(f.next, l.end), l.sent
 	f.kept = make(kept)
 	f.hold(records)
-	f.opts.Handler.Listed(now, records, end)
-	_ = level.Info(f.opts.Logger).Log("event", "topic_listed", "topic", f.opts.Topic.Name, "keys", len(records), "next", end)
+	f.opts.Handler.Listed(now, records, l.end)
+	_ = level.Info(f.opts.Logger).Log("event", "topic_listed", "topic", f.opts.Topic.Name, "keys", len(records), "next", l.end)
 	return nil
 }
 
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -248,6 +248,40 @@
 	}
 }
 
+// brokenStore fails every second page of a listing of three.
+type brokenStore struct {
+	Store
+	calls int
+	asked []string
+}
+
+func (s *brokenStore) Newest(_ context.Context, _ platform.Topic, after string) (platform.Snapshot, error) {
+	s.asked = append(s.asked, after)
+	if s.calls++; s.calls%2 == 0 {
+		return platform.Snapshot{}, platform.ErrUnavailable
+	}
+	next := map[string]string{"": "a", "a": "b", "b": ""}[after]
+	return platform.Snapshot{
+		Records: []platform.KeyedRecord{{Key: after + "+", Offset: int64(len(after)), Value: []byte("1")}},
+		After:   next, End: int64(10 + s.calls),
+	}, nil
+}
+
+// TestListingGoesOnAfterAFailure lists from a store that fails each second call, as
+// when three hundred hosts start together: begun anew each time, no listing ends.
+func TestListingGoesOnAfterAFailure(t *testing.T) {
+	store := &brokenStore{}
+	f := New(Options{Store: store, Topic: topic, Handler: newPicture(), Logger: log.NewNopLogger()})
+	for range 6 {
+		if f.step(context.Background()) == nil {
+			break
+		}
+	}
+	if f.Complete().IsZero() || f.next != 11 {
+		t.Errorf("next offset %d after pages behind %q", f.next, store.asked)
+	}
+}
+
 // stuckStore answers no listing until it is released.
 type stuckStore struct {
 	Store
--- a/picture/picture_test.go
+++ b/picture/picture_test.go
@@ -71,6 +71,33 @@
 	}
 }
 
+// TestPicturesAreBounded asks for more pictures than a host gives out at a time.
+func TestPicturesAreBounded(t *testing.T) {
+	reading, release := make(chan struct{}, 64), make(chan struct{})
+	server := httptest.NewServer(NewServer(map[string]Read{topic.Name: func() ([]platform.KeyedRecord, bool) {
+		reading <- struct{}{}
+		<-release
+		return nil, true
+	}}))
+	defer server.Close()
+	address := []string{strings.TrimPrefix(server.URL, "http://")}
+	answers := make(chan error, answersAtATime)
+	for range answersAtATime {
+		go func() {
+			_, err := NewClient(address, &http.Client{}).Ask(context.Background(), topic)
+			answers <- err
+		}()
+		<-reading
+	}
+	if _, err := NewClient(address, &http.Client{}).Ask(context.Background(), topic); !errors.Is(err, ErrNobody) {
+		t.Errorf("one more: %v", err)
+	}
+	close(release)
+	for range answersAtATime {
+		<-answers
+	}
+}
+
 // TestEmptyPicture asks for a topic that holds nothing.
 func TestEmptyPicture(t *testing.T) {
 	c := NewClient([]string{seed(t, true)}, &http.Client{})
--- a/picture/server.go
+++ b/picture/server.go
@@ -15,11 +15,18 @@
 // is made with must hold none.
 type Server struct {
 	topics map[string]Read
+	// room holds one place for each answer that may be on its way.
+	room chan struct{}
 }
 
+// answersAtATime bounds the answers on their way: the picture of a grown deployment
+// is some megabyte, and a hundred hosts may start together. The others are asked
+// again.
+const answersAtATime = 4
+
 // NewServer returns a Server of some topics, by their names.
 func NewServer(topics map[string]Read) *Server {
-	return &Server{topics: topics}
+	return &Server{topics: topics, room: make(chan struct{}, answersAtATime)}
 }
 
 // ServeHTTP implements http.Handler.
@@ -29,6 +36,13 @@
 		http.Error(w, "no such topic", http.StatusNotFound)
 		return
 	}
+	select {
+	case s.room <- struct{}{}:
+		defer func() { <-s.room }()
+	default:
+		http.Error(w, "this host answers as many others as it may", http.StatusServiceUnavailable)
+		return
+	}
 	records, whole := read()
 	if !whole {
 		http.Error(w, "this host has not read the topic", http.StatusServiceUnavailable)
