Operators' commands for hosts that serve routes

peridotmount routes check, status and jobs read a configuration, and what the store holds of the configuration, hosts, endpoints and batch jobs; tokens are not shown.

--- a/cli/operator.go
+++ b/cli/operator.go
@@ -33,6 +33,6 @@
 	}
 	root.SetFlagErrorFunc(usageFault)
 	c.register(root.PersistentFlags())
-	root.AddCommand(newCheck(), newPublish(c), newStatus(c), newJobs(c), newTimeline(c), newDrain(c), newVersion())
+	root.AddCommand(newCheck(), newPublish(c), newStatus(c), newJobs(c), newTimeline(c), newDrain(c), newRoutesGroup(c), newVersion())
 	return root
 }
--- a/peers/host.go
+++ b/peers/host.go
@@ -40,6 +40,11 @@
 	return value, errors.Wrap(err, "encode host")
 }
 
+// Decode reads the record of a host. The error is ErrMalformed.
+func Decode(r *platform.KeyedRecord) (Host, error) {
+	return decodeHost(r.Key, r.Offset, r.Value)
+}
+
 // WithoutTokens returns records of hosts without their tokens. Those that can't be
 // read are left out.
 func WithoutTokens(records []platform.KeyedRecord) []platform.KeyedRecord {
--- a/peers/list.go
+++ b/peers/list.go
@@ -13,7 +13,7 @@
 // of the system's hosts and of the endpoints. A host whose record stands still for
 // Expiry is left out, once the list has been read for as long.
 type List struct {
-	store Lister
+	store platform.Lister
 	now   func() time.Time
 
 	mu sync.Mutex
@@ -30,23 +30,18 @@
 	seen        time.Time
 }
 
-// Lister lists the keys of a topic of the platform's store.
-type Lister interface {
-	Newest(ctx context.Context, topic platform.Topic, after string) (platform.Snapshot, error)
-}
-
 // NewList returns a List.
-func NewList(l Lister) *List {
+func NewList(l platform.Lister) *List {
 	return &List{store: l, now: time.Now, beats: make(map[string]beat)}
 }
 
 // Hosts implements platform.HostList. Records that can't be read name nobody.
 func (l *List) Hosts(ctx context.Context) ([]platform.Host, error) {
-	own, err := l.all(ctx, platform.TopicHosts)
+	own, err := platform.ListAll(ctx, l.store, platform.TopicHosts)
 	if err != nil {
 		return nil, err
 	}
-	endpoints, err := l.all(ctx, platform.TopicEndpoints)
+	endpoints, err := platform.ListAll(ctx, l.store, platform.TopicEndpoints)
 	if err != nil {
 		return nil, err
 	}
@@ -98,21 +93,6 @@
 	return now.Sub(old.seen) <= Expiry
 }
 
-// all reads every key of a topic.
-func (l *List) all(ctx context.Context, topic platform.Topic) ([]platform.KeyedRecord, error) {
-	var out []platform.KeyedRecord
-	for after := ""; ; {
-		page, err := l.store.Newest(ctx, topic, after)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, page.Records...)
-		if after = page.After; after == "" {
-			return out, nil
-		}
-	}
-}
-
 // listed returns the host as an entry of the host list.
 func (h *Host) listed() platform.Host {
 	out := platform.Host{
