A start of all hosts is no storm of sessions

Found by reading what such a start does: the directory holds the runs that ended, and each host tries all 299 others. Worse, a host with a wrong token got its 401 only when the time for it was over: the answer waited for the request's body, which has no end.

A 401 comes at once now, and that run is not tried again; what is known of one run is not held against the next; after four hosts that are gone a look ends, as the directory is about to change. Hosts that have just joined are not told of as unconfirmed.

--- a/slots/attendance.go
+++ b/slots/attendance.go
@@ -37,7 +37,8 @@
 // long. Counted no more at once, those that a cut keeps away would lose the share
 // that they go on using, and the endpoints would turn away what is sent over it.
 type attendance struct {
-	here   map[string]bool
+	// here is since when the hosts take part.
+	here   map[string]time.Time
 	absent map[string]absence
 	// cutOff tells that the scheduler before this one fell silent: then hosts that
 	// have not come may be with it, behind a cut. Else it is gone, and they come.
@@ -45,12 +46,12 @@
 }
 
 func newAttendance() *attendance {
-	return &attendance{here: make(map[string]bool), absent: make(map[string]absence)}
+	return &attendance{here: make(map[string]time.Time), absent: make(map[string]absence)}
 }
 
 // join notes a host's session.
-func (a *attendance) join(name string) {
-	a.here[name] = true
+func (a *attendance) join(now time.Time, name string) {
+	a.here[name] = now
 	delete(a.absent, name)
 }
 
@@ -60,13 +61,13 @@
 	a.absent[name] = how
 }
 
-// unconfirmed returns the hosts that take part and of which no record was read for
-// peers.BeatBound: others may be about to give them up. The load it answers: some
+// unconfirmed returns the hosts that have taken part for peers.BeatBound and of which
+// no record was read for as long: others may be about to give them up. The load it answers: some
 // hundred hosts, each of which would be told of all others every second.
 func (a *attendance) unconfirmed(now time.Time, beat func(string) time.Time) []string {
 	var out []string
-	for name := range a.here {
-		if now.Sub(beat(name)) > peers.BeatBound {
+	for name, since := range a.here {
+		if now.Sub(since) > peers.BeatBound && now.Sub(beat(name)) > peers.BeatBound {
 			out = append(out, name)
 		}
 	}
@@ -97,7 +98,7 @@
 func (a *attendance) others(hosts []peers.Host) int {
 	n := 0
 	for i := range hosts {
-		if !a.here[hosts[i].Name] {
+		if _, here := a.here[hosts[i].Name]; !here {
 			n++
 		}
 	}
@@ -115,7 +116,7 @@
 	}
 	for i := range hosts {
 		name := hosts[i].Name
-		if a.here[name] {
+		if _, here := a.here[name]; here {
 			continue
 		}
 		away, met := a.absent[name]
--- a/slots/attendance_test.go
+++ b/slots/attendance_test.go
@@ -25,7 +25,7 @@
 		name := fmt.Sprint("host-", i)
 		r.hosts = append(r.hosts, peers.Host{Name: name})
 		r.beats[name] = r.now.Add(-time.Second)
-		r.join(name)
+		r.join(r.now, name)
 	}
 	return r
 }
@@ -64,7 +64,7 @@
 	// One is back, and schedules for itself until it finds the others.
 	r.pass(time.Second, "host-2")
 	r.expect(t, turnout{here: 3, elsewhere: 1})
-	r.join("host-2")
+	r.join(r.now, "host-2")
 	r.expect(t, turnout{here: 4})
 }
 
@@ -113,7 +113,7 @@
 	r.attendance = newAttendance()
 	r.cutOff = true
 	for _, name := range []string{"host-1", "host-2", "host-3"} {
-		r.join(name)
+		r.join(r.now, name)
 	}
 	r.expect(t, turnout{here: 3, elsewhere: 3})
 	r.pass(peers.BeatBound+time.Second, "host-4")
@@ -121,7 +121,7 @@
 }
 
 // TestOnlyUnconfirmedHostsAreTold has two hosts turned away by the store, which the
-// others would give up; then the store is away for all.
+// others would give up, one of them just started; then the store is away for all.
 func TestOnlyUnconfirmedHostsAreTold(t *testing.T) {
 	r := newRoll()
 	beat := func(name string) time.Time { return r.beats[name] }
@@ -129,6 +129,12 @@
 	if got := r.unconfirmed(r.now, beat); got != nil {
 		t.Errorf("told of %v between two records", got)
 	}
+	r.join(r.now, "host-5")
+	r.beats["host-5"] = time.Time{}
+	r.pass(peers.HeartbeatInterval, "host-0", "host-1", "host-2", "host-3")
+	if got := r.unconfirmed(r.now, beat); !slices.Equal(got, []string{"host-4"}) {
+		t.Errorf("told of %v", got)
+	}
 	r.pass(peers.HeartbeatInterval, "host-0", "host-1", "host-2", "host-3")
 	if got := r.unconfirmed(r.now, beat); !slices.Equal(got, []string{"host-4", "host-5"}) {
 		t.Errorf("told of %v", got)
@@ -144,7 +150,7 @@
 func TestNobodyIsAloneUnread(t *testing.T) {
 	r := newRoll()
 	r.attendance = newAttendance()
-	r.join("host-1")
+	r.join(r.now, "host-1")
 	r.hosts, r.known = nil, time.Time{}
 	if got := r.turnout(); got.majority() || got.share() != 1 {
 		t.Errorf("counted %+v", got)
@@ -163,7 +169,7 @@
 	r := newRoll()
 	r.attendance = newAttendance()
 	for _, name := range []string{"host-1", "host-2", "host-3"} {
-		r.join(name)
+		r.join(r.now, name)
 	}
 	r.expect(t, turnout{here: 3, unclear: 3})
 	if got := r.turnout(); got.share() != 1 || got.majority() {
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -211,7 +211,7 @@
 		d.mu.Lock()
 		again := d.sessions[h.Host] != nil
 		d.sessions[h.Host] = s
-		d.attendance.join(h.Host)
+		d.attendance.join(clock.Now(), h.Host)
 		n := len(d.sessions)
 		d.mu.Unlock()
 		if again {
--- a/slots/election.go
+++ b/slots/election.go
@@ -20,9 +20,17 @@
 
 // elect attaches to the first host in order that can be reached.
 func (c *Client) elect(ctx context.Context) {
+	c.forget(time.Now())
 	candidates, stay := c.candidates()
+	answered := 0
 	for _, round := range rounds(candidates) {
-		links := c.tryAll(ctx, round)
+		if answered >= fewAnswers {
+			// So many processes are gone that the directory is about to change: the next
+			// look goes on, rather than all hosts trying all others now.
+			break
+		}
+		links, n := c.tryAll(ctx, round)
+		answered += n
 		if ctx.Err() != nil {
 			closeAll(links)
 			return
@@ -49,8 +57,8 @@
 }
 
 // candidates returns the hosts that come before this host's scheduler and may be
-// reached: their token is known, and they were not unreachable a moment ago; and whether the scheduler is to stay if none is: it comes before this
-// host.
+// reached: their token is known, and they were not unreachable a moment ago. It also
+// reports whether the scheduler is to stay if none is: it comes before this host.
 func (c *Client) candidates() (out []peers.Host, stay bool) {
 	current := c.Scheduler()
 	for _, h := range c.opts.Directory.Hosts() {
@@ -60,7 +68,7 @@
 		if h.Name == current {
 			return out, true
 		}
-		if h.Token != "" && !c.passedOver(h.Name) {
+		if h.Token != "" && !c.passedOver(&h) {
 			out = append(out, h)
 		}
 	}
@@ -80,9 +88,10 @@
 	return out
 }
 
-// tryAll opens sessions with hosts, and returns nil for each that can't be reached.
-func (c *Client) tryAll(ctx context.Context, hosts []peers.Host) []*remoteLink {
-	links := make([]*remoteLink, len(hosts))
+// tryAll opens sessions with hosts. It returns nil for each that has none, and how
+// many of those said so.
+func (c *Client) tryAll(ctx context.Context, hosts []peers.Host) (links []*remoteLink, answered int) {
+	links = make([]*remoteLink, len(hosts))
 	failures := make([]error, len(hosts))
 	var tries sync.WaitGroup
 	for i := range hosts {
@@ -94,12 +103,20 @@
 	for i, err := range failures {
 		switch {
 		case err == nil:
-			delete(c.backoffs, hosts[i].Name)
+			delete(c.backoffs, runOf(&hosts[i]))
 		case ctx.Err() == nil:
-			c.passOver(hosts[i].Name, err)
+			c.passOver(&hosts[i], err)
+			if !errors.Is(err, errUnanswered) {
+				answered++
+			}
 		}
 	}
-	return links
+	return links, answered
+}
+
+// runOf names one run of a host: the next one is not passed over for it.
+func runOf(h *peers.Host) string {
+	return h.Name + "." + h.Incarnation
 }
 
 func closeAll(links []*remoteLink) {
@@ -110,18 +127,31 @@
 	}
 }
 
-func (c *Client) passedOver(host string) bool {
-	b := c.backoffs[host]
+func (c *Client) passedOver(h *peers.Host) bool {
+	b := c.backoffs[runOf(h)]
 	return b != nil && time.Now().Before(b.until)
 }
 
-func (c *Client) passOver(host string, err error) {
-	b := c.backoffs[host]
+func (c *Client) passOver(h *peers.Host, err error) {
+	b := c.backoffs[runOf(h)]
 	if b == nil {
 		b = &backoff{next: firstBackoff}
-		c.backoffs[host] = b
-		_ = level.Info(c.opts.Logger).Log("event", "scheduler_unreachable", "peer", host, "err", errors.Cause(err))
+		c.backoffs[runOf(h)] = b
+		_ = level.Info(c.opts.Logger).Log("event", "scheduler_unreachable", "peer", h.Name, "err", err)
 	}
 	b.until = time.Now().Add(b.next)
 	b.next = min(2*b.next, lastBackoff)
+	if errors.Is(err, errOutdated) {
+		// That run has ended for good; its record goes, or changes.
+		b.until = time.Now().Add(peers.Expiry)
+	}
+}
+
+// forget drops what is known of runs that were not tried for long.
+func (c *Client) forget(now time.Time) {
+	for run, b := range c.backoffs {
+		if now.Sub(b.until) > backoffKept {
+			delete(c.backoffs, run)
+		}
+	}
 }
--- a/slots/election_test.go
+++ b/slots/election_test.go
@@ -104,6 +104,40 @@
 	}
 }
 
+// TestRestartOfAllHostsIsNoStorm starts again with a directory of three hundred hosts
+// whose processes are gone, as after a loss of power: a look tries few of them, and
+// goes on at the next; a host that started again since is tried at once.
+func TestRestartOfAllHostsIsNoStorm(t *testing.T) {
+	var tried atomic.Int64
+	restarted := NewServer(nil, "new", log.NewNopLogger())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		tried.Add(1)
+		restarted.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	var hosts []peers.Host
+	for i := range 300 {
+		hosts = append(hosts, peers.Host{Name: fmt.Sprint(i), Incarnation: "old", Address: server.URL, Token: "old"})
+	}
+	directory := newListing(hosts...)
+	c := newTestClient(t, directory)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 3 {
+		c.elect(ctx)
+	}
+	if n := tried.Load(); n > 3*8 || c.Scheduler() != "self" {
+		t.Errorf("%d hosts were tried in three looks, scheduler %q", n, c.Scheduler())
+	}
+	fresh := servingHost(t, "0")
+	fresh.Incarnation = "new"
+	directory.set(append([]peers.Host{fresh}, hosts[1:]...)...)
+	c.elect(ctx)
+	if got := c.Scheduler(); got != "0" {
+		t.Errorf("elected %q", got)
+	}
+}
+
 // TestSchedulesForItselfFirst lists the host before the scheduler that it has.
 func TestSchedulesForItselfFirst(t *testing.T) {
 	other := servingHost(t, "other")
@@ -144,9 +178,9 @@
 func TestHostBehindACutIsTriedEverySecond(t *testing.T) {
 	c := newTestClient(t, newListing())
 	for range 10 {
-		c.passOver("cut", errSession)
+		c.passOver(&peers.Host{Name: "cut"}, errUnanswered)
 	}
-	if b := c.backoffs["cut"]; time.Until(b.until) > time.Second {
+	if b := c.backoffs["cut."]; time.Until(b.until) > time.Second {
 		t.Errorf("passed over for %s", time.Until(b.until))
 	}
 }
--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -17,8 +17,15 @@
 	"github.com/peridotmount/peridotmount/ring"
 )
 
-// errSession means that no session could be opened.
-var errSession = errors.New("session with the scheduler not opened")
+// Errors of a session that could not be opened, compared as values with errors.Is;
+// each is an errSession too.
+var (
+	errSession = errors.New("session with the scheduler not opened")
+	// errUnanswered means that the host said nothing: it may be behind a cut.
+	errUnanswered = errors.Wrap(errSession, "no answer")
+	// errOutdated means that another process is at the host's address.
+	errOutdated = errors.Wrap(errSession, "the host has another token than its record")
+)
 
 // remoteLink is a session with another host.
 type remoteLink struct {
@@ -49,20 +56,28 @@
 	context.AfterFunc(ctx, func() { _ = body.CloseWithError(ctx.Err()) })
 	giveUp := time.AfterFunc(connectTimeout, cancel)
 	resp, err := client.Do(req)
-	if err != nil {
-		cancel()
-		return nil, errors.Wrap(errSession, err.Error())
+	inTime := giveUp.Stop()
+	if err == nil && inTime && resp.StatusCode == http.StatusOK {
+		l.hear()
+		go l.write(ctx, pipe)
+		go l.read(resp.Body)
+		go l.watch(ctx)
+		return l, nil
 	}
-	if !giveUp.Stop() || resp.StatusCode != http.StatusOK {
-		cancel()
+	cancel()
+	if err == nil {
 		_ = resp.Body.Close()
+	}
+	switch {
+	case !inTime:
+		return nil, errUnanswered
+	case err != nil:
+		return nil, errors.Wrap(errSession, err.Error())
+	case resp.StatusCode == http.StatusUnauthorized:
+		return nil, errOutdated
+	default:
 		return nil, errors.Wrapf(errSession, "status %d", resp.StatusCode)
 	}
-	l.hear()
-	go l.write(ctx, pipe)
-	go l.read(resp.Body)
-	go l.watch(ctx)
-	return l, nil
 }
 
 func (l *remoteLink) send(m Up) {
--- a/slots/server.go
+++ b/slots/server.go
@@ -40,16 +40,18 @@
 // ServeHTTP implements http.Handler: the request's body and the answer's are
 // streams of messages.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
-		http.Error(w, "bearer token is missing or wrong", http.StatusUnauthorized)
-		return
-	}
 	control := http.NewResponseController(w)
 	if err := control.EnableFullDuplex(); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
+		// The answer doesn't wait for the body, which has no end.
+		w.Header().Set("Connection", "close")
+		http.Error(w, "bearer token is missing or wrong", http.StatusUnauthorized)
+		return
+	}
 	// The head is answered before the hello, so that a host can try whether a
 	// scheduler is there without leaving the one it has.
 	w.WriteHeader(http.StatusOK)
--- a/slots/times.go
+++ b/slots/times.go
@@ -35,6 +35,11 @@
 	// share of the slots for as long as the other side still does without it.
 	firstBackoff = 500 * time.Millisecond
 	lastBackoff  = time.Second
+	// backoffKept is how long after its end a pause is remembered.
+	backoffKept = time.Minute
+	// fewAnswers is how many hosts in a row may be gone, or have started again,
+	// before the directory counts as behind.
+	fewAnswers = 4
 )
 
 // Bounds of the rings.
