Many hosts read the store less often, and come back later when it throttles them

By arithmetic, 300 hosts with four topics at up to ten reads a second ask for 3,000 reads a second of a store that takes 2,000, and those that fail come again each 0.4 s.

Up to 100 hosts nothing changes; beyond, the pauses grow with the number of hosts, and a throttled call waits up to a second.

--- a/batch/options.go
+++ b/batch/options.go
@@ -32,7 +32,9 @@
 	// Writer names this process; it is unique over all processes.
 	Writer string
 	// Host is the name of this host.
-	Host      string
+	Host string
+	// Hosts returns how many hosts follow the ledger; nil means one.
+	Hosts     func() int
 	Store     Store
 	Scheduler Scheduler
 	Pool      *upstream.Pool
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -59,29 +58,35 @@
 
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
-	retry := firstRetry
+	retries := newRetry()
 	early := time.AfterFunc(borrowAfter, func() { f.borrow(ctx) })
 	defer early.Stop()
 	for ctx.Err() == nil {
 		began := clock.Now()
 		err := f.step(ctx)
-		pause := f.opts.Pause - clock.Now().Sub(began)
+		pause := paced(f.opts.Pause, f.hosts()) - clock.Now().Sub(began)
 		if err != nil {
 			if ctx.Err() != nil {
 				break
 			}
 			f.noteLost(err)
 			f.borrow(ctx)
-			pause = retry/2 + rand.N(retry)
-			retry = min(2*retry, lastRetry)
+			pause = retries.after(err, jitter())
 		} else {
-			retry = firstRetry
+			retries = newRetry()
 		}
 		sleep(ctx, pause)
 	}
 	return ctx.Err()
 }
 
+func (f *Follower) hosts() int {
+	if f.opts.Hosts == nil {
+		return 1
+	}
+	return f.opts.Hosts()
+}
+
 // step does one call, or one listing.
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
--- a/follow/options.go
+++ b/follow/options.go
@@ -18,7 +18,9 @@
 	Wait time.Duration
 	// Pause is the least time between two reads, so that records that follow
 	// one another closely are read together.
-	Pause  time.Duration
+	Pause time.Duration
+	// Hosts returns how many hosts follow the topic; nil means one.
+	Hosts  func() int
 	Logger log.Logger
 	// Keep keeps the newest record of each key, for Records.
 	Keep bool
@@ -36,7 +38,4 @@
 	// borrowAfter is how long a first listing may take before other hosts are asked:
 	// a store that answers does so in less, also when it is slow.
 	borrowAfter = 300 * time.Millisecond
-	// firstRetry and lastRetry bound the pause after a call that failed.
-	firstRetry = 50 * time.Millisecond
-	lastRetry  = 400 * time.Millisecond
 )
--- /dev/null
+++ b/follow/pace_test.go
@@ -0,0 +1,51 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/peridotmount/peridotmount/platform"
+)
+
+// TestManyHostsReadLessOften holds what all hosts read together below the 2,000 reads a
+// second that a store takes, at the pauses of the four topics that each follows.
+func TestManyHostsReadLessOften(t *testing.T) {
+	pauses := []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, time.Second, time.Second}
+	for _, hosts := range []int{1, 10, 81, 300, 410} {
+		reads := 0.0
+		for _, pause := range pauses {
+			got := paced(pause, hosts)
+			if got < pause {
+				t.Errorf("%d hosts: pause %s", hosts, got)
+			}
+			reads += float64(hosts) / got.Seconds()
+		}
+		if reads > 2000 {
+			t.Errorf("%d hosts: %.0f reads a second", hosts, reads)
+		}
+	}
+	if got := paced(time.Second, 81); got != time.Second {
+		t.Errorf("81 hosts are slowed to %s", got)
+	}
+}
+
+// TestThrottledCallsComeBackLater replays three hundred hosts that start together and
+// are throttled: with four topics each they come less than 2,000 times a second.
+func TestThrottledCallsComeBackLater(t *testing.T) {
+	for _, c := range []struct {
+		err        error
+		fast, slow time.Duration
+	}{{platform.ErrUnavailable, 0, lastRetry}, {platform.ErrThrottled, 600 * time.Millisecond, lastThrottled}} {
+		r := newRetry()
+		for range 8 {
+			r.after(c.err, 0)
+		}
+		mean := r.after(c.err, 0.5)
+		if mean < c.fast || mean > c.slow {
+			t.Errorf("%v: again after %s", c.err, mean)
+		}
+		if calls := 300 * 4 / mean.Seconds(); c.err == platform.ErrThrottled && calls > 2000 {
+			t.Errorf("%.0f calls a second", calls)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,6 +157,7 @@
 func (g *Gateway) follow(topic platform.Topic, h follow.Handler, pause time.Duration) *follow.Follower {
 	return follow.New(follow.Options{
 		Store: g.store, Topic: topic, Handler: h, Wait: followWait, Pause: pause, Logger: g.logger, Keep: true,
+		Hosts:  func() int { return len(g.directory.Hosts()) },
 		Borrow: func(ctx context.Context) ([]platform.KeyedRecord, error) { return g.asker.Ask(ctx, topic) },
 	})
 }
@@ -192,6 +193,7 @@
 	g.ledger = batch.NewLedger(batch.Options{
 		Writer:        g.self.Name + "." + g.self.Incarnation,
 		Host:          g.self.Name,
+		Hosts:         func() int { return len(g.directory.Hosts()) },
 		Store:         g.store,
 		Scheduler:     g.scheduler,
 		Pool:          g.pool,
