--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -59,7 +59,7 @@
 	l.SetStatusKept(o.StatusKept)
 	l.follower = follow.New(follow.Options{
 		Store: o.Store, Topic: platform.TopicJobs, Handler: l,
-		Wait: followWait, Pause: followPause, Hosts: o.Hosts, Logger: o.Logger,
+		Wait: followWait, Pause: followPause, Hosts: o.Hosts, After: o.After, Logger: o.Logger,
 	})
 	return l
 }
--- a/batch/options.go
+++ b/batch/options.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -34,7 +35,9 @@
 	// Host is the name of this host.
 	Host string
 	// Hosts returns how many hosts follow the ledger; nil means one.
-	Hosts     func() int
+	Hosts func() int
+	// After are followers of what callers need first.
+	After     []*follow.Follower
 	Store     Store
 	Scheduler Scheduler
 	Pool      *upstream.Pool
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -61,6 +61,7 @@
 	retries := newRetry()
 	early := time.AfterFunc(borrowAfter, func() { f.borrow(ctx) })
 	defer early.Stop()
+	f.awaitOthers(ctx)
 	for ctx.Err() == nil {
 		began := clock.Now()
 		err := f.step(ctx)
@@ -80,6 +81,18 @@
 	return ctx.Err()
 }
 
+// awaitOthers waits until the topics before this one are listed, for afterBound at most.
+// The load it answers: all hosts start together, and each lists a day's ledger.
+func (f *Follower) awaitOthers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, afterBound)
+	defer cancel()
+	for _, o := range f.opts.After {
+		for o.Complete().IsZero() && ctx.Err() == nil {
+			sleep(ctx, afterPoll)
+		}
+	}
+}
+
 func (f *Follower) hosts() int {
 	if f.opts.Hosts == nil {
 		return 1
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -282,6 +282,29 @@
 	}
 }
 
+// TestUrgentTopicsAreListedFirst starts a follower beside one that its topic comes
+// after: it asks for nothing until that one is done.
+func TestUrgentTopicsAreListedFirst(t *testing.T) {
+	urgent, large := newRig(t, 50*time.Millisecond), newRig(t, 50*time.Millisecond)
+	large.follower.opts.After = []*Follower{urgent.follower}
+	urgent.store.SetFaults(standin.StoreFaults{Outage: standin.OutageBusy})
+	urgent.run()
+	large.run()
+	urgent.await("urgent store lost", func() bool {
+		urgent.picture.mu.Lock()
+		defer urgent.picture.mu.Unlock()
+		return urgent.picture.lost == 1
+	})
+	if !large.follower.Complete().IsZero() {
+		t.Error("the large topic was listed first")
+	}
+	urgent.store.SetFaults(standin.StoreFaults{})
+	large.await("large topic listed", func() bool { return !large.follower.Complete().IsZero() })
+	if urgent.follower.Complete().IsZero() {
+		t.Error("the large topic was listed first")
+	}
+}
+
 // stuckStore answers no listing until it is released.
 type stuckStore struct {
 	Store
--- a/follow/options.go
+++ b/follow/options.go
@@ -22,6 +22,9 @@
 	// Hosts returns how many hosts follow the topic; nil means one.
 	Hosts  func() int
 	Logger log.Logger
+	// After are followers whose topics are listed before this one, which is larger and
+	// less urgent: all share what the store can send.
+	After []*Follower
 	// Keep keeps the newest record of each key, for Records.
 	Keep bool
 	// Borrow returns the records that another host has, for a process that can't
@@ -35,6 +38,11 @@
 	callTimeout = 800 * time.Millisecond
 	// listTimeout is that of one page of a listing.
 	listTimeout = 2 * time.Second
+	// afterBound is how long a listing waits for those before it, at most: longer than
+	// three hundred hosts take to list three thousand endpoints each.
+	afterBound = 10 * time.Second
+	// afterPoll is the time between two looks whether they are done.
+	afterPoll = 10 * time.Millisecond
 	// borrowAfter is how long a first listing may take before other hosts are asked:
 	// a store that answers does so in less, also when it is slow.
 	borrowAfter = 300 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,6 +194,7 @@
 		Writer:        g.self.Name + "." + g.self.Incarnation,
 		Host:          g.self.Name,
 		Hosts:         func() int { return len(g.directory.Hosts()) },
+		After:         []*follow.Follower{g.configuration.follower, g.endpointFeed, g.directoryFeed},
 		Store:         g.store,
 		Scheduler:     g.scheduler,
 		Pool:          g.pool,
