Go on with a payload where an earlier try ended

The known red TestPayloadsComeBack: payloads.get reads for 1.5 s and kept nothing of what it read, so that on a machine this busy a payload of 1.4 MB that is read by its keys never came. Records are kept by their keys as they come, and a try begins behind those that are in memory.

--- a/batch/payloads.go
+++ b/batch/payloads.go
@@ -99,15 +99,18 @@
 }
 
 // segment reads the records of one append, of so many bytes: where they were
-// written, while the store keeps that, then by their keys.
+// written, while the store keeps that, then by their keys. It goes on behind what an
+// earlier try read, so that a payload that takes longer than one try comes.
 func (p *payloads) segment(ctx context.Context, s *jobs.Segment, size int) ([]byte, error) {
-	found := make(map[string][]byte, len(s.Keys))
-	err := p.byOffset(ctx, s, size, found)
-	if errors.Is(err, platform.ErrTrimmed) {
-		err = p.byKey(ctx, s, found)
-	}
-	if err != nil {
-		return nil, err
+	found := p.kept(s, size)
+	if len(found) < len(s.Keys) {
+		err := p.byOffset(ctx, s, size, found)
+		if errors.Is(err, platform.ErrTrimmed) {
+			err = p.byKey(ctx, s, found)
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
 	var out []byte
 	for _, key := range s.Keys {
@@ -120,10 +123,27 @@
 	return out, nil
 }
 
+// kept returns the first records of a segment that are in memory, up to one that is
+// not. The key of the first may stand for a whole payload: then it has another size.
+func (p *payloads) kept(s *jobs.Segment, size int) map[string][]byte {
+	found := make(map[string][]byte, len(s.Keys))
+	for i, key := range s.Keys {
+		value, there := p.cache.get(key)
+		if !there || len(value) != min(recordBytes, size-i*recordBytes) {
+			break
+		}
+		found[key] = value
+	}
+	return found
+}
+
 func (p *payloads) byOffset(ctx context.Context, s *jobs.Segment, size int, found map[string][]byte) error {
 	const noWait = time.Duration(0)
 	last := s.Offset + int64(len(s.Keys))
-	for from := s.Offset; from < last; {
+	for i := range len(found) {
+		size -= len(found[s.Keys[i]])
+	}
+	for from := s.Offset + int64(len(found)); from < last; {
 		kilobytes := 1 + (size+int(last-from)*recordOverhead)>>10
 		page, err := p.store.Read(ctx, platform.TopicPayloads, from, kilobytes, noWait)
 		if err != nil {
@@ -138,6 +158,7 @@
 				return err
 			}
 			found[k.Key] = k.Value
+			p.cache.put(k.Key, k.Value)
 			size -= len(k.Value)
 		}
 		size = max(size, 0)
--- a/batch/payloads_test.go
+++ b/batch/payloads_test.go
@@ -87,6 +87,59 @@
 	}
 }
 
+// patchyStore fails each call behind the first two of a try.
+type patchyStore struct {
+	Store
+	calls int
+}
+
+func (s *patchyStore) spent() bool {
+	s.calls++
+	return s.calls > 2
+}
+
+func (s *patchyStore) Read(ctx context.Context, topic platform.Topic, from int64, kilobytes int, wait time.Duration) (platform.Page, error) {
+	if s.spent() {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return s.Store.Read(ctx, topic, from, kilobytes, wait)
+}
+
+func (s *patchyStore) Newest(ctx context.Context, topic platform.Topic, after string) (platform.Snapshot, error) {
+	if s.spent() {
+		return platform.Snapshot{}, platform.ErrUnavailable
+	}
+	return s.Store.Newest(ctx, topic, after)
+}
+
+// TestPayloadGoesOnAfterAFailure reads a payload that takes more calls than one try
+// has time for, as on a busy machine: begun anew each time, it never comes.
+func TestPayloadGoesOnAfterAFailure(t *testing.T) {
+	for _, trimmed := range []bool{false, true} {
+		r := newPayloadRig(t)
+		const size = 2*callBytes + 7
+		blob, err := r.writer.put(context.Background(), "p", content(size))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if trimmed {
+			r.store.Trim(standin.TrimRequest{Topic: platform.TopicPayloads.Name, Before: -1})
+		}
+		store := &patchyStore{Store: r.reader.store}
+		r.reader.store = store
+		var got []byte
+		for range 12 {
+			store.calls = 0
+			if got, err = r.reader.get(context.Background(), &blob); err == nil {
+				break
+			}
+		}
+		if err != nil || !bytes.Equal(got, content(size)) {
+			t.Errorf("trimmed %v: %d bytes, error %v", trimmed, len(got), err)
+		}
+	}
+}
+
 // TestLostAnswersLeaveTheirKeys loses the answer of an append: the copy it left has
 // to be known, or nobody would ever delete it.
 func TestLostAnswersLeaveTheirKeys(t *testing.T) {
