--- a/cli/eventsdoc_test.go
+++ b/cli/eventsdoc_test.go
@@ -14,30 +14,31 @@
 	namedEvent  = regexp.MustCompile("`([a-z]+(?:_[a-z]+)*)`")
 )
 
-// loggedEvents returns the events that the sources log.
-func loggedEvents(t *testing.T) map[string]bool {
+// namesIn returns what the group of a pattern matches in the chosen source files.
+func namesIn(t *testing.T, pattern *regexp.Regexp, chosen func(path string) bool) map[string]bool {
 	t.Helper()
-	events := make(map[string]bool)
+	names := make(map[string]bool)
 	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+		if err != nil || filepath.Ext(path) != ".go" || !chosen(path) {
 			return err
 		}
 		source, err := os.ReadFile(path)
-		for _, m := range loggedEvent.FindAllStringSubmatch(string(source), -1) {
-			events[m[1]] = true
+		for _, m := range pattern.FindAllStringSubmatch(string(source), -1) {
+			names[m[1]] = true
 		}
 		return err
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return events
+	return names
 }
 
 // TestOperationsNamesRealEvents holds the table of events in OPERATIONS.md against
 // those that the sources log.
 func TestOperationsNamesRealEvents(t *testing.T) {
-	logged, named := loggedEvents(t), 0
+	logged := namesIn(t, loggedEvent, func(path string) bool { return !strings.HasSuffix(path, "_test.go") })
+	named := 0
 	for _, line := range strings.Split(readDocs(t)["OPERATIONS.md"], "\n") {
 		first, _, _ := strings.Cut(strings.TrimPrefix(line, "| "), " |")
 		if !strings.HasPrefix(line, "| `") || strings.Contains(first, "/") {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -2,155 +2,18 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptest"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
-	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/standin"
-	"github.com/peridotmount/peridotmount/upstream"
-)
-
-// patience is how long tests wait for what must happen.
-const patience = 20 * time.Second
-
-// testConfiguration is a configuration that can't be confirmed if stale is set.
-type testConfiguration struct {
-	current *route.Configuration
-	stale   error
-}
-
-func (c *testConfiguration) Current() *route.Configuration { return c.current }
-func (c *testConfiguration) Confirm(context.Context) error { return c.stale }
-
-// rota places requests at its endpoints in turn, but for those to avoid.
-type rota struct {
-	endpoints []*endpoint.Endpoint
-	uses      chan Use
-}
-
-func (p *rota) Place(_ context.Context, ask *Ask) (Place, error) {
-	for _, e := range p.endpoints {
-		if !slices.Contains(ask.Avoid, e.ID) {
-			return &rotaPlace{rota: p, endpoint: e}, nil
-		}
-	}
-	return nil, &Rejection{Reason: "no endpoint is left", RetryAfter: time.Second}
-}
-
-type rotaPlace struct {
-	rota     *rota
-	endpoint *endpoint.Endpoint
-}
-
-func (p *rotaPlace) Endpoint() *endpoint.Endpoint { return p.endpoint }
-func (p *rotaPlace) Stalled()                     {}
-func (p *rotaPlace) Release(u Use)                { p.rota.uses <- u }
-
-// bench is a Forwarder before replicas.
-type bench struct {
-	t        *testing.T
-	config   *testConfiguration
-	replicas []*standin.Replica
-	rota     *rota
-	server   *httptest.Server
-	seq      int
-	// lines is the log; read it after the server is closed.
-	lines bytes.Buffer
-}
-
-func newBench(t *testing.T, r route.Route, replicas, events int) *bench {
-	t.Helper()
-	r.Host, r.Prefix, r.Name = "h.example", "/p/", "r"
-	r.Backends = []route.Backend{{Service: "s", Weight: 1}}
-	config := &route.Configuration{Version: 1, Routes: []route.Route{r}, Limits: route.Limits{BodyBytes: 1 << 20}}
-	config.Index()
-	b := &bench{t: t, config: &testConfiguration{current: config}, rota: &rota{uses: make(chan Use, 64)}}
-	for i := range replicas {
-		replica, err := standin.StartReplica(fmt.Sprintf("i-%d", i), events)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(replica.Close)
-		b.replicas = append(b.replicas, replica)
-		b.rota.endpoints = append(b.rota.endpoints, &endpoint.Endpoint{ID: replica.ID, Service: "s", Address: replica.Address(), Slots: 8})
-	}
-	f := New(Options{
-		Configuration: b.config,
-		Placer:        b.rota,
-		Pool:          upstream.NewPool(upstream.Options{}),
-		Jobs:          http.NotFoundHandler(),
-		Draining:      func() bool { return false },
-		BodyBudget:    16 << 20,
-		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.lines)),
-	})
-	b.server = httptest.NewServer(f)
-	t.Cleanup(b.server.Close)
-	return b
-}
-
-// answer is what a client got.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	// whole tells that the answer ended as it should.
-	whole bool
-}
-
-// send sends a request and reads its answer.
-func (b *bench) send(ctx context.Context, body string, header map[string]string) (id string, a answer) {
-	b.t.Helper()
-	b.seq++
-	id = fmt.Sprintf("q%d", b.seq)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/p/x%2Fy?z=1", strings.NewReader(body))
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", id)
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return id, answer{}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	return id, answer{status: resp.StatusCode, header: resp.Header, body: string(data), whole: err == nil}
-}
-
-// runs returns how often a request ran at all replicas together.
-func (b *bench) runs(id string) []standin.ReplicaRun {
-	var out []standin.ReplicaRun
-	for _, r := range b.replicas {
-		for _, run := range r.Runs() {
-			if run.Request == id {
-				out = append(out, run)
-			}
-		}
-	}
-	return out
-}
-
-var (
-	idempotent = route.Route{Kind: route.Idempotent, MaxAttempts: 2, Timeout: patience}
-	atMostOnce = route.Route{Kind: route.AtMostOnce, MaxAttempts: 2, Timeout: patience}
-	resumable  = route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 2, Timeout: patience}
-	onceStream = route.Route{Kind: route.Streaming, MaxAttempts: 1, Timeout: patience}
 )
 
 func TestRequestAndAnswerPassUnchanged(t *testing.T) {
