Bound what an endpoint or the store may send

Cause: net/http keeps the head of an answer in memory however long it is; comments of a stream counted as events, so that an endpoint that sends them for ever held its slot for ever, and as empty lines of a batch item's output, which is then not the item's; the output of an item had no bound; a large event that comes byte by byte was searched anew for each read. Ruled out: chunk extensions and trailers, which net/http bounds; bodies of plain answers, which end with the request's deadline; the peers', control and callers' listeners, whose heads are bounded.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -37,13 +37,21 @@
 	// each try holds a slot meanwhile.
 	misplacedDelay = 250 * time.Millisecond
 	unreadDelay    = time.Second
+	// outputBytes bounds the output of an item: a caller reads at most one MB of
+	// results at a time.
+	outputBytes = 1 << 20
 )
 
 // unknownItem is the reason not to run an item that this host hasn't read of.
 const unknownItem = "item is not known yet"
 
-// errSilent means that an endpoint makes no events.
-var errSilent = errors.New("endpoint is silent")
+// Errors that end a run.
+var (
+	// errSilent means that an endpoint makes no events.
+	errSilent = errors.New("endpoint is silent")
+	// errEndless means that an endpoint makes more events than the item may have.
+	errEndless = errors.New("endpoint makes more than the item may have")
+)
 
 // Runner runs batch items that the scheduler starts on this host.
 type Runner struct {
@@ -127,6 +135,8 @@
 	output   strings.Builder
 	watch    *pace.Watch
 	order    sse.Order
+	// endless tells that the endpoint sent more than the item can have.
+	endless bool
 }
 
 // Run implements slots.Runner.
@@ -261,8 +271,11 @@
 			x.cut(ctx, scheduler.Broken, err)
 			return
 		}
-		x.watch.Heard()
-		if err := x.order.Check(block.Events); err != nil {
+		if len(block.Events) > 0 {
+			// Comments alone are no progress.
+			x.watch.Heard()
+		}
+		if err := x.check(block.Events); err != nil {
 			x.cut(ctx, scheduler.Broken, err)
 			return
 		}
@@ -276,6 +289,23 @@
 	}
 }
 
+// check returns why events can't be the next ones of the item: they are out of order,
+// or more than it may have. An endpoint that doesn't end must not fill the memory.
+func (x *run) check(events []sse.Event) error {
+	if err := x.order.Check(events); err != nil {
+		return err
+	}
+	size := x.output.Len()
+	for i := range events {
+		size += len(events[i].Data) + 1
+	}
+	if size > outputBytes {
+		x.endless = true
+		return errEndless
+	}
+	return nil
+}
+
 // cut ends a run that did not finish, and keeps what it made.
 func (x *run) cut(ctx context.Context, outcome scheduler.Outcome, err error) {
 	switch {
@@ -284,7 +314,12 @@
 	case ctx.Err() != nil:
 		outcome = scheduler.Abandoned
 	}
-	if x.made > x.resumed {
+	switch {
+	case x.endless:
+		// What there is may be as wrong as what is too much of it.
+		x.ledger.partials.drop(x.ref)
+		x.made = 0
+	case x.made > x.resumed:
 		x.keep()
 	}
 	x.done(string(outcome), err.Error(), scheduler.Use{Outcome: outcome, Made: x.tokensMade()})
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -82,3 +82,78 @@
 		t.Errorf("slot released with %+v", uses)
 	}
 }
+
+// runOnce submits a job of one item to an engine with faults, runs the item once and
+// returns the ledger, the outcome of the run and the item's result, if it has one.
+func runOnce(t *testing.T, faults standin.ReplicaFaults) (*Ledger, scheduler.Use, *jobs.Result) {
+	t.Helper()
+	server := httptest.NewServer(standin.NewStore(standin.StoreFaults{}).Handler())
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	replica, err := standin.StartReplica("engine-0", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(replica.Close)
+	replica.SetFaults(faults)
+	l := newStoredLedger("host", server.Listener.Addr().String(), replica)
+	t.Cleanup(followLedger(t, l))
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	t.Cleanup(cancel)
+	items := []jobs.Item{{ID: "i", Path: "/lots-in/run", Tokens: 3, Body: []byte("q")}}
+	if v, err := l.Submit(ctx, "j", "h", "/lots-in/j", items); err != nil || v != jobs.Accepted {
+		t.Fatalf("verdict %v, error %v", v, err)
+	}
+	var uses releases
+	NewRunner(ctx, l).Run(ctx, &scheduler.Start{Ticket: "t", Endpoint: "engine-0", Item: scheduler.ItemRef{Job: "j"}}, &uses)
+	if len(uses) != 1 || ctx.Err() != nil {
+		t.Fatalf("slot released with %+v, time over: %v", uses, ctx.Err())
+	}
+	if err := l.confirm(ctx); err != nil {
+		t.Fatal(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if results := l.state.Job("j").Results; len(results) > 0 {
+		return l, uses[0], &results[0]
+	}
+	return l, uses[0], nil
+}
+
+// TestCommentsAreNoOutput runs an item at an engine that sends comments between its
+// events: they are no part of the output.
+func TestCommentsAreNoOutput(t *testing.T) {
+	l, _, result := runOnce(t, standin.ReplicaFaults{Comments: true})
+	if result == nil {
+		t.Fatal("no result")
+	}
+	output, err := l.payloads.get(context.Background(), &result.Output)
+	want := standin.EventData("i", 1) + "\n" + standin.EventData("i", 2) + "\n" + standin.EventData("i", 3)
+	if err != nil || string(output) != want {
+		t.Errorf("output %q, error %v", output, err)
+	}
+}
+
+// TestCommentsAreNoProgress has an engine send comments for ever after its first event.
+// The run ends, so that its slot is free, and the next one goes on behind that event.
+func TestCommentsAreNoProgress(t *testing.T) {
+	l, use, result := runOnce(t, standin.ReplicaFaults{CommentsAfter: 1})
+	if use.Outcome != scheduler.Broken || result != nil {
+		t.Errorf("slot released with %+v, result %+v", use, result)
+	}
+	if kept := l.partials.get(scheduler.ItemRef{Job: "j"}); kept.events != 1 || kept.output != standin.EventData("i", 1) {
+		t.Errorf("kept %+v", kept)
+	}
+}
+
+// TestOutputWithoutEnd has an engine make events for ever: the run ends, and nothing of
+// it stays in memory or becomes a result.
+func TestOutputWithoutEnd(t *testing.T) {
+	l, use, result := runOnce(t, standin.ReplicaFaults{Endless: true})
+	if use.Outcome != scheduler.Broken || use.Made != 0 || result != nil {
+		t.Errorf("slot released with %+v, result %+v", use, result)
+	}
+	if kept := l.partials.get(scheduler.ItemRef{Job: "j"}); kept.events != 0 || kept.output != "" {
+		t.Errorf("kept %d events", kept.events)
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -117,7 +117,10 @@
 		if err != nil {
 			return err
 		}
-		t.watch.Heard()
+		if len(block.Events) > 0 {
+			// Comments alone are no progress.
+			t.watch.Heard()
+		}
 		order := s.order
 		if err := order.Check(block.Events); err != nil {
 			return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,7 +143,7 @@
 	g.store = platform.NewStore(g.settings.Store, platform.StoreOptions{Registerer: g.registry})
 	g.configuration = &configuration{logger: g.logger, adopted: g.adopted}
 	g.asker = picture.NewClient(g.settings.Seeds, &http.Client{Transport: &http.Transport{
-		DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableKeepAlives: true,
+		DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: headerBytes,
 	}})
 	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
 	g.endpoints = newEndpoints(g.logger, g.endpointsChanged)
@@ -169,8 +169,9 @@
 		Directory: g.directory,
 		Known:     g.directoryFeed.Complete,
 		HTTP: &http.Client{Transport: &http.Transport{
-			DialContext:        sockopt.Dialer(peerDialTimeout).DialContext,
-			DisableCompression: true,
+			DialContext:            sockopt.Dialer(peerDialTimeout).DialContext,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: headerBytes,
 		}},
 		Runner: func(ctx context.Context, s *scheduler.Start, slot slots.RunnerSlot) {
 			g.runner.Run(ctx, s, slot)
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -21,7 +21,7 @@
 	// idleTimeout is how long a client may leave a connection idle; clients
 	// close earlier, at four fifths of the limit in the configuration.
 	idleTimeout = 2 * time.Minute
-	// headerBytes bounds the headers of a request.
+	// headerBytes bounds the headers of a request, and those of other hosts' answers.
 	headerBytes = 64 << 10
 )
 
--- a/sse/block.go
+++ b/sse/block.go
@@ -7,11 +7,12 @@
 	"github.com/pkg/errors"
 )
 
-// Block is one or more whole events, as they were received.
+// Block is one or more whole events or comments, as they were received.
 type Block struct {
 	// Bytes are valid until the next call.
 	Bytes []byte
-	// Events are in order and valid until the next call.
+	// Events are in order and valid until the next call; there are none if only
+	// comments came.
 	Events []Event
 }
 
@@ -40,13 +41,14 @@
 	return &Splitter{r: r, buf: make([]byte, 0, splitterBytes)}
 }
 
-// Next returns the events that have arrived, at least one. At the end of the
+// Next returns the events and comments that have arrived, at least one. At the end of the
 // stream it returns io.EOF; an error of the reader is returned as it is.
 func (s *Splitter) Next() (Block, error) {
 	rest := copy(s.buf, s.buf[s.passed:])
 	s.buf, s.passed = s.buf[:rest], 0
+	scanned := 0
 	for {
-		if end := lastEventEnd(s.buf); end > 0 {
+		if end := lastEventEnd(s.buf, scanned); end > 0 {
 			s.passed = end
 			s.events = parseEvents(s.events[:0], s.buf[:end])
 			return Block{Bytes: s.buf[:end], Events: s.events}, nil
@@ -54,6 +56,7 @@
 		if len(s.buf) > MaxEventBytes {
 			return Block{}, ErrEventTooLarge
 		}
+		scanned = len(s.buf)
 		if err := s.fill(); err != nil {
 			return Block{}, err
 		}
@@ -83,19 +86,22 @@
 	return err
 }
 
-// lastEventEnd returns the length of the whole events at the start of b.
-func lastEventEnd(b []byte) int {
+// lastEventEnd returns the length of the whole events at the start of b, of which the
+// first scanned bytes hold no end. An endpoint may send a large event byte by byte.
+func lastEventEnd(b []byte, scanned int) int {
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	from := max(0, scanned-len("\r\n\r"))
+	if i := bytes.LastIndex(b[from:], []byte("\n\n")); i >= 0 {
+		end = from + i + 2
 	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	if i := bytes.LastIndex(b[from:], []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, from+i+4)
 	}
 	return end
 }
 
-// parseEvents appends the events in b, which share its memory.
+// parseEvents appends the events in b, which share its memory. Comments and events
+// without id and data are none: endpoints send them to show that they are there.
 func parseEvents(events []Event, b []byte) []Event {
 	var event Event
 	filled := false
@@ -110,14 +116,13 @@
 			event, filled = Event{}, false
 			continue
 		}
-		filled = true
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
-			event.ID = string(value)
+			event.ID, filled = string(value), true
 		case "data":
-			event.Data = joinLines(event.Data, value)
+			event.Data, filled = joinLines(event.Data, value), true
 		}
 	}
 	return events
--- a/standin/replicafaults.go
+++ b/standin/replicafaults.go
@@ -19,6 +19,10 @@
 	// CutAfter, SilentAfter and SkipAfter break a stream off, fall silent or leave
 	// an event out after so many events.
 	CutAfter, SilentAfter, SkipAfter int
+	// Comments sends a comment before each event, CommentsAfter nothing else after so
+	// many events, Endless events that are not asked for after the last one.
+	Comments, Endless bool
+	CommentsAfter     int
 	// KeepAlive is the value of the header that states the idle timeout.
 	KeepAlive string
 }
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -14,6 +14,8 @@
 	net.Conn
 	key    string
 	reader *bufio.Reader
+	// allowed bounds what reader takes of the connection.
+	allowed *allowance
 	// idleUntil is when an idle connection is given up.
 	idleUntil time.Time
 	// sent counts the bytes handed to the socket for the present call.
@@ -27,7 +29,8 @@
 const readerBytes = 2 << 10
 
 func newConnection(key string, c net.Conn) *connection {
-	return &connection{Conn: c, key: key, reader: bufio.NewReaderSize(c, readerBytes)}
+	allowed := &allowance{r: c, left: unbounded}
+	return &connection{Conn: c, key: key, reader: bufio.NewReaderSize(allowed, readerBytes), allowed: allowed}
 }
 
 // Write implements io.Writer and counts.
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,143 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+const testPatience = 20 * time.Second
+
+// endless is what an endpoint without end sends at most, in bytes: a caller that keeps it
+// all fails its test, and spares the machine.
+const endless = 8 << 20
+
+// answering starts an endpoint that sends a prefix, then a piece again and again until
+// the caller closes, and returns its address.
+func answering(t *testing.T, prefix, piece string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns sync.WaitGroup
+	t.Cleanup(func() { _ = l.Close(); conns.Wait() })
+	pieces := bytes.Repeat([]byte(piece), 1+4096/max(1, len(piece)))
+	conns.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Go(func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 1024)); err != nil {
+					return
+				}
+				if _, err := io.WriteString(c, prefix); err != nil {
+					return
+				}
+				for sent := 0; piece != "" && sent < endless; sent += len(pieces) {
+					if _, err := c.Write(pieces); err != nil {
+						return
+					}
+				}
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
+func testCall() *Call {
+	return &Call{
+		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{},
+		Answers: func(_ int, h http.Header) bool { return h.Get("X-Other") == "" },
+	}
+}
+
+// TestHeadsWithoutEnd has sixteen endpoints at once send heads without end, of each
+// kind. Each call ends by itself, and what they take of memory stays small: a host has
+// 184 MB.
+func TestHeadsWithoutEnd(t *testing.T) {
+	for name, answer := range map[string][2]string{
+		"status line":             {"HTTP/1.1 200 ", "OK"},
+		"one field":               {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"many fields":             {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"no answer":               {"", "noise"},
+		"lines that are no head":  {"", "\r\n"},
+		"informational answers":   {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"answers to other calls":  {"", "HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 1\r\n\r\nx"},
+		"body of another's":       {"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n", "x"},
+		"chunks of another's":     {"HTTP/1.1 200 OK\r\nX-Other: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"extensions of another's": {"HTTP/1.1 200 OK\r\nX-Other: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"trailer of another's":    {"HTTP/1.1 200 OK\r\nX-Other: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const endpoints, each = 16, 1 << 20
+			address := answering(t, answer[0], answer[1])
+			p := NewPool(Options{})
+			ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var calls sync.WaitGroup
+			for i := range endpoints {
+				calls.Go(func() {
+					a, err := p.Send(ctx, fmt.Sprint(i), address, testCall())
+					if !errors.Is(err, ErrNoAnswer) || ctx.Err() != nil {
+						t.Errorf("answer %v, error %v, call over: %v", a, err, ctx.Err())
+					}
+				})
+			}
+			calls.Wait()
+			runtime.ReadMemStats(&after)
+			if got := after.TotalAlloc - before.TotalAlloc; got > endpoints*each {
+				t.Errorf("%d bytes allocated for %d answers", got, endpoints)
+			}
+		})
+	}
+}
+
+// TestEndlessAnswersAreCounted tells operators of endpoints that send without end.
+func TestEndlessAnswersAreCounted(t *testing.T) {
+	p := NewPool(Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	_, err := p.Send(ctx, "e", answering(t, "HTTP/1.1 200 OK\r\nX: ", "x"), testCall())
+	if err == nil || !strings.Contains(err.Error(), ErrTooLong.Error()) {
+		t.Errorf("error %v doesn't say that the answer is too long", err)
+	}
+	if n := testutil.ToFloat64(p.metrics.tooLong); n != 1 {
+		t.Errorf("counted %v answers", n)
+	}
+}
+
+// TestLargeHeadsAndLongBodiesPass lets pass what an endpoint may send.
+func TestLargeHeadsAndLongBodiesPass(t *testing.T) {
+	body := strings.Repeat("b", 4*foreignBytes)
+	head := "HTTP/1.1 200 OK\r\nX-Large: " + strings.Repeat("l", headBytes/2) + "\r\n"
+	p := NewPool(Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	address := answering(t, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body, "")
+	a, err := p.Send(ctx, "e", address, testCall())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(a)
+	if err != nil || len(got) != len(body) {
+		t.Errorf("%d bytes of %d, error %v", len(got), len(body), err)
+	}
+	a.Close()
+}
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -11,4 +11,7 @@
 	ErrNoAnswer = errors.New("no answer from the endpoint")
 	// ErrCut means that an answer ended before it was complete.
 	ErrCut = errors.New("answer of the endpoint is cut")
+	// ErrTooLong means that an endpoint sent more bytes than an answer's head, or an
+	// answer to another request, may have.
+	ErrTooLong = errors.New("endpoint sends more than an answer may have")
 )
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -6,6 +6,7 @@
 type metrics struct {
 	dials   *prometheus.CounterVec
 	foreign prometheus.Counter
+	tooLong prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -18,9 +19,13 @@
 			Name: "peridotmount_upstream_foreign_answers_total",
 			Help: "Answers that belonged to another request than the one sent.",
 		}),
+		tooLong: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "peridotmount_upstream_endless_answers_total",
+			Help: "Answers given up because an endpoint sent more bytes than they may have.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.dials, m.foreign)
+		r.MustRegister(m.dials, m.foreign, m.tooLong)
 	}
 	return m
 }
--- a/upstream/options.go
+++ b/upstream/options.go
@@ -33,6 +33,12 @@
 	// maxForeign bounds the answers to other requests that are passed over on
 	// one connection.
 	maxForeign = 3
+	// headBytes bounds the head of an answer, in bytes: those of endpoints are below
+	// one KiB, those of plain services as large as callers' own.
+	headBytes = 64 << 10
+	// foreignBytes bounds the body of an answer that is passed over, in bytes; above
+	// it, a new connection costs less.
+	foreignBytes = 256 << 10
 	// sweepEvery is the time between two searches for idle connections to close.
 	sweepEvery = time.Second
 )
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -104,7 +104,7 @@
 // await reads answers until the one to the call comes.
 func (x *exchange) await(req *http.Request, call *Call) (*http.Response, error) {
 	for range maxForeign {
-		resp, err := http.ReadResponse(x.conn.reader, req)
+		resp, err := x.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -115,13 +115,39 @@
 			return resp, nil
 		}
 		x.pool.metrics.foreign.Inc()
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if err := x.passOver(resp); err != nil || resp.Close {
 			return nil, errors.New("answer belongs to another request")
 		}
 	}
 	return nil, errors.New("answers belong to other requests")
 }
 
+// readHead reads the head of an answer. The error is ErrTooLong if that has no end.
+func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
+	x.conn.allowed.left = headBytes
+	defer func() { x.conn.allowed.left = unbounded }()
+	resp, err := http.ReadResponse(x.conn.reader, req)
+	return resp, x.noteLength(err)
+}
+
+// passOver reads the body of an answer to another request.
+func (x *exchange) passOver(resp *http.Response) error {
+	x.conn.allowed.left = foreignBytes
+	defer func() { x.conn.allowed.left = unbounded }()
+	_, err := io.Copy(io.Discard, resp.Body)
+	return x.noteLength(err)
+}
+
+// noteLength counts an answer that was given up for its length. net/http may hide
+// the reason, as it takes any end of a head for an unexpected one.
+func (x *exchange) noteLength(err error) error {
+	if err == nil || x.conn.allowed.left != 0 {
+		return err
+	}
+	x.pool.metrics.tooLong.Inc()
+	return errors.Wrap(ErrTooLong, err.Error())
+}
+
 // failed gives the connection up and names what the error says of the request.
 func (x *exchange) failed(err error) error {
 	sent := x.conn.sent.Load() > 0
