--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -34,6 +34,16 @@
 	decideShare = 0.2
 	// holdWeight is that of a new measurement in the moving averages.
 	holdWeight = 0.05
+	// tokenWeight is that of each token of a run in the mean time of a token, up to
+	// maxTokenWeight for a run: short runs measure little but their start.
+	tokenWeight    = 0.00004
+	maxTokenWeight = 0.1
+	// planMargin is how much longer an item is planned to need than its size and the
+	// mean time of a token say: sizes are estimates, and engines differ.
+	planMargin = 1.3
+	// resultTime is from an item's last token until callers can read its result: the
+	// writes of its output and its record, and a page that hosts read of the ledger.
+	resultTime = time.Second
 	// reserveTime is how far ahead batch items leave room for online requests: a
 	// run that is revoked sooner costs more than it makes.
 	reserveTime = 250 * time.Millisecond
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -29,7 +29,8 @@
 		work += need
 		// An item takes its whole time in one slot, however many there are.
 		wait := time.Duration(float64(work-need) / max(1, slots))
-		if now.Add(wait + need).After(i.Due) {
+		alone := time.Duration(planMargin*float64(need)) + resultTime
+		if now.Add(wait + alone).After(i.Due) {
 			given := heap.Pop(&kept).(planned)
 			given.item.late = true
 			work -= given.need
--- a/scheduler/player_test.go
+++ b/scheduler/player_test.go
@@ -36,8 +36,21 @@
 	lost func(at time.Duration) int
 	// share and batch are what Core.SetShare is told.
 	share float64
+	// uneven makes one engine in three slower by slowEngine, and each one slower by
+	// slowMoment for slowShare of its time, and sizes of items known roughly.
+	uneven bool
 }
 
+const (
+	slowEngine = 1.3
+	slowMoment = 2.5
+	slowShare  = 0.15
+	// hintSpread is how far off the expected number of tokens is.
+	hintSpread = 0.5
+	// slowEvery is the time from one slow moment to the next.
+	slowEvery = 600 * time.Millisecond
+)
+
 // peaks is the shape of the sites' online load: 1.87 times the mean for 2.4 s of
 // every 5.8 s, 0.383 times between.
 func peaks(mean float64) func(time.Duration) float64 {
@@ -49,6 +62,33 @@
 	}
 }
 
+// tokenTime returns the mean time of a token at an engine over the next slowEvery.
+func (r *replay) tokenTime(endpoint string) time.Duration {
+	if !r.load.uneven {
+		return replayToken
+	}
+	t := float64(replayToken)
+	if endpoint[len(endpoint)-1]%3 == 0 {
+		t *= slowEngine
+	}
+	return time.Duration(t)
+}
+
+// work returns how long an engine needs for so many tokens from now on.
+func (r *replay) work(endpoint string, tokens int) time.Duration {
+	took := time.Duration(tokens) * r.tokenTime(endpoint)
+	if !r.load.uneven {
+		return took
+	}
+	slowed := time.Duration(0)
+	for at := time.Duration(0); at < took; at += slowEvery {
+		if r.random.Float64() < slowShare {
+			slowed += time.Duration((slowMoment - 1) * float64(min(slowEvery, took-at)))
+		}
+	}
+	return took + slowed
+}
+
 func steady(rate float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return rate }
 }
@@ -119,9 +159,11 @@
 }
 
 type itemRun struct {
-	ref     ItemRef
-	begun   time.Duration
-	revoked bool
+	ref   ItemRef
+	begun time.Duration
+	// perToken is the mean time of a token of this run.
+	perToken time.Duration
+	revoked  bool
 }
 
 var replayStart = time.Unix(1000, 0)
@@ -226,11 +268,19 @@
 		r.due[ref] = r.now + 18*time.Second
 		r.out.items++
 		r.core.AddItem(r.clock(), Item{
-			Ref: ref, Service: "s", Due: replayStart.Add(r.due[ref]), PromptTokens: 350, ExpectedTokens: r.sizes[ref],
+			Ref: ref, Service: "s", Due: replayStart.Add(r.due[ref]), PromptTokens: 350, ExpectedTokens: r.expected(r.sizes[ref]),
 		})
 	}
 }
 
+// expected returns what is said beforehand of a number of tokens.
+func (r *replay) expected(tokens int) int {
+	if !r.load.uneven {
+		return tokens
+	}
+	return int(float64(tokens) * math.Exp(hintSpread*r.random.NormFloat64()))
+}
+
 // effects does what the core decided.
 func (r *replay) effects() {
 	for effects := r.core.Effects(); len(effects) > 0; effects = r.core.Effects() {
@@ -258,7 +308,7 @@
 	default:
 		r.out.inTime++
 	}
-	r.at(r.now+replayFirst+time.Duration(q.tokens)*replayToken, func() {
+	r.at(r.now+replayFirst+r.work(g.Endpoint, q.tokens), func() {
 		r.core.Done(r.clock(), Use{Ticket: g.Ticket, Outcome: Finished})
 	})
 }
@@ -280,17 +330,18 @@
 
 func (r *replay) started(s Start) {
 	r.out.starts++
-	run := &itemRun{ref: s.Item, begun: r.now}
+	tokens := r.sizes[s.Item] - r.made[s.Item]
+	took := r.work(s.Endpoint, tokens)
+	run := &itemRun{ref: s.Item, begun: r.now, perToken: took / time.Duration(max(1, tokens))}
 	r.runs[s.Ticket] = run
-	left := time.Duration(r.sizes[s.Item]-r.made[s.Item]) * replayToken
-	r.at(r.now+replayFirst+left, func() {
+	r.at(r.now+replayFirst+took, func() {
 		if run.revoked {
 			return
 		}
 		if r.now <= r.due[s.Item] {
 			r.out.itemsInTime++
 		}
-		r.core.Done(r.clock(), Use{Ticket: s.Ticket, Outcome: Finished, Settled: true})
+		r.core.Done(r.clock(), Use{Ticket: s.Ticket, Outcome: Finished, Settled: true, Made: r.sizes[s.Item]})
 		r.core.DropItem(r.clock(), s.Item)
 	})
 }
@@ -301,7 +352,7 @@
 		return
 	}
 	run.revoked = true
-	r.made[run.ref] += int(max(0, r.now-run.begun-replayFirst) / replayToken)
+	r.made[run.ref] += int(max(0, r.now-run.begun-replayFirst) / run.perToken)
 	r.at(r.now+replayLeave, func() {
 		r.core.Done(r.clock(), Use{Ticket: v.Ticket, Outcome: Abandoned, Made: r.made[run.ref]})
 	})
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -108,3 +108,13 @@
 func (v *service) observe(held time.Duration) {
 	v.hold += time.Duration(holdWeight * float64(held-v.hold))
 }
+
+// observeTokens takes the time in which a run made so many tokens.
+func (v *service) observeTokens(took time.Duration, made int) {
+	if took <= 0 {
+		return
+	}
+	measured := took / time.Duration(made)
+	weight := min(maxTokenWeight, tokenWeight*float64(made))
+	v.perToken += time.Duration(weight * float64(measured-v.perToken))
+}
