Spread the listings of the ledger when all hosts start

Pages that did not arrive in 2 s were asked for again within 0.4 s. Change: hosts wait for a part of 15 ms for each host before a large topic, and come back after a failed page as seldom as they read. Items of own jobs are offered once a listing is whole. TestListingsOfAllHostsFit and TestListedJobsAreOfferedOnce fail without it.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -33,6 +33,8 @@
 
 	mu    sync.Mutex
 	state *jobs.State
+	// listing tells that records are applied which later ones may end.
+	listing bool
 	// verdicts are the submissions of this process that wait for theirs.
 	verdicts map[string]chan jobs.Verdict
 	// seen are the other records of this process that wait to be read back.
@@ -77,15 +79,27 @@
 // Listed implements follow.Handler. The pages of a listing are not of one moment:
 // a later page may hold a record whose predecessors an earlier page lacks. Those
 // from end on are left to the reads that follow, which bring all in order.
-func (l *Ledger) Listed(now time.Time, records []platform.KeyedRecord, end int64) {
+func (l *Ledger) Listed(_ time.Time, records []platform.KeyedRecord, end int64) {
 	n := sort.Search(len(records), func(i int) bool { return records[i].Offset >= end })
-	l.Changed(now, records[:n])
+	l.mu.Lock()
+	l.listing = true
+	l.applyAll(records[:n])
+	l.listing = false
+	l.mu.Unlock()
+	if offers := l.Offers(); len(offers) > 0 {
+		l.opts.Offer(offers)
+	}
 }
 
 // Changed implements follow.Handler.
 func (l *Ledger) Changed(_ time.Time, records []platform.KeyedRecord) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.applyAll(records)
+}
+
+// applyAll applies records in order. The lock is held.
+func (l *Ledger) applyAll(records []platform.KeyedRecord) {
 	for i := range records {
 		l.apply(&records[i])
 	}
@@ -150,7 +164,7 @@
 func (l *Ledger) settle(offset int64, c *jobs.Change) {
 	if c.Verdict == jobs.Accepted {
 		l.schedule(c.Job)
-		if l.isOwn(c.Job) {
+		if l.isOwn(c.Job) && !l.listing {
 			l.opts.Offer(l.offersOf(nil, time.Now(), c.Job))
 		}
 		_ = level.Info(l.opts.Logger).Log("event", "job_accepted", "job", c.Job.ID, "offset", offset,
--- a/batch/offers_test.go
+++ b/batch/offers_test.go
@@ -42,3 +42,18 @@
 		t.Error("knows the wrong jobs")
 	}
 }
+
+// TestListedJobsAreOfferedOnce starts again with a ledger that has a job whose first item
+// is done: only the open one is offered.
+func TestListedJobsAreOfferedOnce(t *testing.T) {
+	l, _ := newTestLedger()
+	var told []scheduler.Offer
+	l.opts.Offer = func(offers []scheduler.Offer) { told = append(told, offers...) }
+	l.Listed(time.Now(), []platform.KeyedRecord{
+		submitted(t, 0, "own", "self"),
+		keyed(t, 1, "result/own", &jobs.Record{Job: "own", Result: &jobs.Result{Item: 0}}),
+	}, 2)
+	if len(told) != 1 || told[0].Item.Item != 1 {
+		t.Errorf("told %+v", told)
+	}
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -72,7 +72,7 @@
 			}
 			f.noteLost(err)
 			f.borrow(ctx)
-			pause = retries.after(err, jitter())
+			pause = f.afterFailure(retries.after(err, jitter()))
 		} else {
 			retries = newRetry()
 		}
@@ -91,6 +91,21 @@
 			sleep(ctx, afterPoll)
 		}
 	}
+	if len(f.opts.After) > 0 {
+		sleep(ctx, spread(f.hosts(), jitter()))
+	}
+}
+
+// afterFailure returns the pause after a call that failed: a listing that did not arrive
+// is one of many, and comes again as seldom as reads do.
+func (f *Follower) afterFailure(pause time.Duration) time.Duration {
+	f.mu.Lock()
+	listed := f.listed
+	f.mu.Unlock()
+	if listed {
+		return pause
+	}
+	return paced(pause, f.hosts())
 }
 
 func (f *Follower) hosts() int {
--- a/follow/pace.go
+++ b/follow/pace.go
@@ -19,6 +19,18 @@
 	return max(pause, pause*time.Duration(hosts)/hostsAtFullPace)
 }
 
+// listSpacing is the mean time between the first calls of two hosts for a topic that is
+// listed after others: a ledger of about one MB, of which the store sends 80 a second.
+const listSpacing = 15 * time.Millisecond
+
+// spread returns how long one of so many hosts waits before it lists a large topic; draw
+// is evenly distributed in [0, 1). The load it answers: three hundred hosts start within
+// a second. Asked all at once, the store sends none of them a page in time, nor the
+// small topics that callers need first.
+func spread(hosts int, draw float64) time.Duration {
+	return time.Duration(draw * float64(hosts) * float64(listSpacing))
+}
+
 const (
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 50 * time.Millisecond
--- a/follow/pace_test.go
+++ b/follow/pace_test.go
@@ -49,3 +49,25 @@
 		}
 	}
 }
+
+// TestListingsOfAllHostsFit starts three hundred hosts at once, each of which lists a
+// ledger of one MB: at no time does the store have to send more than it can.
+func TestListingsOfAllHostsFit(t *testing.T) {
+	const hosts, ledgerMB, storeMB = 300, 1.0, 80.0
+	const window = time.Second
+	perWindow := make(map[time.Duration]float64)
+	for i := range hosts {
+		perWindow[spread(hosts, (float64(i)+0.5)/hosts).Truncate(window)] += ledgerMB
+	}
+	for at, mb := range perWindow {
+		if mb > storeMB {
+			t.Errorf("%.0f MB asked for in the second from %s", mb, at)
+		}
+	}
+	if last := spread(hosts, 1); last > 5*time.Second {
+		t.Errorf("the last host lists after %s", last)
+	}
+	if last := spread(10, 1); last > 200*time.Millisecond {
+		t.Errorf("the last of ten hosts lists after %s", last)
+	}
+}
