Let hosts with more processor time schedule

After restarts in turn the oldest may be a small one. Change: hosts state their processor time in their records (host.processor, rendered from the platform's share); those with more come first, the oldest among equals, so that a young host takes over only from a smaller one. TestLargerHostsComeFirst fails without it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,7 @@
 			Address:     "http://" + s.Peers,
 			Zone:        s.Zone,
 			Region:      s.Regions[s.Zone],
+			Processor:   s.Processor,
 			Token:       rand.Text(),
 		},
 	}
--- a/peers/host.go
+++ b/peers/host.go
@@ -22,6 +22,8 @@
 	Operators string `json:"operators,omitempty"`
 	Zone      string `json:"zone"`
 	Region    string `json:"region"`
+	// Processor is the processor time that the host's process may use, in cores.
+	Processor float64 `json:"processor,omitempty"`
 	// Token is the bearer token that the host asks of the others, "" if it is not
 	// known.
 	Token string `json:"token"`
--- a/peers/table.go
+++ b/peers/table.go
@@ -93,8 +93,10 @@
 	return out
 }
 
-// Hosts returns the hosts in the order in which they schedule: those that stay
-// before those that leave, the oldest first.
+// Hosts returns the hosts in the order in which they schedule: those that stay before
+// those that leave, those with more processor time before others, the oldest first. The
+// load it answers: three hundred hosts, four in five of which have a fifth of a core, and
+// whose scheduler needs more than that at a peak.
 func (t *Table) Hosts() []Host {
 	out := make([]Host, 0, len(t.entries))
 	for _, e := range t.entries {
@@ -105,6 +107,9 @@
 		if a.Leaving != b.Leaving {
 			return b.Leaving
 		}
+		if a.Processor != b.Processor {
+			return a.Processor > b.Processor
+		}
 		if a.Joined != b.Joined {
 			return a.Joined < b.Joined
 		}
--- a/peers/table_test.go
+++ b/peers/table_test.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// TestLargerHostsComeFirst has the small hosts of a deployment start before the large
+// ones: these schedule all the same, and a young large host does not take over from an
+// older one.
+func TestLargerHostsComeFirst(t *testing.T) {
+	table := NewTable()
+	for i, h := range []Host{host("small", 1), host("large", 3), host("young", 9), host("smaller", 2), host("unknown", 0)} {
+		h.Processor = map[string]float64{"small": 0.192, "large": 0.8, "young": 0.8, "smaller": 0.1}[h.Name]
+		table.Put(start, int64(10+i), h)
+	}
+	if got := names(table.Hosts()); !slices.Equal(got, []string{"large", "young", "small", "smaller", "unknown"}) {
+		t.Errorf("order %v", got)
+	}
+}
+
 func TestSilentHostExpires(t *testing.T) {
 	table := NewTable()
 	table.Put(start, 1, host("a", 1))
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -34,6 +34,8 @@
 	Store string
 	// Memory is what the process may use.
 	Memory Bytes
+	// Processor is the processor time that the process may use, in cores.
+	Processor float64
 	// Descriptors is how many files and sockets the process may have open.
 	Descriptors int
 	// Grace is the time from SIGTERM to SIGKILL.
@@ -45,7 +47,8 @@
 // Differs reports whether other settings differ in what needs a new start.
 func (s *Gateway) Differs(o *Gateway) bool {
 	return s.Name != o.Name || s.Zone != o.Zone || !maps.Equal(s.Regions, o.Regions) || s.Callers != o.Callers ||
-		s.Readiness != o.Readiness || s.Control != o.Control || !slices.Equal(s.Seeds, o.Seeds) || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Descriptors != o.Descriptors || s.Grace != o.Grace
+		s.Readiness != o.Readiness || s.Control != o.Control || !slices.Equal(s.Seeds, o.Seeds) || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Descriptors != o.Descriptors ||
+		s.Processor != o.Processor || s.Grace != o.Grace
 }
 
 const (
@@ -58,6 +61,10 @@
 	minDescriptors     = 256
 	maxDescriptors     = 1 << 20
 	maxMemory          = 1024 * GiB
+
+	defaultProcessor = 1.0
+	minProcessor     = 0.01
+	maxProcessor     = 1024.0
 )
 
 // LoadGateway reads the settings of a host that serves routes. The error is
@@ -82,6 +89,7 @@
 		Regions:     r.pairs("host.regions"),
 		LogLevel:    r.oneOf("host.log_level", "info", "debug", "info", "warn", "error"),
 		Memory:      r.size("host.memory", minMemory, maxMemory, defaultMemory),
+		Processor:   r.decimal("host.processor", minProcessor, maxProcessor, defaultProcessor),
 		Descriptors: r.number("host.descriptors", minDescriptors, maxDescriptors, defaultDescriptors),
 		Grace:       r.duration("host.grace", time.Second, time.Hour, defaultGrace),
 		Callers:     r.address("listen.callers"),
--- a/settings/values.go
+++ b/settings/values.go
@@ -109,6 +109,21 @@
 	return n
 }
 
+// decimal reads a number that may have a fraction.
+func (r *reader) decimal(name string, low, high, otherwise float64) float64 {
+	r.ask(name, fmt.Sprintf("number from %g to %g", low, high), strconv.FormatFloat(otherwise, 'g', -1, 64))
+	k, found := r.text(name)
+	if !found {
+		return otherwise
+	}
+	n, err := strconv.ParseFloat(k.Value, 64)
+	if err != nil || !(n >= low && n <= high) {
+		r.fault(k, fmt.Sprintf("%s is not a number from %g to %g", name, low, high))
+		return otherwise
+	}
+	return n
+}
+
 func (r *reader) duration(name string, low, high, otherwise time.Duration) time.Duration {
 	r.ask(name, fmt.Sprintf("duration with unit from %s to %s", low, high), otherwise.String())
 	k, found := r.text(name)
