--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/peridotmount/peridotmount/recent"
 )
 
@@ -84,11 +86,9 @@
 	for _, e := range endpoints {
 		s := c.stations[e.ID]
 		if s == nil {
-			s = newStation(e)
-			c.stations[e.ID] = s
+			s = c.newStation(e)
 			v := c.service(e.Service)
-			v.stations = append(v.stations, s)
-			sort.Slice(v.stations, func(i, j int) bool { return v.stations[i].ID < v.stations[j].ID })
+			sort.Slice(v.stations, func(i, j int) bool { return v.stations[i].before(v.stations[j]) })
 		}
 		s.Endpoint, s.listed = e, true
 	}
@@ -96,6 +96,15 @@
 	c.pumpAll(now)
 }
 
+// newStation adds a station to its service.
+func (c *Core) newStation(e Endpoint) *station {
+	s := newStation(e, xxhash.Sum64String(c.opts.Host+"/"+e.ID))
+	c.stations[e.ID] = s
+	v := c.service(e.Service)
+	v.stations = append(v.stations, s)
+	return s
+}
+
 // dropEmptyStations forgets endpoints that are gone and hold nothing.
 func (c *Core) dropEmptyStations() {
 	for id, s := range c.stations {
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -24,10 +24,7 @@
 	}
 	s := c.stations[r.Endpoint]
 	if s == nil {
-		s = newStation(Endpoint{ID: r.Endpoint, Service: r.Service, Slots: 1})
-		c.stations[r.Endpoint] = s
-		v := c.service(r.Service)
-		v.stations = append(v.stations, s)
+		s = c.newStation(Endpoint{ID: r.Endpoint, Service: r.Service, Slots: 1})
 	}
 	t := &ticket{id: r.Ticket, host: m.name, class: r.Class, since: now.Add(-r.Since), tokens: r.Tokens}
 	if r.Item != nil {
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -4,6 +4,8 @@
 
 // Options bound a Core's decisions. Zero values mean the defaults.
 type Options struct {
+	// Host names the host that schedules: each prefers other endpoints among equals.
+	Host string
 	// FirstToken is the time from the grant of a free slot to the first event:
 	// two crossings between regions, prefill and an engine's step.
 	FirstToken time.Duration
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -9,6 +9,10 @@
 // station is an endpoint with the slots in use there.
 type station struct {
 	Endpoint
+	// order is the place among equal stations. The load it answers: three hundred hosts
+	// that schedule for themselves after a loss of power. In the order of the ids, all
+	// would send their first requests to the same few endpoints.
+	order uint64
 	// listed tells that the endpoint takes new work; it may hold tickets still.
 	listed  bool
 	tickets map[string]*ticket
@@ -28,15 +32,24 @@
 // memory of some 150,000 tokens holds about as many of 200 tokens.
 const promptsKept = 600
 
-func newStation(e Endpoint) *station {
+func newStation(e Endpoint, order uint64) *station {
 	return &station{
 		Endpoint: e,
+		order:    order,
 		tickets:  make(map[string]*ticket),
 		idle:     make(map[string][]time.Time),
 		prompts:  recent.NewSet(promptsKept),
 	}
 }
 
+// before reports whether the station comes before another that is as good.
+func (s *station) before(o *station) bool {
+	if s.order != o.order {
+		return s.order < o.order
+	}
+	return s.ID < o.ID
+}
+
 // kept returns the slots in use that are not being given back.
 func (s *station) kept() int {
 	return len(s.tickets) - s.revoked
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -60,7 +60,7 @@
 // newDuty returns the Duty of a host with these options.
 func newDuty(o *Options, m *metrics) *Duty {
 	return &Duty{
-		core:     scheduler.NewCore(scheduler.Options{}),
+		core:     scheduler.NewCore(scheduler.Options{Host: o.Self.Name}),
 		suspects: scheduler.NewSuspects(),
 		hosts:    o.Directory,
 		known:    o.Known,
