Don't take slow moments for stalls where events hold many tokens

Cause: an endpoint that is silent for 250 ms gets no new work for 350. On the large site an event holds 15 tokens and takes 77 ms at the mean; on a slow engine in a slow moment, beside others' prompts, 250 ms and more. Change: the silence grows with the tokens of an event, 375 ms for 15 and 250 as before up to ten.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -227,7 +227,8 @@
 
 // call sends the item to its endpoint.
 func (x *run) call(ctx context.Context, cancel context.CancelFunc) {
-	x.watch = pace.Start(pace.Limits{First: firstEventTimeout, Next: nextEventTimeout}, x.slot.Stalled, cancel)
+	limits := pace.Limits{Stall: pace.StallAfter(x.tokensPerEvent()), First: firstEventTimeout, Next: nextEventTimeout}
+	x.watch = pace.Start(limits, x.slot.Stalled, cancel)
 	defer x.watch.Stop()
 	header := platform.ItemHeader(x.item, x.endpoint.ID)
 	if x.made > 0 {
@@ -355,13 +356,15 @@
 
 // tokensMade returns the tokens in the events made so far.
 func (x *run) tokensMade() int {
-	perEvent := 1
+	return x.made * x.tokensPerEvent()
+}
+
+// tokensPerEvent returns how many tokens the events of the endpoint hold.
+func (x *run) tokensPerEvent() int {
 	if c := x.ledger.opts.Configuration(); c != nil {
-		if s := c.Services[x.endpoint.Service]; s != nil && s.Engine != nil {
-			perEvent = s.Engine.TokensPerEvent
-		}
+		return c.TokensPerEvent(x.endpoint.Service)
 	}
-	return x.made * perEvent
+	return 1
 }
 
 // finished records the item's result; its slot is free before that.
--- a/forward/request.go
+++ b/forward/request.go
@@ -62,16 +62,17 @@
 	return r.route.Repeatable() && r.ran < r.route.MaxAttempts
 }
 
-// silenceLimits returns the silences after which the request leaves an endpoint
-// for another: none but for a stream that can be resumed, while it has a try left
-// beside the present one.
-func (r *request) silenceLimits() pace.Limits {
+// silenceLimits returns the silences after which an endpoint is reported, whose events
+// hold so many tokens, and after which the request leaves it for another: none but for a
+// stream that can be resumed, while it has a try left beside the present one.
+func (r *request) silenceLimits(tokensPerEvent int) pace.Limits {
+	limits := pace.Limits{Stall: pace.StallAfter(tokensPerEvent)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.route.Kind == route.Streaming && r.route.Resumable && r.ran+1 < r.route.MaxAttempts {
-		return pace.Limits{First: silentFirst, Next: silentNext}
+		limits.First, limits.Next = silentFirst, silentNext
 	}
-	return pace.Limits{}
+	return limits
 }
 
 // notRun counts a try that did not run.
--- a/forward/try.go
+++ b/forward/try.go
@@ -52,7 +52,7 @@
 	if lastEvent != "" {
 		platform.SetLastEvent(header, lastEvent)
 	}
-	t.watch = pace.Start(req.silenceLimits(), place.Stalled, t.cancel)
+	t.watch = pace.Start(req.silenceLimits(f.tokensPerEvent(e.Service)), place.Stalled, t.cancel)
 	t.answer, err = f.opts.Pool.Send(sending, e.ID, e.Address, &upstream.Call{
 		Method:  req.http.Method,
 		Target:  req.http.RequestURI,
@@ -69,6 +69,14 @@
 	return f.judge(req, t), nil
 }
 
+// tokensPerEvent returns how many tokens the events of a service hold.
+func (f *Forwarder) tokensPerEvent(service string) int {
+	if c := f.opts.Configuration.Current(); c != nil {
+		return c.TokensPerEvent(service)
+	}
+	return 1
+}
+
 // noteError ends a try that has no answer.
 func (f *Forwarder) noteError(ctx context.Context, req *request, t *try, err error) {
 	outcome := OutcomeUnknown
--- a/route/service.go
+++ b/route/service.go
@@ -21,3 +21,12 @@
 	// TokensPerEvent is how many tokens an event of a stream holds.
 	TokensPerEvent int
 }
+
+// TokensPerEvent returns how many tokens an event of a service's streams holds, one if
+// that is not known.
+func (c *Configuration) TokensPerEvent(service string) int {
+	if s := c.Services[service]; s != nil && s.Engine != nil {
+		return max(1, s.Engine.TokensPerEvent)
+	}
+	return 1
+}
