Count no slots of paused endpoints against the others

Cause: the limit on slots counts the endpoints that take work, the slots in use counted all. The same holds for engines that left the list and still work. Ruled out: the share of hosts, which was 1; the bound at each endpoint, which stays. Change: both count the endpoints that take work. TestPausedEndpointsTakeNoSlotsOfOthers fails without it.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -35,7 +35,7 @@
 
 // startItem starts the item that comes next, and reports whether it did.
 func (c *Core) startItem(now time.Time, v *service) bool {
-	if len(c.members) == 0 || v.used()+v.reserve(now) >= v.limit(now, c.share) {
+	if len(c.members) == 0 || v.used(now)+v.reserve(now) >= v.limit(now, c.share) {
 		return false
 	}
 	free := func(s *station) bool { return len(s.tickets) < s.Slots }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -339,7 +339,7 @@
 // be, and reports whether there was one.
 func (c *Core) startOnline(now time.Time, v *service, a *waiter) bool {
 	w := &wish{host: a.host, tokens: a.PromptTokens + a.ExpectedTokens, prefix: a.Prefix, avoid: a.Avoid}
-	if v.kept() >= v.limit(now, c.share) && !c.revokeOne(now, v) {
+	if v.kept(now) >= v.limit(now, c.share) && !c.revokeOne(now, v) {
 		return false
 	}
 	s := v.best(now, w, func(s *station) bool { return s.kept() < s.Slots })
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -23,5 +23,5 @@
 
 // load returns what an ask behind ahead others is decided on.
 func (v *service) load(now time.Time, share float64, ahead int) Load {
-	return Load{Slots: v.limit(now, share), Kept: v.kept(), Waiting: len(v.queue), Wait: v.wait(now, share, ahead)}
+	return Load{Slots: v.limit(now, share), Kept: v.kept(now), Waiting: len(v.queue), Wait: v.wait(now, share, ahead)}
 }
--- a/scheduler/player_test.go
+++ b/scheduler/player_test.go
@@ -318,7 +318,7 @@
 	delete(r.asks, f.Ticket)
 	r.out.refused++
 	v := r.core.service("s")
-	if v.kept() < v.limit(r.clock(), r.core.share) {
+	if v.kept(r.clock()) < v.limit(r.clock(), r.core.share) {
 		r.out.refusedWithRoom++
 	}
 	if q.tries++; q.tries > clientRetries {
--- a/scheduler/replay_test.go
+++ b/scheduler/replay_test.go
@@ -111,3 +111,39 @@
 		}
 	}
 }
+
+// TestPausedEndpointsTakeNoSlotsOfOthers has one of two engines fall silent while it is
+// full: what runs there doesn't keep requests from the free slots of the other, nor batch
+// items.
+func TestPausedEndpointsTakeNoSlotsOfOthers(t *testing.T) {
+	c := NewCore(Options{})
+	c.Join(replayStart, &Hello{Host: "h", Zone: "z", Region: "r"})
+	c.SetEndpoints(replayStart, []Endpoint{{ID: "silent", Service: "s", Slots: 4}})
+	ask := func(ticket string) {
+		c.Ask(replayStart, "h", Ask{Ticket: ticket, Service: "s", Objective: 300 * time.Millisecond, Left: 5 * time.Second})
+	}
+	for _, ticket := range []string{"a", "b", "c", "d"} {
+		ask(ticket)
+	}
+	c.SetEndpoints(replayStart, []Endpoint{{ID: "silent", Service: "s", Slots: 4}, {ID: "free", Service: "s", Slots: 4}})
+	c.Stalled(replayStart, "a")
+	c.Effects()
+	ask("e")
+	c.AddItem(replayStart, Item{Ref: ItemRef{Job: "j"}, Service: "s", Due: replayStart.Add(time.Minute), ExpectedTokens: 10})
+	granted, started := 0, 0
+	for _, e := range c.Effects() {
+		switch e := e.(type) {
+		case Grant:
+			if e.Endpoint == "free" {
+				granted++
+			}
+		case Start:
+			if e.Endpoint == "free" {
+				started++
+			}
+		}
+	}
+	if granted != 1 || started != 1 {
+		t.Errorf("%d requests and %d items got a slot of the other engine", granted, started)
+	}
+}
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -45,20 +45,26 @@
 	return int(math.Ceil(float64(v.slots(now)) * share))
 }
 
-// kept returns the slots in use that are not being given back.
-func (v *service) kept() int {
+// kept returns the slots in use that are not being given back, of the stations that take
+// work: limit counts no others. The load it answers: engines that are silent for a moment
+// at a peak. What runs there takes no slot of the others.
+func (v *service) kept(now time.Time) int {
 	n := 0
 	for _, s := range v.stations {
-		n += s.kept()
+		if s.usable(now) {
+			n += s.kept()
+		}
 	}
 	return n
 }
 
-// used returns the slots in use.
-func (v *service) used() int {
+// used returns the slots in use of the stations that take work.
+func (v *service) used(now time.Time) int {
 	n := 0
 	for _, s := range v.stations {
-		n += len(s.tickets)
+		if s.usable(now) {
+			n += len(s.tickets)
+		}
 	}
 	return n
 }
