Bound the items that a host offers to a new scheduler

A host with some 4,000 open items or more would send a Hello above the bound of a message, and never get a session. Found while reading the change. TestHelloFits fails without it.

--- a/slots/client.go
+++ b/slots/client.go
@@ -255,6 +255,7 @@
 	if l.scheduler() != c.opts.Self.Name {
 		// The ledger calls Offer under a lock of its own, which Offers takes too.
 		hello.Offers = c.opts.Offers()
+		hello.Offers = hello.Offers[:min(len(hello.Offers), offersInHello)]
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/slots/offers_test.go
+++ b/slots/offers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,6 +21,31 @@
 	return out
 }
 
+// TestHelloFits moves a host with twenty thousand open items to a scheduler: its session
+// opens, and some of them run.
+func TestHelloFits(t *testing.T) {
+	duty := newTestDuty(t, nil)
+	duty.SetEndpoints([]scheduler.Endpoint{{ID: "e", Service: "s", Slots: 8}})
+	jobs := make([]string, 20000)
+	for i := range jobs {
+		jobs[i] = fmt.Sprintf("job-%08d", i)
+	}
+	started := make(chan string, 8)
+	c := newTestClient(t, newListing(serving(t, "first", duty), peers.Host{Name: "self"}))
+	c.opts.Offers = func() []scheduler.Offer { return offersOf(jobs...) }
+	c.opts.ServiceOf = func(string) string { return "s" }
+	c.opts.Runner = func(_ context.Context, s *scheduler.Start, _ RunnerSlot) { started <- s.Item.Job }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.handle(ctx)
+	c.elect(ctx)
+	select {
+	case <-started:
+	case <-time.After(testPatience):
+		t.Errorf("nothing was started, scheduler %q", c.Scheduler())
+	}
+}
+
 // TestBlindSchedulerRunsWhatHostsOffer has the store turn the scheduler's host away while
 // another host accepts jobs: its items run, those accepted before the host came and those
 // accepted after. What the scheduler has read of by itself is not offered anew.
--- a/slots/times.go
+++ b/slots/times.go
@@ -51,4 +51,7 @@
 const (
 	inputRing  = 4096
 	outboxRing = 1024
+	// offersInHello bounds the items that a host offers to a new scheduler: some 250
+	// bytes each, below lineBytes together. The others are read of, or wait.
+	offersInHello = 2000
 )
