Let later tries of an append last as long as the store lets them wait

A partition takes 500 appends a second; some 900 waited, each was given up after 0.8 s, carried out all the same, and sent again: the copies filled the partition. Ruled out: the store itself (heartbeats and reads were back at 25.0 to 26.2 s), records refused (no item_not_recorded), a listing that lacks them (the items' hosts had listed). Change: each try may last twice as long as the one before, up to 2.5 s, above the two seconds after which the store turns appends away.

--- a/batch/janitor.go
+++ b/batch/janitor.go
@@ -114,7 +114,7 @@
 		for i, key := range keys[:n] {
 			records[i] = platform.EncodeKeyed(key, nil)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), firstAppendTimeout)
 		_, err := l.opts.Store.Append(ctx, topic, records)
 		cancel()
 		if err != nil {
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -325,7 +325,7 @@
 	unknown := false
 	retry := newBackoff()
 	for try := 0; ; try++ {
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		call, cancel := retry.try(ctx)
 		_, err := l.opts.Store.Append(call, platform.TopicJobs, [][]byte{record.encode(try)})
 		cancel()
 		switch {
--- a/batch/options.go
+++ b/batch/options.go
@@ -70,9 +70,12 @@
 	trustedAge = 300 * time.Millisecond
 	// confirmTimeout bounds the read that makes the picture newer.
 	confirmTimeout = 700 * time.Millisecond
-	// appendTimeout bounds one append: the store answers in 6 ms, and in 60 times
-	// that when it is slow.
-	appendTimeout = 800 * time.Millisecond
+	// firstAppendTimeout bounds the first try of an append, whose answer may be lost: the
+	// store answers in 6 ms, and in 60 times that when it is slow.
+	firstAppendTimeout = 800 * time.Millisecond
+	// lastAppendTimeout bounds the later ones: the store turns away what would wait there
+	// for more than two seconds.
+	lastAppendTimeout = 2500 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after an append that failed.
 	firstRetry = 30 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
--- a/batch/payloads.go
+++ b/batch/payloads.go
@@ -46,7 +46,7 @@
 	retry := newBackoff()
 	for try := 0; ; try++ {
 		keys, records := cut(key+tryMark+strconv.Itoa(try), content)
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		call, cancel := retry.try(ctx)
 		offset, err := p.store.Append(call, platform.TopicPayloads, records)
 		cancel()
 		switch {
