forward: log the events and the shared prompt parts of a failed attempt

The line of a failed attempt named neither what the request shares with others nor how far its response had come, so requests that crash endpoints could not be told from those that stood beside them.

--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -60,6 +60,8 @@
 	Outcome Outcome
 	// TimeToFirstByte is the time until the head of the response arrived; zero if none did.
 	TimeToFirstByte time.Duration
+	// Events is the number of complete events of a stream that arrived.
+	Events int
 	// Reusable is set if the connection to the endpoint was returned to the pool.
 	Reusable bool
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -136,6 +136,16 @@
 	return a
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may share:
+// all but the last.
+func (r *request) sharedParts() []string {
+	var out []string
+	for i := 0; i+1 < len(r.Prefix); i++ {
+		out = append(out, r.Prefix[i].ID)
+	}
+	return out
+}
+
 // fingerprint returns a hash of the request's host, URI and body. It is the same for all
 // of a client's retries of the request, which differ only in their ids.
 func (r *request) fingerprint() string {
--- a/forward/try.go
+++ b/forward/try.go
@@ -130,5 +130,6 @@
 func (f *Forwarder) recordAttempt(req *request, a *attempt, outcome Outcome, reason string) {
 	f.metrics.attempts.WithLabelValues(string(outcome)).Inc()
 	_ = level.Info(f.opts.Logger).Log("event", "try", "request", req.ID, "endpoint", a.placement.Endpoint().ID,
-		"outcome", outcome, "reason", reason, "after_ms", time.Since(a.started).Milliseconds())
+		"outcome", outcome, "reason", reason, "events", a.usage.Events, "parts", req.sharedParts(),
+		"after_ms", time.Since(a.started).Milliseconds())
 }
