Convict what requests that crash endpoints have in common, not the whole request

Callers saw: streams broken off at one engine after the other, for as long as requests came that share a part of their prompts which crashes each engine that begins to answer it; sound requests at the same engines among them.

Cause: what was quarantined was the request, by a hash of host, path and body. No two of these requests are alike, so none reached the threshold. The class of fault: evidence kept under a key that is too specific to recur. Two more of the same class, beside it: any broken response counted as a crash, and nothing cleared a request again that endpoints answered, so that a plain call whose URL many callers share could be kept from endpoints for what three of them had garbled; and a scheduler that takes over began anew.

Ruled out, from logs with the events and parts of failed attempts (three sites): lost reports, and crashes of another cause. At each crash one request had no event, and one part of its prompt was in no request that was ever answered.

Now (package blame, pure): hosts report endpoints that really ended (their port refuses connections), with the keys of the requests that had hardly begun: the fingerprint and each shared part of the prompt. A key is cleared by any answer since; hosts report answers for suspects only, so a calm fleet exchanges nothing. A key is convicted when it was at more moments of crashes than chance explains, the one at most crashes first; the crashes it explains count against nothing else. Keys that can't be told apart are convicted together, and a request is refused if it has them all. Suspects are granted one by one, so that the fleet outlives a large share of such requests. Convictions go to all hosts at once, to each new scheduler with the last reports, and to a topic of the store, for hosts that were cut off, are new or were all restarted.

scheduler.Suspects and its test are replaced: TestRequestThatBreaksEndpointsIsKeptFromOthers in blame asks the same, and that the hosts were heard before; it needs a fourth crash of twenty endpoints, as three are not unlikely enough among other crashes.

--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -30,6 +30,10 @@
 	// ReportStalled is called when the endpoint has sent nothing for longer than slow
 	// endpoints usually take.
 	ReportStalled()
+	// ReportResponding is called once the endpoint has sent respondingEvents events of a
+	// stream, so that the request can't be one that crashes endpoints as they begin to
+	// answer it.
+	ReportResponding()
 	// Release returns the placement and reports how it was used.
 	Release(usage Usage)
 }
@@ -54,14 +58,22 @@
 	Avoid []string
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the
+// last.
+func (r *PlacementRequest) SharedParts() []string {
+	return sharedParts(r.Prefix)
+}
+
 // Usage reports how a placement was used.
 type Usage struct {
 	// Outcome is how the attempt at the endpoint ended.
 	Outcome Outcome
 	// TimeToFirstByte is the time until the head of the response arrived; zero if none did.
 	TimeToFirstByte time.Duration
-	// Events is the number of complete events of a stream that arrived.
-	Events int
+	// Events is the number of complete events of a stream that arrived, Responding whether
+	// ReportResponding was called.
+	Events     int
+	Responding bool
 	// Reusable is set if the connection to the endpoint was returned to the pool.
 	Reusable bool
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -125,27 +125,30 @@
 		Left:           r.timeLeft(now),
 		PromptTokens:   r.PromptTokens,
 		ExpectedTokens: r.ExpectedOutput(),
+		Prefix:         r.promptParts(),
 		Fingerprint:    r.fingerprint(),
 	}
 	r.mu.Lock()
 	a.Avoid = slices.Clone(r.attempted)
 	r.mu.Unlock()
-	for _, part := range r.Prefix {
-		a.Prefix = append(a.Prefix, part.ID)
-	}
 	return a
 }
 
-// sharedParts returns the ids of the parts of the prompt that other requests may share:
-// all but the last.
-func (r *request) sharedParts() []string {
+// promptParts returns the ids of the parts of the prompt.
+func (r *request) promptParts() []string {
 	var out []string
-	for i := 0; i+1 < len(r.Prefix); i++ {
-		out = append(out, r.Prefix[i].ID)
+	for _, part := range r.Prefix {
+		out = append(out, part.ID)
 	}
 	return out
 }
 
+// sharedParts returns the parts of a prompt that other requests may share: all but the
+// last.
+func sharedParts(parts []string) []string {
+	return parts[:max(0, len(parts)-1)]
+}
+
 // fingerprint returns a hash of the request's host, URI and body. It is the same for all
 // of a client's retries of the request, which differ only in their ids.
 func (r *request) fingerprint() string {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -131,7 +131,7 @@
 			return errors.Wrap(errClientWrite, err.Error())
 		}
 		s.eventOrder = order
-		a.usage.Events += len(block.Events)
+		a.countEvents(len(block.Events))
 		if err := flusher.Flush(); err != nil {
 			return errors.Wrap(errClientWrite, err.Error())
 		}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -57,6 +57,7 @@
 
 func (p *testPlacement) Endpoint() *endpoint.Endpoint { return p.endpoint }
 func (p *testPlacement) ReportStalled()               {}
+func (p *testPlacement) ReportResponding()            {}
 func (p *testPlacement) Release(u Usage)              { p.placer.released <- u }
 
 // testbed is an HTTP server with a Forwarder, and the replicas that it sends requests to.
--- a/forward/try.go
+++ b/forward/try.go
@@ -24,6 +24,20 @@
 	cancel context.CancelFunc
 }
 
+// respondingEvents is how many events of a stream show that its endpoint can answer the
+// request. The first event may have left an endpoint that crashes while it begins.
+const respondingEvents = 2
+
+// countEvents records events of the stream that arrived.
+func (a *attempt) countEvents(n int) {
+	before := a.usage.Events
+	a.usage.Events += n
+	if before < respondingEvents && a.usage.Events >= respondingEvents {
+		a.usage.Responding = true
+		a.placement.ReportResponding()
+	}
+}
+
 // release releases the placement, the connection and the timers of the attempt.
 func (a *attempt) release(outcome Outcome) {
 	a.usage.Outcome = outcome
@@ -130,6 +144,6 @@
 func (f *Forwarder) recordAttempt(req *request, a *attempt, outcome Outcome, reason string) {
 	f.metrics.attempts.WithLabelValues(string(outcome)).Inc()
 	_ = level.Info(f.opts.Logger).Log("event", "try", "request", req.ID, "endpoint", a.placement.Endpoint().ID,
-		"outcome", outcome, "reason", reason, "events", a.usage.Events, "parts", req.sharedParts(),
+		"outcome", outcome, "reason", reason, "events", a.usage.Events, "parts", sharedParts(req.promptParts()),
 		"after_ms", time.Since(a.started).Milliseconds())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,8 @@
 	// configurationPause bounds the reads while configurations follow one
 	// another quickly.
 	configurationPause = 50 * time.Millisecond
+	// convictionPause is well below the time in which hosts are to know a conviction.
+	convictionPause = 500 * time.Millisecond
 	// directoryPause is well below the time after which a host counts as lost.
 	directoryPause = time.Second
 	// peerDialTimeout bounds the time to connect to another host.
@@ -78,22 +80,25 @@
 	configuration *configuration
 	endpoints     *endpoints
 	endpointFeed  *follow.Follower
-	directory     *peers.Directory
-	directoryFeed *follow.Follower
-	registrar     *peers.Registrar
-	pool          *upstream.Pool
-	client        *slots.Client
-	scheduler     *slots.LocalScheduler
-	ledger        *batch.Ledger
-	runner        *batch.Runner
-	forwarder     *forward.Forwarder
-	balancer      *balance.Balancer
-	ready         *readiness
-	starting      *starting
-	callers       *listener
-	operators     *listener
-	reloader      *reloader
-	peers         *listener
+	convictions   *convictions
+	// convictionFeed follows the convictions in the store.
+	convictionFeed *follow.Follower
+	directory      *peers.Directory
+	directoryFeed  *follow.Follower
+	registrar      *peers.Registrar
+	pool           *upstream.Pool
+	client         *slots.Client
+	scheduler      *slots.LocalScheduler
+	ledger         *batch.Ledger
+	runner         *batch.Runner
+	forwarder      *forward.Forwarder
+	balancer       *balance.Balancer
+	ready          *readiness
+	starting       *starting
+	callers        *listener
+	operators      *listener
+	reloader       *reloader
+	peers          *listener
 	// control is nil unless the settings name its address.
 	control *listener
 	// asker asks other hosts what they know.
@@ -162,8 +167,14 @@
 	}})
 	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
 	g.endpoints = newEndpoints(g.logger, g.registry, g.endpointsChanged)
-	g.starting = &starting{gate: startup.NewGate(), configuration: g.configuration, endpoints: g.endpoints}
-	g.configuration.started, g.endpoints.started = g.starting, g.starting
+	g.convictions = newConvictions(g.logger)
+	g.starting = &starting{
+		gate: startup.NewGate(), configuration: g.configuration, endpoints: g.endpoints, convictions: g.convictions,
+	}
+	g.configuration.started, g.endpoints.started, g.convictions.started = g.starting, g.starting, g.starting
+	g.convictions.writer = g.store
+	g.convictions.schedules = func() bool { return g.client.Scheduler() == g.self.Name }
+	g.convictionFeed = g.follow(platform.TopicConvictions, g.convictions, convictionPause)
 	g.endpointFeed = g.follow(platform.TopicEndpoints, g.endpoints, endpointPause)
 	g.directoryFeed = g.follow(platform.TopicHosts, g.directory, directoryPause)
 	g.registrar = peers.NewRegistrar(g.store, g.self, g.logger)
@@ -196,6 +207,7 @@
 		ResumableItems:   func() []scheduler.Resumable { return g.ledger.ResumableItems() },
 		Offers:           func() []scheduler.Offer { return g.ledger.Offers() },
 		KnowsJob:         func(id string) bool { return g.ledger.HasJob(id) },
+		Convictions:      g.convictions.list,
 		LeavingEndpoints: g.endpoints.Leaving,
 		AddLeavingEndpoint: func(i endpoint.Incarnation) bool {
 			return g.endpoints.Leaves(i, endpoint.ReasonRelayed)
@@ -242,7 +254,9 @@
 		Configuration: g.configuration,
 		Placer: &placer{
 			configuration: g.configuration, endpoints: g.endpoints, balancer: g.balancer, client: g.client,
-			age: func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
+			convictions: g.convictions.list,
+			crashes:     newCrashDetector(g.logger, g.registry, g.endpoints.View, g.client.ReportCrash),
+			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
 		Pool:       g.pool,
 		Started:    g.starting.gate,
@@ -331,7 +345,7 @@
 
 func (g *Gateway) duties() []suture.Service {
 	return append(g.listeners(),
-		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.directoryFeed, g.directory, g.registrar,
+		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
 		g.ledger.Follower(), batch.NewCheckpoints(g.ledger), &janitor{host: g.self.Name, client: g.client, ledger: g.ledger},
 		g.scheduler, g.client, g.pool)
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/balance"
+	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -19,8 +20,6 @@
 	// noEndpointRetry is the Retry-After while a service has no endpoint: about
 	// the time in which a new one is seen.
 	noEndpointRetry = time.Second
-	// quarantineRetry is the Retry-After of a request that is kept from endpoints.
-	quarantineRetry = 30 * time.Second
 	// maxPlaces bounds the endpoints that the scheduler may name before one is
 	// found that this host can use.
 	maxPlaces = 4
@@ -33,35 +32,39 @@
 	endpoints     *endpoints
 	balancer      *balance.Balancer
 	client        *slots.Client
+	convictions   *blame.List
+	crashes       *crashDetector
 	// age returns how old the picture of the endpoints is.
 	age func() time.Duration
 }
 
 // Place implements forward.Placer.
 func (p *placer) Place(ctx context.Context, ask *forward.PlacementRequest) (forward.Placement, error) {
-	if p.client.Quarantined(ask.Fingerprint) {
-		return nil, &forward.Rejection{Reason: "the request broke several endpoints", RetryAfter: quarantineRetry}
+	keys := blame.KeysOf(ask.Fingerprint, ask.SharedParts())
+	if err := p.convicted(keys); err != nil {
+		return nil, err
 	}
 	place, err := p.place(ctx, ask)
 	if err != nil {
 		return nil, err
 	}
-	return &watchedPlace{Placement: place, client: p.client, fingerprint: ask.Fingerprint}, nil
-}
-
-// watchedPlace reports the requests that endpoints break off.
-type watchedPlace struct {
-	forward.Placement
-	client      *slots.Client
-	fingerprint string
+	if err := p.convicted(keys); err != nil {
+		// The conviction was made while the request waited for its place.
+		place.Release(forward.Usage{Outcome: forward.OutcomeAbandoned})
+		return nil, err
+	}
+	return &watchedPlace{Placement: place, client: p.client, crashes: p.crashes, request: ask.Request, keys: keys}, nil
 }
 
-// Release implements forward.Placement.
-func (p *watchedPlace) Release(use forward.Usage) {
-	if use.Outcome == forward.OutcomeUnknown || use.Outcome == forward.OutcomeTruncated {
-		p.client.ReportEndpointFailure(p.fingerprint, p.Endpoint().ID)
+// convicted returns a refusal if requests with some of these keys crash endpoints.
+func (p *placer) convicted(keys []blame.Key) error {
+	verdict := p.convictions.Match(time.Now(), keys)
+	if verdict == nil {
+		return nil
+	}
+	return &forward.Rejection{
+		Reason: string(scheduler.ReasonConvicted), RetryAfter: verdict.Left, Inputs: "requests with " + verdict.Keys.String(),
 	}
-	p.Placement.Release(use)
 }
 
 func (p *placer) place(ctx context.Context, ask *forward.PlacementRequest) (forward.Placement, error) {
@@ -148,6 +151,9 @@
 // could be judged; hedges see to slow ones.
 func (p *balancedPlace) ReportStalled() {}
 
+// ReportResponding implements forward.Placement.
+func (p *balancedPlace) ReportResponding() {}
+
 // Release implements forward.Placement.
 func (p *balancedPlace) Release(use forward.Usage) {
 	p.balancer.Done(time.Now(), p.endpoint.ID, penaltyOf(use.Outcome))
@@ -176,6 +182,9 @@
 	return p.endpoint
 }
 
+// ReportResponding implements forward.Placement.
+func (p *leasedPlace) ReportResponding() {}
+
 // ReportStalled implements forward.Placement.
 func (p *leasedPlace) ReportStalled() {
 	p.lease.ReportStalled()
--- a/gateway/starting.go
+++ b/gateway/starting.go
@@ -7,11 +7,12 @@
 	gate          *startup.Gate
 	configuration *configuration
 	endpoints     *endpoints
+	convictions   *convictions
 }
 
 // check opens the gate if all is known.
 func (s *starting) check() {
-	if s.configuration.Current() != nil && s.endpoints.listed.Load() {
+	if s.configuration.Current() != nil && s.endpoints.listed.Load() && s.convictions.listed.Load() {
 		s.gate.Open()
 	}
 }
--- /dev/null
+++ b/gateway/watchedplace.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/slots"
+)
+
+// watchedPlace is a placement that reports whether its endpoint answers the request or
+// crashes under it.
+type watchedPlace struct {
+	forward.Placement
+	client  *slots.Client
+	crashes *crashDetector
+	// request is the request's id.
+	request string
+	keys    []blame.Key
+}
+
+// ReportResponding implements forward.Placement.
+func (p *watchedPlace) ReportResponding() {
+	p.client.RecordAnswered(p.keys)
+	p.Placement.ReportResponding()
+}
+
+// Release implements forward.Placement.
+func (p *watchedPlace) Release(use forward.Usage) {
+	switch use.Outcome {
+	case forward.OutcomeAnswered, forward.OutcomeFailed:
+		if !use.Responding {
+			p.client.RecordAnswered(p.keys)
+		}
+	case forward.OutcomeUnknown, forward.OutcomeTruncated:
+		keys := p.keys
+		if use.Responding {
+			keys = nil
+		}
+		p.crashes.brokenOff(p.Endpoint(), p.request, keys)
+	}
+	p.Placement.Release(use)
+}
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/blame"
+)
 
 // SlotRequest requests a slot for an online request.
 type SlotRequest struct {
@@ -29,3 +33,8 @@
 	// Avoid lists the endpoints at which the request was already attempted.
 	Avoid []string `json:"avoid,omitempty"`
 }
+
+// Keys returns what the request may share with others that crash endpoints.
+func (r *SlotRequest) Keys() []blame.Key {
+	return blame.KeysOf(r.Fingerprint, r.Prefix[:max(0, len(r.Prefix)-1)])
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/recent"
 )
 
@@ -17,8 +18,8 @@
 //
 // Invariants: each SlotRequest that isn't withdrawn ends in exactly one Grant or Refuse,
 // where a repeated SlotRequest for a ticket in use only repeats the Grant; online requests
-// wait only while no batch item can be revoked for them; batch items start only while no
-// online request waits and a slot is free; an endpoint never has more unrevoked tickets
+// wait only while no batch item can be revoked for them, or as suspects; batch items start
+// only while no other online request waits and a slot is free; an endpoint never has more unrevoked tickets
 // than slots, except for tickets that a joining host reports as already running.
 type Core struct {
 	opts      Options
@@ -28,6 +29,8 @@
 	tickets   map[string]*ticket
 	waiting   map[string]*waiter
 	items     map[ItemRef]*openItem
+	// suspects spaces the requests that may crash endpoints.
+	suspects *blame.Pace
 	// share is the fraction of all slots that this scheduler may use.
 	share float64
 	// batchEnabled enables the start of batch items. It is off while no stable majority
@@ -48,6 +51,7 @@
 		tickets:      make(map[string]*ticket),
 		waiting:      make(map[string]*waiter),
 		items:        make(map[ItemRef]*openItem),
+		suspects:     blame.NewPace(),
 		share:        1,
 		batchEnabled: true,
 	}
@@ -154,7 +158,7 @@
 	v.arrivals.count(now)
 	c.seq++
 	w := &waiter{
-		SlotRequest: request, host: m, seq: c.seq,
+		SlotRequest: request, host: m, seq: c.seq, keys: request.Keys(),
 		arrived:  now.Add(-request.Elapsed),
 		deadline: now.Add(request.Left),
 		retry:    request.Fingerprint != "" && v.refused.Has(request.Fingerprint),
@@ -201,9 +205,13 @@
 	}
 }
 
-// refuseIfTooLate refuses a request whose first event is expected after its objective.
+// refuseIfTooLate refuses a request whose first event is expected after its objective. It
+// spares suspects: they don't wait for a slot, and go on as soon as they are cleared.
 func (c *Core) refuseIfTooLate(now time.Time, v *service, w *waiter) {
-	firstEvent := now.Add(v.waitBound(now, c.share, v.queuePosition(w)) + v.firstTokenBound())
+	if c.suspects.Wait(now, w.keys) > 0 {
+		return
+	}
+	firstEvent := now.Add(v.waitBound(now, c.share, c.requestsBefore(now, v, w)) + v.firstTokenBound())
 	if firstEvent.After(w.arrived.Add(w.Objective)) {
 		c.refuse(now, v, w, ReasonOverload)
 	}
@@ -335,12 +343,21 @@
 	return slices.Sorted(maps.Keys(c.services))
 }
 
-// dispatch assigns free slots to waiting work, online requests first.
+// dispatch assigns free slots to waiting work, online requests first. Suspects whose turn
+// has not come are passed over.
 func (c *Core) dispatch(now time.Time, v *service) {
-	for len(v.queue) > 0 && c.startOnline(now, v, v.queue[0]) {
-		v.queue = v.queue[1:]
+	for i := 0; i < len(v.queue); {
+		w := v.queue[i]
+		if c.suspects.Wait(now, w.keys) > 0 {
+			i++
+			continue
+		}
+		if !c.startOnline(now, v, w) {
+			return
+		}
+		v.queue = append(v.queue[:i], v.queue[i+1:]...)
 	}
-	for len(v.queue) == 0 && c.batchEnabled && c.startItem(now, v) {
+	for c.batchEnabled && c.startItem(now, v) {
 		continue
 	}
 }
@@ -362,6 +379,7 @@
 		}
 	}
 	delete(c.waiting, w.Ticket)
+	c.suspects.Granted(now, w.keys)
 	c.occupy(now, s, &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens}, w.Prefix)
 	c.emit(Grant{Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed})
 	return true
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -63,6 +63,8 @@
 	ReasonOverload Reason = "the wait would exceed the objective"
 	// ReasonDeadline means that the deadline would pass before the first event.
 	ReasonDeadline Reason = "the deadline leaves no time"
+	// ReasonConvicted means that requests like this one crash endpoints.
+	ReasonConvicted Reason = "requests like it crash endpoints"
 	// ReasonWithdrawn means that the host withdrew the SlotRequest.
 	ReasonWithdrawn Reason = "withdrawn"
 )
--- a/scheduler/waiter.go
+++ b/scheduler/waiter.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/blame"
+)
 
 // waiter is a queued request for a slot.
 type waiter struct {
@@ -18,6 +22,8 @@
 	// priority.
 	retry bool
 	seq   uint64
+	// keys is what the request may share with others that crash endpoints.
+	keys []blame.Key
 }
 
 // before reports whether w is served before o.
--- a/slots/client.go
+++ b/slots/client.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/ring"
@@ -55,6 +56,8 @@
 	// whether it was unknown.
 	LeavingEndpoints   func() []endpoint.Incarnation
 	AddLeavingEndpoint func(endpoint.Incarnation) bool
+	// Convictions are those of requests that crash endpoints; nil starts with none.
+	Convictions *blame.List
 	// ServiceOf returns the service of an endpoint.
 	ServiceOf func(endpoint string) string
 	Logger    log.Logger
@@ -77,8 +80,10 @@
 	held         map[string]*heldSlot
 	seq          uint64
 	shuttingDown bool
-	// quarantined holds the fingerprints of the requests that must not be sent to endpoints.
-	quarantined map[string]bool
+	// crashes are the last reports of crashes, oldest first.
+	crashes []crashReport
+	// answers are what endpoints answered to this host of late.
+	answers *blame.Answers
 
 	// backoffs are the hosts skipped after a failure, by name and incarnation;
 	// lastRefresh is when the directory was last refreshed. Only the goroutine that
@@ -90,14 +95,16 @@
 // NewClient returns a Client and the LocalScheduler of the same host.
 func NewClient(o Options) (*Client, *LocalScheduler) {
 	m := newMetrics(o.Registerer)
+	local := newLocalScheduler(&o, m)
 	c := &Client{
 		opts:           o,
-		localScheduler: newLocalScheduler(&o, m),
+		localScheduler: local,
 		metrics:        m,
 		inbox:          ring.New[SchedulerMessage](inputCapacity),
 		wake:           make(chan struct{}, 1),
 		pending:        make(map[string]*pendingRequest),
 		held:           make(map[string]*heldSlot),
+		answers:        blame.NewAnswers(),
 		backoffs:       make(map[string]*backoff),
 	}
 	return c, c.localScheduler
@@ -257,6 +264,7 @@
 	if leaving := c.opts.LeavingEndpoints(); len(leaving) > 0 {
 		l.send(HostMessage{EndpointsLeaving: leaving})
 	}
+	c.sendVerdicts(now, l)
 	if c.shuttingDown {
 		l.send(HostMessage{Leaving: true})
 	}
--- /dev/null
+++ b/slots/convictions.go
@@ -0,0 +1,95 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/scheduler"
+)
+
+// attribution attributes crashes of endpoints to requests, for all hosts that have a
+// session. Only the goroutine of LocalScheduler.Serve uses it.
+type attribution struct {
+	tracker *blame.Tracker
+	// announced are the suspects of the last broadcast.
+	announced []blame.Key
+}
+
+// recordCrash records a host's report of a crash.
+func (l *LocalScheduler) recordCrash(now time.Time, host string, r *blame.Crash) {
+	l.attribution.tracker.RecordCrash(now, r)
+	_ = level.Info(l.logger).Log("event", "crash_reported", "peer", host, "endpoint", r.Endpoint, "attempt", r.Attempt,
+		"keys", blame.Combination(r.Keys).String(), "endpoints", r.Endpoints, "age_ms", r.Age.Milliseconds())
+}
+
+// recordAnswers records that endpoints answer requests that are under suspicion.
+func (l *LocalScheduler) recordAnswers(now time.Time, host string, answers []blame.Answer) {
+	for _, a := range answers {
+		l.attribution.tracker.RecordAnswer(now, a)
+		_ = level.Debug(l.logger).Log("event", "suspect_answered", "peer", host, "key", a.Key, "age_ms", a.Age.Milliseconds())
+	}
+}
+
+// addConvictions adds the convictions that a host knows, and passes new ones on.
+func (l *LocalScheduler) addConvictions(now time.Time, host string, convictions []blame.Conviction, c *scheduler.Core) {
+	added := false
+	for _, v := range convictions {
+		if l.convictions.Add(now, v) {
+			added = true
+			_ = level.Warn(l.logger).Log("event", "conviction_learned", "keys", v.Keys.String(), "from", host, "left_ms", v.Left.Milliseconds())
+		}
+	}
+	if added {
+		l.enforceConvictions(now, c)
+	}
+}
+
+// convict makes the convictions for which there is enough evidence, and announces new
+// suspects to the hosts.
+func (l *LocalScheduler) convict(now time.Time, c *scheduler.Core) {
+	t := l.attribution.tracker
+	if !t.Due(now) {
+		return
+	}
+	var known []blame.Combination
+	for _, v := range l.convictions.All(now) {
+		known = append(known, v.Keys)
+	}
+	verdicts := t.Evaluate(now, known)
+	for _, v := range verdicts {
+		l.convictions.Add(now, blame.Conviction{Keys: v, Left: blame.ConvictionTTL})
+		l.metrics.convictions.Inc()
+		_ = level.Warn(l.logger).Log("event", "requests_convicted", "keys", v.String(), "for_ms", blame.ConvictionTTL.Milliseconds())
+	}
+	suspects := t.Suspects()
+	changed := !slices.Equal(suspects, l.attribution.announced)
+	if changed {
+		c.SetSuspects(now, suspects)
+	}
+	switch {
+	case len(verdicts) > 0:
+		l.enforceConvictions(now, c)
+	case changed:
+		l.broadcastState(now)
+	}
+}
+
+// acquire passes a request for a slot to the core, unless it matches a conviction that its
+// host does not know yet.
+func (l *LocalScheduler) acquire(now time.Time, host string, request *scheduler.SlotRequest, c *scheduler.Core) {
+	if verdict := l.convictions.Match(now, request.Keys()); verdict != nil {
+		c.Convicted(now, host, request, verdict)
+		return
+	}
+	c.Acquire(now, host, *request)
+}
+
+// enforceConvictions refuses the waiting requests that match a conviction, and tells the
+// hosts at once.
+func (l *LocalScheduler) enforceConvictions(now time.Time, c *scheduler.Core) {
+	c.RefuseConvicted(now, func(keys []blame.Key) *blame.Conviction { return l.convictions.Match(now, keys) })
+	l.broadcastState(now)
+}
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/ring"
@@ -26,7 +27,6 @@
 // methods are safe for concurrent use and return before the call is processed.
 type LocalScheduler struct {
 	core      *scheduler.Core
-	suspects  *scheduler.Suspects
 	hosts     Directory
 	readUntil func() time.Time
 	knowsJob  func(id string) bool
@@ -40,6 +40,9 @@
 	logger             log.Logger
 	metrics            *metrics
 	commands           *ring.Ring[command]
+	// convictions are those that this host knows.
+	convictions *blame.List
+	attribution attribution
 
 	// mu guards the fields up to lastCount.
 	mu       sync.Mutex
@@ -69,9 +72,11 @@
 
 // newLocalScheduler returns the LocalScheduler of the host with the given options.
 func newLocalScheduler(o *Options, m *metrics) *LocalScheduler {
+	if o.Convictions == nil {
+		o.Convictions = blame.NewList(nil)
+	}
 	return &LocalScheduler{
 		core:               scheduler.NewCore(scheduler.Options{Host: o.Self.Name}),
-		suspects:           scheduler.NewSuspects(),
 		hosts:              o.Directory,
 		readUntil:          o.RecordsReadUntil,
 		knowsJob:           o.KnowsJob,
@@ -81,6 +86,8 @@
 		logger:             o.Logger,
 		metrics:            m,
 		commands:           ring.New[command](inputCapacity),
+		convictions:        o.Convictions,
+		attribution:        attribution{tracker: blame.NewTracker()},
 		sessions:           make(map[string]*hostSession),
 
 		participation: newParticipation(),
@@ -126,6 +133,7 @@
 			nextBroadcast = now.Add(broadcastInterval)
 			l.broadcastState(now)
 		}
+		l.convict(now, l.core)
 		l.sendEffects()
 	}
 }
@@ -195,14 +203,15 @@
 }
 
 // broadcastState sends all hosts the names of hosts that are alive without a recent
-// record in the store, the quarantined requests, and the endpoints that announced in a
-// response that they are leaving.
+// record in the store, the convictions of requests that crash endpoints and the suspects,
+// and the endpoints that announced in a response that they are leaving.
 func (l *LocalScheduler) broadcastState(now time.Time) {
 	l.mu.Lock()
 	alive := l.participation.withoutRecentRecord(clock.Now(), l.hosts.LastRecordRead)
 	l.mu.Unlock()
+	l.attribution.announced = l.attribution.tracker.Suspects()
 	l.broadcast(SchedulerMessage{Broadcast: &Broadcast{
-		Alive: alive, Quarantined: l.suspects.Quarantined(now), EndpointsLeaving: l.leavingEndpoints(),
+		Alive: alive, Convictions: l.convictions.All(now), Suspects: l.attribution.announced, EndpointsLeaving: l.leavingEndpoints(),
 	}})
 }
 
@@ -215,15 +224,6 @@
 	}
 }
 
-// recordEndpointFailure records that an endpoint failed while running a request, and
-// broadcasts the quarantined requests if this request has just become one of them.
-func (l *LocalScheduler) recordEndpointFailure(now time.Time, f *EndpointFailure) {
-	if l.suspects.RecordFailure(now, f.Request, f.Endpoint) {
-		_ = level.Warn(l.logger).Log("event", "request_quarantined", "fingerprint", f.Request, "endpoint", f.Endpoint)
-		l.broadcastState(now)
-	}
-}
-
 // handleLeavingEndpoints records endpoints that announced to a host that they are
 // leaving. New ones are broadcast at once: the time limit at the other hosts starts when
 // they receive the broadcast, and work queued there moves to other endpoints.
@@ -257,6 +257,9 @@
 			c.Leave(now, h.Host)
 		}
 		c.Join(now, h)
+		if convictions := l.convictions.All(now); len(convictions) > 0 {
+			deliver(SchedulerMessage{Broadcast: &Broadcast{Convictions: convictions, Suspects: l.attribution.announced}})
+		}
 		_ = level.Info(l.logger).Log("event", "session_opened", "peer", h.Host, "running", len(h.Running), "kept", len(h.Resumable), "sessions", n)
 	})
 	return s
@@ -294,7 +297,7 @@
 	switch {
 	case m.Acquire != nil:
 		a := *m.Acquire
-		l.enqueue(func(now time.Time, c *scheduler.Core) { c.Acquire(now, host, a) })
+		l.enqueue(func(now time.Time, c *scheduler.Core) { l.acquire(now, host, &a, c) })
 	case m.Usage != nil:
 		u := *m.Usage
 		l.enqueue(func(now time.Time, c *scheduler.Core) { c.Done(now, u) })
@@ -304,9 +307,12 @@
 	case m.Stalled != "":
 		id := m.Stalled
 		l.enqueue(func(now time.Time, c *scheduler.Core) { c.Stalled(now, id) })
-	case m.EndpointFailure != nil:
-		f := *m.EndpointFailure
-		l.enqueue(func(now time.Time, _ *scheduler.Core) { l.recordEndpointFailure(now, &f) })
+	case m.Crash != nil:
+		l.enqueue(func(now time.Time, _ *scheduler.Core) { l.recordCrash(now, host, m.Crash) })
+	case len(m.Answers) > 0:
+		l.enqueue(func(now time.Time, _ *scheduler.Core) { l.recordAnswers(now, host, m.Answers) })
+	case len(m.Convictions) > 0:
+		l.enqueue(func(now time.Time, c *scheduler.Core) { l.addConvictions(now, host, m.Convictions, c) })
 	case len(m.EndpointsLeaving) > 0:
 		l.handleLeavingEndpoints(host, m.EndpointsLeaving)
 	case m.Leaving:
--- a/slots/message.go
+++ b/slots/message.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
@@ -14,21 +15,19 @@
 	Withdraw string                 `json:"withdraw,omitempty"`
 	Leaving  bool                   `json:"leaving,omitempty"`
 	// Stalled is the ticket of a use whose endpoint sends nothing.
-	Stalled         string           `json:"stalled,omitempty"`
-	EndpointFailure *EndpointFailure `json:"broke,omitempty"`
+	Stalled string `json:"stalled,omitempty"`
+	// Crash reports a request that was in progress at an endpoint that crashed, Answers
+	// what endpoints answered, for keys under suspicion.
+	Crash   *blame.Crash   `json:"crash,omitempty"`
+	Answers []blame.Answer `json:"answers,omitempty"`
+	// Convictions are those that the host knows.
+	Convictions []blame.Conviction `json:"convictions,omitempty"`
 	// EndpointsLeaving are endpoints that announced in a response that they are leaving.
 	EndpointsLeaving []endpoint.Incarnation `json:"endpoints_leaving,omitempty"`
 	// Offers are the items of a job that the host has accepted.
 	Offers []scheduler.Offer `json:"offers,omitempty"`
 }
 
-// EndpointFailure reports that an endpoint failed while running a request.
-type EndpointFailure struct {
-	// Request is the fingerprint of the request.
-	Request  string `json:"request"`
-	Endpoint string `json:"endpoint"`
-}
-
 // SchedulerMessage is a message of the scheduler to a host, one line of JSON. At most
 // one field is set; a message with none is a heartbeat.
 type SchedulerMessage struct {
@@ -44,9 +43,10 @@
 	// Alive are the hosts that have a session with the scheduler but no recent record
 	// in the store.
 	Alive []string `json:"alive,omitempty"`
-	// Quarantined are the fingerprints of all requests that must not be sent to endpoints
-	// because several endpoints failed while running them.
-	Quarantined []string `json:"quarantined,omitempty"`
+	// Convictions are those of requests that crash endpoints and must not be sent to any.
+	Convictions []blame.Conviction `json:"convictions,omitempty"`
+	// Suspects are the keys that the host is to report answers to.
+	Suspects []blame.Key `json:"suspects,omitempty"`
 	// EndpointsLeaving are all known endpoints that announced in a response that they are
 	// leaving.
 	EndpointsLeaving []endpoint.Incarnation `json:"endpoints_leaving,omitempty"`
--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -11,6 +11,8 @@
 	decisions *prometheus.CounterVec
 	waits     prometheus.Histogram
 	sessions  *prometheus.CounterVec
+	// convictions counts the convictions that this host made as scheduler.
+	convictions prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -28,9 +30,13 @@
 			Name: "peridotmount_scheduler_sessions_total",
 			Help: "Sessions of this host with a scheduler, by how they began or ended.",
 		}, []string{"step"}),
+		convictions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "peridotmount_convictions_total",
+			Help: "Convictions of requests that crash endpoints that this host made as scheduler.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.decisions, m.waits, m.sessions)
+		r.MustRegister(m.decisions, m.waits, m.sessions, m.convictions)
 	}
 	return m
 }
--- a/slots/reports.go
+++ b/slots/reports.go
@@ -1,6 +1,8 @@
 package slots
 
 import (
+	"time"
+
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
@@ -33,24 +35,6 @@
 	}
 }
 
-// ReportEndpointFailure reports to the scheduler that an endpoint failed while running a
-// request.
-func (c *Client) ReportEndpointFailure(fingerprint, endpoint string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.link != nil {
-		c.link.send(HostMessage{EndpointFailure: &EndpointFailure{Request: fingerprint, Endpoint: endpoint}})
-	}
-}
-
-// Quarantined reports whether a request must not be sent to endpoints because several of
-// them failed while running it.
-func (c *Client) Quarantined(fingerprint string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.quarantined[fingerprint]
-}
-
 // applyBroadcast applies a broadcast of the scheduler. Called with mu locked.
 func (c *Client) applyBroadcast(n *Broadcast) {
 	if len(n.Alive) > 0 {
@@ -59,8 +43,6 @@
 	for _, i := range n.EndpointsLeaving {
 		c.opts.AddLeavingEndpoint(i)
 	}
-	c.quarantined = make(map[string]bool, len(n.Quarantined))
-	for _, fingerprint := range n.Quarantined {
-		c.quarantined[fingerprint] = true
-	}
+	c.learnConvictions(n.Convictions)
+	c.sendAnswers(c.answers.SetSuspects(time.Now(), n.Suspects))
 }
