forward: a stream that ends inside an event is broken off

Callers saw: a stream whose endpoint ended it inside an event came as complete, with half an event at its end, and was not resumed elsewhere.

Cause: at the end of the stream the bytes behind the last event were passed on, whatever they were. That held for streams that state neither a length nor chunks and end with their connection, and for those that end their chunks there. Ruled out: a body reset on the way (it was seen already), and the connection being used again (net/http marks it).

Comments and empty lines behind the last event are no event: such a stream is complete, also that of a batch item, which would have been run again for ever.

TestStreamThatEndsInsideAnEventIsBrokenOff failed before (four of its six cases) and passes.

--- a/batch/run.go
+++ b/batch/run.go
@@ -188,7 +188,7 @@
 	for {
 		block, err := events.Next()
 		if err != nil {
-			if err == io.EOF && len(events.Remainder()) == 0 && x.events > 0 {
+			if err == io.EOF && !events.InsideEvent() && x.events > 0 {
 				x.recordResult(response.Close())
 				return
 			}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -325,3 +325,24 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestStreamThatEndsInsideAnEventIsBrokenOff ends streams with their connection, with and
+// without chunks: one that ends between events is complete, one that ends inside an event
+// goes on elsewhere if it may, and does not look complete if not.
+func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	for name, faults := range map[string]standin.ReplicaFaults{
+		"complete": {Unframed: true}, "inside an event": {Unframed: true, EndInsideAfter: 3}, "inside an event, in chunks": {EndInsideAfter: 3},
+	} {
+		b := newTestbed(t, resumable, 2, 8)
+		b.replicas[0].SetFaults(faults)
+		id, a := b.send(context.Background(), "", nil)
+		if want := expectedEvents(id, 1, 8); a.body != want || !a.complete {
+			t.Errorf("%s: complete %t, %d runs, body %q", name, a.complete, len(b.runs(id)), a.body)
+		}
+		b = newTestbed(t, singleRunStream, 2, 8)
+		b.replicas[0].SetFaults(faults)
+		if id, a := b.send(context.Background(), "", nil); a.complete != (faults.EndInsideAfter == 0) || len(b.runs(id)) != 1 {
+			t.Errorf("%s, single run: complete %t, %d runs, body %q", name, a.complete, len(b.runs(id)), a.body)
+		}
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -32,6 +32,9 @@
 // errClientWrite means that the stream can't be written to the client.
 var errClientWrite = errors.New("write to the client failed")
 
+// errInsideEvent means that an endpoint ended its stream inside an event.
+var errInsideEvent = errors.New("stream ended inside an event")
+
 // streamer relays the event stream of one request, over one or more attempts.
 type streamer struct {
 	f   *Forwarder
@@ -113,6 +116,9 @@
 	for {
 		block, err := events.Next()
 		if err == io.EOF {
+			if events.InsideEvent() {
+				return errors.Wrapf(errInsideEvent, "%d bytes of it arrived", len(events.Remainder()))
+			}
 			_, err = s.w.Write(events.Remainder())
 			return err
 		}
--- a/sse/block.go
+++ b/sse/block.go
@@ -71,6 +71,17 @@
 	return s.buf[s.consumed:]
 }
 
+// InsideEvent reports whether the remainder holds a part of an event. Comments and empty
+// lines are no events.
+func (s *Splitter) InsideEvent() bool {
+	for _, line := range bytes.Split(s.Remainder(), []byte("\n")) {
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Splitter) fill() error {
 	if cap(s.buf)-len(s.buf) < splitterBytes/2 {
 		grown := make([]byte, len(s.buf), 2*cap(s.buf)+splitterBytes)
--- a/sse/block_test.go
+++ b/sse/block_test.go
@@ -53,3 +53,20 @@
 func (r *endlessReader) Read(p []byte) (int, error) {
 	return copy(p, r.piece), nil
 }
+
+// TestInsideEvent checks where a stream may end.
+func TestInsideEvent(t *testing.T) {
+	for rest, want := range map[string]bool{
+		"": false, "\n": false, "\r\n": false, ": bye\n": false, ": by": false, "id": true, "id: 2\n": true, "data: a\r\n": true, ": x\ndata: ": true,
+	} {
+		s := NewSplitter(strings.NewReader("id: 1\ndata: a\n\n" + rest))
+		for {
+			if _, err := s.Next(); err != nil {
+				break
+			}
+		}
+		if got := s.InsideEvent(); got != want {
+			t.Errorf("remainder %q: %v", rest, got)
+		}
+	}
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -240,12 +240,17 @@
 			gone()
 		}
 	}()
-	announced := ""
+	announced, framing := "", "Transfer-Encoding: chunked\r\n"
 	if f.Announced {
 		announced = "Connection: close\r\n"
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n",
-		id, StampOf(r.ID, id), announced)
+	write := func(event string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event) }
+	if f.Unframed {
+		framing = ""
+		write = func(event string) { _, _ = io.WriteString(c, event) }
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\n%s%s\r\n",
+		id, StampOf(r.ID, id), announced, framing)
 	sent := 0
 	for n := r.afterOf(run) + 1; n <= r.Events || f.Endless || f.CommentsAfter > 0; n++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, EventData(id, n))
@@ -263,6 +268,14 @@
 			r.end(run, "cut")
 			return r.abort(c)
 		}
+		if f.EndInsideAfter > 0 && sent == f.EndInsideAfter {
+			write(event[:len(event)/2])
+			if !f.Unframed {
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			}
+			r.end(run, "cut")
+			return false
+		}
 		if f.SilentAfter > 0 && sent == f.SilentAfter {
 			<-left.Done()
 			r.end(run, "left")
@@ -272,7 +285,7 @@
 			sent++
 			continue
 		}
-		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		write(event)
 		sent++
 		select {
 		case <-time.After(r.Pace):
@@ -281,7 +294,9 @@
 			return false
 		}
 	}
-	_, _ = io.WriteString(c, "0\r\n\r\n")
+	if !f.Unframed {
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
 	r.end(run, "whole")
 	return false
 }
--- a/standin/replicafaults.go
+++ b/standin/replicafaults.go
@@ -14,8 +14,12 @@
 	// Foreign sends an answer to another request first, Extra a second answer
 	// after the right one.
 	Foreign, Extra bool
-	// Cut breaks a body off, Unframed ends it with the connection.
+	// Cut breaks a body off. Unframed states neither a length nor chunks: a body or stream
+	// ends with the connection.
 	Cut, Unframed bool
+	// EndInsideAfter closes the connection of a stream without an error inside an event,
+	// after so many events.
+	EndInsideAfter int
 	// CutAfter, SilentAfter and SkipAfter break a stream off, fall silent or leave
 	// an event out after so many events.
 	CutAfter, SilentAfter, SkipAfter int
