An item handed in for later is owed, however many endpoints died under it

Callers of the OpenAI path saw: a sound batch item under which endpoints crashed ended as failed, with "quarantined" once it had run alone at an endpoint that crashed for another reason, or with "tries_exhausted" after five runs.

Cause: items shared the guard of online requests, which convicts whatever ran alone at an endpoint that died, and each death counted as one of the item's attempts. Items don't crash endpoints by themselves (the users' report), so neither says anything of them.

Now batch items have no guard: they are never suspects, and no verdict keeps them from running. A failed call says whether an endpoint died under it, and such an attempt is not counted; the item keeps its tokens and is run again after a second. A service whose calls may run once at most still ends the item as interrupted.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -32,7 +32,9 @@
 	// mayHaveRun means that part of the call may have reached an endpoint that did
 	// not refuse it.
 	mayHaveRun bool
-	sinkErr    error
+	// endpointsDied means that an endpoint died while it ran the call.
+	endpointsDied bool
+	sinkErr       error
 }
 
 func newExecution(d *Dispatcher, c *Call, sink Sink) *execution {
@@ -49,6 +51,16 @@
 	return x
 }
 
+// runMarked runs the call and sets Error.EndpointDied if it fails.
+func (x *execution) runMarked(ctx context.Context) (Result, error) {
+	result, err := x.run(ctx)
+	var failure *Error
+	if errors.As(err, &failure) {
+		failure.EndpointDied = x.endpointsDied
+	}
+	return result, err
+}
+
 func (x *execution) run(ctx context.Context) (Result, error) {
 	x.d.retries.deposit(x.call.Service.Name)
 	for {
@@ -160,6 +172,7 @@
 	revoked := a.revoked() || a.canceledByHome(err)
 	lagged := !revoked && a.lag.fired() && x.sinkErr == nil && ctx.Err() == nil
 	died := !revoked && !lagged && x.endpointDied(ctx, a, err)
+	x.endpointsDied = x.endpointsDied || died
 	a.end(died)
 	x.d.observe(&a.host, err)
 	x.noteFailure(a, err)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -364,3 +364,28 @@
 	})
 	f.expectFullAnswer(newCall(objects.ClassOnline, 5))
 }
+
+// TestBatchItemsHaveNoGuard crashes an endpoint under a batch item beside a guard that
+// quarantines everything: the item is run, blamed for nothing, and its error says that an
+// endpoint died.
+func TestBatchItemsHaveNoGuard(t *testing.T) {
+	f := newFleet(t, 1, 4, Policy{RetryShare: 0.2})
+	f.guard.verdict = Quarantined
+	f.expectFullAnswer(newCall(objects.ClassBatch, 5))
+	first := make(chan struct{})
+	go func() {
+		<-first
+		_ = f.engines[0].Listener.Close()
+		f.engines[0].CloseClientConnections()
+	}()
+	_, err := f.stream(newCall(objects.ClassBatch, 5000), first)
+	var failure *Error
+	if !errors.As(err, &failure) || !failure.EndpointDied {
+		t.Errorf("error %+v, want one that says that an endpoint died", err)
+	}
+	f.guard.mu.Lock()
+	defer f.guard.mu.Unlock()
+	if len(f.guard.died) > 0 {
+		t.Errorf("the guard was told of %d runs of items", len(f.guard.died))
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -64,7 +64,7 @@
 	}
 	call := *c
 	for range maxFallbacks {
-		result, err := newExecution(d, &call, sink).run(ctx)
+		result, err := newExecution(d, &call, sink).runMarked(ctx)
 		fallback := d.fallback(&call, err)
 		if fallback == nil {
 			return result, err
--- a/dispatch/error.go
+++ b/dispatch/error.go
@@ -34,6 +34,8 @@
 	// RetryAfter is the time after which the caller may retry; zero means that no
 	// retry is advised.
 	RetryAfter time.Duration
+	// EndpointDied means that an endpoint's process died while it ran the call.
+	EndpointDied bool
 }
 
 // Error implements error.
--- a/dispatch/guarded.go
+++ b/dispatch/guarded.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/engine"
+	"github.com/peridotmount/peridotmount/objects"
 )
 
 // probeTimeout limits the probe whether an endpoint is still serving.
@@ -25,15 +26,25 @@
 	return Fingerprint(h.Sum64())
 }
 
+// guard returns the Guard of the call, nil if it has none. Batch items have none: they
+// crash no endpoints by themselves, and an item that only stood beside crashes must not be
+// kept from running.
+func (x *execution) guard() Guard {
+	if x.call.Class == objects.ClassBatch {
+		return nil
+	}
+	return x.d.opts.Guard
+}
+
 // checkGuard applies the Guard's verdict to the call. It returns an error if the call
 // must not run. If the call must run alone, it has its tickets requested for endpoints
 // that run nothing else.
 func (x *execution) checkGuard() error {
-	if x.d.opts.Guard == nil {
+	if x.guard() == nil {
 		return nil
 	}
 	x.fingerprint = FingerprintOf(x.call.Customer.Name, x.call.Service.Name, x.call.Prompt)
-	switch x.d.opts.Guard.Check(x.fingerprint) {
+	switch x.guard().Check(x.fingerprint) {
 	case Quarantined:
 		return &Error{Cause: ErrQuarantined, RunState: x.runState()}
 	case Exclusive:
--- a/dispatch/leg.go
+++ b/dispatch/leg.go
@@ -48,8 +48,8 @@
 	a.lag = newLagDetector(a)
 	d := x.d
 	d.router.recordSent(x.pool, host.Name, x.call.Class, x.call.Prompt)
-	if d.opts.Guard != nil {
-		d.opts.Guard.Started(x.fingerprint, host.Name, host.Incarnation)
+	if g := x.guard(); g != nil {
+		g.Started(x.fingerprint, host.Name, host.Incarnation)
 	}
 	if x.call.Service.Idempotent && !d.opts.Policy.Baseline {
 		a.stallTimer = time.AfterFunc(d.opts.Policy.StallTimeout, a.onStall)
@@ -138,7 +138,7 @@
 
 // reportAnswered reports to the Guard that the endpoint completed the request.
 func (a *attempt) reportAnswered() {
-	if g := a.exec.d.opts.Guard; g != nil {
+	if g := a.exec.guard(); g != nil {
 		g.Answered(a.exec.fingerprint, a.host.Name, a.host.Incarnation)
 	}
 }
@@ -154,8 +154,8 @@
 		_ = a.stream.Close()
 	}
 	d := a.exec.d
-	if d.opts.Guard != nil {
-		d.opts.Guard.Ended(a.exec.fingerprint, a.host.Name, a.host.Incarnation, died)
+	if g := a.exec.guard(); g != nil {
+		g.Ended(a.exec.fingerprint, a.host.Name, a.host.Incarnation, died)
 	}
 	d.router.recordDone(a.exec.pool, a.host.Name, a.exec.call.Class)
 	if a.ticket != nil {
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -32,8 +32,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{exec: x, id: at.StreamID, host: endpoint, started: time.Now(), cancel: cancel, ticket: x.registerTicket(at)}
 	d.router.recordSent(x.pool, endpoint.Name, c.Class, "")
-	if d.opts.Guard != nil {
-		d.opts.Guard.Started(x.fingerprint, endpoint.Name, endpoint.Incarnation)
+	if g := x.guard(); g != nil {
+		g.Started(x.fingerprint, endpoint.Name, endpoint.Incarnation)
 	}
 	defer a.end(false)
 	stream, err := engine.NewHTTPEngine(endpoint.Address, d.opts.client(c.Class)).Resume(ctx, at.StreamID, 0)
--- a/keeper/task.go
+++ b/keeper/task.go
@@ -21,13 +21,14 @@
 	refusedBackoff = time.Second
 	// failureBackoff is the minimum backoff of an item whose attempt failed.
 	failureBackoff = 200 * time.Millisecond
+	// crashBackoff is the minimum backoff of an item under which an endpoint died.
+	crashBackoff = time.Second
 )
 
 // Error codes of items that end without a response.
 const (
 	codeInvalid           = "invalid_request"
 	codeInterrupted       = "interrupted"
-	codeQuarantined       = "quarantined"
 	codeAttemptsExhausted = "tries_exhausted"
 	codeRequestLost       = "request_lost"
 )
@@ -137,7 +138,13 @@
 	case errors.Is(failure, dispatch.ErrRevoked):
 		return out
 	case errors.Is(failure, dispatch.ErrQuarantined):
-		return t.failedOutcome(item, codeQuarantined, failure.Error())
+		out.Refused = true
+		out.RetryAfter = max(failure.RetryAfter, refusedBackoff)
+		return out
+	case failure.EndpointDied && call.Service.Idempotent:
+		// Items don't crash endpoints by themselves: the attempt is not counted.
+		out.RetryAfter = max(failure.RetryAfter, crashBackoff)
+		return out
 	case failure.RunState == dispatch.NotRun || errors.Is(failure, dispatch.ErrOverloaded):
 		out.Refused = true
 		out.RetryAfter = max(failure.RetryAfter, refusedBackoff)
