quarantine: hold for requests that share a message, and blame nothing beside other deaths

Cause: the same as on routes, a verdict on the whole request alone; and a death of the endpoint taken for proof, whatever else died.

Now hosts exchange crashes and answers for each message of a prompt but the last, and judge them by package blame; convictions go the way of the other notices, the log stream included. A suspect whose endpoint dies within 150 ms of another one stays a suspect.

--- a/blame/tracker.go
+++ b/blame/tracker.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// Simultaneous returns how many endpoints other than the given one crashed at about the
+// same time.
+func (t *Tracker) Simultaneous(endpoint string) int {
+	crashed := t.crashes[endpoint]
+	if crashed == nil {
+		return 0
+	}
+	n := 0
+	for id, c := range t.crashes {
+		if id != endpoint && c.at.Sub(crashed.at).Abs() <= waveWindow {
+			n++
+		}
+	}
+	return n
+}
+
 // Due reports whether Evaluate may have a result.
 func (t *Tracker) Due(now time.Time) bool {
 	return t.changed || !t.dueAt.IsZero() && !now.Before(t.dueAt)
--- a/completion/request.go
+++ b/completion/request.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/engine"
@@ -140,3 +142,14 @@
 	}
 	return b.String()
 }
+
+// SharedParts returns hashes of the messages that other requests may share: all but the
+// last. A text completion has none.
+func (r *Request) SharedParts() []string {
+	var out []string
+	for i := 0; i+1 < len(r.Messages); i++ {
+		m := &r.Messages[i]
+		out = append(out, strconv.FormatUint(xxhash.Sum64String(m.Role+"\x00"+string(m.Content)), 36))
+	}
+	return out
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -172,7 +172,10 @@
 	revoked := a.revoked() || a.canceledByHome(err)
 	lagged := !revoked && a.lag.fired() && x.sinkErr == nil && ctx.Err() == nil
 	died := !revoked && !lagged && x.endpointDied(ctx, a, err)
-	x.endpointsDied = x.endpointsDied || died
+	if died {
+		x.endpointsDied = true
+		a.reportCrash()
+	}
 	a.end(died)
 	x.d.observe(&a.host, err)
 	x.noteFailure(a, err)
@@ -206,6 +209,9 @@
 			return string(f.Finish), nil
 		}
 		a.tokenReceived()
+		if a.tokens == respondingTokens {
+			a.reportResponding()
+		}
 		x.tokens = append(x.tokens, f.Token)
 		if err := x.sink(f.Offset, f.Token); err != nil {
 			x.sinkErr = err
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -18,6 +18,8 @@
 	Class     objects.Class
 	Adapter   string
 	Prompt    string
+	// Parts identify the parts of the prompt that other calls may share.
+	Parts []string
 	// MaxTokens limits the length of the complete answer, including Prior.
 	MaxTokens int
 	// Prior holds the tokens already received in an earlier dispatch.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -45,7 +45,10 @@
 	died    []bool
 }
 
-func (g *recordingGuard) Check(Fingerprint) Verdict           { return g.verdict }
+func (g *recordingGuard) Check(Fingerprint, []string) Verdict { return g.verdict }
+func (g *recordingGuard) Responding([]string)                 {}
+func (g *recordingGuard) Crashed(Fingerprint, []string, string, int64) {
+}
 func (g *recordingGuard) Started(Fingerprint, string, int64)  {}
 func (g *recordingGuard) Answered(Fingerprint, string, int64) {}
 func (g *recordingGuard) Ended(_ Fingerprint, _ string, _ int64, died bool) {
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -20,13 +20,20 @@
 
 // Guard tracks which requests crash endpoints and restricts where they run.
 type Guard interface {
-	// Check returns the current verdict on a request.
-	Check(f Fingerprint) Verdict
+	// Check returns the current verdict on a request whose prompt has the given parts,
+	// which other requests may share.
+	Check(f Fingerprint, parts []string) Verdict
 	// Started records that a request starts at an endpoint.
 	Started(f Fingerprint, endpoint string, incarnation int64)
 	// Answered records that a request was answered completely by an endpoint.
 	// It is called before Ended.
 	Answered(f Fingerprint, endpoint string, incarnation int64)
+	// Responding records that an endpoint sends the answer to a request with these parts.
+	Responding(parts []string)
+	// Crashed records that an endpoint died under a request with these parts, none if it
+	// had sent too much of the answer for the request to be the cause. It is called before
+	// Ended.
+	Crashed(f Fingerprint, parts []string, endpoint string, incarnation int64)
 	// Ended records that a request no longer runs at an endpoint; died means
 	// that the endpoint died while running it.
 	Ended(f Fingerprint, endpoint string, incarnation int64, died bool)
--- a/dispatch/guarded.go
+++ b/dispatch/guarded.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	x.fingerprint = FingerprintOf(x.call.Customer.Name, x.call.Service.Name, x.call.Prompt)
-	switch x.guard().Check(x.fingerprint) {
+	switch x.guard().Check(x.fingerprint, x.call.Parts) {
 	case Quarantined:
 		return &Error{Cause: ErrQuarantined, RunState: x.runState()}
 	case Exclusive:
--- a/dispatch/leg.go
+++ b/dispatch/leg.go
@@ -143,6 +143,30 @@
 	}
 }
 
+// respondingTokens is how many tokens show that an endpoint can answer the request: the
+// first may have left one that crashes while it begins.
+const respondingTokens = 2
+
+// reportResponding reports to the Guard that the endpoint sends the answer.
+func (a *attempt) reportResponding() {
+	if g := a.exec.guard(); g != nil {
+		g.Responding(a.exec.call.Parts)
+	}
+}
+
+// reportCrash reports to the Guard that the endpoint died under the request.
+func (a *attempt) reportCrash() {
+	g := a.exec.d.opts.Guard
+	if g == nil {
+		return
+	}
+	parts := a.exec.call.Parts
+	if a.tokens >= respondingTokens || a.exec.guard() == nil {
+		parts = nil
+	}
+	g.Crashed(a.exec.fingerprint, parts, a.host.Name, a.host.Incarnation)
+}
+
 // end stops the timers, closes the stream and releases its ticket.
 func (a *attempt) end(died bool) {
 	a.cancel()
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -95,6 +95,9 @@
 	if err != nil {
 		x.d.record("plain-call", x.call.RequestID, "", name, err.Error())
 		died := x.d.opts.Guard != nil && errors.Is(err, engine.ErrBroken) && ctx.Err() == nil && !isServing(ctx, choice.Host.Address)
+		if died {
+			x.d.opts.Guard.Crashed(x.fingerprint, nil, name, choice.Host.Incarnation)
+		}
 		slot.end(died)
 		x.d.observe(&choice.Host, err)
 		return nil, err
@@ -152,7 +155,7 @@
 		return nil
 	}
 	x.fingerprint = FingerprintOf(x.call.Customer.Name, x.call.Service.Name, x.content())
-	switch x.d.opts.Guard.Check(x.fingerprint) {
+	switch x.d.opts.Guard.Check(x.fingerprint, nil) {
 	case Quarantined:
 		return &Error{Cause: ErrQuarantined, RunState: NotRun}
 	case Exclusive:
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -106,6 +106,7 @@
 		Class:     c.class,
 		Adapter:   adapter,
 		Prompt:    request.FullPrompt(),
+		Parts:     request.SharedParts(),
 		MaxTokens: request.Limit(service.MaxTokens),
 		Sampling:  request.Sampling,
 	}, nil
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/peridotmount/peridotmount/dispatch"
@@ -21,6 +22,11 @@
 	Incarnation int64
 }
 
+// String identifies the run in reports between hosts.
+func (r EndpointRun) String() string {
+	return fmt.Sprintf("%s@%d", r.Endpoint, r.Incarnation)
+}
+
 // Tracker decides whether requests may run, from their status. It has no clock and
 // is not safe for concurrent use. Invariant: no later notice replaces a conviction
 // before it expires.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -30,12 +30,15 @@
 
 	pathNotices = PathPrefix + "notices"
 	pathPermits = PathPrefix + "permits"
+	pathCrashes = PathPrefix + "crashes"
 
 	// peerTimeout is the timeout for notifying all hosts of a crash, and for a permit
 	// request.
 	peerTimeout = time.Second
 	// maxConcurrentNotifications bounds the hosts that are notified at the same time.
 	maxConcurrentNotifications = 32
+	// reportDelay is how long other hosts' reports of crashes take.
+	reportDelay = 100 * time.Millisecond
 	// permitWait bounds the time that Check waits for a suspect's permit, trying again
 	// after each permitRetryInterval.
 	permitWait          = 10 * time.Second
@@ -78,6 +81,9 @@
 	// permitted holds the suspects that this host has a permit for, and where each
 	// runs; the zero EndpointRun means that it does not run yet.
 	permitted map[dispatch.Fingerprint]EndpointRun
+
+	// parts attributes crashes to what requests have in common.
+	parts *partGuard
 }
 
 // NewGuard returns a Guard.
@@ -89,13 +95,17 @@
 		tracker:   NewTracker(opts.Tracker),
 		granted:   newPermitTable(),
 		permitted: make(map[dispatch.Fingerprint]EndpointRun),
+		parts:     newPartGuard(),
 	}
 }
 
 // Check implements dispatch.Guard. For a suspect it waits until this host has the
 // permit to run it and the suspect does not run here yet. After permitWait it returns
 // dispatch.Exclusive all the same.
-func (g *Guard) Check(f dispatch.Fingerprint) dispatch.Verdict {
+func (g *Guard) Check(f dispatch.Fingerprint, parts []string) dispatch.Verdict {
+	if g.parts.convicted(parts) {
+		return dispatch.Quarantined
+	}
 	deadline := time.Now().Add(permitWait)
 	for {
 		now := time.Now()
@@ -146,11 +156,20 @@
 // reachable hosts have the notices or peerTimeout has passed, so that they check a
 // retried request against its new status.
 func (g *Guard) Ended(f dispatch.Fingerprint, endpoint string, incarnation int64, died bool) {
-	g.mu.Lock()
 	current := EndpointRun{Endpoint: endpoint, Incarnation: incarnation}
+	g.mu.Lock()
 	run, permitted := g.permitted[f]
+	g.mu.Unlock()
 	alone := permitted && run == current
-	notices := g.tracker.Ended(f, current, died, alone, time.Now())
+	culprit := alone
+	if died && alone {
+		// Endpoints that die together do so for another reason than a request that ran
+		// alone on one of them. The hosts' reports of the others are on their way.
+		time.Sleep(reportDelay)
+		culprit = !g.parts.amongOthers(current.String())
+	}
+	g.mu.Lock()
+	notices := g.tracker.Ended(f, current, died, culprit, time.Now())
 	g.mu.Unlock()
 	if len(notices) > 0 {
 		g.announce(notices)
@@ -181,6 +200,12 @@
 // notifyPeers sends notices to all other live hosts and waits for their responses, for
 // at most peerTimeout.
 func (g *Guard) notifyPeers(notices []Notice) {
+	g.sendToPeers(pathNotices, notices)
+}
+
+// sendToPeers sends a message to all other live hosts and waits for their responses, for
+// at most peerTimeout.
+func (g *Guard) sendToPeers(path string, message any) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	semaphore := make(chan struct{}, maxConcurrentNotifications)
@@ -193,8 +218,8 @@
 		group.Go(func() {
 			defer func() { <-semaphore }()
 			client := httpjson.NewClient(h.Address, g.opts.Client).WithSecret(g.opts.Secret)
-			if err := client.Do(ctx, http.MethodPost, pathNotices, notices, nil); err != nil {
-				_ = level.Warn(g.logger).Log("msg", "quarantine notices not delivered to a host", "peer", h.Name, "err", err)
+			if err := client.Do(ctx, http.MethodPost, path, message, nil); err != nil {
+				_ = level.Warn(g.logger).Log("msg", "quarantine message not delivered to a host", "path", path, "peer", h.Name, "err", err)
 			}
 		})
 	}
@@ -274,6 +299,7 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("POST "+pathCrashes, g.handleCrashReport)
 	return mux
 }
 
@@ -282,6 +308,10 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	for _, n := range notices {
+		if len(n.Keys) > 0 {
+			g.applyConviction(now, n)
+			continue
+		}
 		g.tracker.Apply(n, now)
 	}
 }
@@ -296,6 +326,7 @@
 func (g *Guard) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(g.opts.Poll)
 	defer ticker.Stop()
+	go g.judgeParts(ctx)
 	for {
 		if err := g.readLog(ctx); err != nil && ctx.Err() == nil {
 			_ = level.Debug(g.logger).Log("msg", "quarantine notices not read from the log", "err", err)
--- a/quarantine/notice.go
+++ b/quarantine/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/dispatch"
 )
 
@@ -23,6 +24,9 @@
 type Notice struct {
 	Fingerprint dispatch.Fingerprint `json:"fingerprint"`
 	Status      Status               `json:"standing"`
+	// Keys, unless empty, is what requests have in common that crash endpoints: the notice
+	// is a conviction of all requests with all of them, and Fingerprint a hash of Keys.
+	Keys blame.Combination `json:"keys,omitempty"`
 	// At is when the status changed, by the clock of the host that observed it.
 	At time.Time `json:"at"`
 }
