slots: a host that knows of no other starts no batch item before it has read again

Callers saw nothing wrong, but items ran whole two or three times: hosts that start together each read of themselves alone at first, schedule for themselves for a second, and each run the items of a job that is handed in meanwhile.

Such a host now has a majority only once the records were read again, half a second later than it found itself alone.

--- a/slots/duty.go
+++ b/slots/duty.go
@@ -54,6 +54,9 @@
 	// majoritySince is the time since which a majority of the hosts has a session;
 	// zero while there is none. Only the goroutine of Serve accesses it.
 	majoritySince time.Time
+	// aloneSince is the time, by package clock, since which this host is the only one it
+	// knows of; zero while there are others.
+	aloneSince time.Time
 }
 
 // sessionEnd describes how a session ended.
@@ -190,12 +193,24 @@
 }
 
 // hasStableMajority reports whether a majority of the hosts has had a session for
-// batchStartDelay, long enough for them to have reported what they run.
+// batchStartDelay, long enough for them to have reported what they run. A host that knows
+// of no other has a majority only once the records were read again: several that start
+// together read none of each other's at first, and each would run all items.
 func (l *LocalScheduler) hasStableMajority(now time.Time, t hostCounts) bool {
 	if !t.majority() {
-		l.majoritySince = time.Time{}
+		l.majoritySince, l.aloneSince = time.Time{}, time.Time{}
 		return false
 	}
+	if t != (hostCounts{joined: 1}) {
+		l.aloneSince = time.Time{}
+	} else {
+		if l.aloneSince.IsZero() {
+			l.aloneSince = clock.Now()
+		}
+		if l.readUntil().Sub(l.aloneSince) < aloneReadDelay {
+			return false
+		}
+	}
 	if l.majoritySince.IsZero() {
 		l.majoritySince = now
 	}
--- a/slots/times.go
+++ b/slots/times.go
@@ -11,6 +11,10 @@
 	// joined, to report what they run before it starts batch items.
 	batchStartDelay = 300 * time.Millisecond
 
+	// aloneReadDelay is how much later than a host found itself alone the records of hosts
+	// are to be read once more: processes that start together write theirs within it.
+	aloneReadDelay = 500 * time.Millisecond
+
 	// broadcastInterval is the time between two broadcasts of the hosts that are
 	// alive although the store has no recent record of them. It is well below the
 	// time after which such hosts count as lost.
