blame: a conviction is narrowed by crashes that chance does not explain

Any two further crashes narrowed a conviction of several keys to one of them, also crashes of a third of the endpoints at a time, beside which a sound key stood: it would then be refused by itself. TestNarrowingNeedsUnlikelyCrashes convicts part:b before and passes.

--- a/blame/tracker.go
+++ b/blame/tracker.go
@@ -15,8 +15,9 @@
 	// few endpoints.
 	maxMoments = 4
 	// narrowingCrashes is how many further crashes narrow a combination that was
-	// convicted already.
-	narrowingCrashes = 2
+	// convicted already, narrowingSurprise the evidence that they need.
+	narrowingCrashes  = 2
+	narrowingSurprise = 4
 	// surprise is the evidence that a verdict needs, as the negative natural logarithm of
 	// the probability that a request that crashes nothing was there each time.
 	surprise = 11
@@ -263,10 +264,16 @@
 
 // enough reports whether crashes are enough evidence for a verdict on a key.
 func (t *Tracker) enough(k Key, crashes []*crash, convicted []Combination) bool {
-	if len(crashes) < minCrashes {
-		return len(crashes) >= narrowingCrashes && named(convicted, k)
+	if named(convicted, k) {
+		return len(crashes) >= narrowingCrashes && t.unlikely(crashes, narrowingSurprise, narrowingCrashes)
 	}
-	return named(convicted, k) || t.surprise(crashes) >= surprise || len(moments(crashes)) >= maxMoments && t.nearlyAll(crashes)
+	return len(crashes) >= minCrashes && t.unlikely(crashes, surprise, maxMoments)
+}
+
+// unlikely reports whether chance does not explain that a request that crashes nothing was
+// at the crashes: they were unlikely enough, or at so many moments and nearly all there were.
+func (t *Tracker) unlikely(crashes []*crash, needed float64, enoughMoments int) bool {
+	return t.surprise(crashes) >= needed || len(moments(crashes)) >= enoughMoments && t.nearlyAll(crashes)
 }
 
 // nearlyAll reports whether crashes are at least nine in ten of those since the first of
--- a/blame/tracker_test.go
+++ b/blame/tracker_test.go
@@ -202,6 +202,28 @@
 	}
 }
 
+// TestNarrowingNeedsUnlikelyCrashes lets a sound key, convicted together with the one that
+// crashes endpoints, stand beside crashes of a third of the endpoints: it must not be
+// convicted alone.
+func TestNarrowingNeedsUnlikelyCrashes(t *testing.T) {
+	tracker, now := NewTracker(), simStart
+	convicted := []Combination{NewCombination("part:b", "part:x")}
+	for wave := range 3 {
+		now = now.Add(time.Second)
+		for i := range 7 {
+			keys := []Key{"part:other"}
+			if i == 0 {
+				keys = []Key{"part:b"}
+			}
+			crashAt(tracker, now, fmt.Sprint(wave, i), keys...)
+		}
+		tracker.RecordAnswer(now.Add(time.Millisecond), Answer{Key: "part:other"})
+		if got := tracker.Evaluate(now.Add(settle+hearing), convicted); got != nil {
+			t.Errorf("after %d waves: convicted %v", wave+1, got)
+		}
+	}
+}
+
 // TestReportsOfOneCrashCountOnce checks that the reports of several hosts, and those that
 // are repeated to a new scheduler, count as one crash.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
