--- a/gateway/convictions.go
+++ b/gateway/convictions.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
 )
 
@@ -33,10 +34,9 @@
 // no scheduler could tell: those that were cut off, are new or were all restarted. It is a
 // follow.Handler and a suture service.
 type convictions struct {
-	list   *blame.List
-	writer interface {
-		Append(ctx context.Context, topic platform.Topic, records [][]byte) (int64, error)
-	}
+	list *blame.List
+	// writer writes to the store.
+	writer peers.Writer
 	// schedules reports whether this host schedules for itself or others, and thus writes.
 	schedules func() bool
 	logger    log.Logger
@@ -63,13 +63,13 @@
 }
 
 // Listed implements follow.Handler.
-func (c *convictions) Listed(now time.Time, records []platform.KeyedRecord, _ int64) {
+func (c *convictions) Listed(_ time.Time, records []platform.KeyedRecord, _ int64) {
 	c.mu.Lock()
 	before := c.stored
 	c.stored = make(map[string]blame.Combination)
 	c.mu.Unlock()
 	for i := range records {
-		c.apply(now, &records[i])
+		c.apply(&records[i])
 	}
 	c.mu.Lock()
 	for id, keys := range before {
@@ -83,9 +83,9 @@
 }
 
 // Changed implements follow.Handler.
-func (c *convictions) Changed(now time.Time, records []platform.KeyedRecord) {
+func (c *convictions) Changed(_ time.Time, records []platform.KeyedRecord) {
 	for i := range records {
-		c.apply(now, &records[i])
+		c.apply(&records[i])
 	}
 }
 
@@ -96,7 +96,7 @@
 func (c *convictions) Regained(time.Time) {}
 
 // apply applies one record.
-func (c *convictions) apply(_ time.Time, r *platform.KeyedRecord) {
+func (c *convictions) apply(r *platform.KeyedRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.Deletes() {
--- a/scheduler/convicted.go
+++ b/scheduler/convicted.go
@@ -14,22 +14,22 @@
 	c.dispatchAll(now)
 }
 
-// RefuseConvicted refuses the waiting requests that match a conviction, as given by match.
-func (c *Core) RefuseConvicted(now time.Time, match func(keys []blame.Key) *blame.Conviction) {
+// RefuseWaiting refuses the waiting requests that match a conviction, as given by match.
+func (c *Core) RefuseWaiting(now time.Time, match func(keys []blame.Key) *blame.Conviction) {
 	for _, name := range c.serviceNames() {
 		v := c.services[name]
 		for _, w := range slices.Clone(v.queue) {
 			if verdict := match(w.keys); verdict != nil {
 				v.dequeue(w)
 				delete(c.waiting, w.Ticket)
-				c.Convicted(now, w.host.name, &w.SlotRequest, verdict)
+				c.RefuseRequest(now, w.host.name, &w.SlotRequest, verdict)
 			}
 		}
 	}
 }
 
-// Convicted refuses a request that matches a conviction.
-func (c *Core) Convicted(now time.Time, host string, request *SlotRequest, verdict *blame.Conviction) {
+// RefuseRequest refuses a request that matches a conviction.
+func (c *Core) RefuseRequest(now time.Time, host string, request *SlotRequest, verdict *blame.Conviction) {
 	v := c.service(request.Service)
 	c.emit(Refuse{
 		Host: host, Ticket: request.Ticket, Reason: ReasonConvicted, RetryAfter: verdict.Left,
--- a/scheduler/convicted_test.go
+++ b/scheduler/convicted_test.go
@@ -74,7 +74,7 @@
 		}
 	}
 	verdict := &blame.Conviction{Keys: blame.NewCombination(blame.PartKey("x")), Left: time.Minute}
-	c.RefuseConvicted(replayStart, func(keys []blame.Key) *blame.Conviction {
+	c.RefuseWaiting(replayStart, func(keys []blame.Key) *blame.Conviction {
 		if verdict.Keys.In(keys) {
 			return verdict
 		}
--- a/slots/convictions.go
+++ b/slots/convictions.go
@@ -81,7 +81,7 @@
 // host does not know yet.
 func (l *LocalScheduler) acquire(now time.Time, host string, request *scheduler.SlotRequest, c *scheduler.Core) {
 	if verdict := l.convictions.Match(now, request.Keys()); verdict != nil {
-		c.Convicted(now, host, request, verdict)
+		c.RefuseRequest(now, host, request, verdict)
 		return
 	}
 	c.Acquire(now, host, *request)
@@ -90,6 +90,6 @@
 // enforceConvictions refuses the waiting requests that match a conviction, and tells the
 // hosts at once.
 func (l *LocalScheduler) enforceConvictions(now time.Time, c *scheduler.Core) {
-	c.RefuseConvicted(now, func(keys []blame.Key) *blame.Conviction { return l.convictions.Match(now, keys) })
+	c.RefuseWaiting(now, func(keys []blame.Key) *blame.Conviction { return l.convictions.Match(now, keys) })
 	l.broadcastState(now)
 }
