--- a/slots/election_test.go
+++ b/slots/election_test.go
@@ -91,8 +91,12 @@
 func serveSessions(t *testing.T, name string, local *LocalScheduler) peers.Host {
 	t.Helper()
 	server := httptest.NewServer(NewServer(local, "token", log.NewNopLogger()))
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
+	t.Cleanup(func() {
+		// A client that still runs must not connect again: Close would wait for its session.
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
 	return peers.Host{Name: name, Address: server.URL, Token: "token"}
 }
 
