Decode, log and count the rate limits that endpoints name in their answers

Nothing showed that an engine had named a limit (Server-Limit): no host decoded the header. The line endpoint_limit and a counter now tell each change, and package throttle keeps what is known: the later answer counts, and an answer without a limit ends one only if its request was sent after the last answer that named it. No decision uses it yet.

--- a/batch/options.go
+++ b/batch/options.go
@@ -57,6 +57,9 @@
 	// OnLeaving is called with each endpoint that announces in a response that it is
 	// leaving.
 	OnLeaving func(endpoint.Incarnation)
+	// OnLimit is called with the rate limit, in requests per second, that an endpoint names
+	// in the answer to a request sent at the given time; zero if it names none.
+	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
 	// StatusRetention is how long after its submission the status of an ended job can be
 	// read, until SetStatusRetention changes it.
 	StatusRetention time.Duration
--- a/batch/run.go
+++ b/batch/run.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/jobs"
 	"github.com/peridotmount/peridotmount/pace"
@@ -149,14 +150,15 @@
 	if x.events > 0 {
 		platform.SetLastEvent(header, strconv.Itoa(x.events))
 	}
-	response, err := x.ledger.opts.Pool.Send(ctx, x.endpoint.ID, x.endpoint.Address, &upstream.Call{
+	opts := &x.ledger.opts
+	response, err := opts.Pool.Send(ctx, x.endpoint.ID, x.endpoint.Address, &upstream.Call{
 		Method:     http.MethodPost,
 		Target:     x.item.Path,
 		Host:       x.job.Submission.Host,
 		Header:     header,
 		Body:       x.item.Body,
 		Matches:    platform.Answers(x.item.ID),
-		OnResponse: platform.Leaving(x.endpoint, x.ledger.opts.OnLeaving),
+		OnResponse: platform.Heads(platform.Leaving(x.endpoint, opts.OnLeaving), platform.Limit(x.endpoint, x.item.ID, clock.Now(), opts.OnLimit)),
 	})
 	if err != nil {
 		outcome := scheduler.Failed
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -29,6 +29,7 @@
 	return NewLedger(Options{
 		Writer: writer, Host: writer, Offer: func([]scheduler.Offer) {}, Store: platform.NewStore(store, platform.StoreOptions{}), Scheduler: make(fakeScheduler),
 		OnLeaving: func(endpoint.Incarnation) {},
+		OnLimit:   func(endpoint.Incarnation, float64, time.Time) {},
 		Pool:      upstream.NewPool(upstream.Options{}), Logger: log.NewNopLogger(),
 		Configuration: testConfiguration, CacheBytes: 1 << 20,
 		Endpoint: func(id string) *endpoint.Endpoint {
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -99,6 +99,7 @@
 		Pool:          upstream.NewPool(upstream.Options{}),
 		Started:       b.started,
 		OnLeaving:     func(i endpoint.Incarnation) { b.leaving <- i },
+		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
 		Jobs:          http.NotFoundHandler(),
 		Draining:      func() bool { return false },
 		BodyBudget:    16 << 20,
--- a/forward/try.go
+++ b/forward/try.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/upstream"
@@ -76,7 +77,7 @@
 		Header:     header,
 		Body:       req.body,
 		Matches:    platform.Answers(req.ID),
-		OnResponse: platform.Leaving(e, f.opts.OnLeaving),
+		OnResponse: platform.Heads(platform.Leaving(e, f.opts.OnLeaving), platform.Limit(e, req.ID, clock.Now(), f.opts.OnLimit)),
 	})
 	if err != nil {
 		f.endWithError(ctx, req, a, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/peridotmount/peridotmount/slots"
 	"github.com/peridotmount/peridotmount/sockopt"
 	"github.com/peridotmount/peridotmount/startup"
+	"github.com/peridotmount/peridotmount/throttle"
 	"github.com/peridotmount/peridotmount/upstream"
 )
 
@@ -80,6 +81,7 @@
 	configuration *configuration
 	endpoints     *endpoints
 	endpointFeed  *follow.Follower
+	limits        *limits
 	convictions   *convictions
 	// convictionFeed follows the convictions in the store.
 	convictionFeed *follow.Follower
@@ -167,6 +169,10 @@
 	}})
 	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
 	g.endpoints = newEndpoints(g.logger, g.registry, g.endpointsChanged)
+	g.limits = newLimits(g.logger, g.registry)
+	g.limits.known = func(id string) bool { return g.endpoints.View().Endpoint(id) != nil }
+	g.limits.changed = func() {}
+	g.limits.report = func([]throttle.Notice) {}
 	g.convictions = newConvictions(g.logger)
 	g.starting = &starting{
 		gate: startup.NewGate(), configuration: g.configuration, endpoints: g.endpoints, convictions: g.convictions,
@@ -239,6 +245,7 @@
 		Configuration:   g.configuration.Current,
 		Endpoint:        func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
 		OnLeaving:       g.endpointLeaves,
+		OnLimit:         g.limits.Answered,
 		StatusRetention: g.settings.JobStatus,
 		CacheBytes:      int(float64(g.settings.Memory) * cacheShare),
 		Logger:          g.logger,
@@ -261,6 +268,7 @@
 		Pool:       g.pool,
 		Started:    g.starting.gate,
 		OnLeaving:  g.endpointLeaves,
+		OnLimit:    g.limits.Answered,
 		Jobs:       batch.NewAPI(g.ledger),
 		Draining:   g.ready.Draining,
 		BodyBudget: int64(float64(g.settings.Memory) * bodyShare),
@@ -345,7 +353,7 @@
 
 func (g *Gateway) duties() []suture.Service {
 	return append(g.listeners(),
-		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
+		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.limits, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
 		g.ledger.Follower(), batch.NewCheckpoints(g.ledger), &janitor{host: g.self.Name, client: g.client, ledger: g.ledger},
 		g.scheduler, g.client, g.pool)
 }
--- /dev/null
+++ b/throttle/notice.go
@@ -0,0 +1,19 @@
+package throttle
+
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/endpoint"
+)
+
+// Notice is what an answer of an endpoint said of the endpoint's rate limit, as hosts tell
+// each other.
+type Notice struct {
+	Endpoint endpoint.Incarnation `json:"endpoint"`
+	// Rate is the limit, in requests per second from all hosts together. It is zero if the
+	// answer named none.
+	Rate float64 `json:"rate,omitempty"`
+	// Age is the time since the answer that named the limit arrived, or since the request
+	// was sent whose answer named none.
+	Age time.Duration `json:"age"`
+}
