--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -55,7 +55,10 @@
 	if len(c.members) == 0 || v.occupiedSlots(now)+reserve >= v.slotLimit(now, c.share) || v.admissible(now) <= reserve {
 		return false
 	}
-	free := func(s *endpointState) bool { return s.admissible(now) > 0 }
+	// What an item takes of a rate limit is lost to the online requests that were refused
+	// just now and come back.
+	yield := now.Sub(v.overloadedAt) < overloadYield
+	free := func(s *endpointState) bool { return s.admissible(now) > 0 && (s.pacer == nil || !yield) }
 	if v.cheapest(now, &placement{}, free) == nil {
 		return false
 	}
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -137,3 +137,20 @@
 		t.Errorf("%d of 4 endpoints were used", len(starts))
 	}
 }
+
+// TestItemsYieldToRefusedRequests replays waves of callers that are refused for want of
+// endpoints that take their requests: meanwhile no item takes any.
+func TestItemsYieldToRefusedRequests(t *testing.T) {
+	for _, seed := range seeds {
+		r := runReplay(t, replayLoad{
+			endpoints: 18, slots: 8, online: peaks(130), jobs: peaks(1), length: 20 * time.Second,
+			limit: func(int, time.Duration) float64 { return 1 },
+		}, seed)
+		if r.refused == 0 || r.starts == 0 {
+			t.Fatalf("seed %d: %s: the run did not reach what it tests", seed, r)
+		}
+		if r.startsAfterRefusal > 0 {
+			t.Errorf("seed %d: %d items started within %s of a refusal", seed, r.startsAfterRefusal, overloadYield)
+		}
+	}
+}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -56,6 +56,9 @@
 	// reserveHorizon is how far ahead slots are reserved for online requests. A batch
 	// run that is revoked sooner than this costs more than it gains.
 	reserveHorizon = 250 * time.Millisecond
+	// overloadYield is how long after the refusal of an online request no batch item starts
+	// at an endpoint with a rate limit.
+	overloadYield = 300 * time.Millisecond
 	// planInterval is the time between two plans of the batch items.
 	planInterval = 250 * time.Millisecond
 	// batchSlotsWindow is the time over which the number of slots left for batch items
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -28,6 +28,8 @@
 	arrivals rate
 	// refused holds the fingerprints of recently refused requests.
 	refused *recent.Set
+	// overloadedAt is when an online request was last refused for want of slots or requests.
+	overloadedAt time.Time
 	// nextRetry is the retry time given to the client that was refused last.
 	nextRetry time.Time
 }
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -36,6 +36,10 @@
 	refusedWithRoom    int
 	items, itemsInTime int
 	starts             int
+	// refusedAt is when a request was last refused, startsAfterRefusal the number of items
+	// that started at endpoints with a rate limit within overloadYield of it.
+	refusedAt          time.Duration
+	startsAfterRefusal int
 	// startsAt are the times at which requests and items started, by endpoint.
 	startsAt map[string][]time.Duration
 }
@@ -275,6 +279,7 @@
 	q := r.waiting[f.Ticket]
 	delete(r.waiting, f.Ticket)
 	r.result.refused++
+	r.result.refusedAt = r.now
 	v := r.core.service("s")
 	if v.heldSlots(r.clock()) < v.slotLimit(r.clock(), r.core.share) {
 		r.result.refusedWithRoom++
@@ -289,6 +294,9 @@
 func (r *replay) started(s Start) {
 	r.result.starts++
 	r.countStart(s.Endpoint)
+	if r.result.refused > 0 && r.now-r.result.refusedAt < overloadYield && r.core.endpoints[s.Endpoint].pacer != nil {
+		r.result.startsAfterRefusal++
+	}
 	tokens := r.sizes[s.Item] - r.done[s.Item]
 	took := r.work(s.Endpoint, tokens)
 	run := &itemRun{ref: s.Item, started: r.now, perToken: took / time.Duration(max(1, tokens))}
