--- a/batch/run.go
+++ b/batch/run.go
@@ -347,14 +347,14 @@
 func (x *itemRun) endRun(outcome, reason string, u scheduler.Usage) {
 	x.slot.Release(u)
 	x.ledger.metrics.runs.WithLabelValues(outcome).Inc()
-	id, request := "", ""
+	id, version, request := "", "", ""
 	if x.endpoint != nil {
-		id = x.endpoint.ID
+		id, version = x.endpoint.ID, x.endpoint.Version
 	}
 	if x.item != nil {
 		request = x.item.ID
 	}
 	_ = level.Info(x.ledger.opts.Logger).Log("event", "item_run", "job", x.ref.Job, "item", x.ref.Item, "request", request,
-		"endpoint", id, "outcome", outcome, "reason", reason, "resumed_at", x.priorEvents, "events", x.events,
+		"endpoint", id, "version", version, "outcome", outcome, "reason", reason, "resumed_at", x.priorEvents, "events", x.events,
 		"after_ms", time.Since(x.startTime).Milliseconds())
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
@@ -32,6 +33,8 @@
 	runs, refusals int
 	// attempted lists the ids of the endpoints at which the request was attempted.
 	attempted []string
+	// versions are the software versions of these endpoints, for the log.
+	versions []string
 	// incomplete is set if an attempt may have run, but gave no complete response.
 	incomplete bool
 	// firstByte is when the first response of an endpoint that ran the request arrived.
@@ -99,10 +102,11 @@
 }
 
 // addAttempt records an attempt at an endpoint, and the time waited for its placement.
-func (r *request) addAttempt(endpoint string, waited time.Duration) {
+func (r *request) addAttempt(e *endpoint.Endpoint, waited time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.attempted = append(r.attempted, endpoint)
+	r.attempted = append(r.attempted, e.ID)
+	r.versions = append(r.versions, e.Version)
 	r.placementWait += waited
 }
 
--- a/forward/try.go
+++ b/forward/try.go
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	e := placement.Endpoint()
-	req.addAttempt(e.ID, now.Sub(placementStarted))
+	req.addAttempt(e, now.Sub(placementStarted))
 	a := &attempt{placement: placement, started: now}
 	var attemptCtx context.Context
 	attemptCtx, a.cancel = context.WithCancel(ctx)
@@ -144,7 +144,7 @@
 // recordAttempt logs and counts an attempt that did not complete its request.
 func (f *Forwarder) recordAttempt(req *request, a *attempt, outcome Outcome, reason string) {
 	f.metrics.attempts.WithLabelValues(string(outcome)).Inc()
-	_ = level.Info(f.opts.Logger).Log("event", "try", "request", req.ID, "endpoint", a.placement.Endpoint().ID,
+	_ = level.Info(f.opts.Logger).Log("event", "try", "request", req.ID, "endpoint", a.placement.Endpoint().ID, "version", a.placement.Endpoint().Version,
 		"outcome", outcome, "reason", reason, "events", a.usage.Events, "parts", sharedParts(req.promptParts()),
 		"after_ms", time.Since(a.started).Milliseconds())
 }
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -166,7 +166,7 @@
 		_ = level.Info(e.logger).Log("event", "endpoint_gone", "endpoint", c.Before.ID, "service", c.Before.Service, "reason", c.Reason)
 	case c.Before == nil:
 		_ = level.Info(e.logger).Log("event", "endpoint_found", "endpoint", c.After.ID, "service", c.After.Service,
-			"address", c.After.Address, "endpoint_zone", c.After.Zone, "slots", c.After.Slots, "draining", c.After.State == endpoint.Draining)
+			"address", c.After.Address, "version", c.After.Version, "endpoint_zone", c.After.Zone, "slots", c.After.Slots, "draining", c.After.State == endpoint.Draining)
 	default:
 		_ = level.Info(e.logger).Log("event", "endpoint_changed", "endpoint", c.After.ID, "service", c.After.Service,
 			"draining", c.After.State == endpoint.Draining, "reason", c.Reason)
