--- a/batch/checkpoints.go
+++ b/batch/checkpoints.go
@@ -161,7 +161,7 @@
 	records := make([][]byte, len(list))
 	for i := range list {
 		record, err := c.ledger.encodeRecord("partial", &jobs.Record{Job: list[i].ref.Job, Partial: &jobs.Partial{
-			Item: list[i].ref.Item, Events: list[i].progress.events, Output: list[i].output,
+			Item: list[i].ref.Item, Events: list[i].progress.events, Output: list[i].output, Version: list[i].progress.version,
 		}})
 		if err != nil {
 			return err
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -152,7 +152,7 @@
 		l.dropItem(c.Job, c.Item)
 		l.notifyWatchers(c.Job.ID)
 	case c.Checkpointed:
-		l.opts.Scheduler.Progress(scheduler.ItemRef{Job: c.Job.ID, Item: c.Item}, l.checkpointedTokens(c.Job, c.Item))
+		l.opts.Scheduler.Progress(scheduler.ItemRef{Job: c.Job.ID, Item: c.Item}, l.checkpointedTokens(c.Job, c.Item), c.Job.Partial(c.Item).Version)
 	case c.Cancelled:
 		for i := range c.Job.Items() {
 			l.dropItem(c.Job, i)
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -32,7 +32,7 @@
 type fakeScheduler map[scheduler.ItemRef]scheduler.Item
 
 func (s fakeScheduler) AddItem(i scheduler.Item) { s[i.Ref] = i }
-func (s fakeScheduler) Progress(ref scheduler.ItemRef, tokens int) {
+func (s fakeScheduler) Progress(ref scheduler.ItemRef, tokens int, _ string) {
 	if i, found := s[ref]; found {
 		i.TokensDone = tokens
 		s[ref] = i
--- a/batch/options.go
+++ b/batch/options.go
@@ -28,7 +28,7 @@
 	DropItem(ref scheduler.ItemRef)
 	// Progress sets how many tokens of an item are checkpointed, so that its next run need
 	// not generate them again.
-	Progress(ref scheduler.ItemRef, tokens int)
+	Progress(ref scheduler.ItemRef, tokens int, version string)
 }
 
 // Options configure a Ledger and the services that use it.
--- a/batch/partials.go
+++ b/batch/partials.go
@@ -19,6 +19,8 @@
 type itemProgress struct {
 	events, tokens int
 	output         string
+	// version is the software version of the endpoint that generated the output.
+	version string
 }
 
 func newProgressStore() *progressStore {
@@ -28,6 +30,9 @@
 func (p *progressStore) put(ref scheduler.ItemRef, progress itemProgress) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.progress[ref].version != progress.version {
+		delete(p.savedEvents, ref)
+	}
 	p.progress[ref] = progress
 }
 
@@ -75,7 +80,7 @@
 	defer p.mu.Unlock()
 	out := make([]scheduler.Resumable, 0, len(p.progress))
 	for ref, progress := range p.progress {
-		out = append(out, scheduler.Resumable{Item: ref, TokensDone: progress.tokens})
+		out = append(out, scheduler.Resumable{Item: ref, TokensDone: progress.tokens, Version: progress.version})
 	}
 	return out
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -123,11 +123,20 @@
 	return x.job.Partial(x.ref.Item), ""
 }
 
-// restoreProgress resumes from the output of earlier runs, at this host or another.
-// Output that can't be read is generated again.
+// restoreProgress resumes from the output of earlier runs, at this host or another. Output
+// that can't be read, or that another software version began, is generated again.
 func (x *itemRun) restoreProgress(ctx context.Context, saved *jobs.Partial) {
 	p := x.ledger.progress.get(x.ref)
-	if saved != nil && saved.Events > p.events {
+	version := ""
+	if x.endpoint != nil {
+		version = x.endpoint.Version
+	}
+	if p.events > 0 && p.version != version {
+		_ = level.Info(x.ledger.opts.Logger).Log("event", "progress_of_other_version", "job", x.ref.Job, "item", x.ref.Item,
+			"events", p.events, "version", p.version, "endpoint_version", version)
+		p = itemProgress{}
+	}
+	if saved != nil && saved.Events > p.events && saved.Version == version {
 		output, err := x.ledger.payloads.get(ctx, &saved.Output)
 		if err != nil {
 			_ = level.Warn(x.ledger.opts.Logger).Log("event", "partial_unread", "job", x.ref.Job, "item", x.ref.Item,
@@ -265,13 +274,15 @@
 		return
 	}
 	if blob, stored := x.storeOutput(); stored {
-		x.writeRecord("partial", &jobs.Record{Job: x.ref.Job, Partial: &jobs.Partial{Item: x.ref.Item, Events: x.events, Output: blob}})
+		x.writeRecord("partial", &jobs.Record{Job: x.ref.Job, Partial: &jobs.Partial{Item: x.ref.Item, Events: x.events, Output: blob, Version: x.endpoint.Version}})
 	}
 }
 
 // snapshotProgress keeps the item's progress in memory.
 func (x *itemRun) snapshotProgress() {
-	x.ledger.progress.put(x.ref, itemProgress{events: x.events, tokens: x.tokenCount(), output: x.output.String()})
+	x.ledger.progress.put(x.ref, itemProgress{
+		events: x.events, tokens: x.tokenCount(), output: x.output.String(), version: x.endpoint.Version,
+	})
 }
 
 // storeOutput writes the item's output to the store and reports whether that succeeded.
@@ -345,6 +356,9 @@
 
 // endRun releases the slot, and counts and logs the run.
 func (x *itemRun) endRun(outcome, reason string, u scheduler.Usage) {
+	if x.endpoint != nil {
+		u.Version = x.endpoint.Version
+	}
 	x.slot.Release(u)
 	x.ledger.metrics.runs.WithLabelValues(outcome).Inc()
 	id, version, request := "", "", ""
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -97,8 +97,9 @@
 	}
 	// The endpoint is looked up again, as it may have left while the input was read, which
 	// can take seconds.
+	prepared := x.endpoint
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
-	if x.endpoint == nil || x.endpoint.State != endpoint.Ready {
+	if x.endpoint == nil || x.endpoint.State != endpoint.Ready || prepared == nil || prepared.Version != x.endpoint.Version {
 		x.endRun("leaving", "endpoint is leaving", scheduler.Usage{Outcome: scheduler.Leaving})
 		return
 	}
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -161,6 +161,36 @@
 	}
 }
 
+// TestOutputOfAnotherVersionIsNotContinued breaks an item off, and runs it again at the same
+// version, which goes on, and at another, which begins again.
+func TestOutputOfAnotherVersionIsNotContinued(t *testing.T) {
+	for _, c := range []struct {
+		version string
+		after   int
+	}{{"v1", 2}, {"v2", 0}} {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		version := "v1"
+		l, replica := submitJob(ctx, t, standin.ReplicaFaults{CutAfter: 2})
+		l.opts.Endpoint = func(id string) *endpoint.Endpoint {
+			return &endpoint.Endpoint{ID: id, Service: "engine", Address: replica.Address(), State: endpoint.Ready, Version: version}
+		}
+		if use := runItem(ctx, t, l); use.Version != "v1" {
+			t.Errorf("the scheduler is told that version %q made the output", use.Version)
+		}
+		p := l.progress.get(scheduler.ItemRef{Job: "j"})
+		if p.version != "v1" || p.events != 2 {
+			t.Fatalf("progress %+v", p)
+		}
+		version = c.version
+		replica.SetFaults(standin.ReplicaFaults{CutAfter: 1})
+		runItem(ctx, t, l)
+		if runs := replica.Runs(); runs[1].After != c.after {
+			t.Errorf("at %s the item goes on after event %d, want %d", c.version, runs[1].After, c.after)
+		}
+	}
+}
+
 // TestCommentsAreNoProgress runs an item at an engine that sends comments without end
 // after its first event. The run must end, so that its slot becomes free, and must keep
 // the first event so that the next run resumes after it.
--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -54,6 +54,12 @@
 	Prefix         []string
 	// Fingerprint is the same for all of a client's retries of one request.
 	Fingerprint string
+	// Resumes is the request that brought the first event of the stream that this one goes on
+	// with, or "".
+	Resumes string
+	// Version is the version of the software that began the stream; nil if it is not known, or
+	// no event has arrived.
+	Version *string
 	// Avoid lists the endpoints at which the request was attempted already.
 	Avoid []string
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -23,6 +23,9 @@
 	// OnLeaving is called with each endpoint that announces in a response that it is
 	// leaving.
 	OnLeaving func(endpoint.Incarnation)
+	// OnBegun is called with the request that brought the first event of a stream, and the
+	// software version of its endpoint.
+	OnBegun func(request, version string)
 	// OnLimit is called with the rate limit, in requests per second, that an endpoint names
 	// in the answer to a request sent at the given time; zero if it names none.
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
--- a/forward/request.go
+++ b/forward/request.go
@@ -35,6 +35,9 @@
 	attempted []string
 	// versions are the software versions of these endpoints, for the log.
 	versions []string
+	// version is the software version that began the stream; nil before its first event, and
+	// if it was begun elsewhere, before the first placement.
+	version *string
 	// incomplete is set if an attempt may have run, but gave no complete response.
 	incomplete bool
 	// firstByte is when the first response of an endpoint that ran the request arrived.
@@ -131,13 +134,37 @@
 		ExpectedTokens: r.ExpectedOutput(),
 		Prefix:         r.promptParts(),
 		Fingerprint:    r.fingerprint(),
+		Resumes:        r.resumedRequest(),
 	}
 	r.mu.Lock()
+	a.Version = r.version
 	a.Avoid = slices.Clone(r.attempted)
 	r.mu.Unlock()
 	return a
 }
 
+// resumedRequest returns the request that brought the first event of the stream that this one
+// goes on with, or "" if it begins one. A client that does not tell with what it goes on
+// resumes a stream that nobody knows: that of its own request.
+func (r *request) resumedRequest() string {
+	if r.Resumes == "" && r.LastEvent != "" {
+		return r.ID
+	}
+	return r.Resumes
+}
+
+// setVersion sets the software version that the stream goes on at, unless it is set, and
+// reports whether it did.
+func (r *request) setVersion(version string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.version != nil {
+		return false
+	}
+	r.version = &version
+	return true
+}
+
 // promptParts returns the ids of the parts of the prompt.
 func (r *request) promptParts() []string {
 	var out []string
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,16 +35,22 @@
 func (c *testConfiguration) Current() *route.Configuration { return c.current }
 func (c *testConfiguration) Confirm(context.Context) error { return c.confirmErr }
 
-// testPlacer is a Placer that chooses the first of its endpoints that is not to be avoided.
+// testPlacer is a Placer that chooses the first of its endpoints that is not to be avoided and
+// has the version that is asked for.
 type testPlacer struct {
+	mu       sync.Mutex
+	requests []*PlacementRequest
 	endpoints []*endpoint.Endpoint
 	// released receives the Usage of each placement that is released.
 	released chan Usage
 }
 
 func (p *testPlacer) Place(_ context.Context, request *PlacementRequest) (Placement, error) {
+	p.mu.Lock()
+	p.requests = append(p.requests, request)
+	p.mu.Unlock()
 	for _, e := range p.endpoints {
-		if !slices.Contains(request.Avoid, e.ID) {
+		if !slices.Contains(request.Avoid, e.ID) && (request.Version == nil || *request.Version == e.Version) {
 			return &testPlacement{placer: p, endpoint: e}, nil
 		}
 	}
@@ -71,6 +78,9 @@
 	started *startup.Gate
 	server  *httptest.Server
 	seq     int
+	// begunMu guards begunRequest and begunVersion, the arguments of the last OnBegun.
+	begunMu                    sync.Mutex
+	begunRequest, begunVersion string
 	// logLines holds the log. It must not be read before the server is closed.
 	logLines bytes.Buffer
 }
@@ -99,6 +109,7 @@
 		Pool:          upstream.NewPool(upstream.Options{}),
 		Started:       b.started,
 		OnLeaving:     func(i endpoint.Incarnation) { b.leaving <- i },
+		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
 		Jobs:          http.NotFoundHandler(),
 		Draining:      func() bool { return false },
@@ -110,6 +121,19 @@
 	return b
 }
 
+func (b *testbed) recordBegun(request, version string) {
+	b.begunMu.Lock()
+	defer b.begunMu.Unlock()
+	b.begunRequest, b.begunVersion = request, version
+}
+
+// begunBy returns the stream that was last begun, and by which version.
+func (b *testbed) begunBy() (request, version string) {
+	b.begunMu.Lock()
+	defer b.begunMu.Unlock()
+	return b.begunRequest, b.begunVersion
+}
+
 // response is the response that a client got.
 type response struct {
 	status int
--- a/forward/try.go
+++ b/forward/try.go
@@ -62,6 +62,10 @@
 	}
 	e := placement.Endpoint()
 	req.addAttempt(e, now.Sub(placementStarted))
+	if req.resumedRequest() != "" {
+		// The placer knows that this version began the stream.
+		req.setVersion(e.Version)
+	}
 	a := &attempt{placement: placement, started: now}
 	var attemptCtx context.Context
 	attemptCtx, a.cancel = context.WithCancel(ctx)
--- /dev/null
+++ b/forward/version_test.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"context"
+	"testing"
+
+	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/standin"
+)
+
+// requestedVersions returns the versions that the placements so far were requested for, "any"
+// where any will do.
+func (p *testPlacer) requestedVersions() (versions, resumes []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.requests {
+		version := "any"
+		if r.Version != nil {
+			version = *r.Version
+		}
+		versions, resumes = append(versions, version), append(resumes, r.Resumes)
+	}
+	return versions, resumes
+}
+
+func equal(t *testing.T, what string, got, want []string) {
+	t.Helper()
+	for i := range max(len(got), len(want)) {
+		if i >= len(got) || i >= len(want) || got[i] != want[i] {
+			t.Errorf("%s: %v, want %v", what, got, want)
+			return
+		}
+	}
+}
+
+// TestStreamGoesOnAtItsVersion breaks off a stream before and after its first event: from then
+// on, only the version that sent it is asked for.
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	b := newTestbed(t, route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 4}, 4, 6)
+	for i, version := range []string{"v1", "v2", "v1", "v2"} {
+		b.placer.endpoints[i].Version = version
+	}
+	b.replicas[0].SetFaults(standin.ReplicaFaults{ResetBefore: true})
+	b.replicas[1].SetFaults(standin.ReplicaFaults{CutAfter: 2})
+	id, a := b.send(context.Background(), "", nil)
+	if a.body != expectedEvents(id, 1, 6) || len(b.replicas[2].Runs()) != 0 || len(b.replicas[3].Runs()) != 1 {
+		t.Errorf("response %+v, %d and %d runs at v1 and v2", a, len(b.replicas[2].Runs()), len(b.replicas[3].Runs()))
+	}
+	versions, _ := b.placer.requestedVersions()
+	equal(t, "versions", versions, []string{"any", "any", "v2"})
+	if request, version := b.begunBy(); request != id || version != "v2" {
+		t.Errorf("%s is said to have been begun by %s, want %s by v2", request, version, id)
+	}
+}
+
+// TestResumedStreamNamesItsBegin has clients go on with streams of which this host knows
+// nothing: the placer is told which request brought the first event. A client that does not say
+// is taken to resume a stream that nobody knows.
+func TestResumedStreamNamesItsBegin(t *testing.T) {
+	b := newTestbed(t, route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 3}, 3, 6)
+	for i, version := range []string{"v1", "v2", "v1"} {
+		b.placer.endpoints[i].Version = version
+	}
+	b.replicas[0].SetFaults(standin.ReplicaFaults{CutAfter: 1})
+	id, a := b.send(context.Background(), "", map[string]string{"Last-Event-Id": "2", "Resumes": "earlier"})
+	if a.body != expectedEvents(id, 3, 6) {
+		t.Errorf("response %+v", a)
+	}
+	versions, resumes := b.placer.requestedVersions()
+	equal(t, "versions", versions, []string{"any", "v1"})
+	equal(t, "resumes", resumes, []string{"earlier", "earlier"})
+	if request, _ := b.begunBy(); request != "" {
+		t.Errorf("%s is said to have begun the stream, which goes on", request)
+	}
+	id, _ = b.send(context.Background(), "", map[string]string{"Last-Event-Id": "2"})
+	if _, resumes = b.placer.requestedVersions(); resumes[2] != id {
+		t.Errorf("a client that names no begin resumes %q, want its own request %s", resumes[2], id)
+	}
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -26,6 +26,8 @@
 	logger log.Logger
 	// changed is called with each new view and what changed.
 	changed func(*endpoint.View, []endpoint.Change)
+	// origins is told which endpoints are listed.
+	origins *origins
 	// started is asked to open with the first listing.
 	started *starting
 	// leaving counts the endpoints that said in an answer that they leave.
@@ -38,8 +40,8 @@
 	listed atomic.Bool
 }
 
-func newEndpoints(logger log.Logger, r prometheus.Registerer, changed func(*endpoint.View, []endpoint.Change)) *endpoints {
-	e := &endpoints{logger: logger, changed: changed, table: endpoint.NewTable()}
+func newEndpoints(logger log.Logger, r prometheus.Registerer, o *origins, changed func(*endpoint.View, []endpoint.Change)) *endpoints {
+	e := &endpoints{logger: logger, changed: changed, origins: o, table: endpoint.NewTable()}
 	e.leaving = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "peridotmount_endpoints_leaving_total",
 		Help: "Endpoints that said in an answer that they leave, before their record did: to this host (answer) or to another (told).",
@@ -143,6 +145,7 @@
 	return clock.Every(ctx, endpointTick, func(time.Time) {
 		e.mu.Lock()
 		e.publish(e.table.Tick(clock.Now()))
+		e.origins.Observe(e.table.Endpoints())
 		e.mu.Unlock()
 	})
 }
@@ -152,7 +155,9 @@
 	if len(changes) == 0 {
 		return
 	}
-	view := endpoint.NewView(e.table.Endpoints())
+	listed := e.table.Endpoints()
+	e.origins.Observe(listed)
+	view := endpoint.NewView(listed)
 	e.view.Store(view)
 	for i := range changes {
 		e.log(&changes[i])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	endpoints     *endpoints
 	endpointFeed  *follow.Follower
 	limits        *limits
+	origins       *origins
 	convictions   *convictions
 	// convictionFeed follows the convictions in the store.
 	convictionFeed *follow.Follower
@@ -169,7 +170,8 @@
 		DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: headerBytes,
 	}})
 	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
-	g.endpoints = newEndpoints(g.logger, g.registry, g.endpointsChanged)
+	g.origins = newOrigins()
+	g.endpoints = newEndpoints(g.logger, g.registry, g.origins, g.endpointsChanged)
 	g.limits = newLimits(g.logger, g.registry)
 	g.limits.known = func(id string) bool { return g.endpoints.View().Endpoint(id) != nil }
 	g.limits.changed = func() { g.schedule(g.configuration.Current(), g.endpoints.View()) }
@@ -216,6 +218,7 @@
 		KnowsJob:         func(id string) bool { return g.ledger.HasJob(id) },
 		Convictions:      g.convictions.list,
 		Limits:           g.limits,
+		Origins:          g.origins,
 		LeavingEndpoints: g.endpoints.Leaving,
 		AddLeavingEndpoint: func(i endpoint.Incarnation) bool {
 			return g.endpoints.Leaves(i, endpoint.ReasonRelayed)
@@ -264,7 +267,7 @@
 	g.forwarder = forward.New(forward.Options{
 		Configuration: g.configuration,
 		Placer: &placer{
-			configuration: g.configuration, endpoints: g.endpoints, balancer: g.balancer, pacers: g.pacers, client: g.client,
+			configuration: g.configuration, endpoints: g.endpoints, balancer: g.balancer, pacers: g.pacers, client: g.client, origins: g.origins,
 			convictions: g.convictions.list,
 			crashes:     newCrashDetector(g.logger, g.registry, g.endpoints.View, g.client.ReportCrash),
 			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
@@ -273,6 +276,7 @@
 		Started:    g.starting.gate,
 		OnLeaving:  g.endpointLeaves,
 		OnLimit:    g.limits.Answered,
+		OnBegun:    g.origins.Begun,
 		Jobs:       batch.NewAPI(g.ledger),
 		Draining:   g.ready.Draining,
 		BodyBudget: int64(float64(g.settings.Memory) * bodyShare),
@@ -326,6 +330,7 @@
 				Slots:       e.Slots,
 				CacheTokens: s.Engine.CacheTokens,
 				RateLimit:   g.limits.Rate(e),
+				Version:     e.Version,
 			})
 		}
 	}
--- /dev/null
+++ b/gateway/origins.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/origin"
+)
+
+// origins holds which software version began a stream, as far as this host knows. Its methods
+// are safe for concurrent use.
+type origins struct {
+	mu      sync.Mutex
+	table   *origin.Table
+	history *origin.History
+}
+
+func newOrigins() *origins {
+	return &origins{table: origin.NewTable(), history: origin.NewHistory()}
+}
+
+// Begun records that this host received the first event of a stream, from an endpoint of a
+// version.
+func (o *origins) Begun(request, version string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Record(clock.Now(), request, version, true)
+}
+
+// Version implements slots.Origins. A stream that is not known was begun by the one version
+// that serves, if there has been no other for long.
+func (o *origins) Version(service, request string) (version string, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := clock.Now()
+	if version, known = o.table.Lookup(now, request); known {
+		return version, true
+	}
+	return o.history.Only(now, time.Now(), service)
+}
+
+// Observe records the endpoints that are listed.
+func (o *origins) Observe(endpoints []endpoint.Endpoint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.Observe(clock.Now(), endpoints)
+}
+
+// Granted implements slots.Origins.
+func (o *origins) Granted(request, version string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Record(clock.Now(), request, version, false)
+}
+
+// Own implements slots.Origins.
+func (o *origins) Own() origin.Streams {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Own(clock.Now())
+}
+
+// All implements slots.Origins.
+func (o *origins) All() origin.Streams {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.All(clock.Now())
+}
+
+// Merge implements slots.Origins.
+func (o *origins) Merge(streams origin.Streams) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Merge(clock.Now(), streams)
+}
+
+// Mixed implements slots.Origins.
+func (o *origins) Mixed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.history.Mixed()
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -23,6 +23,11 @@
 	// maxPlaces bounds the endpoints that the scheduler may name before one is
 	// found that this host can use.
 	maxPlaces = 4
+	// maxVersionWait is how long a request that goes on with a stream waits until the
+	// scheduler knows which version began it: a scheduler that has ended is replaced in about
+	// half of that. versionRetry is the time between two questions.
+	maxVersionWait = 1200 * time.Millisecond
+	versionRetry   = 150 * time.Millisecond
 	// limitWaitShare is the fraction of its objective for which a request waits until the
 	// endpoints' rate limits admit it.
 	limitWaitShare = 0.5
@@ -39,6 +44,7 @@
 	balancer      *balance.Balancer
 	pacers        *hostPacers
 	client        *slots.Client
+	origins       *origins
 	convictions   *blame.List
 	crashes       *crashDetector
 	// age returns how old the picture of the endpoints is.
@@ -87,7 +93,10 @@
 // endpoints admit it. A request that would wait for most of its objective is refused at once.
 func (p *placer) balanced(ctx context.Context, ask *forward.PlacementRequest) (forward.Placement, error) {
 	now := time.Now()
-	ready := p.endpoints.View().Ready(ask.Service)
+	ready, err := p.ofVersion(ask, p.endpoints.View().Ready(ask.Service))
+	if err != nil {
+		return nil, err
+	}
 	choose := func(open []*endpoint.Endpoint) *endpoint.Endpoint {
 		e := p.balancer.Choose(now, open, func(id string) bool { return slices.Contains(ask.Avoid, id) })
 		if e == nil {
@@ -120,6 +129,29 @@
 	return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
 }
 
+// ofVersion returns the endpoints that can go on with the stream of a request: all, if it
+// begins one.
+func (p *placer) ofVersion(ask *forward.PlacementRequest, ready []*endpoint.Endpoint) ([]*endpoint.Endpoint, error) {
+	version := ask.Version
+	if version == nil {
+		if ask.Resumes == "" {
+			return ready, nil
+		}
+		began, known := p.origins.Version(ask.Service, ask.Resumes)
+		if !known {
+			return nil, &forward.Rejection{Reason: string(scheduler.ReasonUnknownVersion), Inputs: "resumes " + ask.Resumes}
+		}
+		version = &began
+	}
+	var out []*endpoint.Endpoint
+	for _, e := range ready {
+		if e.Version == *version {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
 // slot asks the scheduler, until it names an endpoint that this host knows.
 func (p *placer) slot(ctx context.Context, ask *forward.PlacementRequest) (forward.Placement, error) {
 	begun := time.Now()
@@ -132,16 +164,16 @@
 		ExpectedTokens: ask.ExpectedTokens,
 		Prefix:         ask.Prefix,
 		Fingerprint:    ask.Fingerprint,
+		Resumes:        ask.Resumes,
+		Version:        ask.Version,
 		Avoid:          slices.Clone(ask.Avoid),
 	}
 	for range maxPlaces {
-		waited := time.Since(begun)
-		a.Elapsed, a.Left = ask.Elapsed+waited, ask.Left-waited
-		lease, err := p.client.Acquire(ctx, a)
+		lease, err := p.acquire(ctx, ask, &a, begun)
 		if err != nil {
 			return nil, rejectionOf(err)
 		}
-		if e := p.endpoints.View().Endpoint(lease.Endpoint); e != nil && e.State == endpoint.Ready {
+		if e := p.endpoints.View().Endpoint(lease.Endpoint); e != nil && e.State == endpoint.Ready && goesOn(ask, lease, e) {
 			return &leasedPlace{lease: lease, endpoint: e}, nil
 		}
 		lease.Release(scheduler.Usage{Outcome: scheduler.Leaving})
@@ -150,6 +182,36 @@
 	return nil, p.noEndpoint(ask)
 }
 
+// acquire waits for a slot. A scheduler that has just been elected may not know yet which
+// version began a stream that other hosts know: it is asked again for a while.
+func (p *placer) acquire(ctx context.Context, ask *forward.PlacementRequest, a *scheduler.SlotRequest, begun time.Time) (*slots.Lease, error) {
+	for {
+		waited := time.Since(begun)
+		a.Elapsed, a.Left = ask.Elapsed+waited, ask.Left-waited
+		if a.Resumes != "" && a.Version == nil {
+			if version, known := p.origins.Version(ask.Service, a.Resumes); known {
+				a.Version = &version
+			}
+		}
+		lease, err := p.client.Acquire(ctx, *a)
+		var refused *slots.RefusedError
+		if err == nil || !errors.As(err, &refused) || refused.Reason != scheduler.ReasonUnknownVersion || waited >= maxVersionWait {
+			return lease, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(versionRetry):
+		}
+	}
+}
+
+// goesOn reports whether an endpoint can go on with the stream of a request. The scheduler
+// chose it for its version, and may have read another record of the endpoint than this host.
+func goesOn(ask *forward.PlacementRequest, lease *slots.Lease, e *endpoint.Endpoint) bool {
+	return (ask.Resumes == "" && ask.Version == nil) || e.Version == lease.Version
+}
+
 // noEndpoint is the refusal of a request whose service has no endpoint to use.
 func (p *placer) noEndpoint(ask *forward.PlacementRequest) error {
 	view := p.endpoints.View()
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -80,6 +80,9 @@
 	// Events is the number of events in Output.
 	Events int  `json:"events"`
 	Output Blob `json:"output"`
+	// Version is the version of the endpoint's software. Another version can't go on with
+	// the output.
+	Version string `json:"version,omitempty"`
 }
 
 // Cancel cancels a job: its open items are no longer run.
--- /dev/null
+++ b/origin/history.go
@@ -0,0 +1,83 @@
+package origin
+
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/endpoint"
+)
+
+// startMargin is how far endpoints' clocks may differ from this host's.
+const startMargin = 10 * time.Second
+
+// History tracks which software versions of each service serve. It is not safe for concurrent
+// use.
+type History struct {
+	services map[string]*serviceHistory
+}
+
+// serviceHistory is the history of one service.
+type serviceHistory struct {
+	// since is when the first endpoint was seen.
+	since time.Time
+	// lastSeen is when each version was last listed. A version stays for Retention, as its
+	// endpoints finish their streams after they have left the list.
+	lastSeen map[string]time.Time
+	// newest is the latest start of an endpoint, by the endpoint's own clock.
+	newest time.Time
+}
+
+// NewHistory returns an empty History.
+func NewHistory() *History {
+	return &History{services: make(map[string]*serviceHistory)}
+}
+
+// Observe records the endpoints that are listed now.
+func (h *History) Observe(now time.Time, endpoints []endpoint.Endpoint) {
+	for i := range endpoints {
+		e := &endpoints[i]
+		s := h.services[e.Service]
+		if s == nil {
+			s = &serviceHistory{since: now, lastSeen: make(map[string]time.Time)}
+			h.services[e.Service] = s
+		}
+		s.lastSeen[e.Version] = now
+		if e.Started.After(s.newest) {
+			s.newest = e.Started
+		}
+	}
+	for _, s := range h.services {
+		for version, at := range s.lastSeen {
+			if now.Sub(at) > Retention {
+				delete(s.lastSeen, version)
+			}
+		}
+	}
+}
+
+// Only returns the one version of a service that can have begun streams which still run or can
+// be taken up again. It reports false if there are several, or if this host can't know: it has
+// not watched the service for long, and an endpoint started so recently that it may have
+// replaced one of another version. wall is the time of day.
+func (h *History) Only(now, wall time.Time, service string) (version string, known bool) {
+	s := h.services[service]
+	if s == nil || len(s.lastSeen) != 1 {
+		return "", false
+	}
+	if now.Sub(s.since) < Retention && wall.Sub(s.newest) < Retention+startMargin {
+		return "", false
+	}
+	for version = range s.lastSeen {
+		return version, true
+	}
+	return "", false
+}
+
+// Mixed reports whether several versions of a service serve, or did within Retention.
+func (h *History) Mixed() bool {
+	for _, s := range h.services {
+		if len(s.lastSeen) > 1 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/origin/table.go
@@ -0,0 +1,148 @@
+package origin
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Retention is how long a stream's version is kept at least after it began. Callers take
+	// streams up again within their deadlines, which are shorter.
+	Retention = 20 * time.Second
+	// maxEntries bounds the streams of a Retention, of which each takes about 50 bytes.
+	maxEntries = 1 << 17
+)
+
+// Table holds the versions that began streams, by the id of the client's request that brought
+// the first event. It is not safe for concurrent use.
+//
+// Invariant: what this host saw itself is not replaced by what others tell.
+type Table struct {
+	// current and previous hold the streams of the current and the previous Retention.
+	current, previous map[uint64]entry
+	rotatedAt         time.Time
+}
+
+// entry is the version that began a stream.
+type entry struct {
+	version string
+	// own is set if this host received the first event.
+	own bool
+}
+
+// NewTable returns an empty Table.
+func NewTable() *Table {
+	return &Table{current: make(map[uint64]entry), previous: make(map[uint64]entry)}
+}
+
+// Record records that a stream was begun by a version: own if this host received its first
+// event, otherwise by the endpoint that was assigned to it.
+func (t *Table) Record(now time.Time, request, version string, own bool) {
+	t.put(now, xxhash.Sum64String(request), entry{version: version, own: own})
+}
+
+// Lookup returns the version that began a stream, and whether it is known. A stream that is
+// asked for is kept for another Retention.
+func (t *Table) Lookup(now time.Time, request string) (version string, known bool) {
+	t.rotate(now)
+	id := xxhash.Sum64String(request)
+	if e, found := t.current[id]; found {
+		return e.version, true
+	}
+	e, found := t.previous[id]
+	if found {
+		t.put(now, id, e)
+	}
+	return e.version, found
+}
+
+// Merge adds streams of which another host told.
+func (t *Table) Merge(now time.Time, streams Streams) {
+	for version, ids := range streams {
+		for len(ids) >= idBytes {
+			t.put(now, binary.LittleEndian.Uint64(ids), entry{version: version})
+			ids = ids[idBytes:]
+		}
+	}
+}
+
+// Own returns the streams of which this host received the first event.
+func (t *Table) Own(now time.Time) Streams {
+	t.rotate(now)
+	out := make(Streams)
+	for _, generation := range []map[uint64]entry{t.current, t.previous} {
+		for id, e := range generation {
+			if e.own {
+				out.add(e.version, id)
+			}
+		}
+	}
+	return out
+}
+
+// All returns all streams.
+func (t *Table) All(now time.Time) Streams {
+	t.rotate(now)
+	out := make(Streams)
+	for _, generation := range []map[uint64]entry{t.current, t.previous} {
+		for id, e := range generation {
+			out.add(e.version, id)
+		}
+	}
+	return out
+}
+
+func (t *Table) put(now time.Time, id uint64, e entry) {
+	t.rotate(now)
+	old, found := t.current[id]
+	if !found {
+		old = t.previous[id]
+	}
+	if old.own && !e.own {
+		return
+	}
+	t.current[id] = e
+}
+
+// rotate drops the streams of the previous Retention once the current one is over.
+func (t *Table) rotate(now time.Time) {
+	switch age := now.Sub(t.rotatedAt); {
+	case age >= 2*Retention:
+		t.current, t.previous = make(map[uint64]entry), make(map[uint64]entry)
+	case age >= Retention, len(t.current) >= maxEntries:
+		t.current, t.previous = make(map[uint64]entry), t.current
+	default:
+		return
+	}
+	t.rotatedAt = now
+}
+
+// idBytes is the length of a stream's id in Streams.
+const idBytes = 8
+
+// Streams are ids of streams by the version that began them, idBytes each: hashes, as the
+// ids that clients choose are longer.
+type Streams map[string][]byte
+
+// Add adds a stream by the id of its request.
+func (s Streams) Add(request, version string) {
+	s.add(version, xxhash.Sum64String(request))
+}
+
+func (s Streams) add(version string, id uint64) {
+	s[version] = binary.LittleEndian.AppendUint64(s[version], id)
+}
+
+// Batches splits the streams into parts of at most n each.
+func (s Streams) Batches(n int) []Streams {
+	var out []Streams
+	for version, ids := range s {
+		for part := range slices.Chunk(ids, n*idBytes) {
+			out = append(out, Streams{version: part})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/origin/table_test.go
@@ -0,0 +1,139 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/peridotmount/peridotmount/endpoint"
+)
+
+var start = time.Unix(100_000, 0)
+
+func expect(t *testing.T, what string, table *Table, now time.Time, request, version string) {
+	t.Helper()
+	if got, known := table.Lookup(now, request); got != version || known != (version != "") {
+		t.Errorf("%s: %s was begun by %q (known: %t), want %q", what, request, got, known, version)
+	}
+}
+
+// TestStreamsAreKeptForRetention looks streams up when they are as old as callers may resume
+// them, and much later.
+func TestStreamsAreKeptForRetention(t *testing.T) {
+	table := NewTable()
+	for i := range 60 {
+		table.Record(start.Add(time.Duration(i)*time.Second), fmt.Sprint("r", i), "v1", false)
+	}
+	now := start.Add(59 * time.Second)
+	expect(t, "young", table, now, "r59", "v1")
+	expect(t, "as old as Retention", table, now, "r40", "v1")
+	expect(t, "never begun", table, now, "r60", "")
+	expect(t, "old", table, now.Add(3*Retention), "r59", "")
+	if n := len(table.All(now.Add(3 * Retention))); n != 0 {
+		t.Errorf("streams of %d versions are left", n)
+	}
+}
+
+// TestOwnEventsOutweighGrants records a stream that was granted twice: its first attempt brought
+// no event, and the notice of the first grant comes last.
+func TestOwnEventsOutweighGrants(t *testing.T) {
+	table := NewTable()
+	table.Record(start, "r", "v1", false)
+	table.Record(start, "r", "v2", false)
+	expect(t, "granted again", table, start, "r", "v2")
+	table.Record(start, "r", "v2", true)
+	late := make(Streams)
+	late.Add("r", "v1")
+	table.Merge(start, late)
+	expect(t, "told late", table, start, "r", "v2")
+}
+
+// TestStreamsTravel hands streams to another host in batches.
+func TestStreamsTravel(t *testing.T) {
+	from, to := NewTable(), NewTable()
+	for i := range 25 {
+		from.Record(start, fmt.Sprint("r", i), fmt.Sprint("v", i%2), i < 5)
+	}
+	batches := from.All(start).Batches(4)
+	for _, b := range batches {
+		to.Merge(start, b)
+	}
+	for i := range 25 {
+		expect(t, "told", to, start, fmt.Sprint("r", i), fmt.Sprint("v", i%2))
+	}
+	if own := from.Own(start); len(own["v0"])+len(own["v1"]) != 5*idBytes || len(to.Own(start)) != 0 {
+		t.Errorf("own streams: %v, and %v after they travelled", own, to.Own(start))
+	}
+	if want := 7; len(batches) != want {
+		t.Errorf("%d batches, want %d", len(batches), want)
+	}
+}
+
+// TestTableIsBounded records more streams than a Retention has room for.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable()
+	for i := range 3 * maxEntries {
+		table.Record(start, fmt.Sprint("r", i), "v1", true)
+	}
+	if n := len(table.current) + len(table.previous); n > 2*maxEntries {
+		t.Errorf("%d streams are kept", n)
+	}
+}
+
+func endpoints(started time.Time, versions ...string) []endpoint.Endpoint {
+	var out []endpoint.Endpoint
+	for i, v := range versions {
+		out = append(out, endpoint.Endpoint{ID: fmt.Sprint(i), Service: "s", Version: v, Started: started})
+	}
+	return out
+}
+
+// TestOnlyVersionIsCertain lists what a host has seen of a service, and whether it can tell the
+// version of a stream of which it knows nothing.
+func TestOnlyVersionIsCertain(t *testing.T) {
+	old := start.Add(-time.Hour)
+	for _, c := range []struct {
+		name string
+		// seen are the versions listed at each second, from start on.
+		seen    [][]string
+		started time.Time
+		// after is the time of the question, from start on.
+		after time.Duration
+		want  string
+	}{
+		{"nothing seen", nil, old, time.Second, ""},
+		{"one, long before this host", [][]string{{"v1", "v1"}}, old, time.Second, "v1"},
+		{"one, as young as this host", [][]string{{"v2", "v2"}}, start, time.Second, ""},
+		{"one, watched for long", [][]string{{"v2"}}, start, Retention + startMargin, "v2"},
+		{"two", [][]string{{"v1", "v2"}}, old, time.Second, ""},
+		{"one left of two", [][]string{{"v1", "v2"}, {"v2"}}, old, 5 * time.Second, ""},
+	} {
+		h := NewHistory()
+		for i, versions := range c.seen {
+			h.Observe(start.Add(time.Duration(i)*time.Second), endpoints(c.started, versions...))
+		}
+		now := start.Add(c.after)
+		if got, known := h.Only(now, now, "s"); got != c.want || known != (c.want != "") {
+			t.Errorf("%s: %q (known: %t), want %q", c.name, got, known, c.want)
+		}
+	}
+}
+
+// TestLeftVersionIsForgotten ends a release: once no stream of the old version can be resumed,
+// the new one is the only one.
+func TestLeftVersionIsForgotten(t *testing.T) {
+	h := NewHistory()
+	h.Observe(start, endpoints(start, "v1", "v2"))
+	if !h.Mixed() {
+		t.Error("two versions don't count as mixed")
+	}
+	h.Observe(start.Add(Retention/2), endpoints(start, "v2"))
+	if !h.Mixed() {
+		t.Error("the version that left is forgotten at once")
+	}
+	now := start.Add(2 * Retention)
+	h.Observe(now, endpoints(start, "v2"))
+	if got, _ := h.Only(now, now, "s"); h.Mixed() || got != "v2" {
+		t.Errorf("mixed: %t, only version %q, want v2", h.Mixed(), got)
+	}
+}
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -30,6 +30,11 @@
 	// Fingerprint is the same for all attempts of a client at one request, or "" if
 	// unknown.
 	Fingerprint string `json:"fingerprint,omitempty"`
+	// Resumes is the request that brought the first event of the stream that this one goes on
+	// with, or "". The stream goes on only at an endpoint of the version that began it.
+	Resumes string `json:"resumes,omitempty"`
+	// Version is the version of the software that the endpoint must have; nil if any will do.
+	Version *string `json:"version,omitempty"`
 	// Avoid lists the endpoints at which the request was already attempted.
 	Avoid []string `json:"avoid,omitempty"`
 }
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -17,17 +17,26 @@
 	c.dispatch(now, v)
 }
 
-// Progress records how many tokens of an item are checkpointed, so that any host can
-// resume after them. Without it, when all hosts are killed while items run that are due
+// Progress records how many tokens of an item are checkpointed, and the software version that
+// generated them, so that any host can resume after them. Without it, when all hosts are killed while items run that are due
 // soon, the plan would count nearly finished items at their full size and give them up.
-func (c *Core) Progress(ref ItemRef, tokens int) {
+func (c *Core) Progress(ref ItemRef, tokens int, version string) {
 	i := c.items[ref]
 	if i == nil {
 		return
 	}
-	i.checkpointed = max(i.checkpointed, min(tokens, i.ExpectedTokens))
+	if tokens = min(tokens, i.ExpectedTokens); tokens > i.checkpointed {
+		i.checkpointed, i.checkpointVersion = tokens, version
+	}
 	if i.state == itemWaiting {
-		i.TokensDone = max(i.TokensDone, i.checkpointed)
+		i.useCheckpoint()
+	}
+}
+
+// useCheckpoint takes the checkpoint for the item's progress if it has more tokens.
+func (i *openItem) useCheckpoint() {
+	if i.checkpointed > i.TokensDone {
+		i.TokensDone, i.version = i.checkpointed, i.checkpointVersion
 	}
 }
 
@@ -70,11 +79,19 @@
 	p := &placement{
 		host: host, tokens: i.PromptTokens + i.ExpectedTokens, prefix: i.Prefix, batch: true, limited: v.hasRateLimits(),
 	}
+	if i.TokensDone > 0 && v.lists(&i.version) {
+		p.version = &i.version
+	}
 	s := v.cheapest(now, p, free)
 	if s == nil || host == nil {
 		i.notBefore = now.Add(failedRunDelay)
 		v.items.push(i)
-		return false
+		// Others may start at endpoints of other versions.
+		return s == nil && p.version != nil
+	}
+	if i.TokensDone > 0 && s.Version != i.version {
+		// The run can't go on with the output of another version.
+		i.TokensDone, i.checkpointed, i.version = 0, 0, ""
 	}
 	c.seq++
 	i.state, i.startedAt = itemRunning, now
@@ -109,12 +126,12 @@
 
 // revokeOne revokes the running batch item with the most slack, and reports whether
 // there was one. It spares endpoints whose rate limit admits no request at the moment: the
-// slot would stay free.
-func (c *Core) revokeOne(now time.Time, v *service) bool {
+// slot would stay free. Only endpoints of the given version count, unless it is nil.
+func (c *Core) revokeOne(now time.Time, v *service, version *string) bool {
 	var victim *ticket
 	var mostSlack time.Duration
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !s.takesRequest(now) {
+		if !s.usable(now) || !s.hasVersion(version) || !s.takesRequest(now) {
 			continue
 		}
 		for _, t := range s.tickets {
@@ -196,7 +213,7 @@
 	}
 	if u.TokensDone > i.TokensDone {
 		v.observeTokens(now.Sub(i.startedAt)-v.meanFirst, u.TokensDone-i.TokensDone)
-		i.TokensDone, i.failures = u.TokensDone, 0
+		i.TokensDone, i.version, i.failures = u.TokensDone, u.Version, 0
 	} else if u.Outcome != Abandoned {
 		i.failures++
 	}
@@ -217,6 +234,7 @@
 }
 
 func (c *Core) requeue(v *service, i *openItem) {
-	i.ticket, i.TokensDone = "", max(i.TokensDone, i.checkpointed)
+	i.ticket = ""
+	i.useCheckpoint()
 	v.items.push(i)
 }
--- a/scheduler/convicted.go
+++ b/scheduler/convicted.go
@@ -49,3 +49,13 @@
 	}
 	return before
 }
+
+// RefuseUnknownVersion refuses a request that goes on with a stream of which it is not known
+// which version began it.
+func (c *Core) RefuseUnknownVersion(now time.Time, host string, request *SlotRequest) {
+	v := c.service(request.Service)
+	c.emit(Refuse{
+		Host: host, Ticket: request.Ticket, Reason: ReasonUnknownVersion, RetryAfter: minRetryAfter,
+		Load: v.load(now, c.share, len(v.queue)),
+	})
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -155,11 +155,15 @@
 		return
 	}
 	if t := c.tickets[request.Ticket]; t != nil {
-		c.emit(Grant{Host: host, Ticket: request.Ticket, Endpoint: t.endpoint.ID})
+		c.emit(Grant{Host: host, Ticket: request.Ticket, Endpoint: t.endpoint.ID, Request: request.Request, Version: t.endpoint.Version})
 		return
 	}
 	v := c.service(request.Service)
-	if v.usableSlots(now) == 0 && !v.resumePaused() {
+	if request.Version != nil && !v.lists(request.Version) {
+		c.emit(Refuse{Host: host, Ticket: request.Ticket, Reason: ReasonNoVersion})
+		return
+	}
+	if !v.usable(now, request.Version) && !v.resumePaused(request.Version) {
 		c.emit(Refuse{Host: host, Ticket: request.Ticket, Reason: ReasonNoEndpoint, RetryAfter: noEndpointRetryAfter})
 		return
 	}
@@ -169,7 +173,7 @@
 		SlotRequest: request, host: m, seq: c.seq, keys: request.Keys(),
 		arrived:  now.Add(-request.Elapsed),
 		deadline: now.Add(request.Left),
-		retry:    request.Fingerprint != "" && v.refused.Has(request.Fingerprint),
+		retry:    request.Resumes != "" || (request.Fingerprint != "" && v.refused.Has(request.Fingerprint)),
 	}
 	c.waiting[request.Ticket] = w
 	v.enqueue(w)
@@ -179,12 +183,12 @@
 	}
 }
 
-// resumePaused ends the pause of all listed endpoints, and reports whether there are
-// any. It is called when every endpoint of the service is paused after failures.
-func (v *service) resumePaused() bool {
+// resumePaused ends the pause of all listed endpoints of a version, or of any, and reports
+// whether there are any. It is called when each of them is paused after failures.
+func (v *service) resumePaused(version *string) bool {
 	found := false
 	for _, s := range v.endpoints {
-		if s.listed {
+		if s.listed && s.hasVersion(version) {
 			s.pausedUntil = time.Time{}
 			found = true
 		}
@@ -327,6 +331,8 @@
 func (c *Core) refuseOrDemote(now time.Time, v *service) {
 	for _, w := range append([]*waiter(nil), v.queue...) {
 		switch {
+		case w.Version != nil && !v.lists(w.Version):
+			c.refuse(now, v, w, ReasonNoVersion)
 		case !now.Add(v.meanFirst).Before(w.deadline):
 			c.refuse(now, v, w, ReasonDeadline)
 		case !w.rechecked && !now.Before(w.earlyRefusalEnd()):
@@ -362,6 +368,11 @@
 			continue
 		}
 		if !c.startOnline(now, v, w) {
+			if w.Version != nil {
+				// Others may start at endpoints of other versions.
+				i++
+				continue
+			}
 			return
 		}
 		v.queue = append(v.queue[:i], v.queue[i+1:]...)
@@ -374,14 +385,14 @@
 // startOnline grants a slot to a request and reports whether it found one. If no slot
 // is free, it revokes a batch item and grants the slot that is being released.
 func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
-	p := &placement{host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid}
-	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v) {
+	p := &placement{host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version}
+	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, w.Version) {
 		return false
 	}
 	room := func(s *endpointState) bool { return s.heldSlots() < s.Slots && s.takesRequest(now) }
 	s := v.cheapest(now, p, room)
 	if s == nil {
-		if !c.revokeOne(now, v) {
+		if !c.revokeOne(now, v, w.Version) {
 			return false
 		}
 		if s = v.cheapest(now, p, room); s == nil {
@@ -392,7 +403,9 @@
 	c.suspects.Granted(now, w.keys)
 	s.countRequest(now)
 	c.occupy(now, s, &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens}, w.Prefix)
-	c.emit(Grant{Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed})
+	c.emit(Grant{
+		Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed, Request: w.Request, Version: s.Version,
+	})
 	return true
 }
 
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -15,6 +15,10 @@
 	Endpoint string `json:"endpoint"`
 	// Waited is how long the SlotRequest waited in the scheduler's queue.
 	Waited time.Duration `json:"waited"`
+	// Version is the software version of the endpoint, as the scheduler knows it.
+	Version string `json:"version,omitempty"`
+	// Request is the client's request id.
+	Request string `json:"-"`
 }
 
 // Refuse rejects a SlotRequest.
@@ -65,6 +69,11 @@
 	ReasonDeadline Reason = "the deadline leaves no time"
 	// ReasonConvicted means that requests like this one crash endpoints.
 	ReasonConvicted Reason = "requests like it crash endpoints"
+	// ReasonUnknownVersion means that the request goes on with a stream, and that it is not
+	// known which software version began it.
+	ReasonUnknownVersion Reason = "it is not known which version began the stream"
+	// ReasonNoVersion means that no endpoint has the software version that began the stream.
+	ReasonNoVersion Reason = "no endpoint has the version that began the stream"
 	// ReasonWithdrawn means that the host withdrew the SlotRequest.
 	ReasonWithdrawn Reason = "withdrawn"
 )
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -6,6 +6,8 @@
 	Service string
 	Zone    string
 	Region  string
+	// Version is the version of the engine's software.
+	Version string
 	Slots   int
 	// CacheTokens is the engine's cache capacity, in tokens, for all requests in
 	// progress; 0 means unbounded.
--- a/scheduler/hello.go
+++ b/scheduler/hello.go
@@ -18,4 +18,6 @@
 	Item ItemRef `json:"item"`
 	// TokensDone is the number of output tokens that exist.
 	TokensDone int `json:"made"`
+	// Version is the software version that generated them.
+	Version string `json:"version,omitempty"`
 }
--- a/scheduler/item.go
+++ b/scheduler/item.go
@@ -49,6 +49,9 @@
 	// checkpointed is how many of the expected tokens are checkpointed, so that any
 	// host can resume after them.
 	checkpointed int
+	// version is the software version that generated TokensDone, checkpointVersion the one
+	// that generated the checkpoint.
+	version, checkpointVersion string
 	// failures counts consecutive runs that made no tokens.
 	failures int
 }
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -43,7 +43,7 @@
 func (c *Core) restoreProgress(m *member, r *Resumable) {
 	i := c.items[r.Item]
 	if i != nil && i.state == itemWaiting && r.TokensDone > i.TokensDone {
-		i.host, i.TokensDone = m.name, r.TokensDone
+		i.host, i.TokensDone, i.version = m.name, r.TokensDone, r.Version
 	}
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -32,6 +32,8 @@
 	tokens int
 	prefix []string
 	avoid  []string
+	// version is the software version that the endpoint must have; nil if any will do.
+	version *string
 	// batch means that the work is a batch item.
 	batch bool
 	// limited means that some endpoints of the service have a rate limit.
@@ -73,7 +75,7 @@
 	var best, fallback *endpointState
 	var bestCost, fallbackCost float64
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !room(s) || !s.fits(p.tokens) {
+		if !s.usable(now) || !s.hasVersion(p.version) || !room(s) || !s.fits(p.tokens) {
 			continue
 		}
 		cost := p.cost(now, s)
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -45,6 +45,16 @@
 	return n
 }
 
+// lists reports whether an endpoint of a software version accepts new work.
+func (v *service) lists(version *string) bool {
+	return slices.ContainsFunc(v.endpoints, func(s *endpointState) bool { return s.listed && s.hasVersion(version) })
+}
+
+// usable reports whether an endpoint of a software version, or of any, is usable.
+func (v *service) usable(now time.Time, version *string) bool {
+	return slices.ContainsFunc(v.endpoints, func(s *endpointState) bool { return s.usable(now) && s.hasVersion(version) })
+}
+
 // slotLimit returns how many slots may be used: all, or the share of this scheduler
 // while other hosts schedule independently.
 func (v *service) slotLimit(now time.Time, share float64) int {
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -65,6 +65,11 @@
 	return s.listed && !now.Before(s.pausedUntil)
 }
 
+// hasVersion reports whether the endpoint has a software version; nil stands for any.
+func (s *endpointState) hasVersion(version *string) bool {
+	return version == nil || s.Version == *version
+}
+
 // setRateLimit applies the endpoint's rate limit, of which this scheduler has a share.
 func (s *endpointState) setRateLimit(now time.Time, share float64) {
 	switch {
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -32,6 +32,8 @@
 	// TokensDone is how many output tokens a batch item has after its run, those of earlier
 	// runs included.
 	TokensDone int `json:"made,omitempty"`
+	// Version is the software version that generated them.
+	Version string `json:"version,omitempty"`
 	// Settled means that a batch item has finished and its result is being recorded.
 	Settled bool `json:"settled,omitempty"`
 	// Delay is the minimum time before the next run of the item.
--- a/slots/client.go
+++ b/slots/client.go
@@ -58,6 +58,8 @@
 	AddLeavingEndpoint func(endpoint.Incarnation) bool
 	// Limits are the rate limits of endpoints that this host knows; nil keeps none.
 	Limits Limits
+	// Origins tell which software version began a stream; nil knows none.
+	Origins Origins
 	// Convictions are those of requests that crash endpoints; nil starts with none.
 	Convictions *blame.List
 	// ServiceOf returns the service of an endpoint.
@@ -132,7 +134,7 @@
 			}
 		}
 		return &Lease{
-			Ticket: m.Grant.Ticket, Endpoint: m.Grant.Endpoint, Scheduler: c.Scheduler(),
+			Ticket: m.Grant.Ticket, Endpoint: m.Grant.Endpoint, Version: m.Grant.Version, Scheduler: c.Scheduler(),
 			Overhead: max(0, time.Since(w.since)-m.Grant.Waited), client: c,
 		}, nil
 	case <-ctx.Done():
@@ -266,6 +268,9 @@
 	if leaving := c.opts.LeavingEndpoints(); len(leaving) > 0 {
 		l.send(HostMessage{EndpointsLeaving: leaving})
 	}
+	if streams := c.opts.Origins.Own(); len(streams) > 0 {
+		l.send(HostMessage{Streams: streams})
+	}
 	if notices := c.opts.Limits.Notices(); len(notices) > 0 {
 		l.send(HostMessage{Limits: notices})
 	}
@@ -317,6 +322,10 @@
 		c.opts.Limits.Merge(m.Limits)
 		return
 	}
+	if len(m.Streams) > 0 {
+		c.opts.Origins.Merge(m.Streams)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
--- a/slots/convictions.go
+++ b/slots/convictions.go
@@ -78,12 +78,20 @@
 }
 
 // acquire passes a request for a slot to the core, unless it matches a conviction that its
-// host does not know yet.
+// host does not know yet, or goes on with a stream of unknown version.
 func (l *LocalScheduler) acquire(now time.Time, host string, request *scheduler.SlotRequest, c *scheduler.Core) {
 	if verdict := l.convictions.Match(now, request.Keys()); verdict != nil {
 		c.RefuseRequest(now, host, request, verdict)
 		return
 	}
+	if request.Resumes != "" && request.Version == nil {
+		version, known := l.origins.known.Version(request.Service, request.Resumes)
+		if !known {
+			c.RefuseUnknownVersion(now, host, request)
+			return
+		}
+		request.Version = &version
+	}
 	c.Acquire(now, host, *request)
 }
 
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -39,7 +39,9 @@
 	leavingEndpoints   func() []endpoint.Incarnation
 	addLeavingEndpoint func(endpoint.Incarnation) bool
 	// limits are Options.Limits, the rate limits that this host knows.
-	limits   Limits
+	limits Limits
+	// origins replicates the versions of the streams that begin.
+	origins  *replication
 	logger   log.Logger
 	metrics  *metrics
 	commands *ring.Ring[command]
@@ -84,6 +86,9 @@
 	if o.Limits == nil {
 		o.Limits = noLimits{}
 	}
+	if o.Origins == nil {
+		o.Origins = noOrigins{}
+	}
 	return &LocalScheduler{
 		core:               scheduler.NewCore(scheduler.Options{Host: o.Self.Name}),
 		hosts:              o.Directory,
@@ -93,6 +98,7 @@
 		leavingEndpoints:   o.LeavingEndpoints,
 		addLeavingEndpoint: o.AddLeavingEndpoint,
 		limits:             o.Limits,
+		origins:            newReplication(o.Origins),
 		logger:             o.Logger,
 		metrics:            m,
 		commands:           ring.New[command](inputCapacity),
@@ -145,6 +151,9 @@
 		}
 		l.convict(now, l.core)
 		l.sendEffects()
+		if l.origins.due(now) {
+			l.replicateStreams()
+		}
 	}
 }
 
@@ -164,6 +173,9 @@
 func (l *LocalScheduler) sendEffects() {
 	for _, e := range l.core.Effects() {
 		l.metrics.observe(e)
+		if g, ok := e.(scheduler.Grant); ok && g.Request != "" {
+			l.origins.record(g.Request, g.Version)
+		}
 		l.mu.Lock()
 		s := l.sessions[e.To()]
 		l.mu.Unlock()
@@ -359,6 +371,9 @@
 		l.handleLeavingEndpoints(host, m.EndpointsLeaving)
 	case len(m.Limits) > 0:
 		l.handleLimits(host, m.Limits)
+	case len(m.Streams) > 0:
+		streams := m.Streams
+		l.enqueue(func(time.Time, *scheduler.Core) { l.origins.merge(streams) })
 	case m.Leaving:
 		l.enqueue(func(_ time.Time, c *scheduler.Core) { c.SetLeaving(host) })
 	case len(m.Offers) > 0:
@@ -393,9 +408,10 @@
 	l.enqueue(func(now time.Time, c *scheduler.Core) { c.AddItem(now, i) })
 }
 
-// Progress records how many tokens of a batch item are checkpointed.
-func (l *LocalScheduler) Progress(ref scheduler.ItemRef, tokens int) {
-	l.enqueue(func(_ time.Time, c *scheduler.Core) { c.Progress(ref, tokens) })
+// Progress records how many tokens of a batch item are checkpointed, and the software version
+// that generated them.
+func (l *LocalScheduler) Progress(ref scheduler.ItemRef, tokens int, version string) {
+	l.enqueue(func(_ time.Time, c *scheduler.Core) { c.Progress(ref, tokens, version) })
 }
 
 // DropItem removes a batch item.
--- a/slots/lease.go
+++ b/slots/lease.go
@@ -13,6 +13,8 @@
 	Ticket string
 	// Endpoint is the id of the endpoint.
 	Endpoint string
+	// Version is the software version of the endpoint, as the scheduler knows it.
+	Version string
 	// Scheduler is the name of the host that granted the slot.
 	Scheduler string
 	// Overhead is the time from the request for the slot to its grant, less the time
--- a/slots/message.go
+++ b/slots/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/origin"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/throttle"
 )
@@ -27,6 +28,8 @@
 	EndpointsLeaving []endpoint.Incarnation `json:"endpoints_leaving,omitempty"`
 	// Limits are rate limits that endpoints named in answers to the host.
 	Limits []throttle.Notice `json:"limits,omitempty"`
+	// Streams are streams that the host began.
+	Streams origin.Streams `json:"streams,omitempty"`
 	// Offers are the items of a job that the host has accepted.
 	Offers []scheduler.Offer `json:"offers,omitempty"`
 }
@@ -42,6 +45,8 @@
 	// Limits are rate limits of endpoints: all that are known at the start of a session,
 	// then those that change.
 	Limits []throttle.Notice `json:"limits,omitempty"`
+	// Streams are streams that began, for hosts that may schedule next.
+	Streams origin.Streams `json:"streams,omitempty"`
 }
 
 // Broadcast is the state that a scheduler sends to all its hosts periodically.
--- /dev/null
+++ b/slots/origins.go
@@ -0,0 +1,137 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/origin"
+	"github.com/peridotmount/peridotmount/peers"
+)
+
+const (
+	// replicateInterval is the time between two replications of the streams that began. What
+	// began since is lost if the scheduler and the host of a stream end at the same moment.
+	replicateInterval = 50 * time.Millisecond
+	// maxStandbys is how many hosts are sent the streams: those that may schedule next. If a
+	// third of all hosts is killed, hardly ever all of these are among them.
+	maxStandbys = 12
+	// maxStreamsPerMessage keeps messages below maxMessageBytes.
+	maxStreamsPerMessage = 20_000
+)
+
+// Origins tells which software version began a stream. It is safe for concurrent use.
+type Origins interface {
+	// Version returns the software version of a service that began the stream of a request,
+	// and whether that can be known.
+	Version(service, request string) (version string, known bool)
+	// Granted records that a stream was assigned to an endpoint of a version.
+	Granted(request, version string)
+	// Own returns the streams that this host began, All every stream known.
+	Own() origin.Streams
+	All() origin.Streams
+	// Merge adds streams of which another host told.
+	Merge(streams origin.Streams)
+	// Mixed reports whether several versions of a service serve, or did recently.
+	Mixed() bool
+}
+
+// replication sends the versions of streams to the hosts that may schedule next, while several
+// versions serve. Only the goroutine of LocalScheduler.Serve uses it.
+type replication struct {
+	known Origins
+	// unsent are the streams that began since the last replication.
+	unsent origin.Streams
+	// standbys are the sessions of the hosts that were sent all streams.
+	standbys map[string]*hostSession
+	next     time.Time
+}
+
+func newReplication(known Origins) *replication {
+	return &replication{known: known, unsent: make(origin.Streams), standbys: make(map[string]*hostSession)}
+}
+
+// record records that a stream was assigned to an endpoint of a version.
+func (r *replication) record(request, version string) {
+	r.known.Granted(request, version)
+	r.unsent.Add(request, version)
+}
+
+// merge adds the streams that a host began.
+func (r *replication) merge(streams origin.Streams) {
+	r.known.Merge(streams)
+	for version, ids := range streams {
+		r.unsent[version] = append(r.unsent[version], ids...)
+	}
+}
+
+// due reports whether streams are to be replicated.
+func (r *replication) due(now time.Time) bool {
+	if now.Before(r.next) {
+		return false
+	}
+	r.next = now.Add(replicateInterval)
+	return true
+}
+
+// replicateStreams sends the streams that began to the standbys, and all streams to those that
+// are new.
+func (l *LocalScheduler) replicateStreams() {
+	r := l.origins
+	unsent := r.unsent
+	r.unsent = make(origin.Streams)
+	if !r.known.Mixed() {
+		clear(r.standbys)
+		return
+	}
+	standbys := l.standbys(l.hosts.Hosts())
+	var all []origin.Streams
+	for name, s := range standbys {
+		batches := unsent.Batches(maxStreamsPerMessage)
+		if r.standbys[name] != s {
+			if all == nil {
+				all = r.known.All().Batches(maxStreamsPerMessage)
+			}
+			batches = all
+			_ = level.Info(l.logger).Log("event", "streams_replicated", "peer", name, "batches", len(all))
+		}
+		for _, batch := range batches {
+			s.deliver(SchedulerMessage{Streams: batch})
+		}
+	}
+	r.standbys = standbys
+}
+
+// standbys returns the sessions of the first hosts of the directory's order, but this one.
+func (l *LocalScheduler) standbys(hosts []peers.Host) map[string]*hostSession {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]*hostSession, maxStandbys)
+	for i := range hosts {
+		if s := l.sessions[hosts[i].Name]; s != nil && hosts[i].Name != l.self && len(out) < maxStandbys {
+			out[hosts[i].Name] = s
+		}
+	}
+	return out
+}
+
+// noOrigins knows no stream, and takes every service for one of a single version.
+type noOrigins struct{}
+
+// Version implements Origins.
+func (noOrigins) Version(string, string) (string, bool) { return "", true }
+
+// Granted implements Origins.
+func (noOrigins) Granted(string, string) {}
+
+// Own implements Origins.
+func (noOrigins) Own() origin.Streams { return nil }
+
+// All implements Origins.
+func (noOrigins) All() origin.Streams { return nil }
+
+// Merge implements Origins.
+func (noOrigins) Merge(origin.Streams) {}
+
+// Mixed implements Origins.
+func (noOrigins) Mixed() bool { return false }
