origin: replicate what began until a single version is certain

A scheduler that has not watched a service for long can't tell whether its one version has just replaced another (after a start of all hosts beside crashed endpoints), and refused to go on with streams that only a host knew which was killed. It now replicates in that time too, and splits what it tells in batches that a message can hold. Found by reading, not seen in a play.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -76,9 +76,9 @@
 	o.table.Merge(clock.Now(), streams)
 }
 
-// Mixed implements slots.Origins.
-func (o *origins) Mixed() bool {
+// Certain implements slots.Origins.
+func (o *origins) Certain() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.history.Mixed()
+	return o.history.Certain(clock.Now(), time.Now())
 }
--- a/origin/history.go
+++ b/origin/history.go
@@ -72,12 +72,13 @@
 	return "", false
 }
 
-// Mixed reports whether several versions of a service serve, or did within Retention.
-func (h *History) Mixed() bool {
-	for _, s := range h.services {
-		if len(s.lastSeen) > 1 {
-			return true
+// Certain reports whether the version of any stream is known without a record of it, as Only
+// returns one for every service.
+func (h *History) Certain(now, wall time.Time) bool {
+	for service := range h.services {
+		if _, known := h.Only(now, wall, service); !known {
+			return false
 		}
 	}
-	return false
+	return true
 }
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -124,16 +124,18 @@
 func TestLeftVersionIsForgotten(t *testing.T) {
 	h := NewHistory()
 	h.Observe(start, endpoints(start, "v1", "v2"))
-	if !h.Mixed() {
-		t.Error("two versions don't count as mixed")
+	if h.Certain(start, start) {
+		t.Error("two versions serve, and any stream's is known")
 	}
-	h.Observe(start.Add(Retention/2), endpoints(start, "v2"))
-	if !h.Mixed() {
+	now := start.Add(Retention + startMargin)
+	h.Observe(start.Add(Retention), endpoints(start, "v1", "v2"))
+	h.Observe(now, endpoints(start, "v2"))
+	if h.Certain(now, now) {
 		t.Error("the version that left is forgotten at once")
 	}
-	now := start.Add(2 * Retention)
+	now = start.Add(3 * Retention)
 	h.Observe(now, endpoints(start, "v2"))
-	if got, _ := h.Only(now, now, "s"); h.Mixed() || got != "v2" {
-		t.Errorf("mixed: %t, only version %q, want v2", h.Mixed(), got)
+	if got, _ := h.Only(now, now, "s"); !h.Certain(now, now) || got != "v2" {
+		t.Errorf("certain: %t, only version %q, want v2", h.Certain(now, now), got)
 	}
 }
--- a/slots/client.go
+++ b/slots/client.go
@@ -268,8 +268,8 @@
 	if leaving := c.opts.LeavingEndpoints(); len(leaving) > 0 {
 		l.send(HostMessage{EndpointsLeaving: leaving})
 	}
-	if streams := c.opts.Origins.Own(); len(streams) > 0 {
-		l.send(HostMessage{Streams: streams})
+	for _, batch := range c.opts.Origins.Own().Batches(maxStreamsPerMessage) {
+		l.send(HostMessage{Streams: batch})
 	}
 	if notices := c.opts.Limits.Notices(); len(notices) > 0 {
 		l.send(HostMessage{Limits: notices})
--- a/slots/origins.go
+++ b/slots/origins.go
@@ -32,12 +32,13 @@
 	All() origin.Streams
 	// Merge adds streams of which another host told.
 	Merge(streams origin.Streams)
-	// Mixed reports whether several versions of a service serve, or did recently.
-	Mixed() bool
+	// Certain reports whether the version of any stream is known without a record of it, as
+	// every service has had a single one for long.
+	Certain() bool
 }
 
-// replication sends the versions of streams to the hosts that may schedule next, while several
-// versions serve. Only the goroutine of LocalScheduler.Serve uses it.
+// replication sends the versions of streams to the hosts that may schedule next, unless they are
+// certain. Only the goroutine of LocalScheduler.Serve uses it.
 type replication struct {
 	known Origins
 	// unsent are the streams that began since the last replication.
@@ -80,7 +81,7 @@
 	r := l.origins
 	unsent := r.unsent
 	r.unsent = make(origin.Streams)
-	if !r.known.Mixed() {
+	if r.known.Certain() {
 		clear(r.standbys)
 		return
 	}
@@ -133,5 +134,5 @@
 // Merge implements Origins.
 func (noOrigins) Merge(origin.Streams) {}
 
-// Mixed implements Origins.
-func (noOrigins) Mixed() bool { return false }
+// Certain implements Origins.
+func (noOrigins) Certain() bool { return true }
--- a/slots/origins_test.go
+++ b/slots/origins_test.go
@@ -59,7 +59,7 @@
 	o.table.Merge(time.Now(), s)
 }
 
-func (o *knownOrigins) Mixed() bool { return true }
+func (o *knownOrigins) Certain() bool { return false }
 
 func (o *knownOrigins) knows(request, version string) bool {
 	got, known := o.Version("s", request)
