--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -38,8 +38,8 @@
 // testPlacer is a Placer that chooses the first of its endpoints that is not to be avoided and
 // has the version that is asked for.
 type testPlacer struct {
-	mu       sync.Mutex
-	requests []*PlacementRequest
+	mu        sync.Mutex
+	requests  []*PlacementRequest
 	endpoints []*endpoint.Endpoint
 	// released receives the Usage of each placement that is released.
 	released chan Usage
