dispatch: a call goes on only at the software version that sent its first token

The list of endpoints now carries the version of their software, and the choice keeps to it from the first token on.

Left open: tokens that an earlier dispatch made (items of a job, keyed requests after a host's end) carry no version in the ledger.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -23,6 +23,9 @@
 	tickets     *ticketRequester
 	fingerprint Fingerprint
 	tokens      []string
+	// version is the software version of the endpoint that generated the first token of this
+	// dispatch, as only that version can go on; nil before it.
+	version     *string
 	tried       []string
 	failures    int
 	revocations int
@@ -113,6 +116,8 @@
 		Adapter: x.call.Adapter,
 		Zones:   x.call.Service.Zones,
 		Exclude: x.tried,
+
+		SoftwareVersion: x.version,
 	}
 }
 
@@ -212,6 +217,9 @@
 		if a.tokens == respondingTokens {
 			a.reportResponding()
 		}
+		if x.version == nil {
+			x.version = &a.host.SoftwareVersion
+		}
 		x.tokens = append(x.tokens, f.Token)
 		if err := x.sink(f.Offset, f.Token); err != nil {
 			x.sinkErr = err
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -105,7 +105,7 @@
 	}
 	var candidates []platform.Host
 	for _, h := range hosts {
-		if !contains(q.Exclude, h.Name) {
+		if !contains(q.Exclude, h.Name) && (q.SoftwareVersion == nil || *q.SoftwareVersion == h.SoftwareVersion) {
 			candidates = append(candidates, h)
 		}
 	}
--- a/peers/list.go
+++ b/peers/list.go
@@ -108,7 +108,7 @@
 func listedEndpoint(e *endpoint.Endpoint, region string) platform.Host {
 	out := platform.Host{
 		Name: e.ID, Role: platform.RolePlain, State: platform.HostLive, Zone: e.Zone, Region: region,
-		Address: e.Address, Service: e.Service, Slots: e.Slots, Incarnation: e.Started.UnixMilli(),
+		Address: e.Address, Service: e.Service, Slots: e.Slots, Incarnation: e.Started.UnixMilli(), SoftwareVersion: e.Version,
 	}
 	if e.Engine {
 		out.Role, out.Service = platform.RoleEngine, ""
--- a/routing/query.go
+++ b/routing/query.go
@@ -15,6 +15,9 @@
 	Zones []string
 	// Exclude lists the names of endpoints that must not be chosen.
 	Exclude []string
+	// SoftwareVersion is the version of the software that the endpoint must have; nil means
+	// any.
+	SoftwareVersion *string
 	// Usable reports whether an endpoint may be chosen now; nil means all may.
 	Usable func(endpoint string) bool
 }
@@ -36,6 +39,9 @@
 			return false
 		}
 	}
+	if q.SoftwareVersion != nil && *q.SoftwareVersion != n.host.SoftwareVersion {
+		return false
+	}
 	if q.Usable != nil && !q.Usable(n.host.Name) {
 		return false
 	}
--- a/standin/endpointrecord.go
+++ b/standin/endpointrecord.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 
 	"github.com/pkg/errors"
@@ -14,7 +15,7 @@
 		"service": h.Service,
 		"address": h.Address,
 		"zone":    h.Zone,
-		"version": "v1",
+		"version": cmp.Or(h.SoftwareVersion, "v1"),
 		"slots":   max(1, h.Slots),
 		"state":   "ready",
 		"born":    h.Incarnation,
