origin: hosts note in the store which services have several versions

The host that schedules now notes services with several versions, and deletes the note when that is over; a host that starts reads the notes once, and is certain if it finds none. TestNotesOutliveAllHosts and a case of TestOnlyVersionIsCertain (certain although endpoints are young) fail without the notes.

--- /dev/null
+++ b/gateway/endpointnotes.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/platform"
+)
+
+const (
+	// notesTick is the time between two looks for notes to write or delete, notesTimeout
+	// bounds a call to the store for them.
+	notesTick    = 250 * time.Millisecond
+	notesTimeout = time.Second
+	// ticksBeforeWrite is for how many looks a host schedules before it writes: while hosts
+	// elect a scheduler, each schedules for itself for a moment.
+	ticksBeforeWrite = 4
+	// versionsNote begins the key of the note of a service with several software versions.
+	versionsNote = "versions/"
+)
+
+// endpointNotes keeps in the store what a host that starts when no other is left has to know of
+// endpoints. Every host reads it once, when it starts; the one that schedules writes it. It is
+// a suture service.
+type endpointNotes struct {
+	store interface {
+		platform.Lister
+		peers.Writer
+	}
+	origins *origins
+	// schedules reports whether this host knows the endpoints and schedules for itself or
+	// others, and thus writes.
+	schedules func() bool
+	logger    log.Logger
+	// written are the values in the store by key, as far as this host knows; nil until they
+	// were read.
+	written map[string]string
+}
+
+// String names the service to its supervisor.
+func (n *endpointNotes) String() string {
+	return "notes on endpoints"
+}
+
+// Serve implements suture.Service.
+func (n *endpointNotes) Serve(ctx context.Context) error {
+	tick := time.NewTicker(notesTick)
+	defer tick.Stop()
+	for scheduled := 0; ; {
+		if scheduled++; !n.schedules() {
+			scheduled = 0
+		}
+		switch {
+		case n.written == nil:
+			n.read(ctx)
+		case scheduled >= ticksBeforeWrite:
+			n.write(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// read reads the notes and applies them.
+func (n *endpointNotes) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, notesTimeout)
+	defer cancel()
+	records, err := platform.ListAll(ctx, n.store, platform.TopicEndpointNotes)
+	if err != nil {
+		_ = level.Debug(n.logger).Log("event", "endpoint_notes_unread", "err", err)
+		return
+	}
+	n.written = make(map[string]string, len(records))
+	several := make(map[string]bool)
+	for i := range records {
+		r := &records[i]
+		if r.Deletes() {
+			continue
+		}
+		n.written[r.Key] = string(r.Value)
+		if service, found := strings.CutPrefix(r.Key, versionsNote); found {
+			several[service] = true
+		}
+	}
+	n.origins.SetNoted(several)
+	_ = level.Info(n.logger).Log("event", "endpoint_notes_read", "notes", len(n.written), "several_versions", len(several))
+}
+
+// write brings the store in line with what this host knows.
+func (n *endpointNotes) write(ctx context.Context) {
+	wanted := n.wanted()
+	var records [][]byte
+	for key, value := range wanted {
+		if n.written[key] != value {
+			records = append(records, platform.EncodeKeyed(key, []byte(value)))
+		}
+	}
+	for key := range n.written {
+		if _, found := wanted[key]; !found {
+			records = append(records, platform.EncodeKeyed(key, nil))
+		}
+	}
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, notesTimeout)
+	defer cancel()
+	if _, err := n.store.Append(ctx, platform.TopicEndpointNotes, records); err != nil {
+		_ = level.Warn(n.logger).Log("event", "endpoint_notes_not_written", "notes", len(records), "err", err)
+		return
+	}
+	n.written = wanted
+}
+
+// wanted returns the notes that the store should have.
+func (n *endpointNotes) wanted() map[string]string {
+	out := make(map[string]string)
+	for _, service := range n.origins.Several() {
+		out[versionsNote+service] = "several"
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/endpointnotes_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/standin"
+)
+
+// newNotingHost returns the notes of a host, with origins of its own.
+func newNotingHost(address string) *endpointNotes {
+	return &endpointNotes{
+		store: platform.NewStore(address, platform.StoreOptions{}), origins: newOrigins(),
+		schedules: func() bool { return true }, logger: log.NewNopLogger(),
+	}
+}
+
+// runNotes runs the notes of a host until the condition holds.
+func (n *endpointNotes) runNotes(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = n.Serve(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	for deadline := time.Now().Add(20 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not in time", what)
+		}
+	}
+}
+
+// notes returns how many notes the store holds.
+func notes(t *testing.T, address string) int {
+	t.Helper()
+	records, err := platform.ListAll(context.Background(), platform.NewStore(address, platform.StoreOptions{}), platform.TopicEndpointNotes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for i := range records {
+		if !records[i].Deletes() {
+			n++
+		}
+	}
+	return n
+}
+
+func serving(versions ...string) []endpoint.Endpoint {
+	var out []endpoint.Endpoint
+	for _, v := range versions {
+		out = append(out, endpoint.Endpoint{ID: v, Service: "s", Version: v, Started: time.Now()})
+	}
+	return out
+}
+
+// TestNotesOutliveAllHosts has a host note a service with two versions, and end. The next one,
+// which starts when nobody is left, sees a single version: it knows that it doesn't know who
+// began streams. Without notes it would know that.
+func TestNotesOutliveAllHosts(t *testing.T) {
+	server := httptest.NewServer(standin.NewStore(standin.StoreFaults{}).Handler())
+	defer server.Close()
+	defer server.CloseClientConnections()
+	address := server.Listener.Addr().String()
+
+	first := newNotingHost(address)
+	first.origins.Observe(serving("v1", "v2"))
+	first.runNotes(t, "the first host writes", func() bool { return notes(t, address) == 1 })
+
+	next := newNotingHost(address)
+	next.origins.Observe(serving("v2"))
+	if _, known := next.origins.Version("s", "r"); known {
+		t.Error("the next host knows who began a stream before it has read the notes")
+	}
+	next.read(context.Background())
+	if _, known := next.origins.Version("s", "r"); known || next.origins.Certain() {
+		t.Error("the next host takes the version that it sees for the only one")
+	}
+
+	alone := newNotingHost(address)
+	alone.origins.Observe(nil)
+	alone.written, alone.schedules = map[string]string{versionsNote + "s": "several"}, func() bool { return true }
+	alone.runNotes(t, "the note on versions is deleted", func() bool { return notes(t, address) == 0 })
+	late := newNotingHost(address)
+	late.origins.Observe(serving("v2"))
+	late.runNotes(t, "a host that finds no notes is certain", func() bool { return late.origins.Certain() })
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	endpointFeed  *follow.Follower
 	limits        *limits
 	origins       *origins
+	notes         *endpointNotes
 	convictions   *convictions
 	// convictionFeed follows the convictions in the store.
 	convictionFeed *follow.Follower
@@ -176,6 +177,10 @@
 	g.limits.known = func(id string) bool { return g.endpoints.View().Endpoint(id) != nil }
 	g.limits.changed = func() { g.schedule(g.configuration.Current(), g.endpoints.View()) }
 	g.limits.report = func(n []throttle.Notice) { g.client.ReportLimits(n) }
+	g.notes = &endpointNotes{
+		store: g.store, origins: g.origins, logger: g.logger,
+		schedules: func() bool { return g.endpoints.listed.Load() && g.client.Scheduler() == g.self.Name },
+	}
 	g.convictions = newConvictions(g.logger)
 	g.starting = &starting{
 		gate: startup.NewGate(), configuration: g.configuration, endpoints: g.endpoints, convictions: g.convictions,
@@ -364,7 +369,7 @@
 
 func (g *Gateway) duties() []suture.Service {
 	return append(g.listeners(),
-		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.limits, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
+		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.limits, g.notes, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
 		g.ledger.Follower(), batch.NewCheckpoints(g.ledger), &janitor{host: g.self.Name, client: g.client, ledger: g.ledger},
 		g.scheduler, g.client, g.pool)
 }
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -48,6 +48,21 @@
 	o.history.Observe(clock.Now(), endpoints)
 }
 
+// SetNoted records which services have several versions, as other hosts noted before this one
+// started.
+func (o *origins) SetNoted(services map[string]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.SetNoted(services)
+}
+
+// Several returns the services that have several versions.
+func (o *origins) Several() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.history.Several(clock.Now())
+}
+
 // Granted implements slots.Origins.
 func (o *origins) Granted(request, version string) {
 	o.mu.Lock()
--- a/origin/history.go
+++ b/origin/history.go
@@ -13,6 +13,9 @@
 // use.
 type History struct {
 	services map[string]*serviceHistory
+	// noted are the services of which other hosts noted, before this one started, that they
+	// have several versions; nil until that was read.
+	noted map[string]bool
 }
 
 // serviceHistory is the history of one service.
@@ -54,17 +57,38 @@
 	}
 }
 
+// SetNoted records which services have several versions, as other hosts noted before this one
+// started.
+func (h *History) SetNoted(services map[string]bool) {
+	h.noted = services
+}
+
+// Several returns the services that have several versions, or had them within Retention, as far
+// as this host knows.
+func (h *History) Several(now time.Time) []string {
+	var out []string
+	for service, s := range h.services {
+		if len(s.lastSeen) > 1 || (h.noted[service] && now.Sub(s.since) < Retention) {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
 // Only returns the one version of a service that can have begun streams which still run or can
 // be taken up again. It reports false if there are several, or if this host can't know: it has
-// not watched the service for long, and an endpoint started so recently that it may have
-// replaced one of another version. wall is the time of day.
+// not watched the service for long, an endpoint started so recently that it may have replaced
+// one of another version, and it has not read that there was none. wall is the time of day.
 func (h *History) Only(now, wall time.Time, service string) (version string, known bool) {
 	s := h.services[service]
 	if s == nil || len(s.lastSeen) != 1 {
 		return "", false
 	}
-	if now.Sub(s.since) < Retention && wall.Sub(s.newest) < Retention+startMargin {
-		return "", false
+	if now.Sub(s.since) < Retention {
+		young := wall.Sub(s.newest) < Retention+startMargin
+		if h.noted[service] || (h.noted == nil && young) {
+			return "", false
+		}
 	}
 	for version = range s.lastSeen {
 		return version, true
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -99,16 +99,22 @@
 		started time.Time
 		// after is the time of the question, from start on.
 		after time.Duration
+		// noted is what other hosts noted; nil was not read.
+		noted map[string]bool
 		want  string
 	}{
-		{"nothing seen", nil, old, time.Second, ""},
-		{"one, long before this host", [][]string{{"v1", "v1"}}, old, time.Second, "v1"},
-		{"one, as young as this host", [][]string{{"v2", "v2"}}, start, time.Second, ""},
-		{"one, watched for long", [][]string{{"v2"}}, start, Retention + startMargin, "v2"},
-		{"two", [][]string{{"v1", "v2"}}, old, time.Second, ""},
-		{"one left of two", [][]string{{"v1", "v2"}, {"v2"}}, old, 5 * time.Second, ""},
+		{"nothing seen", nil, old, time.Second, nil, ""},
+		{"one, long before this host", [][]string{{"v1", "v1"}}, old, time.Second, nil, "v1"},
+		{"one, as young as this host", [][]string{{"v2", "v2"}}, start, time.Second, nil, ""},
+		{"the same, and nobody noted several", [][]string{{"v2", "v2"}}, start, time.Second, map[string]bool{}, "v2"},
+		{"the same, and several are noted", [][]string{{"v2", "v2"}}, start, time.Second, map[string]bool{"s": true}, ""},
+		{"one, old, but several are noted", [][]string{{"v1"}}, old, time.Second, map[string]bool{"s": true}, ""},
+		{"one, watched for long", [][]string{{"v2"}}, start, Retention + startMargin, map[string]bool{"s": true}, "v2"},
+		{"two", [][]string{{"v1", "v2"}}, old, time.Second, map[string]bool{}, ""},
+		{"one left of two", [][]string{{"v1", "v2"}, {"v2"}}, old, 5 * time.Second, map[string]bool{}, ""},
 	} {
 		h := NewHistory()
+		h.SetNoted(c.noted)
 		for i, versions := range c.seen {
 			h.Observe(start.Add(time.Duration(i)*time.Second), endpoints(c.started, versions...))
 		}
