throttle: limits outlast all hosts in the store

After a start of all hosts nobody knew a limit until the first answer that names it: requests that wait fill an endpoint's slots by then. The host that schedules notes the limits in force, hosts that start read them once. TestNotesOutliveAllHosts fails without it.

--- a/gateway/endpointnotes.go
+++ b/gateway/endpointnotes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/throttle"
 )
 
 const (
@@ -20,7 +22,12 @@
 	// ticksBeforeWrite is for how many looks a host schedules before it writes: while hosts
 	// elect a scheduler, each schedules for itself for a moment.
 	ticksBeforeWrite = 4
-	// versionsNote begins the key of the note of a service with several software versions.
+	// notedAge is the age that limits read from the store are taken for. The store doesn't
+	// tell it, and whatever an answer says is newer.
+	notedAge = time.Minute
+	// limitNote and versionsNote begin the keys of the notes, of an endpoint's rate limit and
+	// of a service with several software versions.
+	limitNote    = "limit/"
 	versionsNote = "versions/"
 )
 
@@ -32,6 +39,7 @@
 		platform.Lister
 		peers.Writer
 	}
+	limits  *limits
 	origins *origins
 	// schedules reports whether this host knows the endpoints and schedules for itself or
 	// others, and thus writes.
@@ -88,7 +96,15 @@
 		n.written[r.Key] = string(r.Value)
 		if service, found := strings.CutPrefix(r.Key, versionsNote); found {
 			several[service] = true
+			continue
+		}
+		var limit throttle.Notice
+		if err := json.Unmarshal(r.Value, &limit); err != nil {
+			_ = level.Warn(n.logger).Log("event", "endpoint_note_unreadable", "key", r.Key, "offset", r.Offset, "err", err)
+			continue
 		}
+		limit.Age = notedAge
+		n.limits.Merge([]throttle.Notice{limit})
 	}
 	n.origins.SetNoted(several)
 	_ = level.Info(n.logger).Log("event", "endpoint_notes_read", "notes", len(n.written), "several_versions", len(several))
@@ -126,5 +142,14 @@
 	for _, service := range n.origins.Several() {
 		out[versionsNote+service] = "several"
 	}
+	for _, limit := range n.limits.Notices() {
+		if limit.Rate == 0 || !n.limits.known(limit.Endpoint.ID) {
+			continue
+		}
+		limit.Age = 0
+		// Encoding can't fail: the notice holds text, numbers and a time.
+		value, _ := json.Marshal(limit)
+		out[limitNote+limit.Endpoint.ID] = string(value)
+	}
 	return out
 }
--- a/gateway/endpointnotes_test.go
+++ b/gateway/endpointnotes_test.go
@@ -7,16 +7,23 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/standin"
+	"github.com/peridotmount/peridotmount/throttle"
 )
 
-// newNotingHost returns the notes of a host, with origins of its own.
+// newNotingHost returns the notes of a host, with limits and origins of its own.
 func newNotingHost(address string) *endpointNotes {
+	l := newLimits(log.NewNopLogger(), prometheus.NewRegistry())
+	l.known = func(string) bool { return true }
+	l.changed = func() {}
+	l.report = func([]throttle.Notice) {}
 	return &endpointNotes{
-		store: platform.NewStore(address, platform.StoreOptions{}), origins: newOrigins(),
+		store: platform.NewStore(address, platform.StoreOptions{}), limits: l, origins: newOrigins(),
 		schedules: func() bool { return true }, logger: log.NewNopLogger(),
 	}
 }
@@ -59,28 +66,32 @@
 	return out
 }
 
-// TestNotesOutliveAllHosts has a host note a service with two versions, and end. The next one,
-// which starts when nobody is left, sees a single version: it knows that it doesn't know who
-// began streams. Without notes it would know that.
+// TestNotesOutliveAllHosts has a host note a limit and a service with two versions, and end. The
+// next one, which starts when nobody is left, sees a single version: it knows the limit, and
+// that it doesn't know who began streams. Without notes it would know that.
 func TestNotesOutliveAllHosts(t *testing.T) {
 	server := httptest.NewServer(standin.NewStore(standin.StoreFaults{}).Handler())
 	defer server.Close()
 	defer server.CloseClientConnections()
 	address := server.Listener.Addr().String()
 
+	limited := endpoint.Endpoint{ID: "limited", Service: "s", Started: time.UnixMilli(7)}
 	first := newNotingHost(address)
 	first.origins.Observe(serving("v1", "v2"))
-	first.runNotes(t, "the first host writes", func() bool { return notes(t, address) == 1 })
+	first.limits.Answered(limited.Incarnation(), 2.5, clock.Now())
+	first.runNotes(t, "the first host writes", func() bool { return notes(t, address) == 2 })
 
 	next := newNotingHost(address)
 	next.origins.Observe(serving("v2"))
 	if _, known := next.origins.Version("s", "r"); known {
 		t.Error("the next host knows who began a stream before it has read the notes")
 	}
-	next.read(context.Background())
+	next.runNotes(t, "the next host reads", func() bool { return next.limits.Rate(&limited) == 2.5 })
 	if _, known := next.origins.Version("s", "r"); known || next.origins.Certain() {
 		t.Error("the next host takes the version that it sees for the only one")
 	}
+	next.limits.Answered(limited.Incarnation(), 0, clock.Now())
+	next.runNotes(t, "the ended limit is deleted", func() bool { return notes(t, address) == 1 })
 
 	alone := newNotingHost(address)
 	alone.origins.Observe(nil)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,7 @@
 	g.limits.changed = func() { g.schedule(g.configuration.Current(), g.endpoints.View()) }
 	g.limits.report = func(n []throttle.Notice) { g.client.ReportLimits(n) }
 	g.notes = &endpointNotes{
-		store: g.store, origins: g.origins, logger: g.logger,
+		store: g.store, limits: g.limits, origins: g.origins, logger: g.logger,
 		schedules: func() bool { return g.endpoints.listed.Load() && g.client.Scheduler() == g.self.Name },
 	}
 	g.convictions = newConvictions(g.logger)
