throttle: count requests within the window that endpoints count, and let a lull serve a wave

What a lull left was lost after 0.6 s, as only the spacing bounded four seconds. And of what endpoints bear (half as much again, and five requests) a third was used.

A scheduler of all hosts now counts the requests of the last four seconds, up to 1.4 x the limit and 1.5 more, and what became due keeps for two seconds; hosts tell a new scheduler what they sent in that time, so that a hand-over sends nothing twice. Hosts with smaller shares are spaced as before, and keep to the limit itself. Items whose start was delayed by 250 ms are given back.

TestNextSchedulerCountsWhatWasSent fails without the report of what was sent.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -12,7 +12,7 @@
 
 // startValidity is how late an item may be sent to an endpoint with a rate limit, from its
 // start by the scheduler, which counted it against the limit then.
-const startValidity = 500 * time.Millisecond
+const startValidity = 250 * time.Millisecond
 
 // Runner runs the batch items that the scheduler starts on this host.
 type Runner struct {
--- a/scheduler/hello.go
+++ b/scheduler/hello.go
@@ -9,6 +9,8 @@
 	Running []Running `json:"running"`
 	// Resumable lists the unfinished items that the host can resume.
 	Resumable []Resumable `json:"kept,omitempty"`
+	// Sent lists what the host sent lately, under earlier schedulers.
+	Sent []Sent `json:"sent,omitempty"`
 	// Offers lists the open items of the jobs that the host accepted.
 	Offers []Offer `json:"offers,omitempty"`
 }
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -154,3 +154,31 @@
 		}
 	}
 }
+
+// TestNextSchedulerCountsWhatWasSent has hosts join a new scheduler that report what they sent to
+// an endpoint under the one before: it sends no more within the window than the endpoint takes.
+func TestNextSchedulerCountsWhatWasSent(t *testing.T) {
+	const perSecond = 5.0
+	c := NewCore(Options{})
+	c.SetEndpoints(replayStart, []Endpoint{{ID: "e", Service: "s", Zone: "z", Region: "r", Slots: 100, RateLimit: perSecond}})
+	now := replayStart.Add(time.Minute)
+	var sent []Sent
+	for i := range 15 {
+		sent = append(sent, Sent{Endpoint: "e", Age: time.Duration(i) * 50 * time.Millisecond})
+	}
+	c.Join(now, &Hello{Host: "h", Zone: "z", Region: "r", Sent: sent[:8]})
+	c.Join(now, &Hello{Host: "i", Zone: "z", Region: "r", Sent: sent[8:]})
+	granted := 0
+	for at := time.Duration(0); at < limitWindow-time.Second; at += 20 * time.Millisecond {
+		c.Acquire(now.Add(at), "h", SlotRequest{Ticket: fmt.Sprint(at), Service: "s", Objective: time.Minute, Left: time.Minute})
+		c.Tick(now.Add(at))
+		for _, e := range c.Effects() {
+			if _, ok := e.(Grant); ok {
+				granted++
+			}
+		}
+	}
+	if allowed := int(1.5*perSecond*limitWindow.Seconds()) + 5; granted == 0 || granted+len(sent) > allowed {
+		t.Errorf("%d requests after %d that were sent before, allowed %d", granted, len(sent), allowed)
+	}
+}
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -7,6 +7,7 @@
 	m := &member{name: h.Host, zone: h.Zone, region: h.Region}
 	c.members[m.name] = m
 	c.Offer(now, m.name, h.Offers)
+	c.observeSent(now, h.Sent)
 	for i := range h.Running {
 		c.adoptRunning(now, m, &h.Running[i])
 	}
--- a/slots/client.go
+++ b/slots/client.go
@@ -82,6 +82,7 @@
 	link         link
 	pending      map[string]*pendingRequest
 	held         map[string]*heldSlot
+	sent         sentLog
 	seq          uint64
 	shuttingDown bool
 	// crashes are the last reports of crashes, oldest first.
@@ -263,6 +264,7 @@
 		r.Since = now.Sub(h.since)
 		hello.Running = append(hello.Running, r)
 	}
+	hello.Sent = c.sent.since(now)
 	c.link = l
 	l.send(HostMessage{Hello: hello})
 	if leaving := c.opts.LeavingEndpoints(); len(leaving) > 0 {
@@ -358,6 +360,7 @@
 		return
 	}
 	delete(c.pending, g.Ticket)
+	c.sent.add(time.Now(), g.Endpoint)
 	c.held[g.Ticket] = &heldSlot{since: time.Now(), running: scheduler.Running{
 		Ticket:   g.Ticket,
 		Service:  w.request.Service,
@@ -374,6 +377,7 @@
 		return
 	}
 	runCtx, cancel := context.WithCancel(ctx)
+	c.sent.add(time.Now(), s.Endpoint)
 	item := s.Item
 	c.held[s.Ticket] = &heldSlot{since: time.Now(), cancel: cancel, running: scheduler.Running{
 		Ticket:   s.Ticket,
