throttle: use more of what endpoints bear, and let small shares keep longer

The scheduler may exceed a limit by 0.45 of it and two requests within four seconds (contract: half as much again, and five).

--- a/throttle/pacer.go
+++ b/throttle/pacer.go
@@ -14,14 +14,15 @@
 	// within a Window while requests wait: by a fraction of it, and by requests. What is left
 	// of the contract is for moments at which two schedule. A host with a share of the limit
 	// uses as much less of the tolerance.
-	tolerance         = 0.4
-	toleratedRequests = 1.5
-	// baseExpiry and shareExpiry, the latter times the square of the share, are how long a
-	// request that is due may wait to be sent. Callers come in waves: what a scheduler of all
-	// hosts has not sent in a lull is good for the next wave. Hosts with small shares can't
-	// know whether all of them send at the same moment, and keep little.
-	baseExpiry  = 150 * time.Millisecond
-	shareExpiry = 2 * time.Second
+	tolerance         = 0.45
+	toleratedRequests = 2.0
+	// baseExpiry, the time in which one request becomes due at the limit, and shareExpiry times
+	// the square of the share are how long a request that is due may wait to be sent. Callers
+	// come in waves: what a scheduler of all hosts has not sent in a lull is good for the next
+	// wave. Hosts with small shares can't know whether all of them send at the same moment,
+	// and keep little.
+	baseExpiry  = 250 * time.Millisecond
+	shareExpiry = 1750 * time.Millisecond
 	// minCountedShare is the smallest share for which the requests of a Window are counted:
 	// smaller ones are spaced alone, as they may be less than a request.
 	minCountedShare = 0.5
@@ -80,7 +81,7 @@
 	if seconds := Window.Seconds() / requests; seconds < maxInterval.Seconds() {
 		p.interval = max(1, time.Duration(seconds*float64(time.Second)))
 	}
-	p.expiry = baseExpiry + time.Duration(share*share*float64(shareExpiry))
+	p.expiry = baseExpiry + time.Duration(float64(time.Second)/limit+share*share*float64(shareExpiry))
 	p.most = 0
 	if share >= minCountedShare {
 		p.most = 1 + int(requests)
