endpointlimit: the OpenAI path keeps to the rate limits that endpoints name

Every call to an endpoint now goes through one transport, which counts it against this host's share of the limit and answers 503, not run, beyond it; hosts tell each other of limits by gossip, and the choice of an endpoint passes over those that admit no call.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -39,7 +39,7 @@
 	opts.Policy = opts.Policy.withDefaults()
 	return &Dispatcher{
 		opts:    opts,
-		router:  newRouter(opts.View, routing.Options{Zone: opts.Zone, Region: opts.Region, Seed: opts.Seed}),
+		router:  newRouter(opts.View, opts.Admits, routing.Options{Zone: opts.Zone, Region: opts.Region, Seed: opts.Seed}),
 		retries: newBudgets(opts.Policy.RetryShare, retryBurst),
 		hedges:  newBudgets(opts.Policy.HedgeShare, hedgeBurst),
 		lengths: newLengthEstimator(),
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -28,6 +28,9 @@
 	// Observe, unless nil, is called if a failure shows that an incarnation of an
 	// endpoint is leaving or dead.
 	Observe func(endpoint string, incarnation int64, c membership.Condition)
+	// Admits reports whether the rate limit of an endpoint admits a call now; nil means that
+	// each does.
+	Admits func(endpoint string) bool
 	// Guard restricts requests that crash endpoints; nil allows all requests.
 	Guard Guard
 	// Service looks up fallback services by name; nil disables fallbacks.
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -25,6 +25,8 @@
 type router struct {
 	view func() *membership.View
 	opts routing.Options
+	// admits is Options.Admits.
+	admits func(endpoint string) bool
 
 	mu            sync.Mutex
 	appliedView   *membership.View
@@ -32,9 +34,10 @@
 	excludedUntil map[string]time.Time
 }
 
-func newRouter(view func() *membership.View, opts routing.Options) *router {
+func newRouter(view func() *membership.View, admits func(endpoint string) bool, opts routing.Options) *router {
 	return &router{
 		view:          view,
+		admits:        admits,
 		opts:          opts,
 		pools:         make(map[string]*routing.Table),
 		excludedUntil: make(map[string]time.Time),
@@ -90,7 +93,7 @@
 	r.refresh()
 	usable := q.Usable
 	q.Usable = func(name string) bool {
-		return now.After(r.excludedUntil[name]) && (usable == nil || usable(name))
+		return now.After(r.excludedUntil[name]) && (usable == nil || usable(name)) && (r.admits == nil || r.admits(name))
 	}
 	defer func() { q.Usable = usable }()
 	return r.table(pool).Choose(now, q)
--- a/node/admission.go
+++ b/node/admission.go
@@ -88,5 +88,5 @@
 
 // newEndpointClient returns a client for endpoints on connections of its own.
 func (n *Node) newEndpointClient() *http.Client {
-	return &http.Client{Transport: n.newTransport(traffic.PartyEndpoints)}
+	return &http.Client{Transport: n.endpointLimits.Transport(n.newTransport(traffic.PartyEndpoints))}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/dispatch"
+	"github.com/peridotmount/peridotmount/endpointlimit"
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/gossip"
 	"github.com/peridotmount/peridotmount/keeper"
@@ -51,31 +52,32 @@
 	// incarnation tells runs of the host apart.
 	incarnation int64
 
-	store          *platform.Store
-	endpointClient *http.Client
+	store *platform.Store
 	// peerClient is for every call to another host's listeners: it carries the
 	// stamps that put the events of all hosts in order.
 	peerClient *http.Client
 	log        platform.Log
 
-	registrar  *peers.Registrar
-	gossip     *gossip.Store
-	tickets    *ticketDuties
-	limiter    *limit.Limiter
-	dispatcher *dispatch.Dispatcher
-	entry      *entry.Entry
-	follower   *publication.Follower
-	refresher  *publication.Refresher
-	orders     *orders.Duty
-	guard      *quarantine.Guard
-	watcher    *membership.Watcher
-	exchanger  *gossip.Exchanger
-	keeper     *keeper.Keeper
-	callers    *server
-	operators  *server
-	peers      *server
-	drainer    drainer
-	supervisor *suture.Supervisor
+	registrar *peers.Registrar
+	gossip    *gossip.Store
+	tickets   *ticketDuties
+	limiter   *limit.Limiter
+	// endpointLimits limits the calls to endpoints.
+	endpointLimits *endpointlimit.Limiter
+	dispatcher     *dispatch.Dispatcher
+	entry          *entry.Entry
+	follower       *publication.Follower
+	refresher      *publication.Refresher
+	orders         *orders.Duty
+	guard          *quarantine.Guard
+	watcher        *membership.Watcher
+	exchanger      *gossip.Exchanger
+	keeper         *keeper.Keeper
+	callers        *server
+	operators      *server
+	peers          *server
+	drainer        drainer
+	supervisor     *suture.Supervisor
 
 	drainRequest *drainRequest
 }
@@ -123,6 +125,7 @@
 	n.buildRegistrar()
 	n.buildGossip()
 	n.buildMembership()
+	n.buildEndpointLimits()
 	n.buildPublication()
 	n.buildOrders()
 	n.buildQuarantine()
@@ -160,7 +163,7 @@
 func (n *Node) duties() []suture.Service {
 	duties := []suture.Service{n.registrar, n.watcher, membership.NewListReader(n.watcher), n.exchanger, n.follower, n.refresher, n.orders, n.guard}
 	duties = append(duties, n.tickets.services()...)
-	duties = append(duties, n.limiter)
+	duties = append(duties, n.limiter, n.endpointLimits)
 	duties = append(duties, n.keeper.Services()...)
 	duties = append(duties, n.entry.Services()...)
 	return append(duties, n.operators, n.peers, n.callers)
--- a/node/platform.go
+++ b/node/platform.go
@@ -9,7 +9,6 @@
 )
 
 func (n *Node) buildPlatform() {
-	n.endpointClient = &http.Client{Transport: n.newTransport(traffic.PartyEndpoints)}
 	n.peerClient = &http.Client{Transport: &timeline.Transport{
 		Clock: n.clock,
 		Base:  n.newTransport(traffic.PartyPeers),
--- a/throttle/notice.go
+++ b/throttle/notice.go
@@ -1,11 +1,18 @@
 package throttle
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/peridotmount/peridotmount/endpoint"
 )
 
+// SortNotices sorts notices by endpoint.
+func SortNotices(notices []Notice) {
+	slices.SortFunc(notices, func(a, b Notice) int { return strings.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+}
+
 // Notice is what an answer of an endpoint said of the endpoint's rate limit, as hosts tell
 // each other.
 type Notice struct {
