--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -18,8 +18,9 @@
 }
 
 // Progress records how many tokens of an item are checkpointed, and the software version that
-// generated them, so that any host can resume after them. Without it, when all hosts are killed while items run that are due
-// soon, the plan would count nearly finished items at their full size and give them up.
+// generated them, so that any host can resume after them. Without it, when all hosts are
+// killed while items run that are due soon, the plan would count nearly finished items at
+// their full size and give them up.
 func (c *Core) Progress(ref ItemRef, tokens int, version string) {
 	i := c.items[ref]
 	if i == nil {
