--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"maps"
-	"slices"
 	"sort"
 	"time"
 
@@ -217,31 +215,6 @@
 	}
 }
 
-// refuseIfTooLate refuses a request whose first event is expected after its objective. It
-// spares suspects: they don't wait for a slot, and go on as soon as they are cleared.
-func (c *Core) refuseIfTooLate(now time.Time, v *service, w *waiter) {
-	if c.suspects.Wait(now, w.keys) > 0 {
-		return
-	}
-	firstEvent := now.Add(v.waitBound(now, c.share, c.requestsBefore(now, v, w)) + v.firstTokenBound())
-	if firstEvent.After(w.arrived.Add(w.Objective)) {
-		c.refuse(now, v, w, ReasonOverload)
-	}
-}
-
-func (c *Core) refuse(now time.Time, v *service, w *waiter, reason Reason) {
-	load := v.load(now, c.share, v.queuePosition(w))
-	v.dequeue(w)
-	delete(c.waiting, w.Ticket)
-	v.overloadedAt = now
-	if w.Fingerprint != "" {
-		v.refused.Add(w.Fingerprint)
-	}
-	c.emit(Refuse{
-		Host: w.host.name, Ticket: w.Ticket, Reason: reason, RetryAfter: v.retryAfter(now, c.share), Load: load,
-	})
-}
-
 // Withdraw cancels a waiting request, or releases its slot if it was granted.
 func (c *Core) Withdraw(now time.Time, id string) {
 	if w := c.waiting[id]; w != nil {
@@ -324,100 +297,3 @@
 		}
 	}
 }
-
-// refuseOrDemote refuses the waiting requests whose deadline would pass before the first
-// event, checks the wait of each once at its earlyRefusalEnd, and moves those whose
-// objective has passed behind all others.
-func (c *Core) refuseOrDemote(now time.Time, v *service) {
-	for _, w := range append([]*waiter(nil), v.queue...) {
-		switch {
-		case w.Version != nil && !v.lists(w.Version):
-			c.refuse(now, v, w, ReasonNoVersion)
-		case !now.Add(v.meanFirst).Before(w.deadline):
-			c.refuse(now, v, w, ReasonDeadline)
-		case !w.rechecked && !now.Before(w.earlyRefusalEnd()):
-			w.rechecked = true
-			c.refuseIfTooLate(now, v, w)
-		case !w.late && now.After(w.arrived.Add(w.Objective)):
-			v.dequeue(w)
-			w.late = true
-			v.enqueue(w)
-		}
-	}
-}
-
-func (c *Core) dispatchAll(now time.Time) {
-	for _, name := range c.serviceNames() {
-		c.dispatch(now, c.services[name])
-	}
-}
-
-// serviceNames returns the names of the services in sorted order, so that decisions
-// are deterministic.
-func (c *Core) serviceNames() []string {
-	return slices.Sorted(maps.Keys(c.services))
-}
-
-// dispatch assigns free slots to waiting work, online requests first. Suspects whose turn
-// has not come are passed over.
-func (c *Core) dispatch(now time.Time, v *service) {
-	for i := 0; i < len(v.queue); {
-		w := v.queue[i]
-		if c.suspects.Wait(now, w.keys) > 0 {
-			i++
-			continue
-		}
-		if !c.startOnline(now, v, w) {
-			if w.Version != nil {
-				// Others may start at endpoints of other versions.
-				i++
-				continue
-			}
-			return
-		}
-		v.queue = append(v.queue[:i], v.queue[i+1:]...)
-	}
-	for c.batchEnabled && c.startItem(now, v) {
-		continue
-	}
-}
-
-// startOnline grants a slot to a request and reports whether it found one. If no slot
-// is free, it revokes a batch item and grants the slot that is being released.
-func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
-	p := &placement{host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version}
-	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, w.Version) {
-		return false
-	}
-	room := func(s *endpointState) bool { return s.heldSlots() < s.Slots && s.takesRequest(now) }
-	s := v.cheapest(now, p, room)
-	if s == nil {
-		if !c.revokeOne(now, v, w.Version) {
-			return false
-		}
-		if s = v.cheapest(now, p, room); s == nil {
-			return false
-		}
-	}
-	delete(c.waiting, w.Ticket)
-	c.suspects.Granted(now, w.keys)
-	s.countRequest(now)
-	c.occupy(now, s, &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens}, w.Prefix)
-	c.emit(Grant{
-		Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed, Request: w.Request, Version: s.Version,
-	})
-	return true
-}
-
-// occupy records a ticket as using a slot of an endpoint.
-func (c *Core) occupy(now time.Time, s *endpointState, t *ticket, prefix []string) {
-	t.endpoint = s
-	s.add(t)
-	c.tickets[t.id] = t
-	if s.hasIdleConnection(now, t.host) {
-		s.takeConnection(t.host)
-	}
-	if n := len(prefix); n > 1 {
-		s.promptParts.Add(prefix[n-2])
-	}
-}
