--- a/batch/runner.go
+++ b/batch/runner.go
@@ -88,6 +88,10 @@
 	defer r.finish()
 	x := &itemRun{Runner: r, ref: s.Item, slot: slot, startTime: time.Now()}
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
+	if x.endpoint == nil {
+		x.endRun("unlisted", "this host has not read the endpoint's record", scheduler.Usage{Outcome: scheduler.Unlisted})
+		return
+	}
 	if reason, delay := x.prepare(ctx); reason != "" {
 		// An item that has ended has its result in the ledger; the scheduler just has not
 		// read it yet.
@@ -99,7 +103,7 @@
 	// can take seconds.
 	prepared := x.endpoint
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
-	if x.endpoint == nil || x.endpoint.State != endpoint.Ready || prepared == nil || prepared.Version != x.endpoint.Version {
+	if x.endpoint == nil || x.endpoint.State != endpoint.Ready || prepared.Version != x.endpoint.Version {
 		x.endRun("leaving", "endpoint is leaving", scheduler.Usage{Outcome: scheduler.Leaving})
 		return
 	}
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -234,3 +234,15 @@
 		t.Errorf("slot released with %+v, %d runs", use, len(replica.Runs()))
 	}
 }
+
+// TestEndpointWhoseRecordWasNotRead starts an item at an endpoint that this host has not read yet.
+// The scheduler must not take that for the endpoint's word that it leaves.
+func TestEndpointWhoseRecordWasNotRead(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	l, replica := submitJob(ctx, t, standin.ReplicaFaults{})
+	l.opts.Endpoint = func(string) *endpoint.Endpoint { return nil }
+	if use := runItem(ctx, t, l); use.Outcome != scheduler.Unlisted || len(replica.Runs()) > 0 {
+		t.Errorf("slot released with %+v, %d runs", use, len(replica.Runs()))
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -173,10 +173,15 @@
 		if err != nil {
 			return nil, rejectionOf(err)
 		}
-		if e := p.endpoints.View().Endpoint(lease.Endpoint); e != nil && e.State == endpoint.Ready && goesOn(ask, lease, e) {
+		e := p.endpoints.View().Endpoint(lease.Endpoint)
+		outcome := scheduler.Leaving
+		switch {
+		case e == nil || !goesOn(ask, lease, e):
+			outcome = scheduler.Unlisted
+		case e.State == endpoint.Ready:
 			return &leasedPlace{lease: lease, endpoint: e}, nil
 		}
-		lease.Release(scheduler.Usage{Outcome: scheduler.Leaving})
+		lease.Release(scheduler.Usage{Outcome: outcome})
 		a.Avoid = append(a.Avoid, lease.Endpoint)
 	}
 	return nil, p.noEndpoint(ask)
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -87,8 +87,8 @@
 	if s == nil || host == nil {
 		i.notBefore = now.Add(failedRunDelay)
 		v.items.push(i)
-		// Others may start at endpoints of other versions.
-		return s == nil && p.version != nil
+		// Others may start at endpoints of other versions, or that this host has not read yet.
+		return s == nil && (p.version != nil || (host != nil && !host.listsAll(now)))
 	}
 	if i.TokensDone > 0 && s.Version != i.version {
 		// The run can't go on with the output of another version.
@@ -127,12 +127,12 @@
 
 // revokeOne revokes the running batch item with the most slack, and reports whether
 // there was one. It spares endpoints whose rate limit admits no request at the moment: the
-// slot would stay free. Only endpoints of the given version count, unless it is nil.
-func (c *Core) revokeOne(now time.Time, v *service, version *string) bool {
+// slot would stay free. Only endpoints that are eligible for the placement count.
+func (c *Core) revokeOne(now time.Time, v *service, p *placement) bool {
 	var victim *ticket
 	var mostSlack time.Duration
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !s.hasVersion(version) || !s.takesRequest(now) {
+		if !s.usable(now) || !p.eligible(now, s) || !s.takesRequest(now) {
 			continue
 		}
 		for _, t := range s.tickets {
@@ -215,7 +215,7 @@
 	if u.TokensDone > i.TokensDone {
 		v.observeTokens(now.Sub(i.startedAt)-v.meanFirst, u.TokensDone-i.TokensDone)
 		i.TokensDone, i.version, i.failures = u.TokensDone, u.Version, 0
-	} else if u.Outcome != Abandoned {
+	} else if u.Outcome != Abandoned && u.Outcome != Unlisted {
 		i.failures++
 	}
 	if u.Settled {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -276,6 +276,10 @@
 		s.pause(now, failurePause)
 	case Misdirected, Leaving:
 		s.pause(now, maxPause)
+	case Unlisted:
+		if m := c.members[t.host]; m != nil {
+			m.setUnlisted(now, s.ID)
+		}
 	case Abandoned:
 	}
 	if u.Reusable {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -28,8 +28,9 @@
 			continue
 		}
 		if !c.startOnline(now, v, w) {
-			if w.Version != nil {
-				// Others may start at endpoints of other versions.
+			if w.Version != nil || !w.host.listsAll(now) {
+				// Others may start at endpoints of other versions, or that this host has not
+				// read yet.
 				i++
 				continue
 			}
@@ -46,13 +47,13 @@
 // is free, it revokes a batch item and grants the slot that is being released.
 func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
 	p := &placement{host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version}
-	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, w.Version) {
+	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, p) {
 		return false
 	}
 	room := func(s *endpointState) bool { return s.heldSlots() < s.Slots && s.takesRequest(now) }
 	s := v.cheapest(now, p, room)
 	if s == nil {
-		if !c.revokeOne(now, v, w.Version) {
+		if !c.revokeOne(now, v, p) {
 			return false
 		}
 		if s = v.cheapest(now, p, room); s == nil {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -40,6 +40,12 @@
 	limited bool
 }
 
+// eligible reports whether an endpoint has the version that the work needs, and the host
+// lists it.
+func (p *placement) eligible(now time.Time, s *endpointState) bool {
+	return s.hasVersion(p.version) && (p.host == nil || p.host.lists(now, s.ID))
+}
+
 // cost returns the cost of placing the work at an endpoint; 0 is ideal.
 func (p *placement) cost(now time.Time, s *endpointState) float64 {
 	cost := costLoad * float64(len(s.tickets)) / float64(s.Slots)
@@ -75,7 +81,7 @@
 	var best, fallback *endpointState
 	var bestCost, fallbackCost float64
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !s.hasVersion(p.version) || !room(s) || !s.fits(p.tokens) {
+		if !s.usable(now) || !p.eligible(now, s) || !room(s) || !s.fits(p.tokens) {
 			continue
 		}
 		cost := p.cost(now, s)
