--- a/batch/runner.go
+++ b/batch/runner.go
@@ -89,7 +89,7 @@
 	x := &itemRun{Runner: r, ref: s.Item, slot: slot, startTime: time.Now()}
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
 	if x.endpoint == nil {
-		x.endRun("unlisted", "this host has not read the endpoint's record", scheduler.Usage{Outcome: scheduler.Unlisted})
+		x.endRun("unread", "this host has not read the record of "+s.Endpoint, scheduler.Usage{Outcome: scheduler.Unread})
 		return
 	}
 	if reason, delay := x.prepare(ctx); reason != "" {
@@ -103,9 +103,13 @@
 	// can take seconds.
 	prepared := x.endpoint
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
-	if x.endpoint == nil || x.endpoint.State != endpoint.Ready || prepared.Version != x.endpoint.Version {
+	switch {
+	case x.endpoint == nil || x.endpoint.State != endpoint.Ready:
 		x.endRun("leaving", "endpoint is leaving", scheduler.Usage{Outcome: scheduler.Leaving})
 		return
+	case prepared.Version != x.endpoint.Version:
+		x.endRun("unread", s.Endpoint+" was started again with another version", scheduler.Usage{Outcome: scheduler.Unread})
+		return
 	}
 	if waited := time.Since(x.startTime); waited > startValidity && r.ledger.opts.HasRateLimit(x.endpoint) {
 		// Starts that were delayed together would exceed the limit together.
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -242,7 +242,7 @@
 	t.Cleanup(cancel)
 	l, replica := submitJob(ctx, t, standin.ReplicaFaults{})
 	l.opts.Endpoint = func(string) *endpoint.Endpoint { return nil }
-	if use := runItem(ctx, t, l); use.Outcome != scheduler.Unlisted || len(replica.Runs()) > 0 {
+	if use := runItem(ctx, t, l); use.Outcome != scheduler.Unread || len(replica.Runs()) > 0 {
 		t.Errorf("slot released with %+v, %d runs", use, len(replica.Runs()))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -274,6 +274,7 @@
 		Placer: &placer{
 			configuration: g.configuration, endpoints: g.endpoints, balancer: g.balancer, pacers: g.pacers, client: g.client, origins: g.origins,
 			convictions: g.convictions.list,
+			logger:      g.logger,
 			crashes:     newCrashDetector(g.logger, g.registry, g.endpoints.View, g.client.ReportCrash),
 			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -8,6 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/peridotmount/peridotmount/balance"
 	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/endpoint"
@@ -47,6 +50,7 @@
 	origins       *origins
 	convictions   *blame.List
 	crashes       *crashDetector
+	logger        log.Logger
 	// age returns how old the picture of the endpoints is.
 	age func() time.Duration
 }
@@ -174,13 +178,11 @@
 			return nil, rejectionOf(err)
 		}
 		e := p.endpoints.View().Endpoint(lease.Endpoint)
-		outcome := scheduler.Leaving
-		switch {
-		case e == nil || !goesOn(ask, lease, e):
-			outcome = scheduler.Unlisted
-		case e.State == endpoint.Ready:
+		outcome, usable := usableGrant(ask, lease.Version, e)
+		if usable {
 			return &leasedPlace{lease: lease, endpoint: e}, nil
 		}
+		_ = level.Info(p.logger).Log("event", "slot_returned", "request", ask.Request, "endpoint", lease.Endpoint, "outcome", outcome)
 		lease.Release(scheduler.Usage{Outcome: outcome})
 		a.Avoid = append(a.Avoid, lease.Endpoint)
 	}
@@ -211,10 +213,19 @@
 	}
 }
 
-// goesOn reports whether an endpoint can go on with the stream of a request. The scheduler
-// chose it for its version, and may have read another record of the endpoint than this host.
-func goesOn(ask *forward.PlacementRequest, lease *slots.Lease, e *endpoint.Endpoint) bool {
-	return (ask.Resumes == "" && ask.Version == nil) || e.Version == lease.Version
+// usableGrant reports whether a request can be sent to the endpoint of a slot, of which this host
+// has read the given record, if any, and the scheduler the given version. If not, it returns how
+// the slot is returned.
+func usableGrant(ask *forward.PlacementRequest, version string, e *endpoint.Endpoint) (scheduler.Outcome, bool) {
+	goesOn := ask.Resumes != "" || ask.Version != nil
+	switch {
+	case e == nil, goesOn && e.Version != version:
+		return scheduler.Unread, false
+	case e.State != endpoint.Ready:
+		return scheduler.Leaving, false
+	default:
+		return "", true
+	}
 }
 
 // noEndpoint is the refusal of a request whose service has no endpoint to use.
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -76,7 +77,7 @@
 	if i == nil {
 		return false
 	}
-	host := c.hostFor(i)
+	host := c.hostFor(now, v, i, free)
 	p := &placement{
 		host: host, tokens: i.PromptTokens + i.ExpectedTokens, prefix: i.Prefix, batch: true, limited: v.hasRateLimits(),
 	}
@@ -87,8 +88,8 @@
 	if s == nil || host == nil {
 		i.notBefore = now.Add(failedRunDelay)
 		v.items.push(i)
-		// Others may start at endpoints of other versions, or that this host has not read yet.
-		return s == nil && (p.version != nil || (host != nil && !host.listsAll(now)))
+		// Others may start at endpoints of other versions, or at other hosts.
+		return s == nil && p.version != nil
 	}
 	if i.TokensDone > 0 && s.Version != i.version {
 		// The run can't go on with the output of another version.
@@ -106,16 +107,17 @@
 	return true
 }
 
-// hostFor returns the host that has the output of an earlier run or the item's input in
-// memory, or else the host that runs the fewest items. During an outage of the store no
-// other host can read the input, and slots would stay idle.
-func (c *Core) hostFor(i *openItem) *member {
-	if m := c.members[i.host]; m != nil && !m.leaving {
+// hostFor returns the host that has the output of an earlier run, or has the item's input in
+// memory and can use a free endpoint, or else the host that runs the fewest items among those
+// that can. During an outage of the store no other host can read the input, and slots would
+// stay idle. It returns nil if there is none.
+func (c *Core) hostFor(now time.Time, v *service, i *openItem, free func(*endpointState) bool) *member {
+	if m := c.members[i.host]; m != nil && !m.leaving && (i.TokensDone > 0 || m.canUseAny(now, v, free)) {
 		return m
 	}
 	var best *member
 	for _, m := range c.members {
-		if m.leaving {
+		if m.leaving || !m.canUseAny(now, v, free) {
 			continue
 		}
 		if best == nil || m.runningItems < best.runningItems || (m.runningItems == best.runningItems && m.name < best.name) {
@@ -125,6 +127,17 @@
 	return best
 }
 
+// canUseAny reports whether the host may be given work at one of the free endpoints of a
+// service.
+func (m *member) canUseAny(now time.Time, v *service, free func(*endpointState) bool) bool {
+	if len(m.unread) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(v.endpoints, func(s *endpointState) bool {
+		return s.usable(now) && free(s) && m.mayUse(now, s.ID)
+	})
+}
+
 // revokeOne revokes the running batch item with the most slack, and reports whether
 // there was one. It spares endpoints whose rate limit admits no request at the moment: the
 // slot would stay free. Only endpoints that are eligible for the placement count.
@@ -215,7 +228,7 @@
 	if u.TokensDone > i.TokensDone {
 		v.observeTokens(now.Sub(i.startedAt)-v.meanFirst, u.TokensDone-i.TokensDone)
 		i.TokensDone, i.version, i.failures = u.TokensDone, u.Version, 0
-	} else if u.Outcome != Abandoned && u.Outcome != Unlisted {
+	} else if u.Outcome != Abandoned && u.Outcome != Unread {
 		i.failures++
 	}
 	if u.Settled {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -165,6 +165,10 @@
 		c.emit(Refuse{Host: host, Ticket: request.Ticket, Reason: ReasonNoEndpoint, RetryAfter: noEndpointRetryAfter})
 		return
 	}
+	if wait := v.unreadFor(now, m, request.Version); wait > 0 {
+		c.emit(Refuse{Host: host, Ticket: request.Ticket, Reason: ReasonUnread, RetryAfter: wait})
+		return
+	}
 	v.arrivals.count(now)
 	c.seq++
 	w := &waiter{
@@ -181,6 +185,28 @@
 	}
 }
 
+// unreadFor returns the time until a host may be given work at one of the usable endpoints of a
+// version, or of any; zero if it may now, or none is usable.
+func (v *service) unreadFor(now time.Time, m *member, version *string) time.Duration {
+	if len(m.unread) == 0 {
+		return 0
+	}
+	wait := time.Duration(0)
+	for _, s := range v.endpoints {
+		if !s.usable(now) || !s.hasVersion(version) {
+			continue
+		}
+		d := m.unread[s.ID].until.Sub(now)
+		if d <= 0 {
+			return 0
+		}
+		if wait == 0 || d < wait {
+			wait = d
+		}
+	}
+	return wait
+}
+
 // resumePaused ends the pause of all listed endpoints of a version, or of any, and reports
 // whether there are any. It is called when each of them is paused after failures.
 func (v *service) resumePaused(version *string) bool {
@@ -276,9 +302,9 @@
 		s.pause(now, failurePause)
 	case Misdirected, Leaving:
 		s.pause(now, maxPause)
-	case Unlisted:
+	case Unread:
 		if m := c.members[t.host]; m != nil {
-			m.setUnlisted(now, s.ID)
+			m.setUnread(now, s.ID)
 		}
 	case Abandoned:
 	}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		if !c.startOnline(now, v, w) {
-			if w.Version != nil || !w.host.listsAll(now) {
+			if w.Version != nil || v.reservedForOthers(now, w) {
 				// Others may start at endpoints of other versions, or that this host has not
 				// read yet.
 				i++
@@ -38,11 +38,27 @@
 		}
 		v.queue = append(v.queue[:i], v.queue[i+1:]...)
 	}
-	for c.batchEnabled && c.startItem(now, v) {
+	if !c.batchEnabled {
+		return
+	}
+	v.items.requeueDelayed(now)
+	for c.startItem(now, v) {
 		continue
 	}
 }
 
+// reservedForOthers reports whether a request could start, or a batch item be revoked for it, at
+// an endpoint that only its host can't use yet.
+func (v *service) reservedForOthers(now time.Time, w *waiter) bool {
+	if len(w.host.unread) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(v.endpoints, func(s *endpointState) bool {
+		return !w.host.mayUse(now, s.ID) && s.usable(now) && s.hasVersion(w.Version) && s.takesRequest(now) &&
+			s.fits(w.PromptTokens+w.ExpectedTokens) && (s.heldSlots() < s.Slots || s.hasRevocable())
+	})
+}
+
 // startOnline grants a slot to a request and reports whether it found one. If no slot
 // is free, it revokes a batch item and grants the slot that is being released.
 func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -63,6 +63,8 @@
 const (
 	// ReasonNoEndpoint means that the service has no usable endpoint.
 	ReasonNoEndpoint Reason = "no endpoint is ready"
+	// ReasonUnread means that the host has not read the record of any usable endpoint yet.
+	ReasonUnread Reason = "the host has not read the endpoints' records yet"
 	// ReasonOverload means that the first event is expected after the objective.
 	ReasonOverload Reason = "the wait would exceed the objective"
 	// ReasonDeadline means that the deadline would pass before the first event.
--- a/scheduler/itemqueue.go
+++ b/scheduler/itemqueue.go
@@ -22,9 +22,9 @@
 	heap.Push(&q.inTime, i)
 }
 
-// pop removes and returns the next item to run, or nil.
+// pop removes and returns the next item to run, or nil. Items whose delay has passed are popped
+// after requeueDelayed.
 func (q *itemQueue) pop(now time.Time) *openItem {
-	q.requeueDelayed(now)
 	if i := q.popFrom(now, &q.inTime, false); i != nil {
 		return i
 	}
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -11,47 +11,41 @@
 	runningItems int
 	// leaving means that the host is shutting down and gets no new batch items.
 	leaving bool
-	// unlisted maps endpoints to when the host is given work there again, after it had not
-	// read their records yet.
-	unlisted map[string]unlistedEndpoint
+	// unread holds the endpoints that the host was given and had not read yet.
+	unread map[string]unreadEndpoint
 }
 
-// unlistedEndpoint is an endpoint whose record a host has not read.
-type unlistedEndpoint struct {
+// unreadEndpoint is an endpoint whose record a host has not read.
+type unreadEndpoint struct {
+	// until is when the host is given work there again.
 	until time.Time
-	// pause is the time from the host's last report to until.
 	pause time.Duration
 }
 
-// setUnlisted excludes the host from an endpoint for unlistedPause, and for longer if it
-// reports the endpoint again right after that.
-func (m *member) setUnlisted(now time.Time, endpoint string) {
-	pause := unlistedPause
-	if u, found := m.unlisted[endpoint]; found && now.Sub(u.until) < maxPause {
-		pause = min(2*u.pause, maxPause)
+// setUnread excludes the host from an endpoint for unreadPause, and for longer if it still has
+// not read the endpoint after that. Reports during the pause are about work given before it.
+func (m *member) setUnread(now time.Time, endpoint string) {
+	pause := unreadPause
+	if u, found := m.unread[endpoint]; found {
+		if now.Before(u.until) {
+			return
+		}
+		if now.Sub(u.until) < maxPause {
+			pause = min(2*u.pause, maxPause)
+		}
 	}
-	for id, u := range m.unlisted {
+	for id, u := range m.unread {
 		if now.Sub(u.until) >= maxPause {
-			delete(m.unlisted, id)
+			delete(m.unread, id)
 		}
 	}
-	if m.unlisted == nil {
-		m.unlisted = make(map[string]unlistedEndpoint)
+	if m.unread == nil {
+		m.unread = make(map[string]unreadEndpoint)
 	}
-	m.unlisted[endpoint] = unlistedEndpoint{until: now.Add(pause), pause: pause}
-}
-
-// lists reports whether the host can be given work at an endpoint, as far as is known.
-func (m *member) lists(now time.Time, endpoint string) bool {
-	return !now.Before(m.unlisted[endpoint].until)
+	m.unread[endpoint] = unreadEndpoint{until: now.Add(pause), pause: pause}
 }
 
-// listsAll reports whether the host can be given work at all endpoints.
-func (m *member) listsAll(now time.Time) bool {
-	for _, u := range m.unlisted {
-		if now.Before(u.until) {
-			return false
-		}
-	}
-	return true
+// mayUse reports whether the host may be given work at an endpoint.
+func (m *member) mayUse(now time.Time, endpoint string) bool {
+	return len(m.unread) == 0 || !now.Before(m.unread[endpoint].until)
 }
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -102,9 +102,9 @@
 	// stallPause is how long an endpoint gets no new work after a report that it has
 	// stalled. The report is repeated every 250 ms while the stall lasts.
 	stallPause = 350 * time.Millisecond
-	// unlistedPause is how long a host gets no work at an endpoint whose record it has not
+	// unreadPause is how long a host gets no work at an endpoint whose record it has not
 	// read: hosts read the records within 300 ms of each other, and a read takes some time.
-	unlistedPause = 400 * time.Millisecond
+	unreadPause = 400 * time.Millisecond
 	// connectionIdleTimeout is how long an idle connection is expected to stay open:
 	// the ten seconds that endpoints announce, less a margin.
 	connectionIdleTimeout = 9 * time.Second
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -40,10 +40,10 @@
 	limited bool
 }
 
-// eligible reports whether an endpoint has the version that the work needs, and the host
-// lists it.
+// eligible reports whether a usable endpoint can be used for this work: it has the version that
+// the work needs, and the host has read its record.
 func (p *placement) eligible(now time.Time, s *endpointState) bool {
-	return s.hasVersion(p.version) && (p.host == nil || p.host.lists(now, s.ID))
+	return s.hasVersion(p.version) && (p.host == nil || p.host.mayUse(now, s.ID))
 }
 
 // cost returns the cost of placing the work at an endpoint; 0 is ideal.
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -60,7 +60,17 @@
 	return len(s.tickets) - s.revoked
 }
 
-// usable reports whether the endpoint is listed and not paused.
+// hasRevocable reports whether a batch item runs that can be revoked.
+func (s *endpointState) hasRevocable() bool {
+	for _, t := range s.tickets {
+		if t.item != nil && !t.revoked {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether the endpoint is listed and not paused, for all hosts.
 func (s *endpointState) usable(now time.Time) bool {
 	return s.listed && !now.Before(s.pausedUntil)
 }
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -23,9 +23,9 @@
 	// Leaving means that the host already knew that the endpoint is shutting down, and
 	// didn't use the slot.
 	Leaving Outcome = "leaving"
-	// Unlisted means that the host has read no record of the endpoint, or another one than
-	// the scheduler, and didn't use the slot. Hosts read the records at different times.
-	Unlisted Outcome = "unlisted"
+	// Unread means that the host has read no record of the endpoint, or another one than the
+	// scheduler, and didn't use the slot. Hosts read the records at different times.
+	Unread Outcome = "unread"
 )
 
 // Usage reports the end of the use of a slot to the scheduler.
