--- /dev/null
+++ b/forward/ending.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/disconnect"
+	"github.com/peridotmount/peridotmount/upstream"
+)
+
+// ending is why a request ended without a complete response. Its value appears in the log
+// and the metrics. Ends of the client's connection have the values of disconnect.Cause.
+type ending string
+
+const (
+	// endpointCut means that the endpoint's response ended early, after its head had been
+	// passed on.
+	endpointCut ending = "endpoint_cut"
+	// streamNotResumed means that a stream broke off and was not resumed.
+	streamNotResumed ending = "stream_not_resumed"
+	// deadlinePassed means that the deadline passed while the response was passed on.
+	deadlinePassed ending = "deadline_passed"
+)
+
+// phase is how far a request was when it ended without a complete response.
+type phase string
+
+const (
+	// readingBody requests had not been read whole.
+	readingBody phase = "body"
+	// awaitingResponse requests had been read whole, and got nothing of a response.
+	awaitingResponse phase = "waiting"
+	// passingResponse requests got a part of their response.
+	passingResponse phase = "response"
+)
+
+// disconnected returns the ending of a request whose context was cancelled: why the
+// connection of its client ended. A connection that is not tracked was closed by the client.
+func disconnected(ctx context.Context) ending {
+	if cause := disconnect.CauseIn(ctx); cause != disconnect.None {
+		return ending(cause)
+	}
+	return ending(disconnect.ClientClosed)
+}
+
+// interrupted returns the ending of a request whose response ended early with err. The
+// contexts are that of the client's request and that with its deadline.
+func interrupted(client, request context.Context, err error, otherwise ending) ending {
+	switch {
+	case client.Err() != nil || disconnect.CauseIn(client) != disconnect.None:
+		return disconnected(client)
+	case errors.Is(request.Err(), context.DeadlineExceeded):
+		return deadlinePassed
+	case errors.Is(err, upstream.ErrTruncated):
+		return endpointCut
+	default:
+		return otherwise
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
@@ -19,6 +21,8 @@
 	bodies  *semaphore.Weighted
 	hedges  hedgeBudget
 	metrics *metrics
+	// inFlight is the number of requests in flight.
+	inFlight atomic.Int64
 }
 
 // New returns a Forwarder.
@@ -26,13 +30,20 @@
 	return &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), metrics: newMetrics(o.Registerer)}
 }
 
+// InFlight returns the number of requests in flight.
+func (f *Forwarder) InFlight() int64 {
+	return f.inFlight.Load()
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	started := time.Now()
 	if f.opts.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: started}
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: started, phase: readingBody}
 	f.opts.Started.Wait(hr.Context())
 	config := f.opts.Configuration.Current()
 	if config == nil {
@@ -40,22 +51,35 @@
 		return
 	}
 	if platform.IsJobCall(hr) && config.Serves(hr.Host) {
-		f.opts.Jobs.ServeHTTP(w, hr)
+		f.serveJobs(w, req)
 		return
 	}
 	if !f.match(w, req, config) {
 		return
 	}
 	if req.route.Kind == route.Batch {
-		f.opts.Jobs.ServeHTTP(w, hr)
+		f.serveJobs(w, req)
 		return
 	}
 	f.serve(w, req, config.Limits)
 }
 
+// serveJobs serves a call of the API of batch jobs, and logs and counts it if its client's
+// connection ended meanwhile.
+func (f *Forwarder) serveJobs(w http.ResponseWriter, req *request) {
+	f.opts.Jobs.ServeHTTP(w, req.http)
+	if ctx := req.http.Context(); ctx.Err() != nil {
+		// net/http watches the connection only once the body was read whole.
+		req.phase, req.ending = awaitingResponse, disconnected(ctx)
+		f.metrics.incomplete.WithLabelValues(route.Batch.String(), string(req.phase), string(req.ending)).Inc()
+		_ = level.Info(f.opts.Logger).Log("event", "job_call_interrupted", "request", req.ID, "method", req.http.Method,
+			"target", req.http.URL.Path[:min(len(req.http.URL.Path), maxTargetBytes)], "ended_by", req.ending, "total_ms", time.Since(req.started).Milliseconds())
+	}
+}
+
 // RejectOverLimit rejects requests on connections beyond the host's connection limit.
 func (f *Forwarder) RejectOverLimit(w http.ResponseWriter, hr *http.Request) {
-	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: time.Now()}
+	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: time.Now(), phase: readingBody}
 	f.reject(w, req, &Rejection{Reason: "the host serves as many connections as it may", RetryAfter: connectionLimitRetry})
 }
 
@@ -96,6 +120,7 @@
 		return
 	}
 	defer release()
+	req.phase = awaitingResponse
 	timeout := shortestTimeout(req.Wait, req.route.Timeout)
 	req.deadline = req.started.Add(timeout)
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -15,6 +15,7 @@
 	attempts   *prometheus.CounterVec
 	resumed    prometheus.Counter
 	hedges     prometheus.Counter
+	incomplete *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -44,9 +45,13 @@
 			Name: "peridotmount_route_hedges_total",
 			Help: "Second tries beside a slow first one.",
 		}),
+		incomplete: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_route_incomplete_requests_total",
+			Help: "Requests that ended without a whole answer, by kind, how far they were (body, waiting, response), and what ended them.",
+		}, []string{"kind", "phase", "cause"}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.seconds, m.rejections, m.attempts, m.resumed, m.hedges)
+		r.MustRegister(m.requests, m.seconds, m.rejections, m.attempts, m.resumed, m.hedges, m.incomplete)
 	}
 	return m
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/platform"
 )
 
@@ -19,7 +20,7 @@
 			return
 		}
 		if r != nil {
-			f.writeReply(w, req, r)
+			f.writeReply(ctx, w, req, r)
 			return
 		}
 	}
@@ -73,15 +74,16 @@
 
 // writeReply writes a reply to the client, with the rest of a body that was not buffered in
 // full, and ends the request.
-func (f *Forwarder) writeReply(w http.ResponseWriter, req *request, r *reply) {
+func (f *Forwarder) writeReply(ctx context.Context, w http.ResponseWriter, req *request, r *reply) {
 	writeHead(w, r.response)
+	req.phase = passingResponse
 	_, err := w.Write(r.body)
 	if err == nil && !r.complete {
 		_, err = io.Copy(w, r.response)
 	}
 	if err != nil {
 		r.release(OutcomeTruncated)
-		f.abort(req, "response interrupted: "+err.Error())
+		f.abort(req, "response interrupted: "+err.Error(), interrupted(req.http.Context(), ctx, err, ending(disconnect.Failed)))
 	}
 	outcome := OutcomeAnswered
 	if r.verdict == platform.Failed {
--- a/forward/request.go
+++ b/forward/request.go
@@ -49,6 +49,9 @@
 	reason, inputs string
 	// retryAfter is the Retry-After sent to a client whose request was rejected.
 	retryAfter time.Duration
+	// phase is how far the request is, ending why it ended without a complete response.
+	phase  phase
+	ending ending
 }
 
 // timeLeft returns the time until the deadline.
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/upstream"
 )
@@ -50,16 +51,19 @@
 	}
 }
 
-// finishDisconnected ends a request whose client disconnected.
+// finishDisconnected ends a request whose client's connection ended.
 func (f *Forwarder) finishDisconnected(req *request) {
-	req.reason = "client left"
+	req.reason, req.ending = "connection ended", disconnected(req.http.Context())
+	if req.ending == ending(disconnect.ClientClosed) || req.ending == ending(disconnect.ClientReset) {
+		req.reason = "client left"
+	}
 	f.finish(req, 0)
 }
 
 // abort ends a request by breaking off the client's connection, so that the client does
 // not take the part it got for a complete response.
-func (f *Forwarder) abort(req *request, reason string) {
-	req.reason = reason
+func (f *Forwarder) abort(req *request, reason string, why ending) {
+	req.reason, req.ending = reason, why
 	f.finish(req, 0)
 	panic(http.ErrAbortHandler)
 }
@@ -89,6 +93,9 @@
 		kind, name, target = req.route.Kind.String(), req.route.Name, ""
 	}
 	f.metrics.observe(kind, status, now.Sub(req.started))
+	if status == 0 {
+		f.metrics.incomplete.WithLabelValues(kind, string(req.phase), string(req.ending)).Inc()
+	}
 	first := time.Duration(0)
 	if !req.firstByte.IsZero() {
 		first = req.firstByte.Sub(req.started)
@@ -98,7 +105,7 @@
 		objective = req.route.Objective
 	}
 	_ = level.Info(f.opts.Logger).Log("event", "request", "request", req.ID, "objective_ms", objective.Milliseconds(), "route", name, "kind", kind, "target", target,
-		"config", req.configVersion, "status", status, "reason", req.reason, "inputs", req.inputs,
+		"config", req.configVersion, "status", status, "reason", req.reason, "ended_by", req.ending, "phase", req.phase, "inputs", req.inputs,
 		"retry_after_ms", req.retryAfter.Milliseconds(), "endpoints", req.attempted, "versions", req.versions, "resumes", req.Resumes, "last_event", req.LastEvent,
 		"ran", req.runs, "refused", req.refusals, "placed_ms", req.placementWait.Milliseconds(),
 		"first_ms", first.Milliseconds(), "total_ms", now.Sub(req.started).Milliseconds())
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -57,7 +57,7 @@
 		s.f.finishDisconnected(s.req)
 		return
 	}
-	s.f.abort(s.req, "stream interrupted and not resumed")
+	s.f.abort(s.req, "stream interrupted and not resumed", interrupted(s.req.http.Context(), s.ctx, nil, streamNotResumed))
 }
 
 // relay passes on the events of an attempt and reports whether the request has ended.
@@ -68,6 +68,7 @@
 	if !s.headWritten {
 		writeHead(s.w, a.response)
 		s.headWritten = true
+		s.req.phase = passingResponse
 	} else {
 		s.f.metrics.resumed.Inc()
 	}
@@ -98,7 +99,7 @@
 	retry := a.response.Status >= http.StatusInternalServerError && s.req.hasAttemptsLeft()
 	if !s.headWritten && !retry {
 		if r := s.f.readReply(s.ctx, s.req, a); r != nil {
-			s.f.writeReply(s.w, s.req, r)
+			s.f.writeReply(s.ctx, s.w, s.req, r)
 			return true
 		}
 		return false
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,7 +15,9 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/standin"
@@ -116,7 +119,12 @@
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
 	})
-	b.server = httptest.NewServer(f)
+	b.server = httptest.NewUnstartedServer(f)
+	b.server.Listener = disconnect.NewListener(b.server.Listener, disconnect.NewCounter(prometheus.NewRegistry()))
+	b.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return disconnect.NewContext(ctx, c.(*disconnect.Conn))
+	}
+	b.server.Start()
 	t.Cleanup(b.server.Close)
 	return b
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -34,7 +34,7 @@
 	// must not make that last, as another host goes on behind their last event.
 	g.client.Revoke()
 	if err := g.callers.http.Shutdown(ctx); err != nil {
-		_ = level.Error(g.logger).Log("event", "drain_incomplete", "err", err)
+		_ = level.Error(g.logger).Log("event", "drain_incomplete", "requests", g.forwarder.InFlight(), "err", err)
 	}
 	over, stop := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-handOverTime/3))
 	defer stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/peridotmount/peridotmount/batch"
 	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/forward"
@@ -110,6 +111,8 @@
 	asker *picture.Client
 	// listenerMetrics are those of all listeners.
 	listenerMetrics *bounded.Vectors
+	// endedConnections counts the ends of callers' connections by cause.
+	endedConnections *prometheus.CounterVec
 }
 
 // New puts a host together and binds its listeners. Its log goes to out.
@@ -147,6 +150,7 @@
 	g.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.listenerMetrics = bounded.NewVectors(g.registry)
+	g.endedConnections = disconnect.NewCounter(g.registry)
 	g.buildBeliefs()
 	g.buildScheduling()
 	g.buildJobs()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/peridotmount/peridotmount/bounded"
+	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/httpjson"
 	"github.com/peridotmount/peridotmount/relay"
 	"github.com/peridotmount/peridotmount/slots"
@@ -42,6 +44,8 @@
 	// connections bounds those open at the same time.
 	connections int
 	metrics     *bounded.Metrics
+	// ended counts the ends of connections by cause, if it is set.
+	ended *prometheus.CounterVec
 	// full answers calls when there are too many connections.
 	full http.HandlerFunc
 }
@@ -51,12 +55,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for "+o.name)
 	}
+	var limited net.Listener = bounded.NewListener(socket, o.connections, o.metrics)
+	if o.ended != nil {
+		limited = disconnect.NewListener(limited, o.ended)
+	}
 	return &listener{
 		name:   o.name,
-		socket: bounded.NewListener(socket, o.connections, o.metrics),
+		socket: limited,
 		http: &http.Server{
 			Handler:           bounded.RejectOverLimit(o.handler, o.full),
-			ConnContext:       bounded.ConnContext,
+			ConnContext:       connContext,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    headerBytes,
@@ -64,6 +72,14 @@
 	}, nil
 }
 
+// connContext is the http.Server.ConnContext of a listener.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	if tracked, ok := c.(*disconnect.Conn); ok {
+		return disconnect.NewContext(bounded.ConnContext(ctx, tracked.Conn), tracked)
+	}
+	return bounded.ConnContext(ctx, c)
+}
+
 // String names the service to its supervisor.
 func (l *listener) String() string {
 	return "listener of " + l.name
@@ -99,6 +115,7 @@
 	}{
 		{&g.callers, listenerOptions{
 			name: "callers", address: g.settings.Callers, handler: g.forwarder, full: g.forwarder.RejectOverLimit,
+			ended:       g.endedConnections,
 			connections: callersConnections(g.settings.Descriptors, int64(g.settings.Memory)),
 		}},
 		{&g.peers, listenerOptions{name: "peers", address: g.settings.Peers, handler: own, full: bounded.RespondFull, connections: others}},
