--- a/forward/options.go
+++ b/forward/options.go
@@ -72,6 +72,10 @@
 	// endpoint. Clients tolerate pauses of two seconds.
 	firstEventTimeout = 1000 * time.Millisecond
 	nextEventTimeout  = 800 * time.Millisecond
+	// firstByteTimeout is the timeout for the head of the response to an idempotent request,
+	// after which it is attempted at another endpoint. A sound endpoint may be silent for as
+	// long.
+	firstByteTimeout = 2 * time.Second
 	// briefRetry is the Retry-After of a rejection whose cause is brief.
 	briefRetry = 200 * time.Millisecond
 	// startupRetry is the Retry-After of a host whose configuration is not known, or may be
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -26,7 +26,7 @@
 	OutcomeAbandoned Outcome = "abandoned"
 	// OutcomeHedgeLost means that the other attempt of a hedged request was faster.
 	OutcomeHedgeLost Outcome = "overtaken"
-	// OutcomeTimedOut means that the stream timed out waiting for an event, and may be
-	// resumed at another endpoint.
+	// OutcomeTimedOut means that the stream timed out waiting for an event, or an idempotent
+	// request for its response, and may be resumed or attempted at another endpoint.
 	OutcomeTimedOut Outcome = "silent"
 )
--- a/forward/request.go
+++ b/forward/request.go
@@ -74,13 +74,19 @@
 
 // paceLimits returns how long an endpoint, whose events hold tokensPerEvent tokens, may
 // send nothing before it is reported as stalled, and before the attempt times out. Only
-// the attempts at a resumable stream time out, and of these not the last one.
+// the attempts at a resumable stream or an idempotent request time out, and of these not the
+// last one.
 func (r *request) paceLimits(tokensPerEvent int) pace.Limits {
 	limits := pace.Limits{Stall: pace.StallAfter(tokensPerEvent)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.route.Kind == route.Streaming && r.route.Resumable && r.runs+1 < r.route.MaxAttempts {
+	// A hedge that is in flight counts too.
+	switch last := len(r.attempted)-r.refusals >= r.route.MaxAttempts; {
+	case last:
+	case r.route.Kind == route.Streaming && r.route.Resumable:
 		limits.First, limits.Next = firstEventTimeout, nextEventTimeout
+	case r.route.Kind == route.Idempotent:
+		limits.First = firstByteTimeout
 	}
 	return limits
 }
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -80,7 +80,9 @@
 	// started is open, unless a test replaces it before the first request.
 	started *startup.Gate
 	server  *httptest.Server
-	seq     int
+	// forwarder is the handler of the server.
+	forwarder *Forwarder
+	seq       int
 	// begunMu guards begunRequest and begunVersion, the arguments of the last OnBegun.
 	begunMu                    sync.Mutex
 	begunRequest, begunVersion string
@@ -119,6 +121,7 @@
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
 	})
+	b.forwarder = f
 	b.server = httptest.NewUnstartedServer(f)
 	b.server.Listener = disconnect.NewListener(b.server.Listener, disconnect.NewCounter(prometheus.NewRegistry()))
 	b.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/forward/try.go
+++ b/forward/try.go
@@ -10,6 +10,7 @@
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/upstream"
 )
 
@@ -130,6 +131,9 @@
 	case platform.Answered, platform.Failed:
 		req.countRun(false)
 		req.setFirstByte(time.Now())
+		if req.route.Kind == route.Idempotent {
+			a.watch.RecordEvent()
+		}
 		return a
 	case platform.NotRun:
 		outcome = OutcomeNotRun
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -276,7 +276,7 @@
 // penaltyOf says how badly an endpoint did.
 func penaltyOf(o forward.Outcome) balance.Penalty {
 	switch o {
-	case forward.OutcomeNotSent, forward.OutcomeUnknown, forward.OutcomeMisdirected, forward.OutcomeTruncated:
+	case forward.OutcomeNotSent, forward.OutcomeUnknown, forward.OutcomeMisdirected, forward.OutcomeTruncated, forward.OutcomeTimedOut:
 		return balance.Failed
 	case forward.OutcomeNotRun, forward.OutcomeHedgeLost:
 		return balance.Slow
--- a/pace/watch.go
+++ b/pace/watch.go
@@ -34,7 +34,7 @@
 	// minimum.
 	Stall time.Duration
 	// First and Next are the timeouts for the first and for each further event. If First
-	// is zero, there are none; otherwise Next must be positive too.
+	// is zero, there are none; if Next is zero, there is none after the first event.
 	First, Next time.Duration
 }
 
@@ -74,8 +74,12 @@
 		return
 	}
 	w.stallTimer.Reset(w.limits.Stall)
-	if w.timeoutTimer != nil {
+	switch {
+	case w.timeoutTimer == nil:
+	case w.limits.Next > 0:
 		w.timeoutTimer.Reset(w.limits.Next)
+	default:
+		w.timeoutTimer.Stop()
 	}
 }
 
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -33,6 +33,8 @@
 	runs   []ReplicaRun
 	seen   int
 	conns  map[net.Conn]bool
+	// pausedUntil is when a replica that is silent goes on.
+	pausedUntil time.Time
 }
 
 // ReplicaRun is one request that a Replica began to work on.
@@ -99,6 +101,28 @@
 	r.faults = f
 }
 
+// Pause makes the replica silent for a time from now on, after which it goes on: it sends
+// nothing, and takes neither requests nor the ends of connections. Its kernel acknowledges
+// all the same.
+func (r *Replica) Pause(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausedUntil = time.Now().Add(d)
+}
+
+// awaitResumed returns once the replica isn't silent.
+func (r *Replica) awaitResumed() {
+	for {
+		r.mu.Lock()
+		left := time.Until(r.pausedUntil)
+		r.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
 // Runs returns the requests that the replica worked on.
 func (r *Replica) Runs() []ReplicaRun {
 	r.mu.Lock()
@@ -141,6 +165,7 @@
 		if err != nil {
 			return
 		}
+		r.awaitResumed()
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
@@ -239,6 +264,7 @@
 	defer gone()
 	go func() {
 		if _, err := reader.Peek(1); err != nil {
+			r.awaitResumed()
 			gone()
 		}
 	}()
@@ -287,6 +313,7 @@
 			sent++
 			continue
 		}
+		r.awaitResumed()
 		write(event)
 		sent++
 		select {
