--- a/sockopt/sockopt.go
+++ b/sockopt/sockopt.go
@@ -1,6 +1,6 @@
-// Package sockopt sets the options that let a process notice a peer that fell
-// silent: the platform's network drops packets to machines without power
-// instead of refusing them.
+// Package sockopt sets the options that let a process notice a peer that has no power: the
+// platform's network drops packets to it instead of refusing them. A peer that was only
+// silent for a moment keeps its connections.
 package sockopt
 
 import (
@@ -11,18 +11,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// Probes of idle connections: a peer that is gone is noticed after about
-// KeepAliveIdle + KeepAliveCount * KeepAliveInterval.
-const (
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
-)
-
-// UserTimeout is how long sent data may stay unacknowledged, in the order of
-// the probes above.
-const UserTimeout = 2 * time.Second
-
 // Control sets UserTimeout on a socket; it fits net.Dialer and net.ListenConfig.
 func Control(_, _ string, c syscall.RawConn) error {
 	var failed error
