--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -30,6 +32,9 @@
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		// A SIGHUP must not end a daemon, also not one that has nothing to reload, or that
+		// does not handle it yet.
+		PersistentPreRun: func(*cobra.Command, []string) { signal.Ignore(syscall.SIGHUP) },
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := readSettings(file, set)
 			if err != nil {
--- a/gateway/reloader.go
+++ b/gateway/reloader.go
@@ -22,7 +22,8 @@
 	hangup  chan os.Signal
 }
 
-// newReloader returns a reloader that takes SIGHUP from now on.
+// newReloader returns a reloader that takes SIGHUP from now on, also once it has ended: one
+// that came while the host shuts down must not kill it.
 func newReloader(g *Gateway) *reloader {
 	r := &reloader{gateway: g, hangup: make(chan os.Signal, 1)}
 	signal.Notify(r.hangup, syscall.SIGHUP)
@@ -36,7 +37,6 @@
 
 // Serve implements suture.Service.
 func (r *reloader) Serve(ctx context.Context) error {
-	defer signal.Stop(r.hangup)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	changed := r.gateway.source.changed()
