--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -125,6 +125,7 @@
 	req.deadline = req.started.Add(timeout)
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
+	defer req.releaseReplacement()
 	_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(writeGrace))
 	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	if req.route.Kind == route.Streaming {
--- a/forward/options.go
+++ b/forward/options.go
@@ -69,12 +69,12 @@
 	hedgeBurst       = 10
 	// firstEventTimeout and nextEventTimeout are the timeouts for the first and each
 	// further event of a resumable stream, after which it is resumed at another
-	// endpoint. Clients tolerate pauses of two seconds.
+	// endpoint as soon as one has room. Clients tolerate pauses of two seconds.
 	firstEventTimeout = 1000 * time.Millisecond
 	nextEventTimeout  = 800 * time.Millisecond
 	// firstByteTimeout is the timeout for the head of the response to an idempotent request,
-	// after which it is attempted at another endpoint. A sound endpoint may be silent for as
-	// long.
+	// after which it is attempted at another endpoint as soon as one has room. A sound
+	// endpoint may be silent for as long.
 	firstByteTimeout = 2 * time.Second
 	// briefRetry is the Retry-After of a rejection whose cause is brief.
 	briefRetry = 200 * time.Millisecond
--- a/forward/request.go
+++ b/forward/request.go
@@ -38,6 +38,9 @@
 	// version is the software version that began the stream; nil before its first event, and
 	// if it was begun elsewhere, before the first placement.
 	version *string
+	// replacement is the placement for the next attempt, obtained while the last one was
+	// overdue.
+	replacement Placement
 	// incomplete is set if an attempt may have run, but gave no complete response.
 	incomplete bool
 	// firstByte is when the first response of an endpoint that ran the request arrived.
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/standin"
 )
 
@@ -61,3 +62,32 @@
 		t.Errorf("status %d, complete %t, %d runs", a.status, a.complete, len(b.runs(id)))
 	}
 }
+
+// TestSilentEndpointThatGoesOnIsAwaited sends to an endpoint that falls silent before its
+// answer or in the middle of a stream, and goes on, while no other has room.
+func TestSilentEndpointThatGoesOnIsAwaited(t *testing.T) {
+	t.Parallel()
+	for name, one := range map[string]struct {
+		route  route.Route
+		events int
+		after  time.Duration
+		pause  time.Duration
+	}{
+		"stream not begun":       {resumable, 9, 0, 2 * time.Second},
+		"stream in its middle":   {resumable, 9, 100 * time.Millisecond, 2 * time.Second},
+		"idempotent not begun":   {idempotent, 0, 0, 2500 * time.Millisecond},
+		"stream silent at times": {resumable, 9, 100 * time.Millisecond, time.Second},
+	} {
+		b := newTestbed(t, one.route, 1, one.events)
+		b.replicas[0].Pace = 20 * time.Millisecond
+		if one.after == 0 {
+			b.replicas[0].Pause(one.pause)
+		} else {
+			time.AfterFunc(one.after, func() { b.replicas[0].Pause(one.pause) })
+		}
+		id, a := b.send(context.Background(), "", map[string]string{"X-Deadline-Ms": "5000"})
+		if a.status != http.StatusOK || !a.complete || len(b.runs(id)) != 1 {
+			t.Errorf("%s: status %d, complete %t, %d runs", name, a.status, a.complete, len(b.runs(id)))
+		}
+	}
+}
--- a/forward/try.go
+++ b/forward/try.go
@@ -56,7 +56,10 @@
 // be attempted again if it has attempts left.
 func (f *Forwarder) sendAttempt(ctx context.Context, req *request, lastEvent string) (*attempt, error) {
 	placementStarted := time.Now()
-	placement, err := f.opts.Placer.Place(ctx, req.placementRequest(placementStarted))
+	placement, err := req.takeReplacement(), error(nil)
+	if placement == nil {
+		placement, err = f.opts.Placer.Place(ctx, req.placementRequest(placementStarted))
+	}
 	now := time.Now()
 	if err != nil {
 		return nil, err
@@ -74,7 +77,9 @@
 	if lastEvent != "" {
 		platform.SetLastEvent(header, lastEvent)
 	}
-	a.watch = pace.Start(req.paceLimits(f.tokensPerEvent(e.Service)), placement.ReportStalled, a.cancel)
+	a.watch = pace.StartLenient(req.paceLimits(f.tokensPerEvent(e.Service)), placement.ReportStalled, func(overdue context.Context, w *pace.Watch) {
+		f.replace(overdue, req, w, a.cancel)
+	})
 	a.response, err = f.opts.Pool.Send(attemptCtx, e.ID, e.Address, &upstream.Call{
 		Method:     req.http.Method,
 		Target:     req.http.RequestURI,
--- a/pace/watch.go
+++ b/pace/watch.go
@@ -2,6 +2,7 @@
 package pace
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -43,20 +44,36 @@
 	limits    Limits
 	onStall   func()
 	onTimeout func()
+	// onOverdue takes the place of onTimeout in a watch of StartLenient.
+	onOverdue func(overdue context.Context, w *Watch)
 
 	mu           sync.Mutex
 	stallTimer   *time.Timer
 	timeoutTimer *time.Timer
 	timedOut     bool
 	stopped      bool
+	// endOverdue ends the context of onOverdue; nil unless a timeout is exceeded.
+	endOverdue context.CancelFunc
 }
 
 // Start monitors a call that begins now. It calls onStall when no event has come for
 // limits.Stall, and then again every stallReportInterval until one comes. It calls
 // onTimeout once if a timeout is exceeded.
 func Start(limits Limits, onStall, onTimeout func()) *Watch {
+	return (&Watch{limits: limits, onStall: onStall, onTimeout: onTimeout}).start()
+}
+
+// StartLenient monitors a call as Start does, but a call whose timeout is exceeded times out
+// only by GiveUp, so that it can go on if its endpoint does. It calls onOverdue in a
+// goroutine of its own when a timeout is exceeded, with a context that ends with the next
+// event or Stop.
+func StartLenient(limits Limits, onStall func(), onOverdue func(overdue context.Context, w *Watch)) *Watch {
+	return (&Watch{limits: limits, onStall: onStall, onOverdue: onOverdue}).start()
+}
+
+func (w *Watch) start() *Watch {
+	limits := &w.limits
 	limits.Stall = max(limits.Stall, minStall)
-	w := &Watch{limits: limits, onStall: onStall, onTimeout: onTimeout}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stallTimer = time.AfterFunc(limits.Stall, w.stallExpired)
@@ -73,6 +90,7 @@
 	if w.stopped || w.timedOut {
 		return
 	}
+	w.clearOverdue()
 	w.stallTimer.Reset(w.limits.Stall)
 	switch {
 	case w.timeoutTimer == nil:
@@ -83,6 +101,26 @@
 	}
 }
 
+// GiveUp makes a call time out that is overdue, unless an event has come meanwhile or the
+// watch has stopped. It reports whether it did.
+func (w *Watch) GiveUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.endOverdue == nil {
+		return false
+	}
+	w.timedOut = true
+	return true
+}
+
+// clearOverdue ends the context of onOverdue. Called with mu locked.
+func (w *Watch) clearOverdue() {
+	if w.endOverdue != nil {
+		w.endOverdue()
+		w.endOverdue = nil
+	}
+}
+
 // TimedOut reports whether the call has timed out.
 func (w *Watch) TimedOut() bool {
 	w.mu.Lock()
@@ -95,6 +133,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
+	w.clearOverdue()
 	w.stallTimer.Stop()
 	if w.timeoutTimer != nil {
 		w.timeoutTimer.Stop()
@@ -116,6 +155,14 @@
 func (w *Watch) timeoutExpired() {
 	w.mu.Lock()
 	expired := !w.stopped
+	if lenient := w.onOverdue != nil; expired && lenient {
+		w.clearOverdue()
+		overdue, end := context.WithCancel(context.Background())
+		w.endOverdue = end
+		w.mu.Unlock()
+		w.onOverdue(overdue, w)
+		return
+	}
 	w.timedOut = expired
 	w.mu.Unlock()
 	if expired {
--- a/pace/watch_test.go
+++ b/pace/watch_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -55,3 +56,36 @@
 		t.Errorf("a stall is reported after %s, want at most 400 ms", got)
 	}
 }
+
+// TestOverdueCallGoesOn takes a call that is overdue back with its next event, and ends one
+// that is overdue again.
+func TestOverdueCallGoesOn(t *testing.T) {
+	overdue := make(chan context.Context, 2)
+	w := StartLenient(Limits{First: 20 * time.Millisecond, Next: 20 * time.Millisecond}, func() {},
+		func(ctx context.Context, _ *Watch) { overdue <- ctx })
+	defer w.Stop()
+	if w.GiveUp() {
+		t.Error("a call timed out that was not overdue")
+	}
+	first := <-overdue
+	w.RecordEvent()
+	if await(t, "end of the first silence", first.Done()); w.TimedOut() {
+		t.Error("a call that went on timed out")
+	}
+	second := <-overdue
+	if !w.GiveUp() || !w.TimedOut() {
+		t.Error("a call that is overdue did not time out")
+	}
+	w.Stop()
+	if await(t, "end of the watch", second.Done()); w.GiveUp() {
+		t.Error("a stopped call timed out")
+	}
+}
+
+// TestNoTimeoutBehindTheFirstEvent has no timeout for further events.
+func TestNoTimeoutBehindTheFirstEvent(t *testing.T) {
+	w := Start(Limits{First: 20 * time.Millisecond}, func() {}, func() { t.Error("the call timed out") })
+	defer w.Stop()
+	w.RecordEvent()
+	time.Sleep(60 * time.Millisecond)
+}
