--- a/forward/ending.go
+++ b/forward/ending.go
@@ -21,6 +21,8 @@
 	streamNotResumed ending = "stream_not_resumed"
 	// deadlinePassed means that the deadline passed while the response was passed on.
 	deadlinePassed ending = "deadline_passed"
+	// hostShutDown means that the host had no more time to shut down.
+	hostShutDown ending = "host_shut_down"
 )
 
 // phase is how far a request was when it ended without a complete response.
--- /dev/null
+++ b/forward/endrequests_test.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/standin"
+)
+
+// TestRequestsAtTheEndOfTheGracePeriodAreAnswered ends the requests of a host that has no more
+// time to shut down.
+func TestRequestsAtTheEndOfTheGracePeriodAreAnswered(t *testing.T) {
+	t.Parallel()
+	for name, one := range map[string]struct {
+		route  route.Route
+		faults standin.ReplicaFaults
+		full   bool
+		status int
+		// retry is whether the answer says when to come again.
+		retry bool
+	}{
+		"waits for a place":      {atMostOnce, standin.ReplicaFaults{}, true, http.StatusServiceUnavailable, true},
+		"at an endpoint":         {atMostOnce, standin.ReplicaFaults{Silent: true}, false, http.StatusBadGateway, false},
+		"idempotent, may repeat": {idempotent, standin.ReplicaFaults{Silent: true}, false, http.StatusBadGateway, false},
+		"stream not begun":       {resumable, standin.ReplicaFaults{Silent: true}, false, http.StatusBadGateway, false},
+	} {
+		b := newTestbed(t, one.route, 2, 9)
+		b.placer.full = one.full
+		b.replicas[0].SetFaults(one.faults)
+		time.AfterFunc(100*time.Millisecond, b.forwarder.EndRequests)
+		_, a := b.send(context.Background(), "body", nil)
+		if a.status != one.status || !a.complete || (a.header.Get("Retry-After") != "") != one.retry {
+			t.Errorf("%s: status %d, complete %t, Retry-After %q", name, a.status, a.complete, a.header.Get("Retry-After"))
+		}
+	}
+}
+
+// TestStreamAtTheEndOfTheGracePeriodNamesItsCause breaks off a stream that has begun, as it
+// can't be answered otherwise.
+func TestStreamAtTheEndOfTheGracePeriodNamesItsCause(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, singleRunStream, 1, 9)
+	b.replicas[0].SetFaults(standin.ReplicaFaults{SilentAfter: 3})
+	time.AfterFunc(200*time.Millisecond, b.forwarder.EndRequests)
+	if _, a := b.send(context.Background(), "", nil); a.status != http.StatusOK || a.complete {
+		t.Errorf("status %d, complete %t", a.status, a.complete)
+	}
+	if got := b.endings(); len(got) != 1 || got[0].EndedBy != string(hostShutDown) || got[0].Phase != string(passingResponse) {
+		t.Errorf("%+v", got)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -21,13 +21,25 @@
 	bodies  *semaphore.Weighted
 	hedges  hedgeBudget
 	metrics *metrics
+	// closing ends with EndRequests.
+	closing context.Context
+	close   context.CancelFunc
 	// inFlight is the number of requests in flight.
 	inFlight atomic.Int64
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), metrics: newMetrics(o.Registerer)}
+	f := &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), metrics: newMetrics(o.Registerer)}
+	f.closing, f.close = context.WithCancel(context.Background())
+	return f
+}
+
+// EndRequests ends all requests that were read whole, those in flight and those to come: with
+// a refusal if they did not run, with status 502 if they may have run, and by breaking off
+// streams that have begun. It is for the end of a host's time to shut down.
+func (f *Forwarder) EndRequests() {
+	f.close()
 }
 
 // InFlight returns the number of requests in flight.
@@ -125,6 +137,7 @@
 	req.deadline = req.started.Add(timeout)
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
+	defer context.AfterFunc(f.closing, cancel)()
 	defer req.releaseReplacement()
 	_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(writeGrace))
 	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -46,6 +46,8 @@
 		f.respond(w, req, http.StatusBadGateway, "interrupted, it may have run")
 	case errors.As(err, &rejection):
 		f.reject(w, req, rejection)
+	case f.closing.Err() != nil:
+		f.reject(w, req, &Rejection{Reason: "the host shuts down", RetryAfter: briefRetry})
 	default:
 		f.reject(w, req, &Rejection{Reason: "no endpoint took the request", RetryAfter: briefRetry})
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -57,7 +57,11 @@
 		s.f.finishDisconnected(s.req)
 		return
 	}
-	s.f.abort(s.req, "stream interrupted and not resumed", interrupted(s.req.http.Context(), s.ctx, nil, streamNotResumed))
+	otherwise := streamNotResumed
+	if s.f.closing.Err() != nil {
+		otherwise = hostShutDown
+	}
+	s.f.abort(s.req, "stream interrupted and not resumed", interrupted(s.req.http.Context(), s.ctx, nil, otherwise))
 }
 
 // relay passes on the events of an attempt and reports whether the request has ended.
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -46,12 +46,18 @@
 	endpoints []*endpoint.Endpoint
 	// released receives the Usage of each placement that is released.
 	released chan Usage
+	// full makes requests wait until they end.
+	full bool
 }
 
-func (p *testPlacer) Place(_ context.Context, request *PlacementRequest) (Placement, error) {
+func (p *testPlacer) Place(ctx context.Context, request *PlacementRequest) (Placement, error) {
 	p.mu.Lock()
 	p.requests = append(p.requests, request)
 	p.mu.Unlock()
+	if p.full {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	for _, e := range p.endpoints {
 		if !slices.Contains(request.Avoid, e.ID) && (request.Version == nil || *request.Version == e.Version) {
 			return &testPlacement{placer: p, endpoint: e}, nil
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -15,11 +15,26 @@
 	// handOverTime is kept at the end of the grace period for what batch items
 	// have made: it goes to the ledger, and the host's record away.
 	handOverTime = 1500 * time.Millisecond
+	// lastPart is the part of the grace period before whose begin no request may be ended
+	// that an endpoint works on, lastPartMargin how much later they are. minHandOverTime is
+	// kept for what follows.
+	lastPart        = 1.0 / 6
+	lastPartMargin  = 100 * time.Millisecond
+	minHandOverTime = time.Second
+	// answerTime is the time in which requests that were ended get their answers.
+	answerTime = 250 * time.Millisecond
 )
 
+// requestTime returns how long after its beginning a drain waits for requests in flight.
+func requestTime(grace time.Duration) time.Duration {
+	untilLastPart := grace - time.Duration(lastPart*float64(grace)) + lastPartMargin
+	return min(max(grace-handOverTime, untilLastPart), grace-minHandOverTime)
+}
+
 // drain shuts down without cutting off a request: the host is no longer ready,
 // hands its duties over, asks clients to close their connections, and finishes
-// what is in progress. Batch items that don't end within drainNotice go on elsewhere.
+// what is in progress; what doesn't end in time is answered that it may have run, or not.
+// Batch items that don't end within drainNotice go on elsewhere.
 func (g *Gateway) drain() {
 	begun := time.Now()
 	g.ready.draining.Store(true)
@@ -28,13 +43,16 @@
 	g.client.AnnounceShutdown()
 	g.runner.Leave()
 	time.Sleep(drainNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-handOverTime))
-	defer cancel()
 	// From here on callers who come are turned away by a closed listener: batch items
 	// must not make that last, as another host goes on behind their last event.
 	g.client.Revoke()
-	if err := g.callers.http.Shutdown(ctx); err != nil {
-		_ = level.Error(g.logger).Log("event", "drain_incomplete", "requests", g.forwarder.InFlight(), "err", err)
+	end := begun.Add(requestTime(g.settings.Grace))
+	if !g.finishRequests(end) {
+		_ = level.Error(g.logger).Log("event", "drain_incomplete", "requests", g.forwarder.InFlight())
+		g.forwarder.EndRequests()
+		if !g.finishRequests(end.Add(answerTime)) {
+			_ = level.Error(g.logger).Log("event", "requests_cut", "requests", g.forwarder.InFlight())
+		}
 	}
 	over, stop := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-handOverTime/3))
 	defer stop()
@@ -43,3 +61,10 @@
 		_ = level.Warn(g.logger).Log("event", "host_record_left", "err", err)
 	}
 }
+
+// finishRequests waits until no request is in flight, and reports whether that is so by a time.
+func (g *Gateway) finishRequests(end time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	return g.callers.http.Shutdown(ctx) == nil
+}
