--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -119,6 +119,9 @@
 
 func listenOnce(t *testing.T, ip string) string {
 	t.Helper()
+	// A process that is started meanwhile would hold the listener for a moment.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		t.Fatal(err)
