--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -16,7 +16,10 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if the endpoint did not state it.
 	Length int64
+	// Via is the name of the host that made the call for this one, or "".
+	Via string
 
+	// exchange is the call on this host's own connection; nil if another host made it.
 	exchange *exchange
 	body     io.ReadCloser
 	// closeAfter is set if the connection can't be used after the response.
@@ -39,14 +42,23 @@
 	}
 }
 
+// NewRelayedResponse returns a response that another host, named via, passes on. Its body ends
+// with an error if it is not complete.
+func NewRelayedResponse(via string, status int, header http.Header, length int64, body io.ReadCloser) *Response {
+	return &Response{Status: status, Header: header, Length: length, Via: via, body: body}
+}
+
 // Read reads the body. It returns io.EOF only at the end of a complete body, and
-// ErrTruncated if the body ends early.
+// ErrTruncated or ErrPathLost if the body ends early.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if err == io.EOF {
 		r.complete = true
 		return n, io.EOF
 	}
+	if errors.Is(err, ErrPathLost) {
+		return n, err
+	}
 	if err != nil {
 		return n, errors.Wrap(ErrTruncated, err.Error())
 	}
@@ -62,6 +74,10 @@
 	}
 	r.closed = true
 	x := r.exchange
+	if x == nil {
+		_ = r.body.Close()
+		return false
+	}
 	// If the context has ended, the connection is closed or being closed already.
 	r.kept = x.detachContext() && r.complete && !r.closeAfter && x.requestWritten() && x.conn.reader.Buffered() == 0
 	idle := idleTime(r.Header)
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -4,7 +4,9 @@
 
 // Call is one request to an endpoint.
 type Call struct {
-	Method string
+	// Request is the id of the request.
+	Request string
+	Method  string
 	// Target is the path and query, byte for byte as the client sent them.
 	Target string
 	// Host is the Host header.
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -20,6 +20,8 @@
 	idleUntil time.Time
 	// sent counts the bytes written to the socket for the current call.
 	sent atomic.Int64
+	// began is when the attempt to open the connection began.
+	began time.Time
 	// reused is set if an earlier call used the connection.
 	reused bool
 }
--- a/upstream/options.go
+++ b/upstream/options.go
@@ -18,6 +18,11 @@
 	// IdlePerEndpoint is the maximum number of idle connections to one endpoint; zero
 	// means 32.
 	IdlePerEndpoint int
+	// OnConnection is called with the outcome of each attempt to open a connection to an
+	// endpoint, and the time at which it began: nil once a response, or for a probe some time
+	// without an end, has shown that the connection is one. It must not block; nil is not
+	// called.
+	OnConnection func(key string, began time.Time, err error)
 	// Registerer registers the pool's metrics; nil registers none.
 	Registerer prometheus.Registerer
 }
@@ -45,6 +50,9 @@
 	// maxForeignBytes bounds the body of a response that is discarded, in bytes. To
 	// read a larger one costs more than a new connection.
 	maxForeignBytes = 256 << 10
+	// probeWait is how long a probe waits for the end of its connection: a network may let
+	// connections be made, and reset them.
+	probeWait = 30 * time.Millisecond
 	// sweepInterval is the interval at which expired idle connections are closed.
 	sweepInterval = time.Second
 )
@@ -56,6 +64,9 @@
 	if o.KeepIdle == nil {
 		o.KeepIdle = func(string) bool { return true }
 	}
+	if o.OnConnection == nil {
+		o.OnConnection = func(string, time.Time, error) {}
+	}
 	if o.IdlePerEndpoint == 0 {
 		o.IdlePerEndpoint = defaultIdlePerEndpoint
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -63,6 +63,51 @@
 	closeAll(conns)
 }
 
+// CloseAllIdle closes the idle connections to all endpoints.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = make(map[string][]*connection)
+	p.mu.Unlock()
+	for _, conns := range all {
+		closeAll(conns)
+	}
+}
+
+// Probe opens a connection to an endpoint, waits whether it stays open, and closes it.
+func (p *Pool) Probe(ctx context.Context, key, address string) error {
+	began := time.Now()
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		defer func() { _ = conn.Close() }()
+		err = staysOpen(conn)
+	}
+	p.report(ctx, key, began, err)
+	return err
+}
+
+// staysOpen returns nil if a connection on which nothing was sent does not end within
+// probeWait.
+func staysOpen(conn net.Conn) error {
+	if err := conn.SetReadDeadline(time.Now().Add(probeWait)); err != nil {
+		return errors.Wrap(err, "set deadline")
+	}
+	_, err := conn.Read(make([]byte, 1))
+	var timeout net.Error
+	if err == nil || (errors.As(err, &timeout) && timeout.Timeout()) {
+		return nil
+	}
+	return errors.Wrap(err, "connection ended")
+}
+
+// report tells OnConnection the outcome of an attempt to open a connection. An attempt that the
+// caller gave up says nothing of the endpoint.
+func (p *Pool) report(ctx context.Context, key string, began time.Time, err error) {
+	if err == nil || ctx.Err() == nil {
+		p.opts.OnConnection(key, began, err)
+	}
+}
+
 // acquire returns a usable idle connection, or dials a new one.
 func (p *Pool) acquire(ctx context.Context, key, address string) (*connection, error) {
 	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
@@ -72,13 +117,26 @@
 		}
 		_ = c.Close()
 	}
+	began := time.Now()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		p.report(ctx, key, began, err)
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	c := newConnection(key, conn)
+	c.began = began
+	return c, nil
+}
+
+// dial connects to an address.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.metrics.dials.WithLabelValues("failed").Inc()
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, errors.Wrap(err, "connect")
 	}
 	p.metrics.dials.WithLabelValues("connected").Inc()
-	return newConnection(key, conn), nil
+	return conn, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -43,15 +43,16 @@
 	if len(call.Body) <= maxInlineBody {
 		x.write(req)
 		if x.writeErr != nil {
-			return nil, x.fail(x.writeErr)
+			return nil, x.fail(ctx, x.writeErr)
 		}
 	} else {
 		go x.write(req)
 	}
 	resp, err := x.awaitResponse(req, call)
 	if err != nil {
-		return nil, x.fail(err)
+		return nil, x.fail(ctx, err)
 	}
+	x.report(ctx, nil)
 	return newResponse(x, resp), nil
 }
 
@@ -157,7 +158,8 @@
 
 // fail closes the connection and returns err as ErrNotSent or ErrNoResponse, by whether
 // any byte of the request was sent.
-func (x *exchange) fail(err error) error {
+func (x *exchange) fail(ctx context.Context, err error) error {
+	x.report(ctx, err)
 	sent := x.conn.sent.Load() > 0
 	x.closeConn()
 	if !sent {
@@ -166,6 +168,13 @@
 	return errors.Wrap(ErrNoResponse, err.Error())
 }
 
+// report tells whether the connection carries responses, unless an earlier call showed it.
+func (x *exchange) report(ctx context.Context, err error) {
+	if !x.conn.reused {
+		x.pool.report(ctx, x.conn.key, x.conn.began, err)
+	}
+}
+
 // closeConn closes the connection without returning it to the pool.
 func (x *exchange) closeConn() {
 	x.detachContext()
