--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -117,7 +117,7 @@
 	}
 	var best *member
 	for _, m := range c.members {
-		if m.leaving || !m.canUseAny(now, v, free) {
+		if m.leaving || m.stranded || !m.canUseAny(now, v, free) {
 			continue
 		}
 		if best == nil || m.runningItems < best.runningItems || (m.runningItems == best.runningItems && m.name < best.name) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -271,8 +271,11 @@
 // is paused, so that no further work is lost at it if it has failed.
 func (c *Core) Stalled(now time.Time, id string) {
 	if t := c.tickets[id]; t != nil {
+		if m := c.members[t.host]; m != nil && m.stranded {
+			return
+		}
 		if until := now.Add(stallPause); until.After(t.endpoint.pausedUntil) {
-			t.endpoint.pausedUntil = until
+			t.endpoint.pausedUntil, t.endpoint.pausedBy = until, t.host
 		}
 	}
 }
@@ -297,11 +300,13 @@
 			v.observeFirst(u.First)
 		}
 	case Refused:
-		s.pause(now, refusedPause)
+		s.pause(now, refusedPause, t.host)
 	case Unreachable, Failed:
-		s.pause(now, failurePause)
+		if m := c.members[t.host]; m == nil || !m.stranded {
+			s.pause(now, failurePause, t.host)
+		}
 	case Misdirected, Leaving:
-		s.pause(now, maxPause)
+		s.pause(now, maxPause, t.host)
 	case Unread:
 		if m := c.members[t.host]; m != nil {
 			m.setUnread(now, s.ID)
@@ -316,6 +321,7 @@
 // Tick applies the deadlines and objectives of waiting requests, plans the batch items,
 // and requeues finished items whose result has been missing for Options.Settle.
 func (c *Core) Tick(now time.Time) {
+	c.releasePresumedDone(now)
 	for _, name := range c.serviceNames() {
 		c.refuseOrDemote(now, c.services[name])
 		c.planItems(now, c.services[name])
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -11,6 +11,9 @@
 	runningItems int
 	// leaving means that the host is shutting down and gets no new batch items.
 	leaving bool
+	// stranded means that the host reaches no endpoint itself: what it reports of endpoints
+	// says nothing of them, and it gets no items but those that it has output or input of.
+	stranded bool
 	// unread holds the endpoints that the host was given and had not read yet.
 	unread map[string]unreadEndpoint
 }
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -105,6 +105,9 @@
 	// unreadPause is how long a host gets no work at an endpoint whose record it has not
 	// read: hosts read the records within 300 ms of each other, and a read takes some time.
 	unreadPause = 400 * time.Millisecond
+	// strandedHolds is after how many mean times of a request the slots of those are released
+	// that were in progress at a host that lost its links.
+	strandedHolds = 2.0
 	// connectionIdleTimeout is how long an idle connection is expected to stay open:
 	// the ten seconds that endpoints announce, less a margin.
 	connectionIdleTimeout = 9 * time.Second
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -23,6 +23,8 @@
 	// gets no new work. failures counts consecutive failures.
 	pausedUntil time.Time
 	failures    int
+	// pausedBy is the host whose report began the last pause.
+	pausedBy string
 	// idleConnections maps hosts to the expiry times of their idle connections to this
 	// endpoint, oldest first.
 	idleConnections map[string][]time.Time
@@ -140,9 +142,10 @@
 
 // pause excludes the endpoint from new work after a failure. The pause starts at base
 // and doubles with consecutive failures, up to maxPause.
-func (s *endpointState) pause(now time.Time, base time.Duration) {
+func (s *endpointState) pause(now time.Time, base time.Duration, host string) {
 	d := min(base<<min(s.failures, 6), maxPause)
 	s.failures++
+	s.pausedBy = host
 	if until := now.Add(d); until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
--- a/scheduler/ticket.go
+++ b/scheduler/ticket.go
@@ -15,4 +15,7 @@
 	// revoked means that the host was sent a Revoke: it stops the item and releases the
 	// slot.
 	revoked bool
+	// presumedDone is when the slot of a request that its host may have lost is released; zero
+	// for others.
+	presumedDone time.Time
 }
--- a/slots/client.go
+++ b/slots/client.go
@@ -85,6 +85,8 @@
 	sent         sentLog
 	seq          uint64
 	shuttingDown bool
+	// stranded is what ReportStranded was last called with.
+	stranded bool
 	// crashes are the last reports of crashes, oldest first.
 	crashes []crashReport
 	// answers are what endpoints answered to this host of late.
@@ -280,6 +282,10 @@
 	if c.shuttingDown {
 		l.send(HostMessage{Leaving: true})
 	}
+	if c.stranded {
+		stranded := true
+		l.send(HostMessage{Stranded: &stranded})
+	}
 	for _, w := range c.pending {
 		l.send(HostMessage{Acquire: w.asOf(now)})
 	}
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -318,6 +318,9 @@
 	case len(m.Streams) > 0:
 		streams := m.Streams
 		l.enqueue(func(time.Time, *scheduler.Core) { l.origins.merge(streams) })
+	case m.Stranded != nil:
+		stranded := *m.Stranded
+		l.enqueue(func(now time.Time, c *scheduler.Core) { l.setStranded(now, host, stranded, c) })
 	case m.Leaving:
 		l.enqueue(func(_ time.Time, c *scheduler.Core) { c.SetLeaving(host) })
 	case len(m.Offers) > 0:
--- a/slots/message.go
+++ b/slots/message.go
@@ -16,6 +16,8 @@
 	Usage    *scheduler.Usage       `json:"use,omitempty"`
 	Withdraw string                 `json:"withdraw,omitempty"`
 	Leaving  bool                   `json:"leaving,omitempty"`
+	// Stranded tells whether the host reaches no endpoint itself.
+	Stranded *bool `json:"stranded,omitempty"`
 	// Stalled is the ticket of a use whose endpoint sends nothing.
 	Stalled string `json:"stalled,omitempty"`
 	// Crash reports a request that was in progress at an endpoint that crashed, Answers
