--- a/batch/options.go
+++ b/batch/options.go
@@ -49,7 +49,8 @@
 	// Offer sends items that this host has accepted to the scheduling host. It may be
 	// called with the ledger's lock held, so it must not call the Ledger.
 	Offer func([]scheduler.Offer)
-	Pool  *upstream.Pool
+	// Sender sends the items to endpoints.
+	Sender upstream.Sender
 	// Configuration returns the configuration in force, or nil if there is none yet.
 	Configuration func() *route.Configuration
 	// Endpoint returns an endpoint by its ID, or nil.
--- a/batch/run.go
+++ b/batch/run.go
@@ -34,7 +34,9 @@
 	// misplacedDelay is the pause before an item that can't be run yet is attempted again.
 	// unreadInputDelay is the pause if the store did not return the item's input: an
 	// outage lasts for seconds, and each attempt occupies a slot meanwhile.
-	misplacedDelay   = 250 * time.Millisecond
+	misplacedDelay = 250 * time.Millisecond
+	// cutOffDelay is the pause if this host reaches no endpoint, and no other host helps.
+	cutOffDelay      = 500 * time.Millisecond
 	unreadInputDelay = time.Second
 	// maxOutputBytes bounds the output of an item. A client reads at most 1 MB of results
 	// at a time.
@@ -160,7 +162,8 @@
 		platform.SetLastEvent(header, strconv.Itoa(x.events))
 	}
 	opts := &x.ledger.opts
-	response, err := opts.Pool.Send(ctx, x.endpoint.ID, x.endpoint.Address, &upstream.Call{
+	response, err := opts.Sender.Send(ctx, x.endpoint.ID, x.endpoint.Address, &upstream.Call{
+		Request:    x.item.ID,
 		Method:     http.MethodPost,
 		Target:     x.item.Path,
 		Host:       x.job.Submission.Host,
@@ -169,12 +172,19 @@
 		Matches:    platform.Answers(x.item.ID),
 		OnResponse: platform.Heads(platform.Leaving(x.endpoint, opts.OnLeaving), platform.Limit(x.endpoint, x.item.ID, clock.Now(), opts.OnLimit)),
 	})
-	if err != nil {
-		outcome := scheduler.Failed
-		if errors.Is(err, upstream.ErrNotSent) {
-			outcome = scheduler.Unreachable
-		}
-		x.abort(ctx, outcome, err)
+	switch {
+	case err == nil:
+	case errors.Is(err, upstream.ErrCutOff):
+		x.endRun("cut-off", err.Error(), scheduler.Usage{Outcome: scheduler.Abandoned, Delay: cutOffDelay, TokensDone: x.tokenCount()})
+		return
+	case errors.Is(err, upstream.ErrNotSent):
+		x.abort(ctx, scheduler.Unreachable, err)
+		return
+	case errors.Is(err, upstream.ErrPathLost):
+		x.abort(ctx, scheduler.Abandoned, err)
+		return
+	default:
+		x.abort(ctx, scheduler.Failed, err)
 		return
 	}
 	defer response.Close()
@@ -203,7 +213,11 @@
 				x.recordResult(response.Close())
 				return
 			}
-			x.abort(ctx, scheduler.Failed, err)
+			outcome := scheduler.Failed
+			if errors.Is(err, upstream.ErrPathLost) {
+				outcome = scheduler.Abandoned
+			}
+			x.abort(ctx, outcome, err)
 			return
 		}
 		if len(block.Events) > 0 {
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -32,7 +32,7 @@
 		OnLimit:   func(endpoint.Incarnation, float64, time.Time) {},
 
 		HasRateLimit: func(*endpoint.Endpoint) bool { return false },
-		Pool:         upstream.NewPool(upstream.Options{}), Logger: log.NewNopLogger(),
+		Sender:       upstream.NewPool(upstream.Options{}), Logger: log.NewNopLogger(),
 		Configuration: testConfiguration, CacheBytes: 1 << 20,
 		Endpoint: func(id string) *endpoint.Endpoint {
 			return &endpoint.Endpoint{ID: id, Service: "engine", Address: replica.Address(), State: endpoint.Ready}
--- a/cli/routesstatus.go
+++ b/cli/routesstatus.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,10 @@
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving"`
+	// Stranded hosts reach no endpoint; others make their calls. Helps is how many calls a host
+	// made for others when its record was written.
+	Stranded bool `json:"stranded"`
+	Helps    int  `json:"helps"`
 }
 
 func newRoutesStatus(c *connection) *cobra.Command {
@@ -36,7 +41,8 @@
 		Short: "Show the configuration's version, the hosts and the endpoints in the store",
 		Long: `Show the configuration's version, the hosts and the endpoints in the store. Hosts
 stand in the order in which they schedule. A host that was killed keeps its record
-until it starts again; the log of the scheduling host says who takes part.`,
+until it starts again; the log of the scheduling host says who takes part. A stranded
+host reaches no endpoint: others, which help it, make its calls.`,
 		Example: "  peridotmount routes status --store 10.0.0.5:7001",
 		Args:    usage(cobra.NoArgs),
 	}
@@ -48,8 +54,9 @@
 		}
 		t := &table{headings: []string{"KIND", "NAME", "ZONE", "STATE", "SERVICE", "SLOTS", "ADDRESS"}}
 		t.add("configuration", strconv.FormatInt(s.Version, 10), "", "", "", "", "")
-		for _, h := range s.Hosts {
-			t.add("host", h.Name, h.Zone, stateName(h.Leaving), "", "", h.Address)
+		for i := range s.Hosts {
+			h := &s.Hosts[i]
+			t.add("host", h.Name, h.Zone, h.state(), "", "", h.Address)
 		}
 		for i := range s.Endpoints {
 			e := &s.Endpoints[i]
@@ -63,6 +70,18 @@
 	return cmd
 }
 
+// state describes a host in the table.
+func (h *routesHost) state() string {
+	state := stateName(h.Leaving)
+	if h.Stranded {
+		state += ", stranded"
+	}
+	if h.Helps > 0 {
+		state += fmt.Sprintf(", helps with %d calls", h.Helps)
+	}
+	return state
+}
+
 func stateName(leaving bool) string {
 	if leaving {
 		return "leaving"
@@ -118,7 +137,7 @@
 		order.Put(noTime, records[i].Offset, h)
 	}
 	for _, h := range order.Hosts() {
-		s.Hosts = append(s.Hosts, routesHost{Name: h.Name, Zone: h.Zone, Address: h.Address, Leaving: h.Leaving})
+		s.Hosts = append(s.Hosts, routesHost{Name: h.Name, Zone: h.Zone, Address: h.Address, Leaving: h.Leaving, Stranded: h.Stranded, Helps: h.Helps})
 	}
 }
 
--- a/forward/options.go
+++ b/forward/options.go
@@ -16,7 +16,8 @@
 type Options struct {
 	Configuration Configuration
 	Placer        Placer
-	Pool          *upstream.Pool
+	// Sender sends the calls to endpoints.
+	Sender upstream.Sender
 	// Started opens when the host knows a configuration and the endpoints. Requests wait
 	// for it.
 	Started *startup.Gate
@@ -78,6 +79,9 @@
 	firstByteTimeout = 2 * time.Second
 	// briefRetry is the Retry-After of a rejection whose cause is brief.
 	briefRetry = 200 * time.Millisecond
+	// cutOffRetry is the Retry-After of a host that reaches no endpoint and finds no other host
+	// that helps. A client that comes back then may reach another host.
+	cutOffRetry = 500 * time.Millisecond
 	// startupRetry is the Retry-After of a host whose configuration is not known, or may be
 	// stale.
 	startupRetry = 500 * time.Millisecond
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -17,6 +17,12 @@
 	OutcomeMisdirected Outcome = "misdirected"
 	// OutcomeNotSent means that no byte of the request was sent.
 	OutcomeNotSent Outcome = "not-sent"
+	// OutcomeCutOff means that this host reaches no endpoint and no other host helped, so that no
+	// byte of the request was sent.
+	OutcomeCutOff Outcome = "cut-off"
+	// OutcomePathLost means that the host that made the call for this one was lost before the
+	// response was complete.
+	OutcomePathLost Outcome = "path-lost"
 	// OutcomeUnknown means that no response shows whether the request ran.
 	OutcomeUnknown Outcome = "unknown"
 	// OutcomeTruncated means that the response ended early, left events out or could not be
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/upstream"
 )
 
 // servePlain forwards a request whose response is no event stream.
@@ -65,6 +66,8 @@
 		outcome = OutcomeHedgeLost
 	case ctx.Err() != nil:
 		outcome = OutcomeAbandoned
+	case errors.Is(err, upstream.ErrPathLost):
+		outcome = OutcomePathLost
 	}
 	req.setIncomplete()
 	f.recordAttempt(req, a, outcome, err.Error())
--- a/forward/request.go
+++ b/forward/request.go
@@ -35,6 +35,8 @@
 	attempted []string
 	// versions are the software versions of these endpoints, for the log.
 	versions []string
+	// vias are the hosts that made calls for this one.
+	vias []string
 	// version is the software version that began the stream; nil before its first event, and
 	// if it was begun elsewhere, before the first placement.
 	version *string
@@ -125,6 +127,16 @@
 	r.placementWait += waited
 }
 
+// addVia records the host that made a call for this one, if any.
+func (r *request) addVia(host string) {
+	if host == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.vias = append(r.vias, host)
+}
+
 // setFirstByte records when the first response arrived.
 func (r *request) setFirstByte(now time.Time) {
 	r.mu.Lock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/sse"
+	"github.com/peridotmount/peridotmount/upstream"
 )
 
 // serveStream forwards a request whose response is an event stream. If the stream
@@ -89,6 +90,8 @@
 		outcome = OutcomeAbandoned
 	case a.watch.TimedOut():
 		outcome = OutcomeTimedOut
+	case errors.Is(err, upstream.ErrPathLost):
+		outcome = OutcomePathLost
 	}
 	s.req.setIncomplete()
 	s.f.recordAttempt(s.req, a, outcome, err.Error())
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -117,7 +117,7 @@
 	f := New(Options{
 		Configuration: b.config,
 		Placer:        b.placer,
-		Pool:          upstream.NewPool(upstream.Options{}),
+		Sender:        upstream.NewPool(upstream.Options{}),
 		Started:       b.started,
 		OnLeaving:     func(i endpoint.Incarnation) { b.leaving <- i },
 		OnBegun:       b.recordBegun,
--- a/forward/try.go
+++ b/forward/try.go
@@ -80,7 +80,8 @@
 	a.watch = pace.StartLenient(req.paceLimits(f.tokensPerEvent(e.Service)), placement.ReportStalled, func(overdue context.Context, w *pace.Watch) {
 		f.replace(overdue, req, w, a.cancel)
 	})
-	a.response, err = f.opts.Pool.Send(attemptCtx, e.ID, e.Address, &upstream.Call{
+	a.response, err = f.opts.Sender.Send(attemptCtx, e.ID, e.Address, &upstream.Call{
+		Request:    req.ID,
 		Method:     req.http.Method,
 		Target:     req.http.RequestURI,
 		Host:       req.http.Host,
@@ -91,8 +92,12 @@
 	})
 	if err != nil {
 		f.endWithError(ctx, req, a, err)
+		if errors.Is(err, upstream.ErrCutOff) {
+			return nil, &Rejection{Reason: upstream.ErrCutOff.Error(), RetryAfter: cutOffRetry, Inputs: err.Error()}
+		}
 		return nil, nil
 	}
+	req.addVia(a.response.Via)
 	a.usage.TimeToFirstByte = time.Since(now)
 	return f.classify(req, a), nil
 }
@@ -109,6 +114,8 @@
 func (f *Forwarder) endWithError(ctx context.Context, req *request, a *attempt, err error) {
 	outcome := OutcomeUnknown
 	switch {
+	case errors.Is(err, upstream.ErrCutOff):
+		outcome = OutcomeCutOff
 	case errors.Is(err, upstream.ErrNotSent):
 		outcome = OutcomeNotSent
 	case errors.Is(context.Cause(ctx), errHedgeLost):
@@ -117,8 +124,10 @@
 		outcome = OutcomeAbandoned
 	case a.watch.TimedOut():
 		outcome = OutcomeTimedOut
+	case errors.Is(err, upstream.ErrPathLost):
+		outcome = OutcomePathLost
 	}
-	if outcome == OutcomeNotSent {
+	if outcome == OutcomeNotSent || outcome == OutcomeCutOff {
 		req.countRefusal()
 	} else {
 		req.countRun(true)
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -12,6 +12,13 @@
 	// of a request.
 	callersMemory   = 0.3
 	connectionBytes = 32 << 10
+	// detourDescriptors and detourMemory are the parts of the descriptors and of the memory for
+	// calls made for hosts that reach no endpoint, of two connections and detourCallBytes each.
+	detourDescriptors = 0.1
+	detourMemory      = 0.08
+	detourCallBytes   = 48 << 10
+	// detourBodyShare is the part of the memory that the bodies of these calls may take.
+	detourBodyShare = 0.04
 )
 
 // callersConnections returns how many connections callers may have open, by what the
@@ -20,3 +27,10 @@
 	byMemory := int(float64(memory) * callersMemory / connectionBytes)
 	return max(1, min(int(float64(descriptors)*callersDescriptors), byMemory))
 }
+
+// detourCalls returns how many calls a host makes for others at the same time, by what the
+// process may use.
+func detourCalls(descriptors int, memory int64) int {
+	byMemory := int(float64(memory) * detourMemory / detourCallBytes)
+	return max(1, min(int(float64(descriptors)*detourDescriptors)/2, byMemory))
+}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -30,8 +29,9 @@
 // off: where a process has ended, its port refuses connections.
 type crashDetector struct {
 	logger log.Logger
-	// dial connects to an address.
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// dial connects to an endpoint and closes the connection. The error is
+	// syscall.ECONNREFUSED only if other endpoints are reached.
+	dial func(ctx context.Context, e *endpoint.Endpoint) error
 	// report is called with each request that a crash broke off.
 	report func(blame.Crash)
 	// view returns the endpoints known.
@@ -44,9 +44,9 @@
 	crashed *recent.Set
 }
 
-func newCrashDetector(logger log.Logger, r prometheus.Registerer, view func() *endpoint.View, report func(blame.Crash)) *crashDetector {
+func newCrashDetector(logger log.Logger, r prometheus.Registerer, view func() *endpoint.View, dial func(context.Context, *endpoint.Endpoint) error, report func(blame.Crash)) *crashDetector {
 	d := &crashDetector{
-		logger: logger, dial: (&net.Dialer{Timeout: probeTimeout}).DialContext, report: report, view: view,
+		logger: logger, dial: dial, report: report, view: view,
 		crashed: recent.NewSet(maxCrashedKept),
 	}
 	d.crashes = prometheus.NewCounter(prometheus.CounterOpts{
@@ -85,10 +85,9 @@
 		return true
 	}
 	crashed, _, _ := d.probes.Do(run, func() (any, error) {
-		conn, err := d.dial(context.Background(), "tcp", e.Address)
-		if err == nil {
-			_ = conn.Close()
-		}
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		err := d.dial(ctx, e)
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return false, nil
 		}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
 )
@@ -37,6 +39,15 @@
 	return l.Addr().String(), accepted, func() { _ = l.Close() }
 }
 
+// dialEndpoint connects to an endpoint and closes the connection.
+func dialEndpoint(ctx context.Context, e *endpoint.Endpoint) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.Address)
+	if err == nil {
+		err = conn.Close()
+	}
+	return err
+}
+
 // TestOnlyEndedProcessesCountAsCrashed breaks requests off at an endpoint that lives, at one
 // whose process has ended, and at one that left as announced: only the second has crashed,
 // and it is reported with each request, after one connection attempt per request at most.
@@ -50,7 +61,7 @@
 	}
 	reports := make(chan blame.Crash, 16)
 	d := newCrashDetector(log.NewNopLogger(), prometheus.NewRegistry(),
-		func() *endpoint.View { return endpoint.NewView(endpoints) }, func(c blame.Crash) { reports <- c })
+		func() *endpoint.View { return endpoint.NewView(endpoints) }, dialEndpoint, func(c blame.Crash) { reports <- c })
 	for i := range endpoints {
 		for n := range 3 {
 			before := endpoints[i]
@@ -99,8 +110,8 @@
 	} {
 		reports := make(chan blame.Crash, 1)
 		d := newCrashDetector(log.NewNopLogger(), prometheus.NewRegistry(),
-			func() *endpoint.View { return endpoint.NewView([]endpoint.Endpoint{*e}) }, func(r blame.Crash) { reports <- r })
-		p := &watchedPlace{Placement: &fakePlacement{endpoint: e}, crashes: d, request: "r", keys: []blame.Key{"part:x"}}
+			func() *endpoint.View { return endpoint.NewView([]endpoint.Endpoint{*e}) }, dialEndpoint, func(r blame.Crash) { reports <- r })
+		p := &watchedPlace{Placement: &fakePlacement{endpoint: e}, crashes: d, links: detour.New(detour.Options{}).Links(), request: "r", keys: []blame.Key{"part:x"}}
 		p.Release(c.use)
 		select {
 		case r := <-reports:
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -57,6 +57,7 @@
 	over, stop := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-handOverTime/3))
 	defer stop()
 	g.runner.Wait(over)
+	g.helper.Wait(over)
 	if err := g.registrar.Remove(over); err != nil {
 		_ = level.Warn(g.logger).Log("event", "host_record_left", "err", err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/peridotmount/peridotmount/batch"
 	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
@@ -92,19 +93,22 @@
 	directoryFeed  *follow.Follower
 	registrar      *peers.Registrar
 	pool           *upstream.Pool
-	client         *slots.Client
-	scheduler      *slots.LocalScheduler
-	ledger         *batch.Ledger
-	runner         *batch.Runner
-	forwarder      *forward.Forwarder
-	balancer       *balance.Balancer
-	pacers         *hostPacers
-	ready          *readiness
-	starting       *starting
-	callers        *listener
-	operators      *listener
-	reloader       *reloader
-	peers          *listener
+	// sender sends calls to endpoints, helper makes those of other hosts.
+	sender    *detour.Sender
+	helper    *detour.Server
+	client    *slots.Client
+	scheduler *slots.LocalScheduler
+	ledger    *batch.Ledger
+	runner    *batch.Runner
+	forwarder *forward.Forwarder
+	balancer  *balance.Balancer
+	pacers    *hostPacers
+	ready     *readiness
+	starting  *starting
+	callers   *listener
+	operators *listener
+	reloader  *reloader
+	peers     *listener
 	// control is nil unless the settings name its address.
 	control *listener
 	// asker asks other hosts what they know.
@@ -152,6 +156,7 @@
 	g.listenerMetrics = bounded.NewVectors(g.registry)
 	g.endedConnections = disconnect.NewCounter(g.registry)
 	g.buildBeliefs()
+	g.buildSending()
 	g.buildScheduling()
 	g.buildJobs()
 	g.buildPath()
@@ -207,6 +212,49 @@
 	})
 }
 
+// buildSending makes what sends calls to endpoints.
+func (g *Gateway) buildSending() {
+	g.pool = upstream.NewPool(upstream.Options{
+		KeepIdle: g.endpoints.TakesWork, Registerer: g.registry,
+		OnConnection: func(id string, began time.Time, err error) { g.sender.Links().Dialed(id, began, err) },
+	})
+	calls := detourCalls(g.settings.Descriptors, int64(g.settings.Memory))
+	g.sender = detour.New(detour.Options{
+		Self: g.self,
+		Pool: g.pool,
+		Peers: &http.Transport{
+			DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableCompression: true,
+			MaxIdleConnsPerHost: calls, MaxResponseHeaderBytes: headerBytes,
+		},
+		Hosts:        g.directory.Hosts,
+		Endpoint:     func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
+		OnResponse:   g.observeResponse,
+		OnStranded:   g.stranded,
+		Draining:     g.ready.Draining,
+		MaxCalls:     int64(calls),
+		MaxBodyBytes: int64(float64(g.settings.Memory) * detourBodyShare),
+		Logger:       g.logger,
+		Registerer:   g.registry,
+	})
+	g.helper = detour.NewServer(g.sender)
+	g.registrar.ReportHelps(g.helper.InProgress)
+}
+
+// observeResponse returns a function that takes what the head of each response of an endpoint
+// says of the endpoint. The request was sent at the given time.
+func (g *Gateway) observeResponse(e *endpoint.Endpoint, request string, sent time.Time) func(status int, header http.Header) {
+	return platform.Heads(platform.Leaving(e, g.endpointLeaves), platform.Limit(e, request, sent, g.limits.Answered))
+}
+
+// stranded handles that the host lost its links to all endpoints, or has them again.
+func (g *Gateway) stranded(stranded bool) {
+	g.registrar.SetStranded(stranded)
+	g.client.ReportStranded(stranded)
+	if stranded {
+		g.balancer.Reset()
+	}
+}
+
 // buildScheduling makes what decides where generations run.
 func (g *Gateway) buildScheduling() {
 	g.client, g.scheduler = slots.NewClient(slots.Options{
@@ -220,7 +268,7 @@
 			MaxResponseHeaderBytes: headerBytes,
 		}},
 		Runner: func(ctx context.Context, s *scheduler.Start, slot slots.RunnerSlot) {
-			g.runner.Run(ctx, s, slot)
+			g.runner.Run(ctx, s, &watchedSlot{RunnerSlot: slot, links: g.sender.Links()})
 		},
 		ResumableItems:   func() []scheduler.Resumable { return g.ledger.ResumableItems() },
 		Offers:           func() []scheduler.Offer { return g.ledger.Offers() },
@@ -245,7 +293,6 @@
 
 // buildJobs makes what serves batch jobs.
 func (g *Gateway) buildJobs() {
-	g.pool = upstream.NewPool(upstream.Options{KeepIdle: g.endpoints.TakesWork, Registerer: g.registry})
 	g.ledger = batch.NewLedger(batch.Options{
 		Writer:          g.self.Name + "." + g.self.Incarnation,
 		Host:            g.self.Name,
@@ -255,7 +302,7 @@
 		AppendTime:      g.store.AppendTime,
 		Scheduler:       g.scheduler,
 		Offer:           g.client.Offer,
-		Pool:            g.pool,
+		Sender:          g.sender,
 		Configuration:   g.configuration.Current,
 		Endpoint:        func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
 		OnLeaving:       g.endpointLeaves,
@@ -279,10 +326,11 @@
 			configuration: g.configuration, endpoints: g.endpoints, balancer: g.balancer, pacers: g.pacers, client: g.client, origins: g.origins,
 			convictions: g.convictions.list,
 			logger:      g.logger,
-			crashes:     newCrashDetector(g.logger, g.registry, g.endpoints.View, g.client.ReportCrash),
+			crashes:     newCrashDetector(g.logger, g.registry, g.endpoints.View, g.sender.Dial, g.client.ReportCrash),
+			links:       g.sender.Links(),
 			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
-		Pool:       g.pool,
+		Sender:     g.sender,
 		Started:    g.starting.gate,
 		OnLeaving:  g.endpointLeaves,
 		OnLimit:    g.limits.Answered,
@@ -318,6 +366,7 @@
 			g.pacers.forget(changes[i].Before.ID)
 		}
 	}
+	g.sender.Links().SetEndpoints(view.AllReady())
 	g.schedule(g.configuration.Current(), view)
 }
 
@@ -376,5 +425,5 @@
 	return append(g.listeners(),
 		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.limits, g.notes, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
 		g.ledger.Follower(), batch.NewCheckpoints(g.ledger), &janitor{host: g.self.Name, client: g.client, ledger: g.ledger},
-		g.scheduler, g.client, g.pool)
+		g.scheduler, g.client, g.pool, g.sender.Links())
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/peridotmount/peridotmount/bounded"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/httpjson"
 	"github.com/peridotmount/peridotmount/relay"
@@ -105,6 +106,8 @@
 	own := http.NewServeMux()
 	own.Handle("POST "+slots.SessionPath, slots.NewServer(g.scheduler, g.self.Token, g.logger))
 	own.Handle(relay.Path+"/", httpjson.RequireSecret(g.self.Token, relay.NewServer(g.relay)))
+	own.Handle("POST "+detour.CallPath, httpjson.RequireSecret(g.self.Token, http.HandlerFunc(g.helper.ServeCall)))
+	own.Handle("POST "+detour.ProbePath, httpjson.RequireSecret(g.self.Token, http.HandlerFunc(g.helper.ServeProbe)))
 	mux := http.NewServeMux()
 	mux.Handle("GET /ready", g.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -6,13 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/balance"
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -50,6 +50,7 @@
 	origins       *origins
 	convictions   *blame.List
 	crashes       *crashDetector
+	links         *detour.Links
 	logger        log.Logger
 	// age returns how old the picture of the endpoints is.
 	age func() time.Duration
@@ -70,7 +71,7 @@
 		place.Release(forward.Usage{Outcome: forward.OutcomeAbandoned})
 		return nil, err
 	}
-	return &watchedPlace{Placement: place, client: p.client, crashes: p.crashes, request: ask.Request, keys: keys}, nil
+	return &watchedPlace{Placement: place, client: p.client, crashes: p.crashes, links: p.links, request: ask.Request, keys: keys}, nil
 }
 
 // convicted returns a refusal if requests with some of these keys crash endpoints.
@@ -324,7 +325,7 @@
 		return scheduler.Misdirected
 	case forward.OutcomeNotSent:
 		return scheduler.Unreachable
-	case forward.OutcomeAbandoned:
+	case forward.OutcomeAbandoned, forward.OutcomeCutOff, forward.OutcomePathLost:
 		return scheduler.Abandoned
 	default:
 		return scheduler.Failed
--- a/gateway/watchedplace.go
+++ b/gateway/watchedplace.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/forward"
 	"github.com/peridotmount/peridotmount/slots"
 )
@@ -12,6 +13,7 @@
 	forward.Placement
 	client  *slots.Client
 	crashes *crashDetector
+	links   *detour.Links
 	// request is the request's id.
 	request string
 	keys    []blame.Key
@@ -23,6 +25,12 @@
 	p.Placement.ReportResponding()
 }
 
+// ReportStalled implements forward.Placement.
+func (p *watchedPlace) ReportStalled() {
+	p.links.Suspect()
+	p.Placement.ReportStalled()
+}
+
 // Release implements forward.Placement.
 func (p *watchedPlace) Release(use forward.Usage) {
 	switch use.Outcome {
@@ -31,6 +39,7 @@
 			p.client.RecordAnswered(p.keys)
 		}
 	case forward.OutcomeUnknown, forward.OutcomeTruncated:
+		p.links.Suspect()
 		keys := p.keys
 		if use.Responding {
 			keys = nil
