--- a/detour/options.go
+++ b/detour/options.go
@@ -9,7 +9,6 @@
 
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/peers"
-	"github.com/peridotmount/peridotmount/upstream"
 )
 
 // Options configures a Sender, its Links and the Server of the same host.
@@ -17,7 +16,7 @@
 	// Self identifies this host, its zone and region.
 	Self peers.Host
 	// Pool sends calls over this host's own links.
-	Pool *upstream.Pool
+	Pool Pool
 	// Peers is the transport for calls to other hosts.
 	Peers http.RoundTripper
 	// Hosts returns the known hosts, including this one.
@@ -60,6 +59,9 @@
 	// slowPause: the helper may be frozen.
 	slowAfter = 600 * time.Millisecond
 	slowPause = 600 * time.Millisecond
+	// suspectAfter is the time without a response to a call of a Transport after which this
+	// host's own links are looked into.
+	suspectAfter = 500 * time.Millisecond
 	// waitTick is the time between two looks whether calls are in progress.
 	waitTick = 20 * time.Millisecond
 	// maxHeadBytes bounds the JSON head of a call and of its response, in bytes.
--- a/detour/sender.go
+++ b/detour/sender.go
@@ -44,17 +44,25 @@
 // stranded, another host makes the call. Errors are ErrNotSent, ErrCutOff, ErrNoResponse and
 // ErrPathLost of package upstream.
 func (s *Sender) Send(ctx context.Context, id, address string, call *upstream.Call) (*upstream.Response, error) {
-	if s.links.direct() {
-		resp, err := s.opts.Pool.Send(ctx, id, address, call)
-		if err == nil || !errors.Is(err, upstream.ErrNotSent) || ctx.Err() != nil || s.links.Connected() {
+	return choosePath(ctx, s.links, id,
+		func() (*upstream.Response, error) { return s.opts.Pool.Send(ctx, id, address, call) },
+		func() (*upstream.Response, error) { return s.sendThroughHelper(ctx, id, call) })
+}
+
+// choosePath sends a call to the endpoint with an id, over this host's own links by direct, or
+// through another host by indirect.
+func choosePath[R any](ctx context.Context, links *Links, id string, direct, indirect func() (R, error)) (R, error) {
+	if links.direct() {
+		resp, err := direct()
+		if err == nil || !errors.Is(err, upstream.ErrNotSent) || ctx.Err() != nil || links.Connected() {
 			return resp, err
 		}
 		// This host lost its links while it tried to connect.
 	}
-	resp, err := s.sendThroughHelper(ctx, id, call)
-	if errors.Is(err, upstream.ErrCutOff) && !s.links.failedLately(id) {
+	resp, err := indirect()
+	if errors.Is(err, upstream.ErrCutOff) && !links.failedLately(id) {
 		// Nobody helps; few endpoints may be left that all hosts reach.
-		if resp, direct := s.opts.Pool.Send(ctx, id, address, call); !errors.Is(direct, upstream.ErrNotSent) {
+		if resp, direct := direct(); !errors.Is(direct, upstream.ErrNotSent) {
 			return resp, direct
 		}
 	}
