--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -201,6 +201,9 @@
 	if a.stream != nil || errors.Is(err, engine.ErrBroken) {
 		x.mayHaveRun = true
 	}
+	if errors.Is(err, engine.ErrBroken) {
+		x.d.suspectLinks()
+	}
 	x.record("failed", a.host.Name, err.Error())
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,9 @@
 // New returns a Dispatcher whose policy has defaults for the values left zero.
 func New(opts Options) *Dispatcher {
 	opts.Policy = opts.Policy.withDefaults()
+	if opts.Prober == nil {
+		opts.Prober = &http.Client{Transport: &http.Transport{}}
+	}
 	return &Dispatcher{
 		opts:    opts,
 		router:  newRouter(opts.View, opts.Admits, routing.Options{Zone: opts.Zone, Region: opts.Region, Seed: opts.Seed}),
--- a/dispatch/guarded.go
+++ b/dispatch/guarded.go
@@ -10,9 +10,10 @@
 
 	"github.com/peridotmount/peridotmount/engine"
 	"github.com/peridotmount/peridotmount/objects"
+	"github.com/peridotmount/peridotmount/platform"
 )
 
-// probeTimeout limits the probe whether an endpoint is still serving.
+// probeTimeout limits the probe whether an endpoint is still serving, or out of order.
 const probeTimeout = 500 * time.Millisecond
 
 // FingerprintOf returns the fingerprint of a request: a hash of its parts with zero
@@ -59,23 +60,27 @@
 	if x.d.opts.Guard == nil || ctx.Err() != nil || !errors.Is(err, engine.ErrBroken) {
 		return false
 	}
-	return !isServing(ctx, a.host.Address)
+	return x.d.hasDied(ctx, &a.host)
 }
 
-// prober opens a new connection for each probe.
-var prober = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// hasDied reports whether no process serves at an endpoint, though this host's links are sound.
+func (d *Dispatcher) hasDied(ctx context.Context, h *platform.Host) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return !d.isServing(ctx, h.Address) && d.endpointFailed(ctx, h.Name)
+}
 
 // isServing reports whether a process still serves HTTP at an address. A probe
-// that times out counts as serving, since the process may be paused. An accepted
+// that ctx ends counts as serving, since the process may be paused. An accepted
 // connection alone is not enough: a dying process may close its listener last.
-func isServing(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+func (d *Dispatcher) isServing(ctx context.Context, address string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return false
 	}
-	resp, err := prober.Do(req)
+	// A kept connection would break with a process that has been replaced since.
+	req.Close = true
+	resp, err := d.opts.Prober.Do(req)
 	if err != nil {
 		return ctx.Err() != nil
 	}
--- a/dispatch/lag.go
+++ b/dispatch/lag.go
@@ -63,6 +63,7 @@
 // allows a move.
 func (d *lagDetector) fire() {
 	x := d.attempt.exec
+	x.d.suspectLinks()
 	waited := max(minTokenTimeout, tokenTimeoutFactor*x.d.router.medianToken())
 	x.d.router.recordTimes(x.pool, d.attempt.host.Name, admission.Times{TokenMicros: waited.Microseconds()})
 	if !x.d.hedges.withdraw(x.call.Service.Name) {
--- a/dispatch/leg.go
+++ b/dispatch/leg.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/admission"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/engine"
 	"github.com/peridotmount/peridotmount/platform"
 )
@@ -43,7 +44,7 @@
 // launch starts a stream in the background and sends its first frame on result,
 // whose buffer must have room for it.
 func (x *execution) launch(ctx context.Context, id string, host platform.Host, ticket *admission.Ticket, result chan<- openResult) *attempt {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(detour.WithRequest(ctx, x.call.RequestID))
 	a := &attempt{exec: x, id: id, host: host, ticket: ticket, started: time.Now(), cancel: cancel}
 	a.lag = newLagDetector(a)
 	d := x.d
@@ -63,6 +64,7 @@
 
 func (a *attempt) onStall() {
 	a.stalled.Store(true)
+	a.exec.d.suspectLinks()
 	a.cancel()
 }
 
--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/engine"
@@ -18,6 +20,22 @@
 	case errors.Is(err, engine.ErrLeaving):
 		d.opts.Observe(h.Name, h.Incarnation, membership.Leaving)
 	case errors.Is(err, engine.ErrUnreachable):
-		d.opts.Observe(h.Name, h.Incarnation, membership.Dead)
+		d.observeDead(h.Name, h.Incarnation)
+	}
+}
+
+// observeDead reports an endpoint's incarnation as dead, unless this host's own links failed. It
+// does not wait for that to be known.
+func (d *Dispatcher) observeDead(name string, incarnation int64) {
+	if d.opts.Links == nil {
+		d.opts.Observe(name, incarnation, membership.Dead)
+		return
 	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		if d.endpointFailed(ctx, name) {
+			d.opts.Observe(name, incarnation, membership.Dead)
+		}
+	}()
 }
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -22,12 +22,18 @@
 	// their class on separate connections; Client replaces those that are nil.
 	Client                *http.Client
 	Urgent, Online, Batch *http.Client
+	// Prober asks whether endpoints still serve, on a new connection each time; nil has a client
+	// that reaches them over this host's own links.
+	Prober *http.Client
 	// Tickets acquires tickets from the endpoints' homes; if nil, calls are sent
 	// without tickets.
 	Tickets *admission.Client
 	// Observe, unless nil, is called if a failure shows that an incarnation of an
 	// endpoint is leaving or dead.
 	Observe func(endpoint string, incarnation int64, c membership.Condition)
+	// Links tell failures of endpoints from those of this host's links; nil means that its links
+	// never fail.
+	Links Links
 	// Admits reports whether the rate limit of an endpoint admits a call now; nil means that
 	// each does.
 	Admits func(endpoint string) bool
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/admission"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/engine"
 	"github.com/peridotmount/peridotmount/objects"
 	"github.com/peridotmount/peridotmount/routing"
@@ -94,7 +95,10 @@
 	resp, err := x.send(ctx, choice.Host.Address)
 	if err != nil {
 		x.d.record("plain-call", x.call.RequestID, "", name, err.Error())
-		died := x.d.opts.Guard != nil && errors.Is(err, engine.ErrBroken) && ctx.Err() == nil && !isServing(ctx, choice.Host.Address)
+		if errors.Is(err, engine.ErrBroken) {
+			x.d.suspectLinks()
+		}
+		died := x.d.opts.Guard != nil && errors.Is(err, engine.ErrBroken) && ctx.Err() == nil && x.d.hasDied(ctx, &choice.Host)
 		if died {
 			x.d.opts.Guard.Crashed(x.fingerprint, nil, name, choice.Host.Incarnation)
 		}
@@ -111,7 +115,7 @@
 }
 
 func (x *plainExecution) send(ctx context.Context, address string) (*http.Response, error) {
-	req := x.call.Request.Clone(ctx)
+	req := x.call.Request.Clone(detour.WithRequest(ctx, x.call.RequestID))
 	if x.call.Request.GetBody != nil {
 		body, err := x.call.Request.GetBody()
 		if err != nil {
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/admission"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/engine"
 	"github.com/peridotmount/peridotmount/platform"
 )
@@ -29,7 +30,7 @@
 		return Result{}, &Error{Cause: ErrNoEndpoint, RunState: Unknown}
 	}
 	d.record("resumed", c.RequestID, c.Job, at.Endpoint, at.StreamID)
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(detour.WithRequest(ctx, c.RequestID))
 	a := &attempt{exec: x, id: at.StreamID, host: endpoint, started: time.Now(), cancel: cancel, ticket: x.registerTicket(at)}
 	d.router.recordSent(x.pool, endpoint.Name, c.Class, "")
 	if g := x.guard(); g != nil {
--- a/e2e/soakproxy_test.go
+++ b/e2e/soakproxy_test.go
@@ -31,7 +31,12 @@
 
 func newSoakProxy(t *testing.T, target string) *soakProxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newSoakProxyAt(t, target, "127.0.0.1:0")
+}
+
+func newSoakProxyAt(t *testing.T, target, address string) *soakProxy {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/engine/httpplain.go
+++ b/engine/httpplain.go
@@ -38,10 +38,7 @@
 	out.Host = target.Host
 	resp, err := p.client.Do(out)
 	if err != nil {
-		if wrote.Load() {
-			return nil, errors.Wrap(ErrBroken, err.Error())
-		}
-		return nil, errors.Wrap(ErrUnreachable, err.Error())
+		return nil, sendError(err, wrote)
 	}
 	return p.sort(resp)
 }
--- a/engine/send.go
+++ b/engine/send.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/upstream"
 )
 
 // watchWrites returns a context that notes in the flag whether a connection
@@ -24,10 +26,7 @@
 func send(client *http.Client, req *http.Request, wrote *atomic.Bool) (*http.Response, error) {
 	resp, err := client.Do(req)
 	if err != nil {
-		if wrote.Load() {
-			return nil, errors.Wrap(ErrBroken, err.Error())
-		}
-		return nil, errors.Wrap(ErrUnreachable, err.Error())
+		return nil, sendError(err, wrote)
 	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
@@ -41,3 +40,12 @@
 	}
 	return nil, errors.Wrapf(ErrBroken, "status %d", resp.StatusCode)
 }
+
+// sendError turns the error of a request without a response into this layer's. A connection may
+// also have been one to a host that did not make the call.
+func sendError(err error, wrote *atomic.Bool) error {
+	if wrote.Load() && !errors.Is(err, upstream.ErrNotSent) {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return errors.Wrap(ErrUnreachable, err.Error())
+}
--- a/node/admission.go
+++ b/node/admission.go
@@ -80,13 +80,17 @@
 // newPeerClient returns a client for the system's own processes on connections
 // of its own.
 func (n *Node) newPeerClient() *http.Client {
-	return &http.Client{Transport: &timeline.Transport{
-		Clock: n.clock,
-		Base:  n.newTransport(traffic.PartyPeers),
-	}}
+	return &http.Client{Transport: n.stampedTransport(n.traffic.Dial(traffic.PartyPeers))}
 }
 
-// newEndpointClient returns a client for endpoints on connections of its own.
+// stampedTransport returns a transport for the system's own processes over connections that dial
+// makes.
+func (n *Node) stampedTransport(dial dialFunc) http.RoundTripper {
+	return &timeline.Transport{Clock: n.clock, Base: n.newTransportOver(dial)}
+}
+
+// newEndpointClient returns a client for endpoints on connections of its own. Rate limits count
+// at the host that a call is for, whichever makes it.
 func (n *Node) newEndpointClient() *http.Client {
-	return &http.Client{Transport: n.endpointLimits.Transport(n.newTransport(traffic.PartyEndpoints))}
+	return &http.Client{Transport: n.endpointLimits.Transport(n.newDetour())}
 }
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net/http"
+
 	"github.com/peridotmount/peridotmount/dispatch"
 	"github.com/peridotmount/peridotmount/objects"
 )
@@ -15,8 +17,10 @@
 		Urgent:  n.newEndpointClient(),
 		Online:  n.newEndpointClient(),
 		Batch:   n.newEndpointClient(),
+		Prober:  &http.Client{Transport: n.newDetour()},
 		Tickets: n.tickets.client,
 		Observe: n.watcher.Observe,
+		Links:   n.links,
 		Admits:  n.endpointLimits.Admits,
 		Guard:   n.guard,
 		Service: n.service,
--- a/node/node.go
+++ b/node/node.go
@@ -64,20 +64,22 @@
 	limiter   *limit.Limiter
 	// endpointLimits limits the calls to endpoints.
 	endpointLimits *endpointlimit.Limiter
-	dispatcher     *dispatch.Dispatcher
-	entry          *entry.Entry
-	follower       *publication.Follower
-	refresher      *publication.Refresher
-	orders         *orders.Duty
-	guard          *quarantine.Guard
-	watcher        *membership.Watcher
-	exchanger      *gossip.Exchanger
-	keeper         *keeper.Keeper
-	callers        *server
-	operators      *server
-	peers          *server
-	drainer        drainer
-	supervisor     *suture.Supervisor
+	// links sends calls to endpoints through other hosts while this one reaches none.
+	links      *endpointLinks
+	dispatcher *dispatch.Dispatcher
+	entry      *entry.Entry
+	follower   *publication.Follower
+	refresher  *publication.Refresher
+	orders     *orders.Duty
+	guard      *quarantine.Guard
+	watcher    *membership.Watcher
+	exchanger  *gossip.Exchanger
+	keeper     *keeper.Keeper
+	callers    *server
+	operators  *server
+	peers      *server
+	drainer    drainer
+	supervisor *suture.Supervisor
 
 	drainRequest *drainRequest
 }
@@ -126,6 +128,7 @@
 	n.buildGossip()
 	n.buildMembership()
 	n.buildEndpointLimits()
+	n.buildEndpointLinks()
 	n.buildPublication()
 	n.buildOrders()
 	n.buildQuarantine()
@@ -163,7 +166,7 @@
 func (n *Node) duties() []suture.Service {
 	duties := []suture.Service{n.registrar, n.watcher, membership.NewListReader(n.watcher), n.exchanger, n.follower, n.refresher, n.orders, n.guard}
 	duties = append(duties, n.tickets.services()...)
-	duties = append(duties, n.limiter, n.endpointLimits)
+	duties = append(duties, n.limiter, n.endpointLimits, n.links, n.links.sender.Links())
 	duties = append(duties, n.keeper.Services()...)
 	duties = append(duties, n.entry.Services()...)
 	return append(duties, n.operators, n.peers, n.callers)
--- a/node/servers.go
+++ b/node/servers.go
@@ -5,6 +5,7 @@
 
 	"github.com/peridotmount/peridotmount/admission"
 	"github.com/peridotmount/peridotmount/bounded"
+	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/gossip"
 	"github.com/peridotmount/peridotmount/httpjson"
@@ -59,6 +60,8 @@
 	mux.Handle(publication.Path, n.follower.Handler())
 	mux.Handle(quarantine.PathPrefix, n.guard.Handler())
 	mux.Handle(gossip.Path, n.exchanger.Handler())
+	mux.HandleFunc("POST "+detour.CallPath, n.links.server.ServeCall)
+	mux.HandleFunc("POST "+detour.ProbePath, n.links.server.ServeProbe)
 	mux.Handle(admission.PathPrefix, admission.NewHandler(n.tickets.duty, n.tickets.client))
 	return mux
 }
--- a/node/status.go
+++ b/node/status.go
@@ -16,6 +16,8 @@
 	Revision int64  `json:"revision"`
 	Ready    bool   `json:"ready"`
 	Reason   string `json:"reason,omitempty"`
+	// Stranded is set while the host reaches no endpoint, and others make its calls.
+	Stranded bool `json:"stranded,omitempty"`
 	// Leads lists the partitions that the host leads.
 	Leads []int `json:"leads"`
 	// Endpoints are those that the host knows of, if asked for.
@@ -45,6 +47,7 @@
 		Revision: n.follower.Current().Number,
 		Ready:    reason == "",
 		Reason:   reason,
+		Stranded: !n.links.sender.Links().Connected(),
 		Leads:    n.keeper.LedPartitions(),
 	}
 	if r.URL.Query().Has(parameterEndpoints) {
--- a/node/tls.go
+++ b/node/tls.go
@@ -30,8 +30,13 @@
 // newTransport returns a transport whose connections to p are counted, and that
 // trusts the authorities of the settings.
 func (n *Node) newTransport(p traffic.Party) http.RoundTripper {
+	return n.newTransportOver(n.traffic.Dial(p))
+}
+
+// newTransportOver returns a transport over connections that dial makes.
+func (n *Node) newTransportOver(dial dialFunc) http.RoundTripper {
 	base := &http.Transport{
-		DialContext:         n.traffic.Dial(p),
+		DialContext:         dial,
 		MaxIdleConnsPerHost: connectionsPer,
 		IdleConnTimeout:     time.Minute,
 	}
