--- a/e2e/strandedhost_test.go
+++ b/e2e/strandedhost_test.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// TestHelpersAreFoundAmongManyStrandedHosts cuts six hosts of eight off: their callers are served by
+// the two that can help, however many can't.
+func TestHelpersAreFoundAmongManyStrandedHosts(t *testing.T) {
+	const stranded, requests, rounds = 6, 4, 4
+	f := newFleet(t, fleetOptions{daemons: 2, engines: 4})
+	links := newHostLinks(t, f.storeURL)
+	var cutOff []*daemon
+	for i := range stranded {
+		cutOff = append(cutOff, f.addCutOff(fmt.Sprint("cut-off-", i), links))
+	}
+	f.awaitReady()
+	f.awaitAgreement()
+	links.cut(refused)
+	f.findOut(cutOff)
+	for round := range rounds {
+		for _, d := range cutOff {
+			f.expectServed(d, fmt.Sprint("round ", round), requests)
+		}
+	}
+}
+
 // expectResumed kills a host that serves a stream, and expects a host that is cut off to go on
 // with it at its engine.
 func (f *fleet) expectResumed(d *daemon) {
--- a/node/endpointlinks.go
+++ b/node/endpointlinks.go
@@ -14,12 +14,16 @@
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/gossip"
 	"github.com/peridotmount/peridotmount/membership"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
+// kindStranded is the kind of gossip entries of hosts that reach no endpoint.
+const kindStranded gossip.Kind = "stranded"
+
 const (
 	// endpointDialTimeout bounds the time to connect to an endpoint: many round trips between
 	// regions, and less than the second after which a dropped packet is retransmitted.
@@ -70,7 +74,7 @@
 		Hosts:        n.helpers,
 		Endpoint:     l.endpoint,
 		OnResponse:   func(*endpoint.Endpoint, string, time.Time) func(int, http.Header) { return nil },
-		OnStranded:   func(bool) { n.dispatcher.ForgetExclusions() },
+		OnStranded:   n.strandedChanged,
 		Draining:     n.drainer.draining.Load,
 		MaxCalls:     int64(max(1, min(detourCalls, n.settings.Listen.PeersConnections/detourShare))),
 		MaxBodyBytes: detourBytes,
@@ -80,13 +84,31 @@
 	l.server = detour.NewServer(l.sender)
 }
 
+// strandedChanged tells the other hosts that this one lost its links to all endpoints, or has them
+// again.
+func (n *Node) strandedChanged(stranded bool) {
+	n.dispatcher.ForgetExclusions()
+	if stranded {
+		n.gossip.Publish(kindStranded, "", gossip.ScopeGlobal, []byte("true"))
+		return
+	}
+	n.gossip.Withdraw(kindStranded, "")
+}
+
 // helpers returns the hosts that may make calls for this one.
 func (n *Node) helpers() []peers.Host {
+	stranded := make(map[string]bool)
+	for _, e := range n.gossip.All(kindStranded) {
+		stranded[e.Origin] = true
+	}
 	system := n.watcher.View().System()
 	out := make([]peers.Host, len(system))
 	for i := range system {
 		h := &system[i]
-		out[i] = peers.Host{Name: h.Name, Address: h.Address, Zone: h.Zone, Region: h.Region, Token: n.settings.Listen.Secret}
+		out[i] = peers.Host{
+			Name: h.Name, Address: h.Address, Zone: h.Zone, Region: h.Region,
+			Token: n.settings.Listen.Secret, Stranded: stranded[h.Name],
+		}
 	}
 	return out
 }
