--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -20,6 +20,7 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/httpjson"
 	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/upstream"
 )
 
@@ -179,7 +180,7 @@
 func (h *testHost) send(ctx context.Context, e *testEndpoint, target string, body []byte) (*upstream.Response, string, error) {
 	resp, err := h.sender.Send(ctx, "e0", h.address(e), &upstream.Call{
 		Request: "r1", Method: http.MethodPost, Target: target, Host: "caller.example", Header: http.Header{"X-Request-Id": {"r1"}}, Body: body,
-		Matches: func(_ int, header http.Header) bool { return header.Get("X-Request-Id") == "r1" },
+		Matches: platform.Answers("r1"),
 	})
 	if err != nil {
 		return nil, "", err
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -44,6 +44,8 @@
 	mu        sync.Mutex
 	requests  []*PlacementRequest
 	endpoints []*endpoint.Endpoint
+	// mayRepeat has requests go to an endpoint that they are to avoid.
+	mayRepeat bool
 	// released receives the Usage of each placement that is released.
 	released chan Usage
 	// full makes requests wait until they end.
@@ -59,7 +61,7 @@
 		return nil, ctx.Err()
 	}
 	for _, e := range p.endpoints {
-		if !slices.Contains(request.Avoid, e.ID) && (request.Version == nil || *request.Version == e.Version) {
+		if (p.mayRepeat || !slices.Contains(request.Avoid, e.ID)) && (request.Version == nil || *request.Version == e.Version) {
 			return &testPlacement{placer: p, endpoint: e}, nil
 		}
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -35,6 +35,10 @@
 	conns  map[net.Conn]bool
 	// pausedUntil is when a replica that is silent goes on.
 	pausedUntil time.Time
+	// refused holds the requests that were turned away by RefuseFirst, refusal the last
+	// answer that turned one away.
+	refused map[string]bool
+	refusal string
 }
 
 // ReplicaRun is one request that a Replica began to work on.
@@ -76,7 +80,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	r := &Replica{ID: id, Events: events, Pace: time.Millisecond, listener: l, conns: make(map[net.Conn]bool)}
+	r := &Replica{ID: id, Events: events, Pace: time.Millisecond, listener: l, conns: make(map[net.Conn]bool), refused: make(map[string]bool)}
 	go r.accept()
 	return r, nil
 }
@@ -162,7 +166,7 @@
 		r.mu.Unlock()
 	}()
 	reader := bufio.NewReader(c)
-	for {
+	for kept := false; ; kept = true {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -177,7 +181,7 @@
 		}
 		if f.EarlyNotRun {
 			// The answer leaves before the body is read.
-			_, _ = io.WriteString(out, notRun(req))
+			_, _ = io.WriteString(out, f.refusal(req))
 		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
@@ -186,6 +190,15 @@
 		if f.EarlyNotRun {
 			continue
 		}
+		if r.isMeant(req) && (f.NotRun || f.RefuseFirst && !r.met(req)) {
+			refusal := f.refusal(req)
+			r.setRefusal(refusal)
+			_, _ = io.WriteString(out, refusal)
+			continue
+		}
+		if refusal := r.lastRefusal(); refusal != "" && kept && f.Repeat != RepeatNever {
+			out = &repeatingConn{Conn: out, refusal: refusal, at: f.Repeat}
+		}
 		if !r.answer(out, reader, req, string(body), &f) {
 			return
 		}
@@ -195,15 +208,15 @@
 // answer answers one request and reports whether the connection goes on.
 func (r *Replica) answer(c net.Conn, reader *bufio.Reader, req *http.Request, body string, f *ReplicaFaults) bool {
 	id := req.Header.Get("X-Request-Id")
-	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != r.ID {
+	if !r.isMeant(req) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.ID)
 		return true
 	}
-	if f.NotRun {
-		_, _ = io.WriteString(c, notRun(req))
-		return true
-	}
 	run := r.begin(c, req, body)
+	if repeating, ok := c.(*repeatingConn); ok {
+		repeating.before()
+		defer repeating.behind()
+	}
 	if f.Silent {
 		_, _ = reader.Peek(1)
 		r.end(run, "left")
@@ -357,6 +370,33 @@
 	return len(r.runs) - 1
 }
 
+func (r *Replica) setRefusal(refusal string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusal = refusal
+}
+
+func (r *Replica) lastRefusal() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refusal
+}
+
+// isMeant reports whether a request is meant for this replica.
+func (r *Replica) isMeant(req *http.Request) bool {
+	expected := req.Header.Get("X-Expect-Instance")
+	return expected == "" || expected == r.ID
+}
+
+// met reports whether a request came before, and notes it.
+func (r *Replica) met(req *http.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := req.Header.Get("X-Request-Id")
+	defer func() { r.refused[id] = true }()
+	return r.refused[id]
+}
+
 func (r *Replica) afterOf(run int) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -371,6 +411,9 @@
 
 // abort resets a connection.
 func (r *Replica) abort(c net.Conn) bool {
+	if wrapped, ok := c.(*repeatingConn); ok {
+		c = wrapped.Conn
+	}
 	if wrapped, ok := c.(*headerConn); ok {
 		c = wrapped.Conn
 	}
@@ -398,10 +441,3 @@
 	}
 	return head + "\r\n" + body
 }
-
-func notRun(req *http.Request) string {
-	return strings.Join([]string{
-		"HTTP/1.1 503 Service Unavailable", "X-Not-Run: 1",
-		"X-Request-Id: " + req.Header.Get("X-Request-Id"), "Content-Length: 0", "", "",
-	}, "\r\n")
-}
--- a/standin/replicafaults.go
+++ b/standin/replicafaults.go
@@ -1,12 +1,22 @@
 package standin
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // ReplicaFaults are what a Replica does wrong with each request. The zero value
 // answers all.
 type ReplicaFaults struct {
 	// NotRun turns requests away, EarlyNotRun before their body is read.
 	NotRun, EarlyNotRun bool
+	// RefuseFirst turns each request away when it comes for the first time.
+	RefuseFirst bool
+	// Refusal is how requests are turned away.
+	Refusal Refusal
+	// Repeat is where the last refusal is written once more, on every connection that had a
+	// request before.
+	Repeat RepeatAt
 	// Status answers with a failure.
 	Status int
 	// Silent works on requests and never answers.
@@ -44,6 +54,19 @@
 	KeepAlive string
 }
 
+// refusal returns the answer that turns a request away.
+func (f *ReplicaFaults) refusal(req *http.Request) string {
+	status := f.Refusal.Status
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	lines := fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Not-Run: 1\r\n", status, http.StatusText(status))
+	if !f.Refusal.Unnamed {
+		lines += "X-Request-Id: " + req.Header.Get("X-Request-Id") + "\r\n"
+	}
+	return lines + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(f.Refusal.Body), f.Refusal.Body)
+}
+
 // headerLines returns the header lines that every answer has.
 func (f *ReplicaFaults) headerLines() string {
 	lines := ""
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -66,8 +66,9 @@
 }
 
 // Close ends the call and reports whether its connection was returned to the pool. It
-// is returned only after a complete response with no further bytes behind it. Further
-// calls return the same result.
+// is returned only after a complete response with no further bytes behind it, and only
+// after a success: the endpoint may repeat a failure while it runs the same request again.
+// Further calls return the same result.
 func (r *Response) Close() bool {
 	if r.closed {
 		return r.kept
@@ -79,7 +80,7 @@
 		return false
 	}
 	// If the context has ended, the connection is closed or being closed already.
-	r.kept = x.detachContext() && r.complete && !r.closeAfter && x.requestWritten() && x.conn.reader.Buffered() == 0
+	r.kept = x.detachContext() && r.complete && r.Status < http.StatusMultipleChoices && !r.closeAfter && x.requestWritten() && x.conn.reader.Buffered() == 0
 	idle := idleTime(r.Header)
 	if !r.kept || idle <= 0 || !x.pool.putIdle(x.conn, idle) {
 		r.kept = false
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -4,7 +4,8 @@
 
 // Call is one request to an endpoint.
 type Call struct {
-	// Request is the id of the request.
+	// Request is the id of the request, which its responses carry. Calls without one are
+	// sent on new connections, as their responses can't be told from those to others.
 	Request string
 	Method  string
 	// Target is the path and query, byte for byte as the client sent them.
@@ -13,10 +14,17 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with this status and header belongs to
-	// this call. Other responses are discarded. Nil accepts every response.
-	Matches func(status int, header http.Header) bool
+	// Matches tells to which request a response with this status and header belongs.
+	// Foreign responses are discarded. Nil accepts every response.
+	Matches func(status int, header http.Header) Ownership
 	// OnResponse is called with the head of each final response on the connection,
 	// discarded ones included. It may be nil.
 	OnResponse func(status int, header http.Header)
 }
+
+func (c *Call) ownership(resp *http.Response) Ownership {
+	if c.Matches == nil {
+		return Own
+	}
+	return c.Matches(resp.StatusCode, resp.Header)
+}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -22,8 +22,8 @@
 	sent atomic.Int64
 	// began is when the attempt to open the connection began.
 	began time.Time
-	// reused is set if an earlier call used the connection.
-	reused bool
+	// responses counts the final responses that were read.
+	responses int
 }
 
 // readBufferSize is the size of a connection's read buffer in bytes. Response headers
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -61,10 +61,18 @@
 	return l.Addr().String()
 }
 
+// testOwnership takes responses with an X-Other header for those to other calls.
+func testOwnership(_ int, h http.Header) Ownership {
+	if h.Get("X-Other") != "" {
+		return Foreign
+	}
+	return Own
+}
+
 func testCall() *Call {
 	return &Call{
 		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{},
-		Matches: func(_ int, h http.Header) bool { return h.Get("X-Other") == "" },
+		Matches: testOwnership,
 	}
 }
 
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -6,6 +6,7 @@
 type metrics struct {
 	dials   *prometheus.CounterVec
 	foreign prometheus.Counter
+	unnamed prometheus.Counter
 	tooLong prometheus.Counter
 }
 
@@ -19,13 +20,17 @@
 			Name: "peridotmount_upstream_foreign_answers_total",
 			Help: "Answers that belonged to another request than the one sent.",
 		}),
+		unnamed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "peridotmount_upstream_unnamed_answers_total",
+			Help: "Answers on reused connections given up because they do not name their request.",
+		}),
 		tooLong: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "peridotmount_upstream_endless_answers_total",
 			Help: "Answers given up because an endpoint sent more bytes than they may have.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.dials, m.foreign, m.tooLong)
+		r.MustRegister(m.dials, m.foreign, m.unnamed, m.tooLong)
 	}
 	return m
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -108,14 +108,16 @@
 	}
 }
 
-// acquire returns a usable idle connection, or dials a new one.
-func (p *Pool) acquire(ctx context.Context, key, address string) (*connection, error) {
-	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
-		if time.Now().Before(c.idleUntil) && c.usable() {
-			c.reused = true
-			return c, nil
+// acquire returns a usable idle connection, or dials a new one. Requests without an id
+// always get a new one.
+func (p *Pool) acquire(ctx context.Context, key, address, request string) (*connection, error) {
+	if request != "" {
+		for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
+			if time.Now().Before(c.idleUntil) && c.usable() {
+				return c, nil
+			}
+			_ = c.Close()
 		}
-		_ = c.Close()
 	}
 	began := time.Now()
 	conn, err := p.dial(ctx, address)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -15,6 +15,8 @@
 type exchange struct {
 	pool *Pool
 	conn *connection
+	// first is set if no earlier call used the connection.
+	first bool
 	// detachContext detaches the connection from the call's context, whose end closes it.
 	// It returns false if the context has ended.
 	detachContext func() bool
@@ -28,12 +30,12 @@
 // which the caller must close. When ctx ends, the connection is closed, which makes the
 // endpoint abort the request. Errors are ErrNotSent and ErrNoResponse.
 func (p *Pool) Send(ctx context.Context, key, address string, call *Call) (*Response, error) {
-	conn, err := p.acquire(ctx, key, address)
+	conn, err := p.acquire(ctx, key, address, call.Request)
 	if err != nil {
 		return nil, err
 	}
 	conn.sent.Store(0)
-	x := &exchange{pool: p, conn: conn, written: make(chan struct{})}
+	x := &exchange{pool: p, conn: conn, first: conn.responses == 0, written: make(chan struct{})}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	req, err := newRequest(call)
 	if err != nil {
@@ -116,13 +118,26 @@
 		if call.OnResponse != nil {
 			call.OnResponse(resp.StatusCode, resp.Header)
 		}
-		if call.Matches == nil || call.Matches(resp.StatusCode, resp.Header) {
+		first := x.conn.responses == 0
+		x.conn.responses++
+		switch call.ownership(resp) {
+		case Own:
 			return resp, nil
+		case Unnamed:
+			if first {
+				return resp, nil
+			}
+			x.pool.metrics.unnamed.Inc()
+			return nil, errors.New("response may belong to an earlier request")
 		}
 		x.pool.metrics.foreign.Inc()
-		if err := x.discard(resp); err != nil || resp.Close {
+		if resp.Close {
+			// No other response can follow.
 			return nil, errors.New("response belongs to another request")
 		}
+		if err := x.discard(resp); err != nil {
+			return nil, errors.Wrap(err, "response belongs to another request")
+		}
 	}
 	return nil, errors.New("too many informational responses or responses to other requests")
 }
@@ -170,7 +185,7 @@
 
 // report tells whether the connection carries responses, unless an earlier call showed it.
 func (x *exchange) report(ctx context.Context, err error) {
-	if !x.conn.reused {
+	if x.first {
 		x.pool.report(ctx, x.conn.key, x.conn.began, err)
 	}
 }
