--- a/forward/respond.go
+++ b/forward/respond.go
@@ -53,13 +53,14 @@
 	}
 }
 
-// finishDisconnected ends a request whose client's connection ended.
+// finishDisconnected ends a request whose client's connection ended, or whose client stopped
+// sending; the latter still reads.
 func (f *Forwarder) finishDisconnected(req *request) {
-	req.reason, req.ending = "connection ended", disconnected(req.http.Context())
-	if req.ending == ending(disconnect.ClientClosed) || req.ending == ending(disconnect.ClientReset) {
-		req.reason = "client left"
+	reason, cause := "connection ended", disconnected(req.http.Context())
+	if cause == ending(disconnect.ClientClosed) || cause == ending(disconnect.ClientReset) {
+		reason = "client left"
 	}
-	f.finish(req, 0)
+	f.abort(req, reason, cause)
 }
 
 // abort ends a request by breaking off the client's connection, so that the client does
