--- a/batch/run.go
+++ b/batch/run.go
@@ -56,6 +56,8 @@
 var (
 	// errEventTimeout means that the endpoint sent no event in time.
 	errEventTimeout = errors.New("endpoint is silent")
+	// errNoStream means that the endpoint answered with a success that is no event stream.
+	errNoStream = errors.New("response is no event stream")
 	// errOutputTooLarge means that the output of the item exceeds maxOutputBytes.
 	errOutputTooLarge = errors.New("endpoint makes more than the item may have")
 )
@@ -190,6 +192,10 @@
 	defer response.Close()
 	switch platform.Judge(response.Status, response.Header) {
 	case platform.Answered:
+		if !sse.IsStream(response.Status, response.Header.Get("Content-Type")) {
+			x.abort(ctx, scheduler.Failed, errNoStream)
+			return
+		}
 		x.readEvents(ctx, response)
 	case platform.NotRun:
 		x.endRun("not-run", "endpoint refused the item without running it", scheduler.Usage{Outcome: scheduler.Refused})
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -246,3 +247,33 @@
 		t.Errorf("slot released with %+v, %d runs", use, len(replica.Runs()))
 	}
 }
+
+// TestAnswerThatIsNoStreamIsNoOutput breaks an item off after two events; the endpoint then answers
+// with a success that is no event stream, or writes an error into one. The item must not be recorded
+// as done, and its output must stay as it was.
+func TestAnswerThatIsNoStreamIsNoOutput(t *testing.T) {
+	for name, faults := range map[string]standin.ReplicaFaults{
+		"empty":            {Answer: &standin.Answer{Status: http.StatusOK, Type: "text/plain"}},
+		"no content":       {Answer: &standin.Answer{Status: http.StatusNoContent}},
+		"no type":          {Answer: &standin.Answer{Status: http.StatusOK}},
+		"text":             {Answer: &standin.Answer{Status: http.StatusOK, Type: "text/plain", Body: "id: 3\ndata: failed\n\n"}},
+		"text in a stream": {Answer: &standin.Answer{Status: http.StatusOK, Type: "text/event-stream", Body: "failed\n\n"}},
+		"error inside":     {InsideAfter: 1, Inside: "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n"},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		l, replica := submitJob(ctx, t, standin.ReplicaFaults{CutAfter: 2})
+		runItem(ctx, t, l)
+		replica.SetFaults(faults)
+		if name == "error inside" {
+			l.progress.drop(scheduler.ItemRef{Job: "j"})
+		}
+		if use := runItem(ctx, t, l); use.Outcome != scheduler.Failed {
+			t.Errorf("%s: slot released with %+v", name, use)
+		}
+		replica.SetFaults(standin.ReplicaFaults{})
+		if use := runItem(ctx, t, l); use.Outcome != scheduler.Finished {
+			t.Errorf("%s: slot of the last run released with %+v", name, use)
+		}
+		cancel()
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -36,6 +36,12 @@
 // errInsideEvent means that an endpoint ended its stream inside an event.
 var errInsideEvent = errors.New("stream ended inside an event")
 
+// errNoStream means that the response of an endpoint is a success, but no event stream.
+var errNoStream = errors.New("response is no event stream")
+
+// errNoEvents means that a stream ended without any event.
+var errNoEvents = errors.New("stream ended before its first event")
+
 // streamer relays the event stream of one request, over one or more attempts.
 type streamer struct {
 	f   *Forwarder
@@ -70,7 +76,13 @@
 	if a.verdict == platform.Failed {
 		return s.relayFailure(a)
 	}
+	if !sse.IsStream(a.response.Status, a.response.Header.Get("Content-Type")) {
+		s.end(a, OutcomeUnknown, errNoStream)
+		return false
+	}
 	if !s.headWritten {
+		// The stream may go on at another endpoint, and then have another length.
+		a.response.Header.Del("Content-Length")
 		writeHead(s.w, a.response)
 		s.headWritten = true
 		s.req.phase = passingResponse
@@ -93,10 +105,15 @@
 	case errors.Is(err, upstream.ErrPathLost):
 		outcome = OutcomePathLost
 	}
+	s.end(a, outcome, err)
+	return false
+}
+
+// end ends an attempt that did not complete the stream.
+func (s *streamer) end(a *attempt, outcome Outcome, err error) {
 	s.req.setIncomplete()
 	s.f.recordAttempt(s.req, a, outcome, err.Error())
 	a.release(outcome)
-	return false
 }
 
 // relayFailure passes on the failure of an endpoint, unless the head of the response is
@@ -127,6 +144,9 @@
 			if events.InsideEvent() {
 				return errors.Wrapf(errInsideEvent, "%d bytes of it arrived", len(events.Remainder()))
 			}
+			if s.eventOrder.LastID == "" && a.usage.Events == 0 {
+				return errors.WithStack(errNoEvents)
+			}
 			_, err = s.w.Write(events.Remainder())
 			return err
 		}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -140,6 +140,21 @@
 	return b
 }
 
+// ignoreReleases takes the placements that are released, for tests with many requests.
+func (b *testbed) ignoreReleases() {
+	done := make(chan struct{})
+	b.t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case <-b.placer.released:
+			case <-done:
+				return
+			}
+		}
+	}()
+}
+
 func (b *testbed) recordBegun(request, version string) {
 	b.begunMu.Lock()
 	defer b.begunMu.Unlock()
--- a/sse/block.go
+++ b/sse/block.go
@@ -45,7 +45,8 @@
 // Next returns all complete events and comments received so far, and blocks until
 // there is at least one. It returns io.EOF at the end of the stream,
 // ErrEventTooLarge if more than MaxEventBytes arrive without the end of an event,
-// and errors of the reader unwrapped.
+// ErrNoEvent if the bytes are neither events nor comments, and errors of the reader
+// unwrapped.
 func (s *Splitter) Next() (Block, error) {
 	rest := copy(s.buf, s.buf[s.consumed:])
 	s.buf, s.consumed = s.buf[:rest], 0
@@ -53,7 +54,10 @@
 	for {
 		if end := lastEventEnd(s.buf, scanned); end > 0 {
 			s.consumed = end
-			s.events = parseEvents(s.events[:0], s.buf[:end])
+			var err error
+			if s.events, err = parseEvents(s.events[:0], s.buf[:end]); err != nil {
+				return Block{}, err
+			}
 			return Block{Bytes: s.buf[:end], Events: s.events}, nil
 		}
 		if len(s.buf) > MaxEventBytes {
@@ -116,31 +120,53 @@
 }
 
 // parseEvents appends the events in b to events; their data may alias b. Comments and
-// events with neither id nor data are skipped: endpoints send them as keep-alives.
-func parseEvents(events []Event, b []byte) []Event {
+// reconnection times are skipped: endpoints send them as keep-alives. It returns ErrNoEvent
+// if a line is no field, or an event has neither id nor data: such bytes are no part of the
+// stream, but for example an error that an endpoint wrote into it.
+func parseEvents(events []Event, b []byte) ([]Event, error) {
 	var event Event
-	hasField := false
+	hasField, hasOther := false, false
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 {
+			if hasOther && !hasField {
+				return nil, errors.WithStack(ErrNoEvent)
+			}
 			if hasField {
 				events = append(events, event)
 			}
-			event, hasField = Event{}, false
+			event, hasField, hasOther = Event{}, false, false
 			continue
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
+		name, value, found := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
 			event.ID, hasField = string(value), true
 		case "data":
 			event.Data, hasField = joinLines(event.Data, value), true
+		case "retry":
+		case "":
+			// A comment.
+		default:
+			if hasOther = true; !found || !isFieldName(name) {
+				return nil, errors.WithStack(ErrNoEvent)
+			}
+		}
+	}
+	return events, nil
+}
+
+// isFieldName reports whether name consists of letters, digits, hyphens and underscores.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
 		}
 	}
-	return events
+	return true
 }
 
 // joinLines returns an event's data extended by one line.
--- a/sse/block_test.go
+++ b/sse/block_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 // TestCommentsAreNoEvents checks that comments and empty events are returned
@@ -70,3 +72,45 @@
 		}
 	}
 }
+
+// TestBytesThatAreNoEvent checks which bytes a stream may not hold between its events.
+func TestBytesThatAreNoEvent(t *testing.T) {
+	for inside, want := range map[string]bool{
+		"":                            true,
+		"\n\r\n":                      true,
+		": comment\n\n":               true,
+		"retry: 1\n\n":                true,
+		"data\n\n":                    true,
+		"x-weight-versions: 3\n":      true,
+		"event: token\n":              true,
+		"event: error\n\n":            false,
+		"failed\n":                    false,
+		"failed\n\n":                  false,
+		": comment\nfailed\n\n":       false,
+		"{\"error\": \"failed\"}\n":   false,
+		"too busy: wait\n":            false,
+		"X-Not-Run: 1\r\n\r\n":        false,
+		"HTTP/1.1 503 Full\r\n\r\n":   false,
+		"HTTP/1.1 503 Full\r\nA: b\n": false,
+	} {
+		s := NewSplitter(strings.NewReader("id: 1\ndata: a\n\n" + inside + "id: 2\ndata: b\n\n"))
+		var err error
+		for err == nil {
+			_, err = s.Next()
+		}
+		if got := err == io.EOF; got != want || !got && !errors.Is(err, ErrNoEvent) {
+			t.Errorf("%q: %v", inside, err)
+		}
+	}
+}
+
+// TestIsStream checks which responses are streams.
+func TestIsStream(t *testing.T) {
+	for contentType, want := range map[string]bool{
+		"text/event-stream": true, "Text/Event-Stream; charset=utf-8": true, "": false, "text/plain": false, "application/json": false,
+	} {
+		if IsStream(200, contentType) != want || IsStream(204, contentType) || IsStream(503, contentType) {
+			t.Errorf("type %q", contentType)
+		}
+	}
+}
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -12,6 +12,9 @@
 // without the end of an event.
 const MaxEventBytes = 1 << 20
 
+// ErrNoEvent is returned if a stream holds bytes that are neither events nor comments.
+var ErrNoEvent = errors.New("stream holds bytes that are no event")
+
 // ErrEventTooLarge is returned if a line or event exceeds MaxEventBytes.
 var ErrEventTooLarge = errors.New("event exceeds the size limit")
 
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -217,6 +217,11 @@
 		repeating.before()
 		defer repeating.behind()
 	}
+	if f.Answer != nil {
+		_, _ = io.WriteString(c, f.Answer.text(r.ID, id))
+		r.end(run, "whole")
+		return !f.Answer.Unframed
+	}
 	if f.Silent {
 		_, _ = reader.Peek(1)
 		r.end(run, "left")
@@ -301,6 +306,10 @@
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\n%s%s\r\n",
 		id, StampOf(r.ID, id), announced, framing)
+	if f.CutAtHead {
+		r.end(run, "cut")
+		return r.abort(c)
+	}
 	sent := 0
 	for n := r.afterOf(run) + 1; n <= r.Events || f.Endless || f.CommentsAfter > 0; n++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, EventData(id, n))
@@ -331,6 +340,9 @@
 			r.end(run, "left")
 			return false
 		}
+		if f.InsideAfter > 0 && sent == f.InsideAfter {
+			write(f.Inside)
+		}
 		if f.SkipAfter > 0 && sent == f.SkipAfter {
 			sent++
 			continue
--- a/standin/replicafaults.go
+++ b/standin/replicafaults.go
@@ -19,6 +19,8 @@
 	Repeat RepeatAt
 	// Status answers with a failure.
 	Status int
+	// Answer is sent instead of the one asked for.
+	Answer *Answer
 	// Silent works on requests and never answers.
 	Silent bool
 	// ResetBefore resets the connection before the answer.
@@ -35,6 +37,11 @@
 	// CutAfter, SilentAfter and SkipAfter break a stream off, fall silent or leave
 	// an event out after so many events.
 	CutAfter, SilentAfter, SkipAfter int
+	// CutAtHead breaks a stream off before its first event.
+	CutAtHead bool
+	// InsideAfter writes Inside into a stream after so many events.
+	InsideAfter int
+	Inside      string
 	// Comments sends a comment before each event, CommentsAfter nothing else after so
 	// many events, Endless events that are not asked for after the last one.
 	Comments, Endless bool
