--- a/peers/list.go
+++ b/peers/list.go
@@ -59,7 +59,7 @@
 		}
 	}
 	for i := range endpoints {
-		if e, err := platform.DecodeEndpoint(endpoints[i]); err == nil {
+		if e, err := platform.DecodeListedEndpoint(endpoints[i]); err == nil {
 			out = append(out, listedEndpoint(&e, regions[e.Zone]))
 		}
 	}
