--- a/batch/payloads.go
+++ b/batch/payloads.go
@@ -113,7 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, payloadReadTimeout)
 	defer cancel()
-	content := make([]byte, 0, blob.Bytes)
+	content := make([]byte, 0, min(blob.Bytes, maxAppendBytes))
 	for i := range blob.Segments {
 		part, err := p.readSegment(ctx, &blob.Segments[i], min(blob.Bytes-i*maxAppendBytes, maxAppendBytes))
 		if err != nil {
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -277,3 +278,47 @@
 		cancel()
 	}
 }
+
+// TestOddLedgerRecordsEndNothing follows a ledger into which another writer put jobs whose inputs
+// can't be: items of them are started, and the process must live on and serve its own jobs.
+func TestOddLedgerRecordsEndNothing(t *testing.T) {
+	store := standin.NewStore(standin.StoreFaults{})
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	defer server.CloseClientConnections()
+	replica, err := standin.StartReplica("engine-0", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer replica.Close()
+	odd := map[string]string{
+		"negative":   `{"bytes":-1,"segments":[{"offset":1,"keys":["k"]}]}`,
+		"huge":       `{"bytes":4611686018427387904,"segments":[{"offset":1,"keys":["k"]}]}`,
+		"no keys":    `{"bytes":1,"segments":[{"offset":1,"keys":[]}]}`,
+		"no records": `{"bytes":1}`,
+		"exponent":   `{"bytes":1e400}`,
+		"nested":     strings.Repeat("[", 50_000) + strings.Repeat("]", 50_000),
+	}
+	for name, blob := range odd {
+		store.Put(platform.TopicJobs.Name, name, []byte(`{"job":"`+name+
+			`","submit":{"attempt":"`+name+`","route":"lots","host":"h","path":"/lots-in/j","items":[{"id":"i"}],"inputs":[{"count":1,"blob":`+blob+`}]}}`))
+	}
+	l := newStoredLedger("host", server.Listener.Addr().String(), replica)
+	defer followLedger(t, l)()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for name := range odd {
+		var uses recordingSlot
+		NewRunner(ctx, l).Run(ctx, &scheduler.Start{Ticket: "t", Endpoint: "engine-0", Item: scheduler.ItemRef{Job: name}}, &uses)
+		if len(uses) != 1 || uses[0].Outcome == scheduler.Finished {
+			t.Errorf("%s: slot released with %+v", name, uses)
+		}
+	}
+	items := []jobs.Item{{ID: "i", Path: "/lots-in/run", Tokens: 3, Body: []byte("q")}}
+	if v, err := l.Submit(ctx, "j", "h", "/lots-in/j", items); err != nil || v != jobs.Accepted {
+		t.Fatalf("verdict %v, error %v", v, err)
+	}
+	if use := runItem(ctx, t, l); use.Outcome != scheduler.Finished {
+		t.Errorf("slot of a sound item released with %+v", use)
+	}
+}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -103,5 +103,8 @@
 	if r.Job == "" {
 		return nil, errors.Wrap(ErrMalformed, "record names no job")
 	}
+	if err := r.validate(); err != nil {
+		return nil, err
+	}
 	return &r, nil
 }
