--- a/peers/host.go
+++ b/peers/host.go
@@ -11,6 +11,10 @@
 // ErrMalformed means that a host's record can't be read.
 var ErrMalformed = errors.New("record of a host is malformed")
 
+// maxProcessor bounds the processor time of a host, in cores. The host with the most is the
+// first to schedule.
+const maxProcessor = 1 << 12
+
 // Host is one host of the system, as its record says.
 type Host struct {
 	Name string `json:"name"`
@@ -77,6 +81,12 @@
 	if h.Name != key || h.Address == "" || h.Incarnation == "" {
 		return h, errors.Wrap(ErrMalformed, "name, address or incarnation is missing")
 	}
+	if !platform.IsAddress(h.Address) || h.Operators != "" && !platform.IsAddress(h.Operators) {
+		return h, errors.Wrapf(ErrMalformed, "address %.40q or %.40q", h.Address, h.Operators)
+	}
+	if h.Processor < 0 || h.Processor > maxProcessor {
+		return h, errors.Wrapf(ErrMalformed, "processor time of %g cores", h.Processor)
+	}
 	if h.Joined < 0 {
 		h.Joined = offset
 	}
