--- a/engine/httpengine.go
+++ b/engine/httpengine.go
@@ -58,23 +58,21 @@
 }
 
 func (e *HTTPEngine) reopen(ctx context.Context, streamID string, offset int) (*http.Response, error) {
-	ctx, wrote := watchWrites(ctx)
 	target := fmt.Sprintf("%s/streams/%s?offset=%d", e.base, url.PathEscape(streamID), offset)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	return send(e.client, req, wrote)
+	return send(e.client, req)
 }
 
 func (e *HTTPEngine) post(ctx context.Context, body []byte) (*http.Response, error) {
-	ctx, wrote := watchWrites(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/streams", bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
 	req.Header.Set("Content-Type", "application/json")
-	return send(e.client, req, wrote)
+	return send(e.client, req)
 }
 
 // Cancel implements Engine.
--- a/engine/httpplain.go
+++ b/engine/httpplain.go
@@ -29,18 +29,17 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	ctx, wrote := watchWrites(ctx)
-	out := req.Clone(ctx)
+	c, out := newCall(req.Clone(ctx))
 	out.RequestURI = ""
 	sendOnce(out)
 	out.URL.Scheme = target.Scheme
 	out.URL.Host = target.Host
 	out.Host = target.Host
-	resp, err := p.client.Do(out)
+	resp, err := c.do(p.client, out)
 	if err != nil {
-		return nil, sendError(err, wrote)
+		return nil, err
 	}
-	return p.sort(resp)
+	return p.sort(c, resp)
 }
 
 // sendOnce keeps the transport from sending a request again by itself when a
@@ -53,14 +52,14 @@
 	}
 }
 
-func (p *HTTPPlain) sort(resp *http.Response) (*http.Response, error) {
+func (p *HTTPPlain) sort(c *call, resp *http.Response) (*http.Response, error) {
 	reason := resp.Header.Get(ReasonHeader)
 	if reason == "" {
 		return resp, nil
 	}
 	_ = resp.Body.Close()
 	if reason == ReasonLeaving {
-		return nil, ErrLeaving
+		return nil, c.refused(resp, ErrLeaving)
 	}
-	return nil, errors.Wrap(ErrRefused, reason)
+	return nil, c.refused(resp, errors.Wrap(ErrRefused, reason))
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -69,7 +69,7 @@
 	mux.HandleFunc("GET /cache-events", e.cacheEvents)
 	mux.HandleFunc("PUT /faults", e.setFaults)
 	mux.HandleFunc("GET /runs", e.listRuns)
-	return mux
+	return echoCalls(mux)
 }
 
 func (e *Engine) start(w http.ResponseWriter, r *http.Request) {
--- a/standin/faultystream.go
+++ b/standin/faultystream.go
@@ -62,6 +62,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *FaultyEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.CallHeader, r.Header.Get(engine.CallHeader))
 	if r.Method != http.MethodPost || r.URL.Path != "/streams" {
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -54,7 +54,7 @@
 	mux.HandleFunc("/", p.call)
 	mux.HandleFunc("GET /standin/runs", p.listRuns)
 	mux.HandleFunc("PUT /standin/faults", p.setFaults)
-	return mux
+	return echoCalls(mux)
 }
 
 func (p *Plain) call(w http.ResponseWriter, r *http.Request) {
