--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -203,9 +203,7 @@
 	hosts := startTestHosts(t, 2, e, nil)
 	ctx := testContext(t)
 	hosts[0].strand(t)
-	if !hosts[0].stranded.Load() {
-		t.Error("OnStranded was not called")
-	}
+	eventually(t, "told that it is stranded", hosts[0].stranded.Load)
 	large := bytes.Repeat([]byte("x"), 200<<10)
 	for _, c := range []struct {
 		target string
@@ -233,9 +231,7 @@
 		resp, _, err := hosts[0].send(ctx, e, "/echo", nil)
 		return err == nil && resp.Via == "" && hosts[0].sender.Links().Connected()
 	})
-	if hosts[0].stranded.Load() {
-		t.Error("the host is still said to be stranded")
-	}
+	eventually(t, "told that it is not stranded any more", func() bool { return !hosts[0].stranded.Load() })
 }
 
 // startResetter accepts connections and resets them.
