--- a/upstream/send.go
+++ b/upstream/send.go
@@ -175,9 +175,10 @@
 // any byte of the request was sent.
 func (x *exchange) fail(ctx context.Context, err error) error {
 	x.report(ctx, err)
-	sent := x.conn.sent.Load() > 0
 	x.closeConn()
-	if !sent {
+	// A write that is in progress ends now, and counts what it has sent.
+	<-x.written
+	if x.conn.sent.Load() == 0 {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
 	return errors.Wrap(ErrNoResponse, err.Error())
