--- a/forward/hedge.go
+++ b/forward/hedge.go
@@ -53,14 +53,20 @@
 		return f.exchange(ctx, req)
 	}
 	f.hedges.deposit()
-	r := &hedgedExchange{f: f, req: req, results: make(chan attemptResult, 2)}
+	r := &hedgedExchange{f: f, req: req, results: make(chan attemptResult, max(2, req.route.MaxAttempts))}
 	r.start(ctx)
 	hedge := time.NewTimer(time.Duration(hedgeDelayFraction * float64(req.route.Objective)))
 	defer hedge.Stop()
 	for {
 		select {
 		case result := <-r.results:
-			if r.inFlight--; result.reply != nil || r.inFlight == 0 {
+			r.inFlight--
+			if result.reply == nil && result.err == nil && req.hasReplacement() {
+				// The attempt was given up for another.
+				r.start(ctx)
+				continue
+			}
+			if result.reply != nil || r.inFlight == 0 {
 				r.cancelOthers(result.attempt)
 				return result.reply, result.err
 			}
--- a/forward/replace.go
+++ b/forward/replace.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/pace"
@@ -18,18 +20,9 @@
 // the attempt, which ends overdue: a sound endpoint may be silent for a moment, and an
 // attempt that ends without another place leaves the client without an answer.
 func (f *Forwarder) replace(overdue context.Context, req *request, w *pace.Watch, cancel context.CancelFunc) {
-	for req.mayBeReplaced() {
-		placement, err := f.opts.Placer.Place(overdue, req.placementRequest(time.Now()))
-		if err == nil {
-			if req.offerReplacement(placement, w.GiveUp) {
-				cancel()
-			} else {
-				placement.Release(Usage{Outcome: OutcomeAbandoned})
-			}
-			return
-		}
-		var rejection *Rejection
-		if !errors.As(err, &rejection) {
+	for {
+		if req.mayBeReplaced() && f.offerReplacement(overdue, req, w) {
+			cancel()
 			return
 		}
 		select {
@@ -40,17 +33,43 @@
 	}
 }
 
-// mayBeReplaced reports whether an attempt may be replaced by another: not if a hedge is in
-// flight that is the last attempt.
+// offerReplacement obtains a placement at an endpoint at which the request was not attempted, and
+// reports whether the attempt in flight was given up for it.
+func (f *Forwarder) offerReplacement(overdue context.Context, req *request, w *pace.Watch) bool {
+	ask := req.placementRequest(time.Now())
+	placement, err := f.opts.Placer.Place(overdue, ask)
+	if err != nil {
+		var rejection *Rejection
+		if !errors.As(err, &rejection) && overdue.Err() == nil {
+			_ = level.Warn(f.opts.Logger).Log("event", "replacement_failed", "request", req.ID, "err", err)
+		}
+		return false
+	}
+	if !slices.Contains(ask.Avoid, placement.Endpoint().ID) && req.keepReplacement(placement, w.GiveUp) {
+		return true
+	}
+	placement.Release(Usage{Outcome: OutcomeAbandoned})
+	return false
+}
+
+// mayBeReplaced reports whether an attempt may be replaced by another: not if a hedge that is in
+// flight, or waits for its placement, is the last attempt.
 func (r *request) mayBeReplaced() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.attempted)-r.refusals < r.route.MaxAttempts
+	return len(r.attempted)+r.placing-r.refusals < r.route.MaxAttempts
+}
+
+// hasReplacement reports whether a placement is kept for the next attempt.
+func (r *request) hasReplacement() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replacement != nil
 }
 
-// offerReplacement keeps a placement for the next attempt, if giveUp reports that the attempt
+// keepReplacement keeps a placement for the next attempt, if giveUp reports that the attempt
 // in flight times out.
-func (r *request) offerReplacement(p Placement, giveUp func() bool) bool {
+func (r *request) keepReplacement(p Placement, giveUp func() bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.replacement != nil || !giveUp() {
--- a/forward/request.go
+++ b/forward/request.go
@@ -29,6 +29,8 @@
 	// mu guards the fields below, because a hedge runs concurrently with the first
 	// attempt.
 	mu sync.Mutex
+	// placing is the number of attempts that wait for a placement.
+	placing int
 	// runs counts the attempts that ran or may have run, refusals those that did not run.
 	runs, refusals int
 	// attempted lists the ids of the endpoints at which the request was attempted.
@@ -96,6 +98,13 @@
 	return limits
 }
 
+// countPlacing adds to the number of attempts that wait for a placement.
+func (r *request) countPlacing(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.placing += n
+}
+
 // countRefusal counts an attempt that did not run.
 func (r *request) countRefusal() {
 	r.mu.Lock()
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -91,3 +91,33 @@
 		}
 	}
 }
+
+// TestReplacementBesideAHedgeIsUsed has the first two of four endpoints fall silent for good under an
+// attempt and its hedge: the third attempt begins as soon as one of them is given up.
+func TestReplacementBesideAHedgeIsUsed(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, idempotent, 4, 0)
+	b.config.current.Routes[0].Objective, b.config.current.Routes[0].MaxAttempts = 200*time.Millisecond, 3
+	b.config.current.Index()
+	b.forwarder.hedges.tokens = 1
+	for _, r := range b.replicas[:2] {
+		r.SetFaults(standin.ReplicaFaults{Silent: true})
+	}
+	begun := time.Now()
+	id, a := b.send(context.Background(), "", map[string]string{"X-Deadline-Ms": "6000"})
+	if a.status != http.StatusOK || len(b.runs(id)) != 3 || time.Since(begun) > firstByteTimeout+time.Second {
+		t.Errorf("status %d after %s, %d runs", a.status, time.Since(begun), len(b.runs(id)))
+	}
+}
+
+// TestSilentEndpointIsNotReplacedByItself sends to the only endpoint, which is silent longer than an
+// attempt may be, with a placer that falls back to endpoints to avoid: the attempt goes on.
+func TestSilentEndpointIsNotReplacedByItself(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, idempotent, 1, 0)
+	b.placer.mayRepeat = true
+	b.replicas[0].Pause(2500 * time.Millisecond)
+	if id, a := b.send(context.Background(), "", map[string]string{"X-Deadline-Ms": "6000"}); a.status != http.StatusOK || len(b.runs(id)) != 1 {
+		t.Errorf("status %d, %d runs", a.status, len(b.runs(id)))
+	}
+}
--- a/forward/streamerror_test.go
+++ b/forward/streamerror_test.go
@@ -65,6 +65,10 @@
 				r.Pace = 0
 			}
 			b.replicas[0].SetFaults(c.faults)
+			for _, r := range b.replicas[2:] {
+				// A stand-in closes the connection after each whole stream.
+				r.SetFaults(standin.ReplicaFaults{Announced: true})
+			}
 			for _, answer := range noStreams() {
 				b.replicas[1].SetFaults(standin.ReplicaFaults{Answer: &answer})
 				id, a := b.send(context.Background(), "", nil)
--- a/forward/try.go
+++ b/forward/try.go
@@ -58,7 +58,9 @@
 	placementStarted := time.Now()
 	placement, err := req.takeReplacement(), error(nil)
 	if placement == nil {
+		req.countPlacing(1)
 		placement, err = f.opts.Placer.Place(ctx, req.placementRequest(placementStarted))
+		req.countPlacing(-1)
 	}
 	now := time.Now()
 	if err != nil {
--- a/pace/watch.go
+++ b/pace/watch.go
@@ -18,6 +18,8 @@
 	// engine of the users' sites and three times as long on a slow engine in a slow
 	// moment; the rest allows for prompts of other requests that are processed meanwhile.
 	stallPerToken = 25 * time.Millisecond
+	// noTimeout is longer than any call lasts.
+	noTimeout = 24 * time.Hour
 )
 
 // StallAfter returns the time without an event after which an endpoint is reported as
@@ -52,6 +54,8 @@
 	timeoutTimer *time.Timer
 	timedOut     bool
 	stopped      bool
+	// due is when the timeout is exceeded, unless an event comes.
+	due time.Time
 	// endOverdue ends the context of onOverdue; nil unless a timeout is exceeded.
 	endOverdue context.CancelFunc
 }
@@ -78,6 +82,7 @@
 	defer w.mu.Unlock()
 	w.stallTimer = time.AfterFunc(limits.Stall, w.stallExpired)
 	if limits.First > 0 {
+		w.due = time.Now().Add(limits.First)
 		w.timeoutTimer = time.AfterFunc(limits.First, w.timeoutExpired)
 	}
 	return w
@@ -95,8 +100,10 @@
 	switch {
 	case w.timeoutTimer == nil:
 	case w.limits.Next > 0:
+		w.due = time.Now().Add(w.limits.Next)
 		w.timeoutTimer.Reset(w.limits.Next)
 	default:
+		w.due = time.Now().Add(noTimeout)
 		w.timeoutTimer.Stop()
 	}
 }
@@ -154,7 +161,8 @@
 
 func (w *Watch) timeoutExpired() {
 	w.mu.Lock()
-	expired := !w.stopped
+	// An event may have come while this call waited for the lock.
+	expired := !w.stopped && !time.Now().Before(w.due)
 	if lenient := w.onOverdue != nil; expired && lenient {
 		w.clearOverdue()
 		overdue, end := context.WithCancel(context.Background())
