--- a/detour/helpers.go
+++ b/detour/helpers.go
@@ -18,12 +18,14 @@
 	self peers.Host
 	// pausedUntil maps hosts to the time until which they are not asked.
 	pausedUntil map[string]time.Time
+	// slowUntil maps hosts that were slow to the time until which others are preferred.
+	slowUntil map[string]time.Time
 	// inFlight counts the calls in progress by host.
 	inFlight map[string]int
 }
 
 func newHelpers(self peers.Host) *helpers {
-	return &helpers{self: self, pausedUntil: make(map[string]time.Time), inFlight: make(map[string]int)}
+	return &helpers{self: self, pausedUntil: make(map[string]time.Time), slowUntil: make(map[string]time.Time), inFlight: make(map[string]int)}
 }
 
 // choose returns the host to ask for a call, or nil if there is none; tried were asked already.
@@ -36,7 +38,7 @@
 		if o.Name == h.self.Name || o.Token == "" || o.Leaving || tried[o.Name] || now.Before(h.pausedUntil[o.Name]) {
 			continue
 		}
-		if r := h.rank(o); best == nil || r.before(bestRank) {
+		if r := h.rank(now, o); best == nil || r.before(bestRank) {
 			best, bestRank = o, r
 		}
 	}
@@ -49,6 +51,8 @@
 // rank orders hosts by how well they help.
 type rank struct {
 	stranded bool
+	// slow hosts may be frozen, or the endpoints that they called are slow.
+	slow     bool
 	distance int
 	inFlight int
 	order    uint64
@@ -59,6 +63,8 @@
 	case r.stranded != o.stranded:
 		// The record of a host may be two seconds old.
 		return o.stranded
+	case r.slow != o.slow:
+		return o.slow
 	case r.distance != o.distance:
 		return r.distance < o.distance
 	case r.inFlight != o.inFlight:
@@ -68,8 +74,8 @@
 	}
 }
 
-func (h *helpers) rank(o *peers.Host) rank {
-	r := rank{stranded: o.Stranded, inFlight: h.inFlight[o.Name], order: xxhash.Sum64String(h.self.Name + "/" + o.Name)}
+func (h *helpers) rank(now time.Time, o *peers.Host) rank {
+	r := rank{stranded: o.Stranded, slow: now.Before(h.slowUntil[o.Name]), inFlight: h.inFlight[o.Name], order: xxhash.Sum64String(h.self.Name + "/" + o.Name)}
 	switch {
 	case o.Zone == h.self.Zone:
 	case o.Region == h.self.Region:
@@ -87,6 +93,16 @@
 	}
 }
 
+// markSlow makes others preferred to a host for slowTime.
+func (h *helpers) markSlow(now time.Time, name string) {
+	for slow, until := range h.slowUntil {
+		if !now.Before(until) {
+			delete(h.slowUntil, slow)
+		}
+	}
+	h.slowUntil[name] = now.Add(slowTime)
+}
+
 // pause passes a host over for a while.
 func (h *helpers) pause(now time.Time, name string, d time.Duration) {
 	for paused, until := range h.pausedUntil {
--- a/detour/httppool.go
+++ b/detour/httppool.go
@@ -54,7 +54,11 @@
 		return nil, errors.Wrap(err, "address of the endpoint")
 	}
 	target.Scheme, target.Host = base.Scheme, base.Host
-	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), io.NopCloser(bytes.NewReader(call.Body)))
+	var body io.Reader = http.NoBody
+	if len(call.Body) > 0 {
+		body = io.NopCloser(bytes.NewReader(call.Body))
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
--- a/detour/links.go
+++ b/detour/links.go
@@ -22,6 +22,10 @@
 	tracker *reach.Tracker
 	// dialed is closed, and replaced, with each outcome of an attempt to connect.
 	dialed chan struct{}
+
+	// applyMu guards applied, which is what OnStranded was told last.
+	applyMu sync.Mutex
+	applied bool
 }
 
 func newLinks(o *Options, m *metrics) *Links {
@@ -62,8 +66,13 @@
 	}
 }
 
-// announce logs and counts a change of the state, and has it applied.
+// announce has a change of the state applied, then logs and counts it.
 func (l *Links) announce(before, after reach.State, endpoints []string, err error) {
+	if after == reach.Stranded {
+		// Connections that were open before may be dead without showing it.
+		l.opts.Pool.CloseAllIdle()
+	}
+	l.apply()
 	l.metrics.changes.WithLabelValues(after.String()).Inc()
 	reason := ""
 	if err != nil {
@@ -71,22 +80,24 @@
 	}
 	_ = level.Warn(l.opts.Logger).Log("event", "links_changed", "before", before.String(), "state", after.String(),
 		"endpoints", endpoints, "reason", reason)
-	if after == reach.Stranded {
-		// Connections that were open before may be dead without showing it.
-		l.opts.Pool.CloseAllIdle()
-	}
-	l.setStranded(after != reach.Connected)
-	if (before == reach.Connected) != (after == reach.Connected) {
-		l.opts.OnStranded(after != reach.Connected)
-	}
 }
 
-func (l *Links) setStranded(stranded bool) {
+// apply tells OnStranded the state, unless it was told already. Changes may overtake each other
+// on the way here, so the state is read again.
+func (l *Links) apply() {
+	l.applyMu.Lock()
+	defer l.applyMu.Unlock()
+	stranded := !l.Connected()
+	if stranded == l.applied {
+		return
+	}
+	l.applied = stranded
 	value := 0.0
 	if stranded {
 		value = 1
 	}
 	l.metrics.stranded.Set(value)
+	l.opts.OnStranded(stranded)
 }
 
 // Suspect records that an endpoint sends nothing, or that it broke a connection.
@@ -191,9 +202,13 @@
 // call of Suspect or Dialed.
 func (l *Links) probe(ctx context.Context) bool {
 	l.mu.Lock()
+	before := l.tracker.State()
 	due := l.tracker.Probes(time.Now())
-	busy := l.tracker.Busy()
+	after, busy := l.tracker.State(), l.tracker.Busy()
 	l.mu.Unlock()
+	if before != after {
+		l.announce(before, after, nil, nil)
+	}
 	for _, id := range due {
 		go l.probeEndpoint(ctx, id)
 	}
@@ -202,14 +217,15 @@
 
 // probeEndpoint connects to an endpoint; the pool tells Dialed.
 func (l *Links) probeEndpoint(ctx context.Context, id string) {
-	e := l.opts.Endpoint(id)
-	if e == nil {
-		l.Dialed(id, time.Now(), errUnlisted)
-		return
-	}
-	result := "connected"
-	if err := l.opts.Pool.Probe(ctx, id, e.Address); err != nil {
-		result = "failed"
+	result := "unlisted"
+	if e := l.opts.Endpoint(id); e != nil {
+		result = "connected"
+		if err := l.opts.Pool.Probe(ctx, id, e.Address); err != nil {
+			result = "failed"
+		}
 	}
 	l.metrics.probes.WithLabelValues(result).Inc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tracker.EndProbe(id)
 }
--- a/detour/message.go
+++ b/detour/message.go
@@ -1,7 +1,5 @@
 package detour
 
-import "net/http"
-
 // callHead is the first line of the body of a call, as JSON. The body of the call to the
 // endpoint follows it.
 type callHead struct {
@@ -10,9 +8,10 @@
 	Request  string `json:"request"`
 	Method   string `json:"method"`
 	// Target is the path and query, Host the Host header.
-	Target string      `json:"target"`
-	Host   string      `json:"host"`
-	Header http.Header `json:"header"`
+	Target []byte `json:"target"`
+	Host   []byte `json:"host"`
+	// Header is as HTTP/1 has it.
+	Header []byte `json:"header"`
 	// Bytes is the length of the body that follows.
 	Bytes int `json:"bytes"`
 }
@@ -20,16 +19,19 @@
 // responseHead is the first line of the body of a response, as JSON. The body of the
 // endpoint's response follows it.
 type responseHead struct {
-	Status int         `json:"status"`
-	Header http.Header `json:"header"`
+	Status int `json:"status"`
+	// Header is as HTTP/1 has it.
+	Header []byte `json:"header"`
 	// Length is that of the endpoint's body in bytes, -1 if the endpoint did not state it.
 	Length int64 `json:"length"`
 }
 
+// outcomeHeader holds the outcome of a call that brought no response of the endpoint.
+const outcomeHeader = "Detour-Refusal"
+
 // refusal is the body of an answer that is no response of the endpoint, as JSON.
 type refusal struct {
-	Outcome outcome `json:"outcome"`
-	Reason  string  `json:"reason"`
+	Reason string `json:"reason"`
 }
 
 // outcome is what became of a call that brought no response of the endpoint.
--- a/detour/options.go
+++ b/detour/options.go
@@ -23,8 +23,8 @@
 	Hosts func() []peers.Host
 	// Endpoint returns an endpoint by its id, or nil if this host has read no record of it.
 	Endpoint func(id string) *endpoint.Endpoint
-	// OnResponse is called with the head of each response that an endpoint gives this host to
-	// the call of another one.
+	// OnResponse returns a function that is called with the head of each response that an
+	// endpoint gives this host to the call of another one; sent is by package clock.
 	OnResponse func(e *endpoint.Endpoint, request string, sent time.Time) func(status int, header http.Header)
 	// OnStranded is called when the host becomes stranded, and when it no longer is. It must
 	// not block.
@@ -55,10 +55,10 @@
 	// for a host that could not be reached, or is stranded itself.
 	busyPause   = 100 * time.Millisecond
 	failedPause = time.Second
-	// slowAfter is the time without a response after which a helper is passed over for
-	// slowPause: the helper may be frozen.
+	// slowAfter is the time without a response after which other helpers are preferred to one
+	// for slowTime: the helper may be frozen.
 	slowAfter = 600 * time.Millisecond
-	slowPause = 600 * time.Millisecond
+	slowTime  = 600 * time.Millisecond
 	// suspectAfter is the time without a response to a call of a Transport after which this
 	// host's own links are looked into.
 	suspectAfter = 500 * time.Millisecond
@@ -66,6 +66,8 @@
 	waitTick = 20 * time.Millisecond
 	// maxHeadBytes bounds the JSON head of a call and of its response, in bytes.
 	maxHeadBytes = 128 << 10
+	// maxReasonBytes bounds the text that says why a call was refused, in bytes.
+	maxReasonBytes = 200
 	// maxCallBytes bounds the body of a call, in bytes.
 	maxCallBytes = 5 << 20
 	// copyBuffer is the size of the buffer through which a response is passed on, in bytes.
--- a/detour/sender.go
+++ b/detour/sender.go
@@ -117,7 +117,7 @@
 	})
 	slow := time.AfterFunc(slowAfter, func() {
 		s.mu.Lock()
-		s.helpers.pause(time.Now(), host.Name, slowPause)
+		s.helpers.markSlow(time.Now(), host.Name)
 		s.mu.Unlock()
 	})
 	resp, result, err := s.exchange(ctx, host, id, call)
@@ -127,7 +127,7 @@
 		return nil, result, err
 	}
 	resp.body.release = release
-	out := upstream.NewRelayedResponse(host.Name, resp.head.Status, resp.head.Header, resp.head.Length, resp.body)
+	out := upstream.NewRelayedResponse(host.Name, resp.head.Status, resp.header, resp.head.Length, resp.body)
 	if call.OnResponse != nil {
 		call.OnResponse(out.Status, out.Header)
 	}
@@ -136,8 +136,9 @@
 
 // relayedResponse is a response that a host passes on.
 type relayedResponse struct {
-	head responseHead
-	body *relayedBody
+	head   responseHead
+	header http.Header
+	body   *relayedBody
 }
 
 // exchange sends a call to a host and reads the head of the response.
@@ -166,6 +167,9 @@
 	if err == nil {
 		err = json.Unmarshal(line, &out.head)
 	}
+	if err == nil {
+		out.header, err = decodeHeader(out.head.Header)
+	}
 	if err != nil {
 		_ = resp.Body.Close()
 		return nil, lost, errors.Wrapf(upstream.ErrPathLost, "%s: head of the response: %s", host.Name, err)
--- a/detour/server.go
+++ b/detour/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/upstream"
@@ -91,15 +92,20 @@
 func (s *Server) call(w http.ResponseWriter, r *http.Request, e *endpoint.Endpoint, head *callHead, body []byte) {
 	began := time.Now()
 	opts := &s.sender.opts
+	header, err := decodeHeader(head.Header)
+	if err != nil {
+		s.refuse(w, head.Request, unsent, err.Error())
+		return
+	}
 	resp, err := opts.Pool.Send(r.Context(), e.ID, e.Address, &upstream.Call{
 		Request:    head.Request,
 		Method:     head.Method,
-		Target:     head.Target,
-		Host:       head.Host,
-		Header:     head.Header,
+		Target:     string(head.Target),
+		Host:       string(head.Host),
+		Header:     header,
 		Body:       body,
 		Matches:    platform.Answers(head.Request),
-		OnResponse: opts.OnResponse(e, head.Request, began),
+		OnResponse: opts.OnResponse(e, head.Request, clock.Now()),
 	})
 	if err != nil {
 		result := unanswered
@@ -123,7 +129,7 @@
 
 // passOn writes a response, each part of it as it arrives.
 func (s *Server) passOn(w http.ResponseWriter, resp *upstream.Response) error {
-	head, err := json.Marshal(responseHead{Status: resp.Status, Header: resp.Header, Length: resp.Length})
+	head, err := json.Marshal(responseHead{Status: resp.Status, Header: encodeHeader(resp.Header), Length: resp.Length})
 	if err != nil {
 		return errors.Wrap(err, "encode head")
 	}
@@ -139,7 +145,8 @@
 func (s *Server) refuse(w http.ResponseWriter, request string, result outcome, reason string) {
 	s.sender.metrics.served.WithLabelValues(string(result)).Inc()
 	_ = level.Info(s.sender.opts.Logger).Log("event", "detour_served", "request", request, "outcome", result, "reason", reason)
-	writeJSON(w, http.StatusServiceUnavailable, refusal{Outcome: result, Reason: reason})
+	w.Header().Set(outcomeHeader, string(result))
+	writeJSON(w, http.StatusServiceUnavailable, refusal{Reason: reason[:min(len(reason), maxReasonBytes)]})
 }
 
 // ServeProbe tells whether this host can connect to an endpoint.
--- a/detour/wire.go
+++ b/detour/wire.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/textproto"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -20,8 +22,8 @@
 // newCallRequest returns the request that has a host make a call.
 func newCallRequest(ctx context.Context, host *peers.Host, id string, call *upstream.Call) (*http.Request, error) {
 	head, err := json.Marshal(callHead{
-		Endpoint: id, Request: call.Request, Method: call.Method, Target: call.Target, Host: call.Host, Header: call.Header,
-		Bytes: len(call.Body),
+		Endpoint: id, Request: call.Request, Method: call.Method, Target: []byte(call.Target), Host: []byte(call.Host),
+		Header: encodeHeader(call.Header), Bytes: len(call.Body),
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode call")
@@ -64,22 +66,29 @@
 // ErrNotSent, ErrNoResponse or ErrPathLost.
 func readRefusal(resp *http.Response) (outcome, error) {
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusUnauthorized {
+	switch resp.StatusCode {
+	case http.StatusUnauthorized:
 		// Another process than that of the host's record serves its address.
 		return leaving, errors.Wrap(upstream.ErrNotSent, "the host has another token than its record")
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		return unlisted, errors.Wrap(upstream.ErrNotSent, "the host makes no calls for others")
+	case http.StatusServiceUnavailable:
+	default:
+		return lost, errors.Wrap(upstream.ErrPathLost, resp.Status)
 	}
+	// The reason is for the log alone; without it the outcome holds.
 	var r refusal
-	err := json.NewDecoder(io.LimitReader(resp.Body, maxHeadBytes)).Decode(&r)
-	switch {
-	case resp.StatusCode != http.StatusServiceUnavailable:
-		return lost, errors.Wrap(upstream.ErrPathLost, resp.Status)
-	case r.Outcome == unanswered:
-		return unanswered, errors.Wrap(upstream.ErrNoResponse, r.Reason)
-	case err != nil || r.Outcome == "":
-		// A host that has no connection left answers without a body of this form.
+	_ = json.NewDecoder(io.LimitReader(resp.Body, maxHeadBytes)).Decode(&r)
+	switch result := outcome(resp.Header.Get(outcomeHeader)); result {
+	case "":
+		// The listener had no connection left, and no call was read.
 		return busy, errors.Wrap(upstream.ErrNotSent, "the host is full")
+	case busy, stranded, leaving, unlisted, unsent:
+		return result, errors.Wrap(upstream.ErrNotSent, r.Reason)
+	case unanswered:
+		return result, errors.Wrap(upstream.ErrNoResponse, r.Reason)
 	default:
-		return r.Outcome, errors.Wrap(upstream.ErrNotSent, r.Reason)
+		return lost, errors.Wrapf(upstream.ErrPathLost, "unknown outcome %q", result)
 	}
 }
 
@@ -99,3 +108,22 @@
 		}
 	}
 }
+
+// encodeHeader returns headers as HTTP/1 has them, byte for byte: JSON text holds no bytes that are
+// not UTF-8.
+func encodeHeader(h http.Header) []byte {
+	var out bytes.Buffer
+	// Writing to a buffer can't fail.
+	_ = h.Write(&out)
+	return out.Bytes()
+}
+
+// decodeHeader reads headers as encodeHeader returns them.
+func decodeHeader(encoded []byte) (http.Header, error) {
+	if len(encoded) == 0 {
+		return http.Header{}, nil
+	}
+	reader := textproto.NewReader(bufio.NewReader(io.MultiReader(bytes.NewReader(encoded), strings.NewReader("\r\n"))))
+	h, err := reader.ReadMIMEHeader()
+	return http.Header(h), errors.Wrap(err, "headers")
+}
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "time"
+
 const (
 	// connectionsOfHosts bounds the connections of each listener that isn't for
 	// callers: some hundred hosts, and as many that are being replaced.
@@ -17,6 +19,10 @@
 	detourDescriptors = 0.1
 	detourMemory      = 0.08
 	detourCallBytes   = 48 << 10
+	// maxIdleDetours and detourIdleTimeout bound the idle connections to a host that makes calls
+	// for this one: they count against the connections that it has for sessions.
+	maxIdleDetours    = 16
+	detourIdleTimeout = 2 * time.Second
 	// detourBodyShare is the part of the memory that the bodies of these calls may take.
 	detourBodyShare = 0.04
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,7 +224,7 @@
 		Pool: g.pool,
 		Peers: &http.Transport{
 			DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableCompression: true,
-			MaxIdleConnsPerHost: calls, MaxResponseHeaderBytes: headerBytes,
+			MaxIdleConnsPerHost: maxIdleDetours, IdleConnTimeout: detourIdleTimeout, MaxResponseHeaderBytes: headerBytes,
 		},
 		Hosts:        g.directory.Hosts,
 		Endpoint:     func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -28,6 +28,8 @@
 	suspected bool
 	// verify is set while it has to be known soon whether any endpoint can be reached.
 	verify bool
+	// roundFailed is set once a round of probes has ended since the last success.
+	roundFailed bool
 	// probedAt is when the last round of probes began. probing holds the endpoints whose
 	// probes have not ended; next is where the next round begins among all endpoints.
 	probedAt time.Time
@@ -88,21 +90,47 @@
 // state changed.
 func (t *Tracker) Dialed(began, now time.Time, endpoint string, succeeded bool) bool {
 	before := t.state
+	probe := t.probing[endpoint]
 	delete(t.probing, endpoint)
-	if succeeded {
+	switch {
+	case succeeded:
 		if began.After(t.reachedAt) {
 			t.reachedAt = began
 		}
-		t.succeed(now)
-	} else if began.After(t.lastSuccess) {
+		if !t.outdated(began) {
+			t.succeed(now)
+		}
+	case began.After(t.lastSuccess):
+		if probe && len(t.probing) == 0 {
+			t.roundFailed = true
+		}
 		t.fail(now, endpoint)
 	}
 	return t.state != before
 }
 
+// EndProbe records that a probe has ended, whatever its outcome.
+func (t *Tracker) EndProbe(endpoint string) {
+	delete(t.probing, endpoint)
+}
+
+// outdated reports whether a connection that was begun at a time says nothing of the links now: it
+// was begun before the first of the failures since, or before the state.
+func (t *Tracker) outdated(began time.Time) bool {
+	if t.state != Connected && began.Before(t.since) {
+		return true
+	}
+	for _, at := range t.failed {
+		if !began.Before(at) {
+			return false
+		}
+	}
+	return len(t.failed) > 0
+}
+
 func (t *Tracker) succeed(now time.Time) {
 	t.lastSuccess = now
-	t.suspected, t.verify = false, false
+	t.suspected, t.verify, t.roundFailed = false, false, false
 	clear(t.failed)
 	switch t.state {
 	case Connected:
@@ -122,11 +150,7 @@
 	if _, found := t.services[endpoint]; !found {
 		return
 	}
-	for id, at := range t.failed {
-		if now.Sub(at) > evidenceAge {
-			delete(t.failed, id)
-		}
-	}
+	t.expire(now)
 	t.failed[endpoint] = now
 	switch t.state {
 	case Connected:
@@ -141,11 +165,24 @@
 	}
 }
 
+// expire drops failures that are too old to count.
+func (t *Tracker) expire(now time.Time) {
+	for id, at := range t.failed {
+		if now.Sub(at) > evidenceAge {
+			delete(t.failed, id)
+		}
+	}
+}
+
 // reachesNone reports whether the failures show that the host reaches no endpoint.
 func (t *Tracker) reachesNone() bool {
 	if len(t.known) < minKnown || len(t.failed) < min(strandedFailures, len(t.known)) {
 		return false
 	}
+	// Calls may fail in a burst, before any success among them is known.
+	if !t.roundFailed && len(t.failed) < len(t.known) {
+		return false
+	}
 	all, failed := make(map[string]bool), make(map[string]bool)
 	for id, service := range t.services {
 		all[service] = true
@@ -190,6 +227,12 @@
 // Probes returns the endpoints to connect to now, for no other purpose than to know whether
 // they can be reached. The caller reports each outcome by Dialed.
 func (t *Tracker) Probes(now time.Time) []string {
+	if t.state == Connected {
+		t.expire(now)
+	}
+	if t.state == Returning && t.share(now) >= 1 {
+		t.enter(now, Connected)
+	}
 	if len(t.known) == 0 || !t.probeDue(now) {
 		return nil
 	}
@@ -227,6 +270,9 @@
 	case Stranded:
 		return since >= strandedInterval
 	case Returning:
+		if !t.shareSince.IsZero() {
+			return since >= strandedInterval
+		}
 		return since >= returningInterval
 	default:
 		if t.verify && since >= verifyInterval {
@@ -253,16 +299,22 @@
 	}
 }
 
-// takeShare decides for a call of a returning host. Once its share is whole, the host is
-// connected.
-func (t *Tracker) takeShare(now time.Time) bool {
+// share returns the share of calls that a returning host sends over its own links.
+func (t *Tracker) share(now time.Time) float64 {
 	if t.shareSince.IsZero() {
-		return false
+		return 0
 	}
 	share := firstShare
 	for step := now.Sub(t.shareSince); step >= shareStep && share < 1; step -= shareStep {
 		share *= 2
 	}
+	return share
+}
+
+// takeShare decides for a call of a returning host. Once its share is whole, the host is
+// connected.
+func (t *Tracker) takeShare(now time.Time) bool {
+	share := t.share(now)
 	if share >= 1 {
 		t.enter(now, Connected)
 		return true
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -236,3 +236,72 @@
 		}
 	}
 }
+
+// TestBurstOfFailuresIsNoStrandedHost fails calls to twelve endpoints of two services at once, just
+// after a success: other endpoints have to be tried before the host takes itself for stranded.
+func TestBurstOfFailuresIsNoStrandedHost(t *testing.T) {
+	tracker := site(50, 10)
+	tracker.Dialed(at(0), at(1), "engine-49", true)
+	for i := range 6 {
+		tracker.Dialed(at(2), at(3), fmt.Sprint("engine-", i), false)
+		tracker.Dialed(at(2), at(3), fmt.Sprint("plain-", i), false)
+	}
+	if tracker.State() != Connected {
+		t.Error("stranded before any other endpoint was tried")
+	}
+	for _, id := range tracker.Probes(at(4)) {
+		tracker.Dialed(at(4), at(5), id, true)
+	}
+	if tracker.State() != Connected || len(tracker.FailedEndpoints()) > 0 {
+		t.Errorf("%s, %v failed", tracker.State(), tracker.FailedEndpoints())
+	}
+}
+
+// TestLateResponseIsNoProofOfLinks ends a call late that was begun before the links were cut, while
+// the host finds out, and once it knows.
+func TestLateResponseIsNoProofOfLinks(t *testing.T) {
+	tracker := site(3, 3)
+	for i, id := range []string{"engine-0", "engine-1", "engine-2", "plain-0", "plain-1"} {
+		tracker.Dialed(at(100), at(200+i), id, false)
+	}
+	tracker.Dialed(at(50), at(300), "engine-0", true)
+	tracker.Dialed(at(200), at(301), "plain-2", false)
+	if tracker.State() != Stranded {
+		t.Fatalf("%s, %v failed", tracker.State(), tracker.FailedEndpoints())
+	}
+	tracker.Dialed(at(60), at(400), "engine-1", true)
+	if tracker.State() != Stranded {
+		t.Errorf("%s by a response to a call that was begun before", tracker.State())
+	}
+}
+
+// TestIdleHostReturns heals the links of a host that has no calls.
+func TestIdleHostReturns(t *testing.T) {
+	tracker := site(18, 3)
+	l := &links{tracker: tracker, now: start, reaches: func(now time.Time, _ string) (bool, time.Duration) {
+		return !now.Before(at(5000)), time.Millisecond
+	}}
+	tracker.Suspect()
+	l.run(at(5000), func() {})
+	if tracker.State() != Stranded {
+		t.Fatal(tracker.State())
+	}
+	l.run(at(8000), func() {})
+	probes := l.probes
+	l.run(at(60_000), func() {})
+	if tracker.State() != Connected || l.probes != probes {
+		t.Errorf("%s, %d probes in 52 seconds", tracker.State(), l.probes-probes)
+	}
+}
+
+// TestProbeThatNeverEndsHoldsUpNoOther loses the outcomes of a round of probes.
+func TestProbeThatNeverEndsHoldsUpNoOther(t *testing.T) {
+	tracker := site(6, 0)
+	tracker.Suspect()
+	for _, id := range tracker.Probes(at(0)) {
+		tracker.EndProbe(id)
+	}
+	if len(tracker.Probes(at(2000))) == 0 {
+		t.Error("no further probes")
+	}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -300,13 +300,13 @@
 			v.observeFirst(u.First)
 		}
 	case Refused:
-		s.pause(now, refusedPause, t.host)
+		s.pause(now, refusedPause, "")
 	case Unreachable, Failed:
 		if m := c.members[t.host]; m == nil || !m.stranded {
 			s.pause(now, failurePause, t.host)
 		}
 	case Misdirected, Leaving:
-		s.pause(now, maxPause, t.host)
+		s.pause(now, maxPause, "")
 	case Unread:
 		if m := c.members[t.host]; m != nil {
 			m.setUnread(now, s.ID)
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -23,7 +23,8 @@
 	// gets no new work. failures counts consecutive failures.
 	pausedUntil time.Time
 	failures    int
-	// pausedBy is the host whose report began the last pause.
+	// pausedBy is the host that began the last pause by failing to use the endpoint; "" if the
+	// endpoint's own answer did.
 	pausedBy string
 	// idleConnections maps hosts to the expiry times of their idle connections to this
 	// endpoint, oldest first.
--- a/scheduler/stranded_test.go
+++ b/scheduler/stranded_test.go
@@ -33,7 +33,7 @@
 		acquireAt(c, now, "stranded", fmt.Sprint("before-", i))
 		c.Done(now, Usage{Ticket: fmt.Sprint("before-", i), Outcome: outcome})
 	}
-	c.SetStranded(now, "stranded", true)
+	c.SetStranded(now, "stranded", true, 0)
 	for i, outcome := range []Outcome{Unreachable, Failed} {
 		acquireAt(c, now, "stranded", fmt.Sprint("after-", i))
 		c.Stalled(now, fmt.Sprint("after-", i))
@@ -66,7 +66,7 @@
 	c := strandedCore(now, 1, 2)
 	acquireAt(c, now, "stranded", "a")
 	acquireAt(c, now, "stranded", "b")
-	c.SetStranded(now, "stranded", true)
+	c.SetStranded(now, "stranded", true, 0)
 	now = now.Add(time.Duration(strandedHolds*float64(defaultHold)) - time.Millisecond)
 	c.Tick(now)
 	if c.tickets["a"] == nil || c.tickets["b"] == nil {
@@ -99,7 +99,7 @@
 func TestItemsKeepOffStrandedHosts(t *testing.T) {
 	now := replayStart
 	c := strandedCore(now, 2, 8)
-	c.SetStranded(now, "stranded", true)
+	c.SetStranded(now, "stranded", true, 0)
 	for i := range 6 {
 		item := Item{Ref: ItemRef{Job: "j", Item: i}, Service: "s", Due: now.Add(time.Minute), ExpectedTokens: 100}
 		if i == 0 {
@@ -116,9 +116,32 @@
 	if hosts["stranded"] != 1 || hosts["sound"] != 5 {
 		t.Errorf("items started at %v, want the one whose input only the stranded host has there", hosts)
 	}
-	c.SetStranded(now, "stranded", false)
+	c.SetStranded(now, "stranded", false, 0)
 	c.AddItem(now, Item{Ref: ItemRef{Job: "k"}, Service: "s", Due: now.Add(time.Minute), ExpectedTokens: 100})
 	if s, ok := c.Effects()[0].(Start); !ok || s.Host != "stranded" {
 		t.Errorf("%+v, want the host with the fewest items", s)
 	}
 }
+
+// TestRequestsThroughOtherHostsKeepTheirSlots has a host that has been stranded for a while join a
+// scheduler, and one whose links come back: only what it may have lost is released.
+func TestRequestsThroughOtherHostsKeepTheirSlots(t *testing.T) {
+	now := replayStart
+	c := strandedCore(now, 1, 4)
+	c.Join(now, &Hello{Host: "third", Zone: "z", Region: "r", Running: []Running{
+		{Ticket: "before", Service: "s", Endpoint: "e0", Since: 3 * time.Second}, {Ticket: "through", Service: "s", Endpoint: "e0", Since: time.Second},
+	}})
+	c.SetStranded(now, "third", true, 2*time.Second)
+	now = now.Add(time.Minute)
+	c.Tick(now)
+	if c.tickets["before"] != nil || c.tickets["through"] == nil {
+		t.Errorf("slots in use: %v", c.tickets)
+	}
+	acquireAt(c, now, "stranded", "lives on")
+	c.SetStranded(now, "stranded", true, 0)
+	c.SetStranded(now.Add(100*time.Millisecond), "stranded", false, 0)
+	c.Tick(now.Add(time.Minute))
+	if c.tickets["lives on"] == nil {
+		t.Error("the slot of a request was released whose host has its links again")
+	}
+}
--- a/slots/client.go
+++ b/slots/client.go
@@ -85,8 +85,8 @@
 	sent         sentLog
 	seq          uint64
 	shuttingDown bool
-	// stranded is what ReportStranded was last called with.
-	stranded bool
+	// strandedSince is since when the host reaches no endpoint itself; zero if it does.
+	strandedSince time.Time
 	// crashes are the last reports of crashes, oldest first.
 	crashes []crashReport
 	// answers are what endpoints answered to this host of late.
@@ -282,9 +282,8 @@
 	if c.shuttingDown {
 		l.send(HostMessage{Leaving: true})
 	}
-	if c.stranded {
-		stranded := true
-		l.send(HostMessage{Stranded: &stranded})
+	if !c.strandedSince.IsZero() {
+		l.send(HostMessage{Stranded: &Stranded{Stranded: true, For: now.Sub(c.strandedSince)}})
 	}
 	for _, w := range c.pending {
 		l.send(HostMessage{Acquire: w.asOf(now)})
--- a/slots/message.go
+++ b/slots/message.go
@@ -17,7 +17,7 @@
 	Withdraw string                 `json:"withdraw,omitempty"`
 	Leaving  bool                   `json:"leaving,omitempty"`
 	// Stranded tells whether the host reaches no endpoint itself.
-	Stranded *bool `json:"stranded,omitempty"`
+	Stranded *Stranded `json:"stranded,omitempty"`
 	// Stalled is the ticket of a use whose endpoint sends nothing.
 	Stalled string `json:"stalled,omitempty"`
 	// Crash reports a request that was in progress at an endpoint that crashed, Answers
