--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -443,3 +443,38 @@
 		t.Error("a stranded host does not tell the endpoint that has ended")
 	}
 }
+
+// TestHostThatWasLostIsNotAskedAgainAtOnce loses a host in the middle of a response: the next attempt
+// goes through another, also if the first seems to be there.
+func TestHostThatWasLostIsNotAskedAgainAtOnce(t *testing.T) {
+	e := startTestEndpoint(t)
+	hosts := startTestHosts(t, 3, e, nil)
+	hosts[0].strand(t)
+	ctx := testContext(t)
+	for _, target := range []string{"/stream", "/hang"} {
+		resp, _, err := hosts[0].send(ctx, e, "/echo", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := resp.Via
+		before := e.calls.Load()
+		go func() {
+			for e.calls.Load() == before {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(30 * time.Millisecond)
+			for _, h := range hosts[1:] {
+				if h.host.Name == first {
+					h.server.CloseClientConnections()
+				}
+			}
+		}()
+		if _, _, err := hosts[0].send(ctx, e, target, nil); !errors.Is(err, upstream.ErrPathLost) {
+			t.Fatalf("%s: error %v", target, err)
+		}
+		if resp, _, err = hosts[0].send(ctx, e, "/echo", nil); err != nil || resp.Via == first {
+			t.Errorf("%s: through %s, which was lost, error %v", target, first, err)
+		}
+		time.Sleep(slowTime)
+	}
+}
--- a/detour/relayedbody.go
+++ b/detour/relayedbody.go
@@ -20,8 +20,8 @@
 	host     string
 	reader   *bufio.Reader
 	response *http.Response
-	// release ends the call.
-	release func()
+	// release ends the call. lost is called if the host is lost.
+	release, lost func()
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body, and
@@ -32,6 +32,7 @@
 		return n, nil
 	}
 	if err != io.EOF {
+		b.lost()
 		return n, errors.Wrapf(upstream.ErrPathLost, "%s: %s", b.host, err)
 	}
 	switch outcome(b.response.Trailer.Get(outcomeTrailer)) {
@@ -40,6 +41,7 @@
 	case cut:
 		return n, errors.Wrapf(io.ErrUnexpectedEOF, "%s: the endpoint's response", b.host)
 	default:
+		b.lost()
 		return n, errors.Wrapf(upstream.ErrPathLost, "%s: the response has no end", b.host)
 	}
 }
--- a/detour/sender.go
+++ b/detour/sender.go
@@ -123,10 +123,13 @@
 	resp, result, err := s.exchange(ctx, host, id, call)
 	slow.Stop()
 	if err != nil {
+		if result == lost && ctx.Err() == nil {
+			s.lose(host.Name)
+		}
 		release()
 		return nil, result, err
 	}
-	resp.body.release = release
+	resp.body.release, resp.body.lost = release, func() { s.lose(host.Name) }
 	out := upstream.NewRelayedResponse(host.Name, resp.head.Status, resp.header, resp.head.Length, resp.body)
 	if call.OnResponse != nil {
 		call.OnResponse(out.Status, out.Header)
@@ -134,6 +137,14 @@
 	return out, answered, nil
 }
 
+// lose makes others preferred to a host that was lost while it made a call, so that the next attempt
+// of the same request does not go there too.
+func (s *Sender) lose(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.helpers.markSlow(time.Now(), host)
+}
+
 // relayedResponse is a response that a host passes on.
 type relayedResponse struct {
 	head   responseHead
