graceful: requests whose connection a host closes without an answer are logged and counted

Connections of all listeners of hosts that serve routes now know whether they await a request, receive one or serve one; a close by this host in the last two phases is the event request_unanswered, with the phase and the bytes read, and peridotmount_listener_unanswered_requests_total. Nothing else changes.

--- a/bounded/listener.go
+++ b/bounded/listener.go
@@ -69,6 +69,11 @@
 	closed  atomic.Bool
 }
 
+// NetConn returns the connection that was accepted.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	if !c.closed.Swap(true) {
--- a/disconnect/conn.go
+++ b/disconnect/conn.go
@@ -15,6 +15,11 @@
 	ended *prometheus.CounterVec
 }
 
+// NetConn returns the connection that was accepted.
+func (c *Conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Cause returns why the connection ended, or None.
 func (c *Conn) Cause() Cause {
 	if cause := c.cause.Load(); cause != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/graceful"
 	"github.com/peridotmount/peridotmount/logring"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/picture"
@@ -115,6 +116,8 @@
 	asker *picture.Client
 	// listenerMetrics are those of all listeners.
 	listenerMetrics *bounded.Vectors
+	// unanswered counts the requests at all listeners that get no answer.
+	unanswered *graceful.Metrics
 	// endedConnections counts the ends of callers' connections by cause.
 	endedConnections *prometheus.CounterVec
 }
@@ -154,6 +157,7 @@
 	g.registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.listenerMetrics = bounded.NewVectors(g.registry)
+	g.unanswered = graceful.NewMetrics(g.registry)
 	g.endedConnections = disconnect.NewCounter(g.registry)
 	g.buildBeliefs()
 	g.buildSending()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -13,6 +13,7 @@
 	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/disconnect"
+	"github.com/peridotmount/peridotmount/graceful"
 	"github.com/peridotmount/peridotmount/httpjson"
 	"github.com/peridotmount/peridotmount/relay"
 	"github.com/peridotmount/peridotmount/slots"
@@ -45,6 +46,7 @@
 	// connections bounds those open at the same time.
 	connections int
 	metrics     *bounded.Metrics
+	graceful    graceful.Options
 	// ended counts the ends of connections by cause, if it is set.
 	ended *prometheus.CounterVec
 	// full answers calls when there are too many connections.
@@ -56,7 +58,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for "+o.name)
 	}
-	var limited net.Listener = bounded.NewListener(socket, o.connections, o.metrics)
+	tracked := graceful.NewListener(socket, o.graceful)
+	var limited net.Listener = bounded.NewListener(tracked, o.connections, o.metrics)
 	if o.ended != nil {
 		limited = disconnect.NewListener(limited, o.ended)
 	}
@@ -64,8 +67,9 @@
 		name:   o.name,
 		socket: limited,
 		http: &http.Server{
-			Handler:           bounded.RejectOverLimit(o.handler, o.full),
+			Handler:           graceful.Handler(bounded.RejectOverLimit(o.handler, o.full)),
 			ConnContext:       connContext,
+			ConnState:         tracked.ConnState,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    headerBytes,
@@ -75,6 +79,7 @@
 
 // connContext is the http.Server.ConnContext of a listener.
 func connContext(ctx context.Context, c net.Conn) context.Context {
+	ctx = graceful.ConnContext(ctx, c)
 	if tracked, ok := c.(*disconnect.Conn); ok {
 		return disconnect.NewContext(bounded.ConnContext(ctx, tracked.Conn), tracked)
 	}
@@ -132,7 +137,9 @@
 		if l.o.address == "" {
 			continue
 		}
-		l.o.metrics = g.listenerMetrics.ForParty(traffic.Party(l.o.name))
+		party := traffic.Party(l.o.name)
+		l.o.metrics = g.listenerMetrics.ForParty(party)
+		l.o.graceful = graceful.Options{Party: party, Logger: g.logger, Metrics: g.unanswered}
 		var err error
 		if *l.at, err = listen(&l.o); err != nil {
 			return err
--- /dev/null
+++ b/graceful/listener.go
@@ -0,0 +1,106 @@
+package graceful
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/traffic"
+)
+
+// Options configures a Listener.
+type Options struct {
+	// Party is who connects.
+	Party   traffic.Party
+	Logger  log.Logger
+	Metrics *Metrics
+}
+
+// Listener is a net.Listener that knows what its connections are used for. Other listeners may
+// wrap it if their connections have a method NetConn that returns the wrapped one. The
+// http.Server that serves it needs its ConnState, ConnContext and Handler.
+type Listener struct {
+	net.Listener
+	opts Options
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewListener returns a Listener of the connections of l.
+func NewListener(l net.Listener, o Options) *Listener {
+	return &Listener{Listener: l, opts: o, conns: make(map[*Conn]struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: accepted, listener: l, phase: awaiting, changed: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// unanswered logs and counts that this host closes a connection whose request has no answer.
+func (l *Listener) unanswered(c *Conn, p phase, read int64, quiet time.Duration) {
+	l.opts.Metrics.countUnanswered(l.opts.Party, p)
+	_ = level.Warn(l.opts.Logger).Log("event", "request_unanswered", "party", l.opts.Party, "phase", p,
+		"peer", c.RemoteAddr().String(), "read_bytes", read, "last_read_ms", quiet.Milliseconds())
+}
+
+// ConnState is the http.Server.ConnState of the server of this listener.
+func (l *Listener) ConnState(c net.Conn, s http.ConnState) {
+	if own := unwrap(c); own != nil && s == http.StateIdle {
+		own.enter(awaiting)
+	}
+}
+
+// connKey is the key of a connection in a request's context.
+type connKey struct{}
+
+// ConnContext is the http.Server.ConnContext of the server of a Listener.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if own := unwrap(c); own != nil {
+		return context.WithValue(ctx, connKey{}, own)
+	}
+	return ctx
+}
+
+// Handler returns h for the http.Server of a Listener.
+func Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			c.enter(serving)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// unwrap returns the Conn inside a connection, or nil.
+func unwrap(c net.Conn) *Conn {
+	for {
+		switch v := c.(type) {
+		case *Conn:
+			return v
+		case interface{ NetConn() net.Conn }:
+			c = v.NetConn()
+		default:
+			return nil
+		}
+	}
+}
