graceful: a request that is read while a host shuts down is answered

What callers saw: beside a SIGTERM, a request on a new or a kept connection got neither an answer nor a refusal; its connection was closed.

Cause: http.Server.Shutdown. net/http drops each request that it reads once Shutdown has begun (conn.serve returns if the server is shutting down), closes idle connections without asking for unread bytes, and its listener with connections in the queue. A host whose processor quota is used up wakes with its sockets full and its timers due, so the window is as long as it stood still.

Change: a host that serves routes no longer calls Shutdown. graceful.Listener closes the socket once two looks find nothing to accept, half-closes each connection that awaits a request and has no unread bytes at two looks, waits up to a second for the first request of a new connection and up to two for the rest of a head, and lets all else be answered with "Connection: close". A request that crosses the half-close is counted.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -67,5 +67,5 @@
 func (g *Gateway) finishRequests(end time.Time) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	return g.callers.http.Shutdown(ctx) == nil
+	return g.callers.connections.Shutdown(ctx) == nil
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -36,6 +36,8 @@
 	name   string
 	socket net.Listener
 	http   *http.Server
+	// connections are those of the socket.
+	connections *graceful.Listener
 }
 
 // listenerOptions shape a listener.
@@ -65,9 +67,9 @@
 	}
 	return &listener{
 		name:   o.name,
-		socket: limited,
+		socket: limited, connections: tracked,
 		http: &http.Server{
-			Handler:           graceful.Handler(bounded.RejectOverLimit(o.handler, o.full)),
+			Handler:           tracked.Handler(bounded.RejectOverLimit(o.handler, o.full)),
 			ConnContext:       connContext,
 			ConnState:         tracked.ConnState,
 			ReadHeaderTimeout: headerTimeout,
@@ -102,8 +104,8 @@
 		}
 		<-ctx.Done()
 	case <-ctx.Done():
-		_ = l.http.Close()
 	}
+	_ = l.http.Close()
 	return ctx.Err()
 }
 
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -1,6 +1,7 @@
 package graceful
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -16,6 +17,10 @@
 
 	mu    sync.Mutex
 	phase phase
+	// fresh is set until the first request has come whole.
+	fresh bool
+	// looks is the number of looks in a row at which a shutdown found that it may be ended.
+	looks int
 	// changed is when bytes were last read, or the phase began.
 	changed time.Time
 	// read is the number of bytes of the request that were read.
@@ -24,11 +29,16 @@
 	ended bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What comes after the connection was ended is a request that crossed
+// its end: it is counted, and not returned.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 && c.phase == ending {
+		c.listener.unanswered(c, ending, int64(n), 0)
+		n, err = 0, io.EOF
+	}
 	if n > 0 {
 		c.received(n)
 	}
@@ -74,9 +84,11 @@
 	return c.Conn.Close()
 }
 
-// enter begins a phase.
+// enter begins a phase, unless the connection was ended.
 func (c *Conn) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.changed = p, time.Now()
+	if c.phase != ending {
+		c.phase, c.changed, c.fresh = p, time.Now(), false
+	}
 }
--- a/graceful/listener.go
+++ b/graceful/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -28,6 +29,9 @@
 	net.Listener
 	opts Options
 
+	// closing is set once the listener shuts down.
+	closing atomic.Bool
+
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 }
@@ -37,13 +41,17 @@
 	return &Listener{Listener: l, opts: o, conns: make(map[*Conn]struct{})}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After a shutdown it returns http.ErrServerClosed, which ends a
+// http.Server as its own shutdown does.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	if err != nil && l.closing.Load() {
+		return nil, http.ErrServerClosed
+	}
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: accepted, listener: l, phase: awaiting, changed: time.Now()}
+	c := &Conn{Conn: accepted, listener: l, phase: awaiting, fresh: true, changed: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
@@ -81,9 +89,13 @@
 	return ctx
 }
 
-// Handler returns h for the http.Server of a Listener.
-func Handler(h http.Handler) http.Handler {
+// Handler returns h for the http.Server of the listener. Its responses end their connections
+// once the listener shuts down.
+func (l *Listener) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
 			c.enter(serving)
 		}
--- a/graceful/phase.go
+++ b/graceful/phase.go
@@ -12,4 +12,6 @@
 	serving phase = "serving"
 	// answering connections have a request to which a part of the response was written.
 	answering phase = "answering"
+	// ending connections were half-closed by this host while they awaited a request.
+	ending phase = "ending"
 )
--- /dev/null
+++ b/graceful/shutdown.go
@@ -0,0 +1,130 @@
+package graceful
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// pollInterval is the time between two looks at the connections of a listener that shuts
+	// down.
+	pollInterval = 10 * time.Millisecond
+	// quietLooks is the number of looks in a row at which a connection, or the listener, has to
+	// be quiet before it is closed: at the first one, bytes that were just read may not be noted
+	// yet.
+	quietLooks = 2
+	// firstRequestTime is how long a new connection is kept for its first request. The client
+	// sends it a round trip after it has connected.
+	firstRequestTime = time.Second
+	// pieceTime is how long a client may pause inside the head of a request. A sound client may
+	// be silent for as long.
+	pieceTime = 2 * time.Second
+	// endTime is how long a client may take to close its side of a connection that was ended.
+	endTime = 250 * time.Millisecond
+)
+
+// closable reports whether a connection may be ended without a request being lost. It has been
+// in its phase, or received nothing, for the given time; fresh is set before its first request,
+// unread if there are bytes that were not read.
+func closable(p phase, fresh, unread bool, quiet time.Duration) bool {
+	switch {
+	case unread:
+		return false
+	case p == receiving:
+		return quiet >= pieceTime
+	case p == awaiting:
+		return !fresh || quiet >= firstRequestTime
+	default:
+		return false
+	}
+}
+
+// Shutdown closes the listener, once all connections made so far are accepted, and ends each
+// connection that awaits a request. The others go on until their responses are written. It
+// returns when no connection is left, or the error of ctx; until then the http.Server has to
+// serve.
+//
+// It takes the place of http.Server.Shutdown, which drops each request that it reads, and closes
+// connections in whose buffers requests wait.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	l.closing.Store(true)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for quiet := 0; ; {
+		if quiet < quietLooks {
+			if quiet++; pending(l.Listener) {
+				quiet = 0
+			}
+			if quiet == quietLooks {
+				l.stopAccepting()
+			}
+		}
+		if l.endQuiet(time.Now()) == 0 && quiet == quietLooks {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// stopAccepting closes the listener.
+func (l *Listener) stopAccepting() {
+	if err := l.Listener.Close(); err != nil {
+		_ = level.Error(l.opts.Logger).Log("event", "listener_not_closed", "party", l.opts.Party, "err", err)
+	}
+}
+
+// endQuiet ends the connections that may be ended, and returns how many are left.
+func (l *Listener) endQuiet(now time.Time) int {
+	l.mu.Lock()
+	conns := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		c.endIfQuiet(now)
+	}
+	return len(conns)
+}
+
+// endIfQuiet ends the connection if it may be ended and was so at the look before. One that has
+// received a part of a request is closed, any other half-closed first: its client has endTime to
+// close its side.
+func (c *Conn) endIfQuiet(now time.Time) {
+	if c.toClose(now) {
+		_ = c.Close()
+	}
+}
+
+// toClose reports whether the connection is to be closed now, and half-closes it if that is
+// due.
+func (c *Conn) toClose(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	quiet := now.Sub(c.changed)
+	if c.phase == ending {
+		return quiet >= endTime
+	}
+	if !closable(c.phase, c.fresh, unread(c.Conn), quiet) {
+		c.looks = 0
+		return false
+	}
+	if c.looks++; c.looks < quietLooks {
+		return false
+	}
+	if c.phase == receiving {
+		return true
+	}
+	c.phase, c.changed = ending, now
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		// Without effect only if the client has ended the connection.
+		_ = half.CloseWrite()
+	}
+	return false
+}
--- /dev/null
+++ b/graceful/shutdown_test.go
@@ -0,0 +1,205 @@
+package graceful
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+// testServer serves HTTP on a Listener.
+type testServer struct {
+	*Listener
+	t       *testing.T
+	metrics *Metrics
+	served  chan error
+}
+
+func newTestServer(t *testing.T, handler http.HandlerFunc) *testServer {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{t: t, metrics: NewMetrics(prometheus.NewRegistry()), served: make(chan error, 1)}
+	s.Listener = NewListener(socket, Options{Party: "test", Logger: log.NewNopLogger(), Metrics: s.metrics})
+	server := &http.Server{Handler: s.Handler(handler), ConnState: s.ConnState, ConnContext: ConnContext, ReadHeaderTimeout: time.Minute}
+	go func() { s.served <- server.Serve(s.Listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+// dial connects a client, and waits until the connection is accepted.
+func (s *testServer) dial() net.Conn {
+	s.t.Helper()
+	before := s.open()
+	c, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	for s.open() == before {
+		time.Sleep(time.Millisecond)
+	}
+	return c
+}
+
+func (s *testServer) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *testServer) unansweredRequests(p phase) float64 {
+	return testutil.ToFloat64(s.metrics.unanswered.WithLabelValues("test", string(p)))
+}
+
+const testRequest = "GET / HTTP/1.1\r\nHost: test\r\n\r\n"
+
+// exchange sends a request and returns the status of its response.
+func exchange(t *testing.T, c net.Conn, request string) int {
+	t.Helper()
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestClosable(t *testing.T) {
+	for name, c := range map[string]struct {
+		phase         phase
+		fresh, unread bool
+		quiet         time.Duration
+		want          bool
+	}{
+		"idle":                     {awaiting, false, false, 0, true},
+		"idle, request in buffer":  {awaiting, false, true, time.Hour, false},
+		"new":                      {awaiting, true, false, firstRequestTime - 1, false},
+		"new, without request":     {awaiting, true, false, firstRequestTime, true},
+		"inside a head":            {receiving, false, false, pieceTime - 1, false},
+		"inside a head, abandoned": {receiving, true, false, pieceTime, true},
+		"inside a head, more came": {receiving, true, true, pieceTime, false},
+		"served":                   {serving, false, false, time.Hour, false},
+		"answered":                 {answering, false, false, time.Hour, false},
+	} {
+		if got := closable(c.phase, c.fresh, c.unread, c.quiet); got != c.want {
+			t.Errorf("%s: %t, want %t", name, got, c.want)
+		}
+	}
+}
+
+// TestShutdownEndsQuietConnections has a connection that was used, one in use, one whose head
+// comes in two pieces and one without any request.
+func TestShutdownEndsQuietConnections(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	s := newTestServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			close(entered)
+			<-leave
+		}
+	})
+	used, held, pieces, unused := s.dial(), s.dial(), s.dial(), s.dial()
+	exchange(t, used, testRequest)
+	exchange(t, pieces, testRequest)
+	answered := make(chan int, 1)
+	go func() { answered <- exchange(t, held, "GET /held HTTP/1.1\r\nHost: test\r\n\r\n") }()
+	<-entered
+	_, _ = io.WriteString(pieces, testRequest[:10])
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	for _, c := range []net.Conn{used, unused} {
+		if n, err := c.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("read %d bytes, %v, of a connection without request", n, err)
+		}
+		_ = c.Close()
+	}
+	if status := exchange(t, pieces, testRequest[10:]); status != http.StatusOK {
+		t.Errorf("request in two pieces: status %d", status)
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("shut down beside a request: %v", err)
+	default:
+	}
+	close(leave)
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("held request: status %d", status)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if err := <-s.served; err != http.ErrServerClosed {
+		t.Errorf("server ended with %v", err)
+	}
+	for _, p := range []phase{receiving, serving, ending} {
+		if n := s.unansweredRequests(p); n != 0 {
+			t.Errorf("%g unanswered requests while %s", n, p)
+		}
+	}
+}
+
+// TestRequestThatCrossesTheEndIsCounted sends a request on a connection that the host has
+// already half-closed.
+func TestRequestThatCrossesTheEndIsCounted(t *testing.T) {
+	s := newTestServer(t, func(http.ResponseWriter, *http.Request) { t.Error("the request was served") })
+	c := s.dial()
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, testRequest)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if n := s.unansweredRequests(ending); n != 1 {
+		t.Errorf("%g requests counted", n)
+	}
+}
+
+// TestShutdownAcceptsWhatHasConnected connects clients that the server accepts only once the
+// shutdown has begun.
+func TestShutdownAcceptsWhatHasConnected(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(socket, Options{Party: "test", Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry())})
+	var clients []net.Conn
+	for range 8 {
+		c, err := net.Dial("tcp", socket.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		clients = append(clients, c)
+	}
+	done := make(chan error, 1)
+	go func() { done <- l.Shutdown(context.Background()) }()
+	time.Sleep(5 * pollInterval)
+	server := &http.Server{Handler: l.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})),
+		ConnState: l.ConnState, ConnContext: ConnContext, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	for i, c := range clients {
+		if status := exchange(t, c, testRequest); status != http.StatusOK {
+			t.Errorf("client %d: status %d", i, status)
+		}
+		_ = c.Close()
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
