graceful: a request that crosses the end of its connection is told that it did not run

What callers saw: beside stops of hosts with callers in bursts, a connection that was idle was closed while a request was on its way: no answer, and no way to tell whether a request that may run only once had run. New connections were refused, or reset when they were on their way, though the host went on for seconds.

Change: the listener stays open until nothing has arrived for half a second (or shortly before the host's time ends), so that clients have learnt of the stop; and before a connection that awaits a request is half-closed it gets a response of status 408, which RFC 9110 has for this: its request did not run.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -15,6 +15,7 @@
 	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/graceful"
 	"github.com/peridotmount/peridotmount/httpjson"
+	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/relay"
 	"github.com/peridotmount/peridotmount/slots"
 	"github.com/peridotmount/peridotmount/sockopt"
@@ -29,6 +30,8 @@
 	idleTimeout = 2 * time.Minute
 	// headerBytes bounds the headers of a request, and those of other hosts' answers.
 	headerBytes = 64 << 10
+	// leavingRetry is the Retry-After of a host that shuts down: other hosts serve the request.
+	leavingRetry = 100 * time.Millisecond
 )
 
 // listener is one HTTP server as a suture service.
@@ -79,6 +82,13 @@
 	}, nil
 }
 
+// leavingHeader is that of the refusal of a request that crosses the end of its connection.
+func leavingHeader() http.Header {
+	h := make(http.Header)
+	platform.SetRetryAfter(h, leavingRetry)
+	return h
+}
+
 // connContext is the http.Server.ConnContext of a listener.
 func connContext(ctx context.Context, c net.Conn) context.Context {
 	ctx = graceful.ConnContext(ctx, c)
@@ -142,6 +152,9 @@
 		party := traffic.Party(l.o.name)
 		l.o.metrics = g.listenerMetrics.ForParty(party)
 		l.o.graceful = graceful.Options{Party: party, Logger: g.logger, Metrics: g.unanswered}
+		if l.at == &g.callers {
+			l.o.graceful.Refuse, l.o.graceful.RefusalHeader = true, leavingHeader()
+		}
 		var err error
 		if *l.at, err = listen(&l.o); err != nil {
 			return err
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -52,6 +52,7 @@
 func (c *Conn) received(n int) {
 	if c.phase == awaiting {
 		c.phase, c.read = receiving, 0
+		c.listener.arrived()
 	}
 	c.read += int64(n)
 	c.changed = time.Now()
--- a/graceful/listener.go
+++ b/graceful/listener.go
@@ -8,20 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-
-	"github.com/peridotmount/peridotmount/traffic"
 )
 
-// Options configures a Listener.
-type Options struct {
-	// Party is who connects.
-	Party   traffic.Party
-	Logger  log.Logger
-	Metrics *Metrics
-}
-
 // Listener is a net.Listener that knows what its connections are used for. Other listeners may
 // wrap it if their connections have a method NetConn that returns the wrapped one. The
 // http.Server that serves it needs its ConnState, ConnContext and Handler.
@@ -31,6 +20,9 @@
 
 	// closing is set once the listener shuts down.
 	closing atomic.Bool
+	begun   time.Time
+	// lastArrival is when a connection or a request arrived last, in nanoseconds since begun.
+	lastArrival atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -38,7 +30,7 @@
 
 // NewListener returns a Listener of the connections of l.
 func NewListener(l net.Listener, o Options) *Listener {
-	return &Listener{Listener: l, opts: o, conns: make(map[*Conn]struct{})}
+	return &Listener{Listener: l, opts: o, begun: time.Now(), conns: make(map[*Conn]struct{})}
 }
 
 // Accept implements net.Listener. After a shutdown it returns http.ErrServerClosed, which ends a
@@ -52,6 +44,7 @@
 		return nil, err
 	}
 	c := &Conn{Conn: accepted, listener: l, phase: awaiting, fresh: true, changed: time.Now()}
+	l.arrived()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
--- a/graceful/shutdown.go
+++ b/graceful/shutdown.go
@@ -15,6 +15,13 @@
 	// be quiet before it is closed: at the first one, bytes that were just read may not be noted
 	// yet.
 	quietLooks = 2
+	// settleTime is how long nothing may have arrived before the listener closes. A request or
+	// connection that is on its way then is lost to its client, so the later the better: clients
+	// learn that the host leaves, and those that come meanwhile get their refusals.
+	settleTime = 500 * time.Millisecond
+	// lastCall is how long before the end of a shutdown its connections are ended though
+	// requests still arrive.
+	lastCall = 750 * time.Millisecond
 	// firstRequestTime is how long a new connection is kept for its first request. The client
 	// sends it a round trip after it has connected.
 	firstRequestTime = time.Second
@@ -41,8 +48,9 @@
 	}
 }
 
-// Shutdown closes the listener, once all connections made so far are accepted, and ends each
-// connection that awaits a request. The others go on until their responses are written. It
+// Shutdown waits until nothing has arrived for settleTime, or until lastCall before the deadline
+// of ctx. Then it closes the listener, once all connections made so far are accepted, and ends
+// each connection that awaits a request. The others go on until their responses are written. It
 // returns when no connection is left, or the error of ctx; until then the http.Server has to
 // serve.
 //
@@ -50,18 +58,20 @@
 // connections in whose buffers requests wait.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.closing.Store(true)
+	l.arrived()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for quiet := 0; ; {
+		now := time.Now()
 		if quiet < quietLooks {
-			if quiet++; pending(l.Listener) {
+			if quiet++; pending(l.Listener) || !l.settled(ctx, now) {
 				quiet = 0
 			}
 			if quiet == quietLooks {
 				l.stopAccepting()
 			}
 		}
-		if l.endQuiet(time.Now()) == 0 && quiet == quietLooks {
+		if quiet == quietLooks && l.endQuiet(now) == 0 {
 			return nil
 		}
 		select {
@@ -72,6 +82,20 @@
 	}
 }
 
+// arrived notes that a connection or a request arrives.
+func (l *Listener) arrived() {
+	l.lastArrival.Store(int64(time.Since(l.begun)))
+}
+
+// settled reports whether the listener may be closed, by what has arrived and by the time that
+// is left.
+func (l *Listener) settled(ctx context.Context, now time.Time) bool {
+	if end, ok := ctx.Deadline(); ok && now.Add(lastCall).After(end) {
+		return true
+	}
+	return now.Sub(l.begun)-time.Duration(l.lastArrival.Load()) >= settleTime
+}
+
 // stopAccepting closes the listener.
 func (l *Listener) stopAccepting() {
 	if err := l.Listener.Close(); err != nil {
@@ -94,8 +118,8 @@
 }
 
 // endIfQuiet ends the connection if it may be ended and was so at the look before. One that has
-// received a part of a request is closed, any other half-closed first: its client has endTime to
-// close its side.
+// received a part of a request is closed, any other half-closed first, behind the refusal of a
+// request that may be on its way: its client has endTime to close its side.
 func (c *Conn) endIfQuiet(now time.Time) {
 	if c.toClose(now) {
 		_ = c.Close()
@@ -122,8 +146,11 @@
 		return true
 	}
 	c.phase, c.changed = ending, now
+	if !c.fresh {
+		// Fails only if the client has ended the connection, as does the half-close.
+		_, _ = c.Conn.Write(c.listener.opts.refusal())
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		// Without effect only if the client has ended the connection.
 		_ = half.CloseWrite()
 	}
 	return false
