upstream: a response without a length that is reset while its request is sent is not complete

What callers saw: a 200 with an empty or a short body, framed as whole, of an endpoint that answered without a length, before it had read a long request, and was reset.

Cause: the kernel reports a reset once. If the write of the request, which runs beside the read of the response for bodies over 2 KiB, is told first, the read gets the end of the connection, which is the regular end of such a response.

Ruled out: heads, lengths and chunks, which an EOF always leaves incomplete.

Change: connend.Conn reports an end as a reset if a write on the connection failed. A read that meets the end awaits a write in progress, as only that knows.

--- /dev/null
+++ b/connend/doc.go
@@ -0,0 +1,2 @@
+// Package connend tells a connection that its peer closed from one that was reset.
+package connend
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/peridotmount/peridotmount/connend"
 )
 
 // connection is a connection to one endpoint. It carries one call at a time.
 type connection struct {
-	net.Conn
+	*connend.Conn
 	key    string
 	reader *bufio.Reader
 	// limit limits the bytes that reader reads from the connection.
@@ -31,8 +33,9 @@
 const readBufferSize = 2 << 10
 
 func newConnection(key string, c net.Conn) *connection {
-	limit := &limitedReader{r: c, remaining: unbounded}
-	return &connection{Conn: c, key: key, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit}
+	conn := connend.NewConn(c)
+	limit := &limitedReader{r: conn, remaining: unbounded}
+	return &connection{Conn: conn, key: key, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit}
 }
 
 // Write implements io.Writer and counts the bytes written.
@@ -49,7 +52,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.NetConn().(*net.TCPConn)
 	if !ok {
 		return true
 	}
