standin/rawhttp: endpoints that write their answers byte for byte

A package of its own, as standin imports packages whose tests need it. The test of resets beside a request uses it; what it checks is unchanged.

--- a/upstream/resetwhilesending_test.go
+++ b/upstream/resetwhilesending_test.go
@@ -6,62 +6,30 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/peridotmount/peridotmount/standin/rawhttp"
 )
 
-// smallBuffers bounds what the two ends of a connection buffer to some 100 KB.
-func smallBuffers(_, _ string, c syscall.RawConn) error {
-	const segmentBytes, receiveBytes = 1000, 32 << 10
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = errors.Wrap(unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, segmentBytes), "segment size")
-		if failed == nil {
-			failed = errors.Wrap(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes), "receive buffer")
+// answerEarly answers each request once it has read its beginning, and ends the connection: by a
+// reset, or once the caller closed its side.
+func answerEarly(answer string, reset bool) rawhttp.Answer {
+	return func(c *net.TCPConn, req *http.Request, _ int) bool {
+		_, _ = io.ReadFull(req.Body, make([]byte, 1<<10))
+		_, _ = io.WriteString(c, answer)
+		if !reset {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, req.Body)
+			return false
 		}
-	})
-	if err != nil {
-		return err
+		// The caller reads the answer before the reset.
+		time.Sleep(2 * time.Millisecond)
+		_ = c.SetLinger(0)
+		return false
 	}
-	return failed
-}
-
-// startEarlyAnswerer starts an endpoint that reads the beginning of each request, sends answer
-// and ends the connection: by a reset, or once the caller closed its side.
-func startEarlyAnswerer(t *testing.T, answer string, reset bool) string {
-	t.Helper()
-	l, err := (&net.ListenConfig{Control: smallBuffers}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				tcp := c.(*net.TCPConn)
-				_, _ = io.ReadFull(c, make([]byte, 1<<10))
-				_, _ = io.WriteString(c, answer)
-				if !reset {
-					_ = tcp.CloseWrite()
-					_, _ = io.Copy(io.Discard, c)
-					return
-				}
-				// The caller reads the answer before the reset.
-				time.Sleep(2 * time.Millisecond)
-				_ = tcp.SetLinger(0)
-			}()
-		}
-	}()
-	return l.Addr().String()
 }
 
 // TestResetWhileTheRequestIsSentIsNoEnd guards against a response without a length that looks
@@ -80,13 +48,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			pool, address := NewPool(Options{}), startEarlyAnswerer(t, c.answer, c.reset)
+			endpoint, err := rawhttp.StartUnread(answerEarly(c.answer, c.reset))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(endpoint.Close)
+			pool := NewPool(Options{})
 			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 			defer cancel()
 			body := bytes.Repeat([]byte("x"), 512<<10)
 			complete, truncated := 0, 0
 			for range calls {
-				resp, err := pool.Send(ctx, "e", address, &Call{Request: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body})
+				resp, err := pool.Send(ctx, "e", endpoint.Address(), &Call{Request: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body})
 				if err != nil {
 					continue
 				}
