node: an endpoint's response without a length that is reset while its request is sent is not complete

What callers saw: on the OpenAI path, a 200 of a plain service with an empty or a short body, framed as whole, after its endpoint had answered without a length, before it had read a long request, and was reset.

Cause: as on the path of routes. http.Transport writes the request beside the read of the response; if the write is told of the reset, the read gets a regular end.

Ruled out: net/http's own watch over the write, which closes the connection too late for a read that is under way.

Change: connections to endpoints are connend.Conn here too, for this host's own calls and for those that it makes for others.

--- a/node/endpointlinks.go
+++ b/node/endpointlinks.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/gossip"
@@ -141,7 +142,10 @@
 		// An attempt that was given up says nothing of the endpoint.
 		n.links.sender.Links().Dialed(id, began, err)
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return connend.NewConn(conn), nil
 }
 
 // dialFunc connects to an address.
