detour: a call without a body that a host makes for another one is sent once

What callers saw: nothing; the endpoint ran a call of the OpenAI path twice, also one of a service that may run it once only, if it came through another host, had no body, and its endpoint closed the connection, used before, without a byte of an answer.

Cause: HTTPPool sends calls without a body with http.NoBody. net/http sends such a request again by itself if its method is GET, HEAD, OPTIONS or TRACE, or it has an Idempotency-Key. The path over the host's own links guards against it (engine.sendOnce).

Evidence: TestCallOnAReusedConnectionIsSentOnce; before the change GET, HEAD, OPTIONS, and POST with an Idempotency-Key, were sent twice, in seven of eight cases. Ruled out: calls with a body, whose body can't be had again, and the pool of the routes.

Change: the body is one that can't be had again, also if it is empty.

--- a/detour/httppool.go
+++ b/detour/httppool.go
@@ -54,10 +54,8 @@
 		return nil, errors.Wrap(err, "address of the endpoint")
 	}
 	target.Scheme, target.Host = base.Scheme, base.Host
-	var body io.Reader = http.NoBody
-	if len(call.Body) > 0 {
-		body = io.NopCloser(bytes.NewReader(call.Body))
-	}
+	// An empty body too: requests that net/http knows to have none are sent again.
+	body := io.NopCloser(bytes.NewReader(call.Body))
 	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
