upstream: no response that is cut at any of its bytes is taken for whole (test)

A body without a length that ends regularly is whole at any byte, as the platform's protocol has it.

--- a/standin/rawhttp/cut.go
+++ b/standin/rawhttp/cut.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,3 +65,50 @@
 	}
 	_ = conn.SetLinger(0)
 }
+
+// CutCase is a message that is cut.
+type CutCase struct {
+	Cut
+	Message Message
+}
+
+// CutCases returns the message of each form with header lines and a body, cut behind each of its
+// bytes: by an end, by a reset before and after the caller has read what was sent, and in two
+// packets.
+func CutCases(lines, body string) []CutCase {
+	var out []CutCase
+	for _, form := range Forms() {
+		m := form.Message(lines, body)
+		for at := range len(m.Bytes) + 1 {
+			for _, c := range []Cut{{}, {Reset: true}, {Reset: true, Hasty: true}, {Packet: at / 2}} {
+				c.Form, c.At = form.Name, at
+				out = append(out, CutCase{c, m})
+			}
+		}
+	}
+	return out
+}
+
+// Complete reports whether what is sent is a complete message.
+func (c *CutCase) Complete() bool {
+	return c.Message.Complete(c.At, c.Reset)
+}
+
+// Body returns what a message that is complete has of its body.
+func (c *CutCase) Body() string {
+	return c.Message.BodyOf(c.At)
+}
+
+// InParallel calls f for the numbers below n, from several goroutines.
+func InParallel(n int, f func(i int)) {
+	const workers = 16
+	var group sync.WaitGroup
+	for w := range workers {
+		group.Go(func() {
+			for i := w; i < n; i += workers {
+				f(i)
+			}
+		})
+	}
+	group.Wait()
+}
