forward, batch: a resumed stream without a length is not complete at the end of its head

What callers saw: a stream that ended as complete behind the event that it was resumed at, and a batch item recorded as done with a part of its output, after an endpoint had answered the resumption with a head of neither length nor chunks, and stopped.

Cause: the end of such a response's connection was taken for the end of the stream if any event had come before, also one of an earlier response.

Evidence: TestResponseCutAtEachByte of package forward (7,258 requests of six kinds) failed for six forms at the one byte behind the head, in "resumed stream" and "stream resumed by client"; TestItemCutAtEachByte (1,770 items) for the same six forms in "resumed", with output "b" of "b", "c", "d". Both pass now. Ruled out: all other bytes and forms; no plain response and no single stream was taken for whole, and nothing that may run once ran twice.

Change: a Response says whether its body is open, that is, ends with its connection; so does the head that a helping host relays (hosts of earlier versions don't tell). An open stream without an event of its own is broken off. A batch item is then begun anew, as an output that is whole has no event behind it (TestItemWhoseLastEventArrivedEnds).

Left: an open stream that stops regularly behind one of its events, and an open body that stops regularly, are whole for HTTP and can't be told from a break.

--- a/batch/partials.go
+++ b/batch/partials.go
@@ -21,6 +21,8 @@
 	output         string
 	// version is the software version of the endpoint that generated the output.
 	version string
+	// unusable is set if no run may go on from the progress that the ledger has.
+	unusable bool
 }
 
 func newProgressStore() *progressStore {
@@ -80,6 +82,9 @@
 	defer p.mu.Unlock()
 	out := make([]scheduler.Resumable, 0, len(p.progress))
 	for ref, progress := range p.progress {
+		if progress.unusable {
+			continue
+		}
 		out = append(out, scheduler.Resumable{Item: ref, TokensDone: progress.tokens, Version: progress.version})
 	}
 	return out
--- a/batch/run.go
+++ b/batch/run.go
@@ -58,6 +58,8 @@
 	errEventTimeout = errors.New("endpoint is silent")
 	// errNoStream means that the endpoint answered with a success that is no event stream.
 	errNoStream = errors.New("response is no event stream")
+	// errNoEvents means that a stream ended with its connection before any event.
+	errNoEvents = errors.New("stream ended before its first event")
 	// errOutputTooLarge means that the output of the item exceeds maxOutputBytes.
 	errOutputTooLarge = errors.New("endpoint makes more than the item may have")
 )
@@ -140,7 +142,7 @@
 			"events", p.events, "version", p.version, "endpoint_version", version)
 		p = itemProgress{}
 	}
-	if saved != nil && saved.Events > p.events && saved.Version == version {
+	if saved != nil && !p.unusable && saved.Events > p.events && saved.Version == version {
 		output, err := x.ledger.payloads.get(ctx, &saved.Output)
 		if err != nil {
 			_ = level.Warn(x.ledger.opts.Logger).Log("event", "partial_unread", "job", x.ref.Job, "item", x.ref.Item,
@@ -215,6 +217,10 @@
 	for {
 		block, err := events.Next()
 		if err != nil {
+			if err == io.EOF && response.Open && x.events == x.priorEvents {
+				x.abort(ctx, scheduler.Failed, errNoEvents)
+				return
+			}
 			if err == io.EOF && !events.InsideEvent() && x.events > 0 {
 				x.recordResult(response.Close())
 				return
@@ -267,7 +273,7 @@
 }
 
 // abort ends an unfinished run and keeps its progress, unless the output exceeded its
-// bound.
+// bound, or the run showed nothing that is behind it.
 func (x *itemRun) abort(ctx context.Context, outcome scheduler.Outcome, err error) {
 	switch {
 	case x.watch.TimedOut():
@@ -280,6 +286,11 @@
 		// The output below the bound may be wrong too, so it is discarded.
 		x.ledger.progress.drop(x.ref)
 		x.events = 0
+	case errors.Is(err, errNoEvents):
+		// If the output is whole, no run that goes on from it has an event: the next one begins
+		// anew.
+		x.ledger.progress.put(x.ref, itemProgress{version: x.endpoint.Version, unusable: true})
+		x.events = 0
 	case x.events > x.priorEvents:
 		x.saveProgress()
 	}
--- a/detour/httppool.go
+++ b/detour/httppool.go
@@ -39,7 +39,9 @@
 	if call.OnResponse != nil {
 		call.OnResponse(resp.StatusCode, resp.Header)
 	}
-	return upstream.NewRelayedResponse("", resp.StatusCode, resp.Header, resp.ContentLength, resp.Body), nil
+	out := upstream.NewRelayedResponse("", resp.StatusCode, resp.Header, resp.ContentLength, resp.Body)
+	out.Open = upstream.IsOpen(resp)
+	return out, nil
 }
 
 // newEndpointRequest returns the request of a call to the endpoint at a base URL. Its body can't
--- a/detour/message.go
+++ b/detour/message.go
@@ -24,6 +24,9 @@
 	Header []byte `json:"header"`
 	// Length is that of the endpoint's body in bytes, -1 if the endpoint did not state it.
 	Length int64 `json:"length"`
+	// Open is set if the endpoint's body ended with its connection. Hosts of earlier versions
+	// don't tell.
+	Open bool `json:"open,omitempty"`
 }
 
 // outcomeHeader holds the outcome of a call that brought no response of the endpoint.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -39,7 +39,8 @@
 // errNoStream means that the response of an endpoint is a success, but no event stream.
 var errNoStream = errors.New("response is no event stream")
 
-// errNoEvents means that a stream ended without any event.
+// errNoEvents means that a stream ended without any event. One that goes on behind the last
+// event may, if its response says where it ends.
 var errNoEvents = errors.New("stream ended before its first event")
 
 // streamer relays the event stream of one request, over one or more attempts.
@@ -144,7 +145,7 @@
 			if events.InsideEvent() {
 				return errors.Wrapf(errInsideEvent, "%d bytes of it arrived", len(events.Remainder()))
 			}
-			if s.eventOrder.LastID == "" && a.usage.Events == 0 {
+			if a.usage.Events == 0 && (s.eventOrder.LastID == "" || a.response.Open) {
 				return errors.WithStack(errNoEvents)
 			}
 			_, err = s.w.Write(events.Remainder())
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -88,8 +88,9 @@
 	// started is open, unless a test replaces it before the first request.
 	started *startup.Gate
 	server  *httptest.Server
-	// forwarder is the handler of the server.
+	// forwarder is the handler of the server, pool its connections to the replicas.
 	forwarder *Forwarder
+	pool      *upstream.Pool
 	seq       int
 	// begunMu guards begunRequest and begunVersion, the arguments of the last OnBegun.
 	begunMu                    sync.Mutex
@@ -105,7 +106,7 @@
 	config := &route.Configuration{Version: 1, Routes: []route.Route{r}, Limits: route.Limits{BodyBytes: 1 << 20}}
 	config.Index()
 	b := &testbed{t: t, config: &testConfiguration{current: config}, placer: &testPlacer{released: make(chan Usage, 64)},
-		leaving: make(chan endpoint.Incarnation, 64), started: startup.NewGate()}
+		leaving: make(chan endpoint.Incarnation, 64), started: startup.NewGate(), pool: upstream.NewPool(upstream.Options{DialTimeout: testTimeout})}
 	b.started.Open()
 	for i := range replicas {
 		replica, err := standin.StartReplica(fmt.Sprintf("i-%d", i), events)
@@ -119,7 +120,7 @@
 	f := New(Options{
 		Configuration: b.config,
 		Placer:        b.placer,
-		Sender:        upstream.NewPool(upstream.Options{}),
+		Sender:        b.pool,
 		Started:       b.started,
 		OnLeaving:     func(i endpoint.Incarnation) { b.leaving <- i },
 		OnBegun:       b.recordBegun,
--- a/standin/rawhttp/form.go
+++ b/standin/rawhttp/form.go
@@ -97,6 +97,16 @@
 	return Message{Bytes: head + f.encode(body), Body: body, head: len(head), open: f.open}
 }
 
+// Head returns the number of bytes until the end of the final head.
+func (m *Message) Head() int {
+	return m.head
+}
+
+// Open reports whether the message ends with its connection.
+func (m *Message) Open() bool {
+	return m.open
+}
+
 // Complete reports whether the first n bytes of the message, followed by the end of the
 // connection, are a complete message. A body without a length that ends regularly is.
 func (m *Message) Complete(n int, reset bool) bool {
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -16,6 +16,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if the endpoint did not state it.
 	Length int64
+	// Open is set if the body has neither a length nor chunks, so that the connection's end is
+	// its end: one of an endpoint that stops regularly can't be told from it.
+	Open bool
 	// Via is the name of the host that made the call for this one, or "".
 	Via string
 
@@ -36,12 +39,18 @@
 		Status:     resp.StatusCode,
 		Header:     resp.Header,
 		Length:     resp.ContentLength,
+		Open:       IsOpen(resp),
 		exchange:   x,
 		body:       resp.Body,
 		closeAfter: resp.Close,
 	}
 }
 
+// IsOpen reports whether the body of a response has neither a length nor chunks.
+func IsOpen(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // NewRelayedResponse returns a response that another host, named via, passes on. Its body ends
 // with an error if it is not complete.
 func NewRelayedResponse(via string, status int, header http.Header, length int64, body io.ReadCloser) *Response {
