--- a/detour/transport_test.go
+++ b/detour/transport_test.go
@@ -32,6 +32,7 @@
 			hosts[i].sender.Links().Dialed("e0", began, err)
 			return conn, err
 		}
+		o.MaxCalls = cutCalls
 		base := "http://" + e.address
 		transports[i] = &http.Transport{DialContext: dial}
 		o.Endpoint = func(id string) *endpoint.Endpoint { return &endpoint.Endpoint{ID: id, Address: base} }
