--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -29,12 +29,15 @@
 	cutLastEvent = "Last-Event-Id"
 )
 
-// Roles of an endpoint: it cuts its response, sends it whole, or sends the first event of a stream
-// only.
+// Roles of an endpoint: it cuts its response, sends it whole, sends the first event of a stream only,
+// or nothing. The slow ones do so once a hedge was sent.
 const (
-	roleCuts   = "cuts"
-	roleWhole  = "whole"
-	roleBreaks = "breaks"
+	roleCuts      = "cuts"
+	roleWhole     = "whole"
+	roleBreaks    = "breaks"
+	roleSilent    = "silent"
+	roleSlowCuts  = "slow, cuts"
+	roleSlowWhole = "slow, whole"
 )
 
 // cutKind is a kind of request whose response is cut.
@@ -153,16 +156,24 @@
 		b.t.Errorf("cut %v, error %v", cut, err)
 		return false
 	}
+	switch role {
+	case roleSilent:
+		// Until the caller gives up.
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	case roleSlowCuts, roleSlowWhole:
+		time.Sleep(slowResponse)
+	}
 	after, _ := strconv.Atoi(req.Header.Get(cutLastEvent))
 	form := rawhttp.FormNamed(cut.Form)
-	if role != roleCuts {
+	if role != roleCuts && role != roleSlowCuts {
 		form = rawhttp.FormNamed("chunks")
 	}
 	m := form.Message(b.kind.lines(id, request), b.kind.body(after))
 	switch role {
 	case roleBreaks:
 		cut = &rawhttp.Cut{At: strings.Index(m.Bytes, "id: 2")}
-	case roleWhole:
+	case roleWhole, roleSlowWhole:
 		cut = &rawhttp.Cut{At: len(m.Bytes)}
 	}
 	cut.Write(c, &m)
