--- a/standin/rawhttp/cut.go
+++ b/standin/rawhttp/cut.go
@@ -80,7 +80,11 @@
 	for _, form := range Forms() {
 		m := form.Message(lines, body)
 		for at := range len(m.Bytes) + 1 {
-			for _, c := range []Cut{{}, {Reset: true}, {Reset: true, Hasty: true}, {Packet: at / 2}} {
+			cuts := []Cut{{}, {Reset: true}, {Reset: true, Hasty: true}}
+			if at > 1 {
+				cuts = append(cuts, Cut{Packet: at / 2})
+			}
+			for _, c := range cuts {
 				c.Form, c.At = form.Name, at
 				out = append(out, CutCase{c, m})
 			}
