--- a/gossip/codec_test.go
+++ b/gossip/codec_test.go
@@ -47,3 +47,23 @@
 		t.Errorf("%d bytes that unpack to more than allowed: %v", body.Len(), err)
 	}
 }
+
+// TestMessageCutAtEachByte guards against a message that is taken for whole after its sender stopped
+// inside it.
+func TestMessageCutAtEachByte(t *testing.T) {
+	s := NewStore(Options{Host: "self", Zone: "z", Region: "r"})
+	s.Publish("k", "k", ScopeGlobal, []byte("1"))
+	m := s.Request(Peer{Name: "other"})
+	whole, err := Encode(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Decode(whole); err != nil {
+		t.Fatal(err)
+	}
+	for at := range whole {
+		if _, err := Decode(whole[:at]); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%d of %d bytes: error %v", at, len(whole), err)
+		}
+	}
+}
