connend: a response to HTTP/1.0 that a host gives up is reset

What callers saw: callers of HTTP/1.0 a 200 with a part of a stream or of a large body, framed as whole, after the endpoint had stopped inside it. HTTP/1.0 has no chunks, so that a response without a length ends with its connection, and so did one that was given up. The platform's callers use HTTP/1.1; health checks and scripts may not.

Cause: http.ErrAbortHandler closes the connection, which is the regular end there.

Evidence: TestAbortedResponseToHTTP10IsNotComplete (gateway), TestAbortedAnswerToHTTP10IsNotComplete (node) and TestAbortedResponseWithoutALengthIsReset (with and without TLS): before the change each read "part" and a regular end. Ruled out: HTTP/1.1, whose last chunk is missing, and responses with a length.

Change: the listeners' handlers reset the connection of an HTTP/1.0 caller if the handler below gives its response up.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/peridotmount/peridotmount/bounded"
+	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/graceful"
@@ -69,7 +70,7 @@
 		name:   o.name,
 		socket: limited, connections: tracked,
 		http: &http.Server{
-			Handler:           tracked.Handler(bounded.RejectOverLimit(o.handler, o.full)),
+			Handler:           tracked.Handler(connend.Handler(bounded.RejectOverLimit(o.handler, o.full))),
 			ConnContext:       connContext,
 			ConnState:         tracked.ConnState,
 			ReadHeaderTimeout: headerTimeout,
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -29,6 +29,11 @@
 	ended bool
 }
 
+// NetConn returns the connection that was accepted.
+func (c *Conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn. What comes after the connection was ended is a request that crossed
 // its end: it is counted, and not returned.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/node/server.go
+++ b/node/server.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/bounded"
+	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
@@ -48,7 +49,7 @@
 	return &server{
 		opts: o,
 		http: &http.Server{
-			Handler:           bounded.RejectOverLimit(o.handler, o.full),
+			Handler:           connend.Handler(bounded.RejectOverLimit(o.handler, o.full)),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    o.headerLimit,
