--- a/detour/httppool.go
+++ b/detour/httppool.go
@@ -39,7 +39,9 @@
 	if call.OnResponse != nil {
 		call.OnResponse(resp.StatusCode, resp.Header)
 	}
-	return upstream.NewRelayedResponse("", resp.StatusCode, resp.Header, resp.ContentLength, resp.Body), nil
+	out := upstream.NewRelayedResponse("", resp.StatusCode, resp.Header, resp.ContentLength, resp.Body)
+	out.Open = upstream.IsOpen(resp)
+	return out, nil
 }
 
 // newEndpointRequest returns the request of a call to the endpoint at a base URL. Its body can't
@@ -54,10 +56,8 @@
 		return nil, errors.Wrap(err, "address of the endpoint")
 	}
 	target.Scheme, target.Host = base.Scheme, base.Host
-	var body io.Reader = http.NoBody
-	if len(call.Body) > 0 {
-		body = io.NopCloser(bytes.NewReader(call.Body))
-	}
+	// An empty body too: requests that net/http knows to have none are sent again.
+	body := io.NopCloser(bytes.NewReader(call.Body))
 	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
