slots: a scheduler sends heartbeats while it reads a host's hello

Cause: a host ends a session in which nothing arrives for 350 ms (schedulerTimeout), counted from the opening. The scheduler wrote its first heartbeat only after the hello, of up to half a MB, had been read, decoded and joined, and 100 ms later. A slow scheduler, or one that many hosts join at once after an election, takes longer; the host then opens the session again at once and sends the same hello again, which costs the scheduler the same once more. The class: the time that work takes, counted as silence of the peer that does it.

Evidence: the test with its logger on: scheduler_elected at 55 ms, elect returned "first", scheduler_lost at 611 ms, "silent for 400.585887ms".

Change: the writer of a session, and with it the heartbeats, starts with the response's head. Older hosts read such heartbeats as ever.

--- a/slots/server.go
+++ b/slots/server.go
@@ -16,7 +16,6 @@
 
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/ring"
-	"github.com/peridotmount/peridotmount/scheduler"
 )
 
 // SessionPath is the HTTP path at which sessions are opened.
@@ -59,28 +58,12 @@
 	if err := control.Flush(); err != nil {
 		return
 	}
-	lines := bufio.NewScanner(r.Body)
-	lines.Buffer(nil, maxMessageBytes)
-	_ = control.SetReadDeadline(time.Now().Add(hostTimeout))
-	var message HostMessage
-	if !lines.Scan() || json.Unmarshal(lines.Bytes(), &message) != nil || message.Hello == nil {
-		_ = level.Info(s.logger).Log("event", "session_without_hello", "peer", r.RemoteAddr)
-		return
-	}
-	s.run(r.Context(), w, control, lines, message.Hello)
-}
-
-// run serves one session until it ends.
-func (s *Server) run(ctx context.Context, w http.ResponseWriter, control *http.ResponseController, lines *bufio.Scanner, hello *scheduler.Hello) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	outbox := ring.New[SchedulerMessage](outboxCapacity)
-	session := s.localScheduler.Join(hello, func(m SchedulerMessage) {
-		if outbox.Offer(m) != nil {
-			cancel()
-		}
-	})
 	writerDone := make(chan struct{})
+	// Heartbeats begin before the hello is read: a large one from a slow host, or many at
+	// once after an election, may take longer than schedulerTimeout.
 	go func() {
 		defer close(writerDone)
 		defer cancel()
@@ -88,10 +71,31 @@
 		defer func() { _ = control.SetReadDeadline(time.Now()) }()
 		writeMessages(ctx, w, control, outbox)
 	}()
-	end := s.read(control, lines, hello.Host)
+	leave := s.serveSession(control, r, func(m SchedulerMessage) {
+		if outbox.Offer(m) != nil {
+			cancel()
+		}
+	})
 	cancel()
 	<-writerDone
-	s.localScheduler.Leave(hello.Host, session, end)
+	leave()
+}
+
+// serveSession joins a host to the scheduler and passes on its messages until the session
+// ends. It returns the function that ends the host's membership.
+func (s *Server) serveSession(control *http.ResponseController, r *http.Request, deliver Sink) (leave func()) {
+	lines := bufio.NewScanner(r.Body)
+	lines.Buffer(nil, maxMessageBytes)
+	_ = control.SetReadDeadline(time.Now().Add(hostTimeout))
+	var message HostMessage
+	if !lines.Scan() || json.Unmarshal(lines.Bytes(), &message) != nil || message.Hello == nil {
+		_ = level.Info(s.logger).Log("event", "session_without_hello", "peer", r.RemoteAddr)
+		return func() {}
+	}
+	host := message.Hello.Host
+	session := s.localScheduler.Join(message.Hello, deliver)
+	end := s.read(control, lines, host)
+	return func() { s.localScheduler.Leave(host, session, end) }
 }
 
 // read passes the messages of the host to the scheduler until the session ends, and
