slots: a host that stands still keeps its session with the scheduler

A host whose process stood still, or got no processor time, for 350 ms or more ended its session and scheduled for itself until the next election, with its own share of the slots, though the scheduler had sent heartbeats all the time.

Cause: the silence was the time by the clock since the last message was read. After a standstill the watch may run before the reader, and finds a silence that was its own. The wall clock was used besides, so that a step of it ended sessions.

Change: a tick of the watch adds two heartbeats at most to the silence (slots/silence.go).

--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -36,7 +36,7 @@
 	ctx    context.Context
 	outbox *ring.Ring[HostMessage]
 	cancel context.CancelFunc
-	// lastReceived is when the last message arrived, in Unix nanoseconds.
+	// lastReceived is when the last message arrived, in nanoseconds by package clock.
 	lastReceived atomic.Int64
 	deliver      Sink
 	// onLost is called at most once, if the session ends without a call of close.
@@ -108,7 +108,7 @@
 }
 
 func (l *remoteLink) markReceived() {
-	l.lastReceived.Store(time.Now().UnixNano())
+	l.lastReceived.Store(clock.Now().UnixNano())
 }
 
 // write sends the messages of the outbox, and heartbeats when there are none.
@@ -164,13 +164,14 @@
 func (l *remoteLink) watch(ctx context.Context) {
 	tick := time.NewTicker(schedulerHeartbeat)
 	defer tick.Stop()
+	var idle silence
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if idle := time.Since(time.Unix(0, l.lastReceived.Load())); idle > schedulerTimeout {
-				l.end("silent for "+idle.String(), timedOut)
+			if length := idle.tick(clock.Now(), time.Unix(0, l.lastReceived.Load())); length > schedulerTimeout {
+				l.end("silent for "+length.String(), timedOut)
 				return
 			}
 		}
