upstream: endless responses are tested apart from the time to connect

Cause, in the test: sixteen callers and sixteen endpoints that send without end share one process. On a busy machine they keep the callers' goroutines from running for longer than the pool's 250 ms to connect, which is not what the test is about.

Ruled out: a fault that callers see. A call whose connection is not made in time is unsent and goes to another endpoint, and one failure says nothing of the host's links (reach.Tracker). That a host which stands still takes connections that were made for missed ones is possible and not shown.

Change: the pools of these three tests have the test's own time to connect. What they ask of a response without end is what it was: ErrNoResponse by itself, within the context, and memory below 1 MB each.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// newPatientPool returns a pool whose time to connect is that of the test: callers and
+// endpoints share one process here, which may keep each other from running.
+func newPatientPool() *Pool {
+	return NewPool(Options{DialTimeout: testTimeout})
+}
+
 // TestHeadsWithoutEnd has sixteen endpoints at once send endless heads, or endless
 // responses to other calls, of each kind. Each call must fail by itself, and the memory
 // allocated must stay small, as a host has 184 MB.
@@ -96,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			const endpoints, maxBytesEach = 16, 1 << 20
 			address := startEndpoint(t, response[0], response[1])
-			p := NewPool(Options{})
+			p := newPatientPool()
 			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 			defer cancel()
 			var before, after runtime.MemStats
@@ -122,7 +128,7 @@
 // TestEndlessResponsesAreCounted checks the error and the metric that show operators an
 // endpoint which sends an endless response.
 func TestEndlessResponsesAreCounted(t *testing.T) {
-	p := NewPool(Options{})
+	p := newPatientPool()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	_, err := p.Send(ctx, "e", startEndpoint(t, "HTTP/1.1 200 OK\r\nX: ", "x"), testCall())
@@ -139,7 +145,7 @@
 func TestLargeHeadsAndLongBodiesPass(t *testing.T) {
 	body := strings.Repeat("b", 4*maxForeignBytes)
 	head := "HTTP/1.1 200 OK\r\nX-Large: " + strings.Repeat("l", maxHeadBytes/2) + "\r\n"
-	p := NewPool(Options{})
+	p := newPatientPool()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	address := startEndpoint(t, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body, "")
