gateway: a listing does not hasten the next reads of endpoints

All hosts of a fleet that starts at once would have read three times as often in the second of their listings, when the store has the most to do. Only records that follow the listing count.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -70,7 +70,6 @@
 		changes = append(changes, e.apply(now, &records[i])...)
 	}
 	changes = append(changes, e.table.ApplyListing(now, end, func(id string) bool { return listed[id] })...)
-	e.noteFound(now, changes)
 	e.publish(changes)
 	e.listed.Store(true)
 	e.started.check()
