slots: the hello's size is tested apart from the time of one election

Cause, in the test: one election, bounded by the clock. With the client's logger on, 3 of 200 runs failed (load 31), each in its own way: connectTimeout of 150 ms missed ("scheduler_unreachable", elect returned after 174 ms), the session over while the host still built its 20,000 offers ("ended before it was used", 637 ms), and "silent for 396 ms" beside pauses of up to 168 ms in which the whole process did not run, the scheduler included. A host tries again 0.1 to 1 s later; the test did not.

Change: the size is asked directly, of the hello that the client sends, and the path by elections as Client.Serve holds them. Stricter than before: with maxHelloOffers at 20,000 the first part fails at once ("the hello has 2320073 bytes"), and without that part the second fails after 20 s, however often it is elected.

--- a/slots/offers_test.go
+++ b/slots/offers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -21,6 +22,13 @@
 	return out
 }
 
+// recordingLink is a link to a scheduler that keeps what is sent.
+type recordingLink struct{ sent []HostMessage }
+
+func (l *recordingLink) send(m HostMessage) { l.sent = append(l.sent, m) }
+func (l *recordingLink) close(string)       {}
+func (l *recordingLink) scheduler() string  { return "first" }
+
 // TestHelloFits moves a host with twenty thousand open items to a scheduler. The hello must
 // not exceed the size of a message: the session opens, and some of the items run.
 func TestHelloFits(t *testing.T) {
@@ -31,14 +39,24 @@
 		jobs[i] = fmt.Sprintf("job-%08d", i)
 	}
 	started := make(chan string, 8)
-	c := newTestClient(t, newFakeDirectory(serveSessions(t, "first", local), peers.Host{Name: "self", Incarnation: "i"}))
+	directory := newFakeDirectory(serveSessions(t, "first", local), peers.Host{Name: "self", Incarnation: "i"})
+	c := newTestClient(t, directory)
 	c.opts.Offers = func() []scheduler.Offer { return offersOf(jobs...) }
 	c.opts.ServiceOf = func(string) string { return "s" }
-	c.opts.Runner = func(_ context.Context, s *scheduler.Start, _ RunnerSlot) { started <- s.Item.Job }
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go c.handleMessages(ctx)
-	c.elect(ctx)
+	c.opts.Runner = func(ctx context.Context, s *scheduler.Start, _ RunnerSlot) {
+		select {
+		case started <- s.Item.Job:
+		case <-ctx.Done():
+		}
+	}
+	var first recordingLink
+	c.attach(&first)
+	hello, err := json.Marshal(first.sent[0])
+	if err != nil || first.sent[0].Hello == nil || len(first.sent[0].Hello.Offers) == 0 || len(hello) >= maxMessageBytes {
+		t.Fatalf("the hello has %d bytes, error %v", len(hello), err)
+	}
+	// Elections repeat, as one may miss its time on a busy machine.
+	run(t, c.Serve)
 	select {
 	case <-started:
 	case <-time.After(testTimeout):
