node: a request that is read while the daemon shuts down is answered

What callers saw: beside a SIGTERM of a daemon of the OpenAI interface, a request on a new or a kept connection got neither an answer nor a refusal; its connection was closed. It had reached no endpoint.

Cause: that of: http.Server.Shutdown drops each request that it reads, and closes idle connections without asking for unread bytes. node/server.go used it for all three listeners, in clear text and over TLS.

Change: graceful.Listener directly on the socket, below the counted, bounded and TLS connections; traffic's connections tell what they wrap. For TLS, graceful.NewTLSListener takes the place of tls.NewListener: it tells the bytes of requests from those of handshakes and alerts, so that a client that has only made its handshake counts as one that awaits nothing (a second, then the connection ends with a close_notify), and a part of a record that net/http had read beforehand counts as a request that has begun. Shutdown may be called again on a closed listener.

Ruled out: a bound of time on the lower connection alone, as it can't tell a half request from none, and counts each client's alert as an unanswered request.

graceful.NewTLSListener's connections are no *tls.Conn, so http.Request.TLS is nil; nothing here reads it. bounded.ConnContext looks through any wrapper.

--- a/bounded/listener.go
+++ b/bounded/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -87,15 +86,21 @@
 type refusedKey struct{}
 
 // ConnContext is the http.Server.ConnContext for a Listener: it marks the contexts of
-// connections accepted over the limit, also under TLS, for RejectOverLimit.
+// connections accepted over the limit, also inside others, for RejectOverLimit.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
-	}
-	if limited, ok := c.(*conn); ok && limited.refused {
-		return context.WithValue(ctx, refusedKey{}, true)
+	for {
+		switch v := c.(type) {
+		case *conn:
+			if v.refused {
+				return context.WithValue(ctx, refusedKey{}, true)
+			}
+			return ctx
+		case interface{ NetConn() net.Conn }:
+			c = v.NetConn()
+		default:
+			return ctx
+		}
 	}
-	return ctx
 }
 
 // RejectOverLimit returns a handler that serves requests with h, but those on
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -1,6 +1,7 @@
 package graceful
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"os"
@@ -14,6 +15,9 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
+	// secured is the TLS connection over this one, or nil. Requests are in what it reads; what
+	// is read here may be handshakes and alerts.
+	secured *tls.Conn
 
 	mu    sync.Mutex
 	phase phase
@@ -23,8 +27,11 @@
 	looks int
 	// changed is when bytes were last read, or the phase began.
 	changed time.Time
-	// read is the number of bytes of the request that were read.
+	// read is the number of bytes of the request that were read, without those of TLS.
 	read int64
+	// partial is set while TLS holds bytes that it has not decrypted: a part of a record, which
+	// net/http may have had read before the last response was whole.
+	partial bool
 	// ended is set once the connection was closed, or its peer is known to have ended it.
 	ended bool
 }
@@ -33,6 +40,20 @@
 // its end: it is counted, and not returned.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.secured == nil {
+		return c.received(n, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.partial = true
+		c.begin()
+	}
+	return n, err
+}
+
+// received notes what was read of requests, and returns what is to be returned for it.
+func (c *Conn) received(n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 && c.phase == ending {
@@ -40,7 +61,9 @@
 		n, err = 0, io.EOF
 	}
 	if n > 0 {
-		c.received(n)
+		c.partial = false
+		c.begin()
+		c.read += int64(n)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = true
@@ -48,27 +71,35 @@
 	return n, err
 }
 
-// received notes that bytes were read.
-func (c *Conn) received(n int) {
+// begin notes that bytes were read, of which a request may have begun.
+func (c *Conn) begin() {
 	if c.phase == awaiting {
 		c.phase, c.read = receiving, 0
 	}
-	c.read += int64(n)
-	c.changed = time.Now()
+	if c.phase != ending {
+		c.changed = time.Now()
+	}
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
+	if c.secured == nil {
+		c.wrote(n, err)
+	}
+	return n, err
+}
+
+// wrote notes what was written of responses.
+func (c *Conn) wrote(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.phase != awaiting {
+	if n > 0 && c.phase != awaiting && c.phase != ending {
 		c.phase = answering
 	}
 	if err != nil {
 		c.ended = true
 	}
-	return n, err
 }
 
 // Close implements net.Conn.
@@ -77,13 +108,42 @@
 	before, read, quiet, ended := c.phase, c.read, time.Since(c.changed), c.ended
 	c.ended = true
 	c.mu.Unlock()
-	if !ended && (before == receiving || before == serving) {
+	if !ended && (before == receiving && read > 0 || before == serving) {
 		c.listener.unanswered(c, before, read, quiet)
 	}
 	c.listener.remove(c)
 	return c.Conn.Close()
 }
 
+// secure notes the TLS connection over this one, before anything was read.
+func (c *Conn) secure(t *tls.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.secured = t
+}
+
+// handshaken notes that the TLS handshake is done: the first request is awaited.
+func (c *Conn) handshaken() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partial = false
+	if c.phase == receiving {
+		c.phase, c.changed = awaiting, time.Now()
+	}
+}
+
+// halfClose tells the client that no further request is read.
+func (c *Conn) halfClose() {
+	if c.secured != nil {
+		// Fails if the handshake is not done: then no request was sent.
+		_ = c.secured.CloseWrite()
+	}
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		// Without effect only if the client has ended the connection.
+		_ = half.CloseWrite()
+	}
+}
+
 // enter begins a phase, unless the connection was ended.
 func (c *Conn) enter(p phase) {
 	c.mu.Lock()
@@ -91,4 +151,7 @@
 	if c.phase != ending {
 		c.phase, c.changed, c.fresh = p, time.Now(), false
 	}
+	if c.phase == awaiting && c.partial {
+		c.begin()
+	}
 }
--- a/graceful/shutdown.go
+++ b/graceful/shutdown.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -72,9 +74,9 @@
 	}
 }
 
-// stopAccepting closes the listener.
+// stopAccepting closes the listener, unless an earlier shutdown did.
 func (l *Listener) stopAccepting() {
-	if err := l.Listener.Close(); err != nil {
+	if err := l.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		_ = level.Error(l.opts.Logger).Log("event", "listener_not_closed", "party", l.opts.Party, "err", err)
 	}
 }
@@ -122,9 +124,7 @@
 		return true
 	}
 	c.phase, c.changed = ending, now
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		// Without effect only if the client has ended the connection.
-		_ = half.CloseWrite()
-	}
+	// TLS writes an alert, for which a client that doesn't read may leave no room.
+	go c.halfClose()
 	return false
 }
--- a/node/limitedlistener_test.go
+++ b/node/limitedlistener_test.go
@@ -11,11 +11,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/entry"
+	"github.com/peridotmount/peridotmount/graceful"
 	"github.com/peridotmount/peridotmount/standin"
 	"github.com/peridotmount/peridotmount/traffic"
 )
@@ -37,6 +39,7 @@
 		party: traffic.PartyCallers, address: "127.0.0.1:0", connections: testConnections,
 		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
 		traffic: traffic.NewCounter(nil), metrics: s.metrics, full: entry.RejectOverLimit,
+		logger: log.NewNopLogger(), unanswered: graceful.NewMetrics(prometheus.NewRegistry()),
 	}
 	if secured {
 		o.tls, s.client = testTLS(t)
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/peridotmount/peridotmount/endpointlimit"
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/gossip"
+	"github.com/peridotmount/peridotmount/graceful"
 	"github.com/peridotmount/peridotmount/keeper"
 	"github.com/peridotmount/peridotmount/limit"
 	"github.com/peridotmount/peridotmount/membership"
@@ -44,6 +45,8 @@
 	metrics  *metrics
 	// listeners are the metrics of all listeners.
 	listeners *bounded.Vectors
+	// unanswered counts the requests whose connections the listeners close without an answer.
+	unanswered *graceful.Metrics
 	// buildErr is what stopped the parts from being made.
 	buildErr error
 	clock    *timeline.Clock
@@ -112,6 +115,7 @@
 	}
 	n.metrics = newMetrics(n.registry)
 	n.listeners = bounded.NewVectors(n.registry)
+	n.unanswered = graceful.NewMetrics(n.registry)
 	n.traffic = traffic.NewCounter(n.registry)
 	n.clock = timeline.NewClock(time.Now)
 	if s.Timeline.Record {
--- a/node/server.go
+++ b/node/server.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/bounded"
+	"github.com/peridotmount/peridotmount/graceful"
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
@@ -35,6 +38,9 @@
 	tls     *tls.Config
 	traffic *traffic.Counter
 	metrics *bounded.Metrics
+	logger  log.Logger
+	// unanswered counts the requests whose connections this host closes without an answer.
+	unanswered *graceful.Metrics
 }
 
 // server is one HTTP listener as a suture service.
@@ -42,6 +48,8 @@
 	opts     serverOptions
 	listener net.Listener
 	http     *http.Server
+	// connections are those of the listener.
+	connections *graceful.Listener
 }
 
 func newServer(o serverOptions) *server {
@@ -52,7 +60,9 @@
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    o.headerLimit,
-			ConnContext:       bounded.ConnContext,
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				return bounded.ConnContext(graceful.ConnContext(ctx, c), c)
+			},
 		},
 	}
 }
@@ -60,15 +70,19 @@
 // listen binds the address. Bytes are counted below TLS, and connections are
 // bounded below it as well, so that a handshake can't hold more than that.
 func (s *server) listen() error {
-	l, err := net.Listen("tcp", s.opts.address)
+	socket, err := net.Listen("tcp", s.opts.address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", s.opts.party)
 	}
-	l = bounded.NewListener(s.opts.traffic.Listener(l, s.opts.party), s.opts.connections, s.opts.metrics)
+	s.connections = graceful.NewListener(socket, graceful.Options{
+		Party: s.opts.party, Logger: s.opts.logger, Metrics: s.opts.unanswered,
+	})
+	s.listener = bounded.NewListener(s.opts.traffic.Listener(s.connections, s.opts.party), s.opts.connections, s.opts.metrics)
 	if s.opts.tls != nil {
-		l = tls.NewListener(l, s.opts.tls)
+		s.listener = graceful.NewTLSListener(s.listener, s.opts.tls)
 	}
-	s.listener = l
+	s.http.Handler = s.connections.Handler(s.http.Handler)
+	s.http.ConnState = s.connections.ConnState
 	return nil
 }
 
@@ -82,19 +96,21 @@
 			return errors.Wrapf(err, "serve %s", s.opts.party)
 		}
 		<-ctx.Done()
-		return ctx.Err()
 	case <-ctx.Done():
 	}
 	drain, cancel := context.WithTimeout(context.Background(), s.opts.drain)
 	defer cancel()
-	_ = s.http.Shutdown(drain)
+	if err := s.finish(drain); err != nil {
+		_ = level.Warn(s.opts.logger).Log("event", "connections_cut", "party", s.opts.party, "err", err)
+	}
+	_ = s.http.Close()
 	return ctx.Err()
 }
 
 // finish closes the listener and waits until the requests in progress are
 // answered or ctx ends.
 func (s *server) finish(ctx context.Context) error {
-	return s.http.Shutdown(ctx)
+	return s.connections.Shutdown(ctx)
 }
 
 // String names the service to its supervisor.
--- a/node/servers.go
+++ b/node/servers.go
@@ -50,6 +50,8 @@
 	o.headerLimit = int(n.settings.Listen.HeaderLimit)
 	o.traffic = n.traffic
 	o.metrics = n.listeners.ForParty(o.party)
+	o.logger = n.logger
+	o.unanswered = n.unanswered
 	return newServer(o)
 }
 
--- a/traffic/connection.go
+++ b/traffic/connection.go
@@ -13,6 +13,11 @@
 	sent     prometheus.Counter
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *connection) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn.
 func (c *connection) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
