node, entry: what a shutdown ends gets an answer, and what comes late is refused

What callers saw: requests in progress at the end of host.drain_timeout were cut with no answer, also those that may run only once; the daemon's log said so ("drain timeout: requests in progress are cut off"). Work that was read after host.drain_notice was passed on up to the end, and cut with the rest.

Cause: node/drain.go closed the connections at the end of the time, and nothing told the entry that the host shuts down. A body that came too slowly held its request until then.

Evidence: TestDaemonAnswersAllRequestsOfItsShutdown failed in clear text and over TLS: a completion, one under a key, and one with half a body got "no answer: unexpected EOF", a stream that had begun was cut without an error event.

Change: once the notice is over, entry.RefuseWork has all work refused that was not read whole: 503, not-run, Retry-After 1, and the connection closes. Two seconds before the end of the time (a quarter of it at most) entry.EndRequests ends the calls of the dispatcher. What waits for a ticket is refused as not-run, what an endpoint has gets 502 and "unknown", streams end with an error event, plain responses that have begun are cut, uploads are refused. Refusals of keyed requests are recorded, so that another host may run them. Each of these is logged (request_ended_by_shutdown) and counted.

Ruled out: the dispatcher sends no call whose context has ended, and a call that ends in a queue is not-run (dispatch/ended_test.go passes without the change). A second SIGTERM ends nothing.

Runs of keyed requests whose callers have left end with the others if requests are left at the end; before they had a second host.drain_timeout.

--- a/e2e/daemonstop_test.go
+++ b/e2e/daemonstop_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -202,3 +203,69 @@
 		})
 	}
 }
+
+// TestDaemonAnswersAllRequestsOfItsShutdown shuts a daemon down whose endpoints don't end the
+// requests that they have: these are answered that they may have run. Requests that come late
+// are refused, whose bodies don't end too. A second signal changes nothing.
+func TestDaemonAnswersAllRequestsOfItsShutdown(t *testing.T) {
+	for _, secured := range []bool{false, true} {
+		t.Run(fmt.Sprintf("TLS=%t", secured), func(t *testing.T) {
+			t.Parallel()
+			f := newStoppingDaemon(t, secured, fleetOptions{
+				engines: 1, engineArgs: []string{"--step", "1s"}, settings: "[host]\ndrain_timeout = 4s\n",
+			})
+			d := f.daemons[0]
+			const tokens = 60
+			whole, keyed, late, half, stream := f.connect(), f.connect(), f.connectKept(), f.connect(), f.connect()
+			whole.send(chatRequest("whole", tokens, false))
+			keyed.send(withHeader(chatRequest("keyed", tokens, false), "Idempotency-Key: k"))
+			stream.send(chatRequest("stream", tokens, true))
+			begun, err := http.ReadResponse(stream.answers, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			request := chatRequest("half", tokens, false)
+			half.send(request[:len(request)-1])
+			at := time.Now()
+			d.signal(syscall.SIGTERM)
+			time.Sleep(time.Until(at.Add(daemonNotice / 2)))
+			d.signal(syscall.SIGTERM)
+			// The connection has no request at the end of the notice: its first piece comes before.
+			lateRequest := chatRequest("late", 1, false)
+			time.Sleep(time.Until(at.Add(daemonNotice - 300*time.Millisecond)))
+			late.send(lateRequest[:60])
+			time.Sleep(time.Until(at.Add(daemonNotice + 300*time.Millisecond)))
+			late.send(lateRequest[60:])
+			late.expect("late", http.StatusServiceUnavailable, "not-run", "1")
+			half.expect("half", http.StatusServiceUnavailable, "not-run", "1")
+			whole.expect("whole", http.StatusBadGateway, "unknown", "")
+			keyed.expect("keyed", http.StatusBadGateway, "unknown", "")
+			body, err := io.ReadAll(begun.Body)
+			if err != nil || !strings.Contains(string(body), `"code":"interrupted"`) || begun.Trailer.Get("Peridotmount-Run-State") != "unknown" {
+				t.Errorf("stream: %s, trailer %v, error %v", body, begun.Trailer, err)
+			}
+			<-d.done
+			if code := d.cmd.ProcessState.ExitCode(); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+		})
+	}
+}
+
+// withHeader returns a request with one more header.
+func withHeader(request, header string) string {
+	return strings.Replace(request, "\r\n", "\r\n"+header+"\r\n", 1)
+}
+
+// expect reads an answer and fails the test if it is another.
+func (c *rawCaller) expect(name string, status int, runState, retryAfter string) {
+	c.t.Helper()
+	resp, err := c.answer()
+	if err != nil {
+		c.t.Errorf("%s: no answer: %v", name, err)
+		return
+	}
+	if state := resp.Header.Get("Peridotmount-Run-State"); resp.StatusCode != status || state != runState || resp.Header.Get("Retry-After") != retryAfter {
+		c.t.Errorf("%s: status %d, run state %q, Retry-After %q", name, resp.StatusCode, state, resp.Header.Get("Retry-After"))
+	}
+}
--- a/entry/apierror.go
+++ b/entry/apierror.go
@@ -54,6 +54,8 @@
 	// certain tells that NotRun holds for every sending of the request's key,
 	// not for this one alone.
 	certain bool
+	// shutdown tells that the host's shutdown ended the request.
+	shutdown bool
 }
 
 // Error implements error.
--- a/entry/batches.go
+++ b/entry/batches.go
@@ -82,7 +82,7 @@
 }
 
 func (e *Entry) createBatch(w http.ResponseWriter, r *http.Request, c *caller) error {
-	body, err := readBody(w, r)
+	body, err := e.readBody(w, r)
 	if err != nil {
 		return err
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -35,12 +35,23 @@
 		w := &responseWriter{ResponseWriter: rw}
 		e.metrics.inFlight.Inc()
 		defer e.metrics.inFlight.Dec()
-		c, err := e.serve(w, r, h)
+		e.shutdown.inFlight.Add(1)
+		defer e.shutdown.inFlight.Add(-1)
+		ctx, cancel := until(r.Context(), e.shutdown.ended)
+		defer cancel()
+		c, err := e.serve(w, r.WithContext(ctx), h)
 		if err != nil && w.status != 0 {
+			if e.shutdown.ending.Err() != nil {
+				e.noteShutdown(w.Header().Get(HeaderRequestID), shutdownBrokenOff, err)
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if err != nil {
-			failure := apiError(err)
+			failure := e.failure(err)
+			if failure.shutdown {
+				w.Header().Set("Connection", "close")
+				e.noteShutdown(w.Header().Get(HeaderRequestID), failure.outcome(), err)
+			}
 			if r.Header.Get(HeaderIdempotencyKey) != "" {
 				failure = failure.forKey()
 			}
@@ -69,12 +80,16 @@
 	return c, h(w, r, c)
 }
 
-// limited wraps the handler of work that counts against the customer's limits.
+// limited wraps the handler of work that counts against the customer's limits. A
+// host that shuts down refuses it.
 func (e *Entry) limited(h handler) handler {
-	if e.opts.Limiter == nil {
-		return h
-	}
 	return func(w http.ResponseWriter, r *http.Request, c *caller) error {
+		if e.shutdown.refusing.Err() != nil {
+			return shuttingDown()
+		}
+		if e.opts.Limiter == nil {
+			return h(w, r, c)
+		}
 		release, retryAfter, ok := e.opts.Limiter.Acquire(c.customer, c.class)
 		if !ok {
 			return overLimit(retryAfter)
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -18,7 +18,7 @@
 
 func (e *Entry) completions(kind completion.Kind) handler {
 	return func(w http.ResponseWriter, r *http.Request, c *caller) error {
-		body, err := readBody(w, r)
+		body, err := e.readBody(w, r)
 		if err != nil {
 			return err
 		}
@@ -52,11 +52,17 @@
 	}
 }
 
-// readBody reads the whole body, within its bounds of size and time.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the whole body, within its bounds of size and time. The host's
+// shutdown ends it, as the work would not be begun.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	boundBody(w, bodyTimeout)
-	defer boundBody(w, 0)
-	return readWhole(w, r)
+	stop := stopReading(w, e.shutdown.refusing)
+	body, err := readWhole(w, r)
+	if !stop() {
+		return nil, shuttingDown()
+	}
+	boundBody(w, 0)
+	return body, err
 }
 
 func readWhole(w http.ResponseWriter, r *http.Request) ([]byte, error) {
@@ -139,6 +145,8 @@
 }
 
 func (e *Entry) whole(ctx context.Context, w http.ResponseWriter, call *dispatch.Call, writer *completion.Writer, timer *tokenTimer) error {
+	ctx, cancel := until(ctx, e.shutdown.ending)
+	defer cancel()
 	var tokens []string
 	result, err := e.opts.Dispatcher.Stream(ctx, call, func(_ int, token string) error {
 		timer.token(time.Now())
@@ -158,6 +166,8 @@
 // so a failure before it is still an ordinary error answer; the run state of a
 // streamed answer is a trailer.
 func (e *Entry) streamed(ctx context.Context, w http.ResponseWriter, call *dispatch.Call, writer *completion.Writer, timer *tokenTimer) error {
+	ctx, cancel := until(ctx, e.shutdown.ending)
+	defer cancel()
 	events := sse.NewWriter(w)
 	started := false
 	result, err := e.opts.Dispatcher.Stream(ctx, call, func(offset int, token string) error {
@@ -197,7 +207,10 @@
 	if !started {
 		return err
 	}
-	failure := apiError(err)
+	failure := e.failure(err)
+	if failure.shutdown {
+		e.noteShutdown(id, shutdownBrokenOff, err)
+	}
 	e.record(id, "failed", failure.Error())
 	_ = events.WriteJSON(failure.body())
 	w.Header().Set(HeaderRunState, string(failure.RunState))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	recorder *recorder
 	outage   *outage
 	metrics  *metrics
+	shutdown *shutdown
 	slots    chan struct{}
 }
 
@@ -31,6 +32,7 @@
 		runs:     newRunTable(maxKeyedRuns),
 		outage:   newOutage(),
 		slots:    make(chan struct{}, maxConcurrent),
+		shutdown: newShutdown(),
 	}
 	if e.requests == nil {
 		e.requests = opts.Keeper
--- a/entry/files.go
+++ b/entry/files.go
@@ -40,17 +40,36 @@
 // bounded whatever its size.
 func (e *Entry) createFile(w http.ResponseWriter, r *http.Request, c *caller) error {
 	boundBody(w, uploadTimeout)
-	defer boundBody(w, 0)
+	stop := stopReading(w, e.shutdown.ending)
+	u := newUpload(e, c)
+	err := u.readForm(w, r)
+	if !stop() {
+		return shuttingDown()
+	}
+	boundBody(w, 0)
+	if err != nil {
+		return err
+	}
+	f, err := u.finish(r.Context())
+	if err != nil {
+		return err
+	}
+	w.Header().Set(HeaderRunState, string(dispatch.Completed))
+	httpjson.WriteJSON(w, http.StatusOK, newFileBody(f))
+	return nil
+}
+
+// readForm keeps the parts of the form.
+func (u *upload) readForm(w http.ResponseWriter, r *http.Request) error {
 	r.Body = http.MaxBytesReader(w, r.Body, maxFileBytes)
 	parts, err := r.MultipartReader()
 	if err != nil {
 		return invalid("body", "not a multipart form: "+err.Error())
 	}
-	u := newUpload(e, c)
 	for {
 		part, err := parts.NextPart()
 		if err == io.EOF {
-			break
+			return nil
 		}
 		if err != nil {
 			return invalid("body", "the form was not read: "+err.Error())
@@ -66,13 +85,6 @@
 			return err
 		}
 	}
-	f, err := u.finish(r.Context())
-	if err != nil {
-		return err
-	}
-	w.Header().Set(HeaderRunState, string(dispatch.Completed))
-	httpjson.WriteJSON(w, http.StatusOK, newFileBody(f))
-	return nil
 }
 
 func readShort(r io.Reader) string {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -183,8 +183,10 @@
 	k.hold.keep()
 	go func() {
 		defer k.hold.end()
-		ctx, cancel := context.WithDeadline(context.Background(), end)
+		bounded, cancel := context.WithDeadline(context.Background(), end)
 		defer cancel()
+		ctx, stop := until(bounded, e.shutdown.ending)
+		defer stop()
 		e.conclude(k, r, k.execute(ctx, r))
 	}()
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,6 +11,7 @@
 type metrics struct {
 	requests   *prometheus.CounterVec
 	inFlight   prometheus.Gauge
+	shutdown   *prometheus.CounterVec
 	firstToken *prometheus.HistogramVec
 	interToken *prometheus.HistogramVec
 }
@@ -32,6 +33,10 @@
 			Name: "peridotmount_entry_requests_in_flight",
 			Help: "Requests in progress.",
 		}),
+		shutdown: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_entry_shutdown_requests_total",
+			Help: "Requests that ended because the host shut down, by outcome: refused, interrupted, broken_off.",
+		}, []string{"outcome"}),
 		firstToken: f.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "peridotmount_entry_first_token_seconds",
 			Help:    "Time from the request to its first token.",
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -24,7 +24,7 @@
 		return failure
 	}
 	c.service = name
-	body, err := readBody(w, r)
+	body, err := e.readBody(w, r)
 	if err != nil {
 		return err
 	}
@@ -56,6 +56,8 @@
 
 // unkeyedPlain passes the answer on as it comes.
 func (e *Entry) unkeyedPlain(ctx context.Context, w http.ResponseWriter, call *dispatch.PlainCall) error {
+	ctx, cancel := until(ctx, e.shutdown.ending)
+	defer cancel()
 	resp, err := e.opts.Dispatcher.Plain(ctx, call)
 	if err != nil {
 		return err
--- a/node/server.go
+++ b/node/server.go
@@ -103,10 +103,17 @@
 	if err := s.finish(drain); err != nil {
 		_ = level.Warn(s.opts.logger).Log("event", "connections_cut", "party", s.opts.party, "err", err)
 	}
-	_ = s.http.Close()
+	s.close()
 	return ctx.Err()
 }
 
+// close closes all connections.
+func (s *server) close() {
+	if err := s.http.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		_ = level.Warn(s.opts.logger).Log("event", "listener_not_closed", "party", s.opts.party, "err", err)
+	}
+}
+
 // finish closes the listener and waits until the requests in progress are
 // answered or ctx ends.
 func (s *server) finish(ctx context.Context) error {
