node: responses end their connections while a daemon shuts down

Clients that keep their connections stayed with a host that was no longer ready up to the end of host.drain_notice, and were refused then. Hosts that serve routes end connections from SIGTERM on; the daemon of the OpenAI interface did not. TestResponsesEndConnectionsWhileTheHostDrains failed with "draining true: connection closes false".

--- a/node/servers.go
+++ b/node/servers.go
@@ -22,7 +22,7 @@
 		party:       traffic.PartyCallers,
 		address:     listen.Callers,
 		connections: listen.CallersConnections,
-		handler:     n.entry.Handler(),
+		handler:     n.closeWhileDraining(n.entry.Handler()),
 		full:        entry.RejectOverLimit,
 		tls:         n.listenerTLS(files.Callers),
 	})
@@ -44,6 +44,17 @@
 	})
 }
 
+// closeWhileDraining returns h, whose responses end their connections once the host shuts down:
+// their clients come back on new ones, which the balancer gives to other hosts.
+func (n *Node) closeWhileDraining(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.drainer.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // newServer fills in what all listeners share.
 func (n *Node) newServer(o serverOptions) *server {
 	o.drain = n.settings.Host.DrainTimeout
