--- a/e2e/daemonstop_test.go
+++ b/e2e/daemonstop_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -269,3 +270,46 @@
 		c.t.Errorf("%s: status %d, run state %q, Retry-After %q", name, resp.StatusCode, state, resp.Header.Get("Retry-After"))
 	}
 }
+
+// TestStoppedHelperLeavesNoCallerWithoutAnswer shuts a daemon down that makes calls for a host
+// that reaches no endpoint, and cuts them at its end: streams go on through another one, and
+// calls that may run only once are answered that they may have run.
+func TestStoppedHelperLeavesNoCallerWithoutAnswer(t *testing.T) {
+	const calls, tokens = 8, 40
+	f := newFleet(t, fleetOptions{daemons: 2, engines: 4, engineArgs: []string{"--step", "500ms"}, settings: "[host]\ndrain_timeout = 2s\n"})
+	links := newHostLinks(t, f.storeURL)
+	cutOff := f.addCutOff("cut-off", links)
+	f.awaitReady()
+	f.awaitAgreement()
+	links.cut(refused)
+	eventually(t, "the host finds that it reaches no endpoint", func() bool {
+		_, _ = streamed(cutOff, "early", 1, func() {})
+		return f.statusOf(cutOff).Stranded
+	})
+	f.call(http.MethodPut, f.invoices().host.Address+"/standin/faults", standin.PlainFaults{DelayMillis: 20000}, nil)
+	var answers sync.WaitGroup
+	for i := range calls {
+		answers.Go(func() {
+			message := fmt.Sprint("stream ", i)
+			if got, err := streamed(cutOff, message, tokens, func() {}); err != nil || got != expected(message, tokens) {
+				t.Errorf("%s: %d bytes of %d, %v", message, len(got), len(expected(message, tokens)), err)
+			}
+		})
+		answers.Go(func() {
+			r := postInvoice(cutOff, fmt.Sprint("invoice ", i))
+			if served := r.code == http.StatusOK && r.state == "completed"; !served && (r.code != http.StatusBadGateway || r.state != "unknown") {
+				t.Errorf("invoice %d: %+v", i, r)
+			}
+		})
+	}
+	helper := f.daemons[0]
+	eventually(t, "helpers make all calls", func() bool { return f.metric("peridotmount_detour_serving") >= 2*calls })
+	helper.stop()
+	if code := helper.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	if data, err := os.ReadFile(helper.log.Name()); err != nil || !strings.Contains(string(data), "connections_cut") {
+		t.Errorf("no call was cut: %v", err)
+	}
+	answers.Wait()
+}
