keeper: the caller of a new batch does not wait for a failed intake to be discarded

What callers saw: beside the end of a daemon's shutdown, with the store silent, the creation of a batch got no answer; its connection was closed.

Cause: when the caller's context ends, createJob still waits up to a second for the proposal that abandons the intake. A shutdown leaves at most a second after the end of the contexts, less if host.drain_timeout is short.

Change: the proposal goes on in the background, and holds the lock of the job until it has ended, as before: the next intake of the job waits for it.

--- a/e2e/daemonstop_test.go
+++ b/e2e/daemonstop_test.go
@@ -313,3 +313,20 @@
 	}
 	answers.Wait()
 }
+
+// TestBatchBesideADaemonsEndIsAnswered shuts a daemon down while the store is silent and the
+// ledger has a new batch to record: its caller is told that it may have been accepted.
+func TestBatchBesideADaemonsEndIsAnswered(t *testing.T) {
+	f := newFleet(t, fleetOptions{daemons: 1, engines: 1, settings: "[host]\ndrain_notice = 0s\ndrain_timeout = 1s\n"})
+	d := f.daemons[0]
+	first := submit(t, d, batchFile(1), "first")
+	f.storeFaults(standin.StoreFaults{Outage: standin.OutageSilent})
+	time.AfterFunc(200*time.Millisecond, func() { d.signal(syscall.SIGTERM) })
+	resp, text := d.post(t, "/v1/batches", wholesaleKey, "application/json", strings.NewReader(fmt.Sprintf(
+		`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"24h","metadata":{"job_name":"second"}}`, first.InputFileID)))
+	if state := resp.Header.Get("Peridotmount-Run-State"); resp.StatusCode < http.StatusInternalServerError || state != "unknown" {
+		t.Errorf("status %d, run state %q: %s", resp.StatusCode, state, text)
+	}
+	t.Logf("status %d: %s", resp.StatusCode, text)
+	<-d.done
+}
--- a/keeper/intake.go
+++ b/keeper/intake.go
@@ -34,29 +34,43 @@
 	if err != nil {
 		return nil, err
 	}
-	defer release()
+	job, in, err := l.takeJob(ctx, id, m)
+	if in == nil {
+		release()
+		return job, err
+	}
+	// The caller doesn't wait for the ledger to forget the intake; the next intake does.
+	go func() {
+		defer release()
+		in.abandon()
+	}()
+	return nil, err
+}
+
+// takeJob returns the job that a message creates, or the intake that failed.
+func (l *leader) takeJob(ctx context.Context, id string, m *CreateJobMessage) (*ledger.Job, *intake, error) {
 	existing, err := l.job(ctx, &IDMessage{Customer: m.Customer, ID: id})
 	switch {
 	case err == nil:
-		return l.checkExistingJob(ctx, existing, m)
+		job, err := l.checkExistingJob(ctx, existing, m)
+		return job, nil, err
 	case !errors.Is(err, ErrNotFound):
-		return nil, err
+		return nil, nil, err
 	}
 	in := newIntake(l, id, m)
 	if err := in.run(ctx); err != nil {
-		in.abandon()
-		return nil, err
+		return nil, in, err
 	}
 	// A concurrent attempt may have committed the job before this one; the state
 	// keeps the first commit in the log.
 	winner, err := l.job(ctx, &IDMessage{Customer: m.Customer, ID: id})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if winner.Digest != in.sum() {
-		return nil, errors.Wrapf(ErrConflict, "job %q", m.Name)
+		return nil, nil, errors.Wrapf(ErrConflict, "job %q", m.Name)
 	}
-	return winner, nil
+	return winner, nil, nil
 }
 
 // checkExistingJob returns an existing job if it has the same input and API path
