keeper: who reads a record first does not outlast its context

A read of the log that several callers share ran on the first caller's goroutine without its context: that caller was held for the whole time-out of the store, also past its deadline or the end of its host's shutdown. TestReaderDoesNotOutlastItsContext hung without the change (panic: test timed out after 10 s). The read now has a goroutine of its own, as its other callers had assumed.

--- a/keeper/recordcache.go
+++ b/keeper/recordcache.go
@@ -36,11 +36,7 @@
 	if owner {
 		// Other callers may wait for this read, so it must not be cancelled with
 		// the context of this one.
-		e.record, e.err = c.fetch(context.WithoutCancel(ctx), offset)
-		if e.err != nil {
-			c.remove(e)
-		}
-		close(e.done)
+		go c.fill(context.WithoutCancel(ctx), e)
 	}
 	select {
 	case <-e.done:
@@ -50,8 +46,17 @@
 	}
 }
 
+// fill reads the record of an entry.
+func (c *recordCache) fill(ctx context.Context, e *cachedRecord) {
+	e.record, e.err = c.fetch(ctx, e.offset)
+	if e.err != nil {
+		c.remove(e)
+	}
+	close(e.done)
+}
+
 // lookup returns the entry of a record, which it adds if there is none. owner is
-// true if it was added: the caller has to read the record and close done.
+// true if it was added: the caller has to fill it.
 func (c *recordCache) lookup(offset int64) (e *cachedRecord, owner bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
