--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -120,10 +120,15 @@
 	shutdownBrokenOff shutdownOutcome = "broken_off"
 )
 
-// noteShutdown logs and counts a request that ended because of a shutdown.
+// noteShutdown logs and counts a request that ended because of a shutdown. Refusals are as many
+// as callers send, and are logged at level debug.
 func (e *Entry) noteShutdown(id string, outcome shutdownOutcome, cause error) {
 	e.metrics.shutdown.WithLabelValues(string(outcome)).Inc()
-	_ = level.Info(e.logger).Log("event", "request_ended_by_shutdown", "request", id, "outcome", outcome, "err", cause)
+	logger := level.Info(e.logger)
+	if outcome == shutdownRefused {
+		logger = level.Debug(e.logger)
+	}
+	_ = logger.Log("event", "request_ended_by_shutdown", "request", id, "outcome", outcome, "err", cause)
 }
 
 // outcome returns how a request ended that is answered with e.
