--- a/graceful/shutdown.go
+++ b/graceful/shutdown.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -96,9 +98,9 @@
 	return now.Sub(l.begun)-time.Duration(l.lastArrival.Load()) >= settleTime
 }
 
-// stopAccepting closes the listener.
+// stopAccepting closes the listener, unless an earlier shutdown did.
 func (l *Listener) stopAccepting() {
-	if err := l.Listener.Close(); err != nil {
+	if err := l.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		_ = level.Error(l.opts.Logger).Log("event", "listener_not_closed", "party", l.opts.Party, "err", err)
 	}
 }
@@ -146,12 +148,7 @@
 		return true
 	}
 	c.phase, c.changed = ending, now
-	if !c.fresh {
-		// Fails only if the client has ended the connection, as does the half-close.
-		_, _ = c.Conn.Write(c.listener.opts.refusal())
-	}
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
+	// A client that doesn't read may leave no room for a refusal, or the alert of TLS.
+	go c.halfClose(!c.fresh)
 	return false
 }
