forward, gateway: what can't end before a host that shuts down does is refused, not passed on

Seen: e2e TestRequestLateInAPlannedStopIsRefusedRatherThanCut, on the code before:

behind: status 502 after 6.767570944s, Retry-After "", connection ends true, 1 runs noticed: status 502 after 6.767931945s, Retry-After "", connection ends true, 1 runs

"noticed" came 2.1 s after SIGTERM, "behind" 2.7 s after it, on a connection that had no request yet. Both ran, and both may run only once. Before they were cut without an answer.

Cause: a host that shuts down passed on whatever it read, up to its last moment, however long it would take. Ruled out: the listener; it had answered all that it read.

Change: forward.Shutdown is the schedule of a shutdown, and decides what is passed on. What comes after the notice (2.5 s) is refused. It is asked before the body is read, and once more when the request has its place and no endpoint has run it. Refusals are 503 with Retry-After and end their connection; the response goes out before the body, which is discarded for a second at most.

--- /dev/null
+++ b/e2e/latestop_test.go
@@ -0,0 +1,67 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/peridotmount/peridotmount/standin"
+)
+
+// onceRoute is a route whose requests may run once.
+const onceRoute = `,{"name":"once","host":"ficu95.example","path_prefix":"/once/","kind":"at_most_once","timeout_ms":20000,"target_latency_ms":1000,
+  "service":"plain","max_attempts":2}`
+
+// withOnceRoute adds onceRoute to the configuration, and waits until all hosts know it.
+func (f *routedFleet) withOnceRoute() {
+	f.t.Helper()
+	f.configure(2, onceRoute)
+	for i, g := range f.gateways {
+		eventually(f.t, g.name+" knows the route", func() bool {
+			return g.send(http.MethodPost, "/once/x", fmt.Sprintf("known-%d", i), nil).status == http.StatusOK
+		})
+	}
+}
+
+// runsOf returns how often a request ran.
+func runsOf(replicas []*standin.Replica, id string) int {
+	n := 0
+	for _, r := range replicas {
+		for _, run := range r.Runs() {
+			if run.Request == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestRequestLateInAPlannedStopIsRefusedRatherThanCut sends requests that may run once and would
+// not end within the grace period, to endpoints that never answer: one while the platform still
+// sends requests, and one behind that, on a connection that had none yet.
+func TestRequestLateInAPlannedStopIsRefusedRatherThanCut(t *testing.T) {
+	f := newRoutedFleet(t, 1)
+	f.withOnceRoute()
+	f.hold()
+	g := f.gateways[0]
+	begun := time.Now()
+	go g.stop()
+	time.Sleep(time.Until(begun.Add(noticeTime - 500*time.Millisecond)))
+	for id, after := range map[string]time.Duration{"noticed": noticeTime - 400*time.Millisecond, "behind": noticeTime + 200*time.Millisecond} {
+		c := newRawCaller(t, g)
+		t.Run(id, func(t *testing.T) {
+			t.Parallel()
+			time.Sleep(time.Until(begun.Add(after)))
+			c.send(fmt.Sprintf("POST /once/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 15000\r\nContent-Length: 6\r\n\r\nprompt", routedHost, id))
+			resp, err := c.answer()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close || runsOf(f.plain, id) > 0 {
+				t.Errorf("status %d after %s, Retry-After %q, connection ends %t, %d runs", resp.StatusCode,
+					time.Since(begun), resp.Header.Get("Retry-After"), resp.Close, runsOf(f.plain, id))
+			}
+		})
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -21,6 +21,8 @@
 	bodies  *semaphore.Weighted
 	hedges  hedgeBudget
 	metrics *metrics
+	// durations holds how long recent requests took.
+	durations *durations
 	// closing ends with EndRequests.
 	closing context.Context
 	close   context.CancelFunc
@@ -30,7 +32,7 @@
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	f := &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), metrics: newMetrics(o.Registerer)}
+	f := &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), durations: newDurations(), metrics: newMetrics(o.Registerer)}
 	f.closing, f.close = context.WithCancel(context.Background())
 	return f
 }
@@ -50,12 +52,16 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	started := time.Now()
-	if f.opts.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: started, phase: readingBody}
+	if shutdown := f.opts.Shutdown(); shutdown != nil {
+		w.Header().Set("Connection", "close")
+		if shutdown.closed(started) {
+			f.refuseUnread(w, req, shutdownRejection("the host takes no more requests"))
+			return
+		}
+	}
 	f.opts.Started.Wait(hr.Context())
 	config := f.opts.Configuration.Current()
 	if config == nil {
@@ -126,6 +132,11 @@
 		f.respond(w, req, http.StatusRequestEntityTooLarge, "body exceeds the limit")
 		return
 	}
+	req.deadline = req.started.Add(shortestTimeout(req.Wait, req.route.Timeout))
+	if rejection := f.lastsTooLong(req, false); rejection != nil {
+		f.refuseUnread(w, req, rejection)
+		return
+	}
 	release, err := f.readBody(w, req, limit)
 	if err != nil {
 		f.respondBodyError(w, req, err)
@@ -133,8 +144,6 @@
 	}
 	defer release()
 	req.phase = awaitingResponse
-	timeout := shortestTimeout(req.Wait, req.route.Timeout)
-	req.deadline = req.started.Add(timeout)
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
 	defer context.AfterFunc(f.closing, cancel)()
--- a/forward/options.go
+++ b/forward/options.go
@@ -32,8 +32,8 @@
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
 	// Jobs serves the API of batch jobs.
 	Jobs http.Handler
-	// Draining reports whether the host is shutting down.
-	Draining func() bool
+	// Shutdown returns the schedule of a host that is shutting down, nil before.
+	Shutdown func() *Shutdown
 	// BodyBudget bounds the memory of all request bodies in flight, in bytes.
 	BodyBudget int64
 	Logger     log.Logger
@@ -82,6 +82,9 @@
 	// cutOffRetry is the Retry-After of a host that reaches no endpoint and finds no other host
 	// that helps. A client that comes back then may reach another host.
 	cutOffRetry = 500 * time.Millisecond
+	// discardTime is how long the body of a request that was refused unread is discarded: a client
+	// may send all of it before it reads the response, and loses that if the connection is reset.
+	discardTime = time.Second
 	// startupRetry is the Retry-After of a host whose configuration is not known, or may be
 	// stale.
 	startupRetry = 500 * time.Millisecond
--- a/forward/request.go
+++ b/forward/request.go
@@ -25,6 +25,8 @@
 	body          []byte
 	started       time.Time
 	deadline      time.Time
+	// passedOn is when the request was first passed on.
+	passedOn time.Time
 
 	// mu guards the fields below, because a hedge runs concurrently with the first
 	// attempt.
@@ -61,6 +63,11 @@
 	ending ending
 }
 
+// durationsKey returns under what the duration of the request is kept.
+func (r *request) durationsKey() durationsKey {
+	return durationsKey{route: r.route.Name, service: r.service}
+}
+
 // timeLeft returns the time until the deadline.
 func (r *request) timeLeft(now time.Time) time.Duration {
 	return r.deadline.Sub(now)
@@ -127,6 +134,13 @@
 	r.incomplete = true
 }
 
+// notPassedOn reports whether no attempt is in flight or may have run.
+func (r *request) notPassedOn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.attempted) == r.refusals
+}
+
 // addAttempt records an attempt at an endpoint, and the time waited for its placement.
 func (r *request) addAttempt(e *endpoint.Endpoint, waited time.Duration) {
 	r.mu.Lock()
@@ -134,6 +148,9 @@
 	r.attempted = append(r.attempted, e.ID)
 	r.versions = append(r.versions, e.Version)
 	r.placementWait += waited
+	if r.passedOn.IsZero() {
+		r.passedOn = time.Now()
+	}
 }
 
 // addVia records the host that made a call for this one, if any.
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -33,6 +34,22 @@
 	f.respond(w, req, http.StatusServiceUnavailable, r.Reason)
 }
 
+// refuseUnread rejects a request whose body was not read. The client gets the response before
+// its body is discarded.
+func (f *Forwarder) refuseUnread(w http.ResponseWriter, req *request, r *Rejection) {
+	control := http.NewResponseController(w)
+	// Without full duplex net/http may read the body before it writes the response.
+	_ = control.EnableFullDuplex()
+	f.reject(w, req, r)
+	_ = control.Flush()
+	if req.http.ContentLength == 0 || req.http.Header.Get("Expect") != "" {
+		return
+	}
+	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	// A body that does not end in time is left to net/http, which closes the connection.
+	_, _ = io.Copy(io.Discard, req.http.Body)
+}
+
 // failRequest ends a request that has no attempts left, passed its deadline, or could not
 // be placed; in the last case err is the error of the Placer.
 func (f *Forwarder) failRequest(w http.ResponseWriter, req *request, err error) {
@@ -47,7 +64,7 @@
 	case errors.As(err, &rejection):
 		f.reject(w, req, rejection)
 	case f.closing.Err() != nil:
-		f.reject(w, req, &Rejection{Reason: "the host shuts down", RetryAfter: briefRetry})
+		f.reject(w, req, shutdownRejection("the host has no more time"))
 	default:
 		f.reject(w, req, &Rejection{Reason: "no endpoint took the request", RetryAfter: briefRetry})
 	}
@@ -96,6 +113,7 @@
 		kind, name, target = req.route.Kind.String(), req.route.Name, ""
 	}
 	f.metrics.observe(kind, status, now.Sub(req.started))
+	f.keepDuration(req, status, now)
 	if status == 0 {
 		f.metrics.incomplete.WithLabelValues(kind, string(req.phase), string(req.ending)).Inc()
 	}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,8 +49,9 @@
 	mayRepeat bool
 	// released receives the Usage of each placement that is released.
 	released chan Usage
-	// full makes requests wait until they end.
-	full bool
+	// full makes requests wait until they end, delay for some time.
+	full  bool
+	delay time.Duration
 }
 
 func (p *testPlacer) Place(ctx context.Context, request *PlacementRequest) (Placement, error) {
@@ -60,6 +62,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	time.Sleep(p.delay)
 	for _, e := range p.endpoints {
 		if (p.mayRepeat || !slices.Contains(request.Avoid, e.ID)) && (request.Version == nil || *request.Version == e.Version) {
 			return &testPlacement{placer: p, endpoint: e}, nil
@@ -88,6 +91,8 @@
 	// started is open, unless a test replaces it before the first request.
 	started *startup.Gate
 	server  *httptest.Server
+	// shutdown is the schedule of the host's shutdown, if it shuts down.
+	shutdown atomic.Pointer[Shutdown]
 	// forwarder is the handler of the server.
 	forwarder *Forwarder
 	seq       int
@@ -125,7 +130,7 @@
 		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
 		Jobs:          http.NotFoundHandler(),
-		Draining:      func() bool { return false },
+		Shutdown:      b.shutdown.Load,
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
 	})
--- a/forward/try.go
+++ b/forward/try.go
@@ -66,6 +66,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.notPassedOn() {
+		if rejection := f.lastsTooLong(req, true); rejection != nil {
+			placement.Release(Usage{Outcome: OutcomeAbandoned})
+			return nil, rejection
+		}
+	}
 	e := placement.Endpoint()
 	req.addAttempt(e, now.Sub(placementStarted))
 	if req.resumedRequest() != "" {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/forward"
 )
 
 const (
-	// drainNotice is how long new requests are still taken after the host is no
+	// drainNotice is how long new requests are still passed on after the host is no
 	// longer ready: the platform asks once a second, and takes a host out after
 	// two misses.
 	drainNotice = 2500 * time.Millisecond
@@ -31,26 +33,33 @@
 	return min(max(grace-handOverTime, untilLastPart), grace-minHandOverTime)
 }
 
+// shutdownSchedule returns the schedule of a drain that begins at a time.
+func shutdownSchedule(begun time.Time, grace time.Duration) *forward.Shutdown {
+	ends := requestTime(grace)
+	return &forward.Shutdown{Closes: begun.Add(min(drainNotice, ends)), Ends: begun.Add(ends)}
+}
+
 // drain shuts down without cutting off a request: the host is no longer ready,
 // hands its duties over, asks clients to close their connections, and finishes
-// what is in progress; what doesn't end in time is answered that it may have run, or not.
+// what is in progress; what doesn't end in time is answered that it may have run, or not. It takes
+// requests that end in time for drainNotice, and refuses all that come later.
 // Batch items that don't end within drainNotice go on elsewhere.
 func (g *Gateway) drain() {
 	begun := time.Now()
-	g.ready.draining.Store(true)
+	schedule := shutdownSchedule(begun, g.settings.Grace)
+	g.ready.shutdown.Store(schedule)
 	_ = level.Info(g.logger).Log("event", "draining", "grace_ms", g.settings.Grace.Milliseconds())
 	g.registrar.Leave()
 	g.client.AnnounceShutdown()
 	g.runner.Leave()
-	time.Sleep(drainNotice)
-	// From here on callers who come are turned away by a closed listener: batch items
-	// must not make that last, as another host goes on behind their last event.
+	time.Sleep(time.Until(schedule.Closes))
+	// From here on callers who come are refused, and then turned away by a closed listener:
+	// batch items must not make that last, as another host goes on behind their last event.
 	g.client.Revoke()
-	end := begun.Add(requestTime(g.settings.Grace))
-	if !g.finishRequests(end) {
+	if !g.finishRequests(schedule.Ends) {
 		_ = level.Error(g.logger).Log("event", "drain_incomplete", "requests", g.forwarder.InFlight())
 		g.forwarder.EndRequests()
-		if !g.finishRequests(end.Add(answerTime)) {
+		if !g.finishRequests(schedule.Ends.Add(answerTime)) {
 			_ = level.Error(g.logger).Log("event", "requests_cut", "requests", g.forwarder.InFlight())
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -340,7 +340,7 @@
 		OnLimit:    g.limits.Answered,
 		OnBegun:    g.origins.Begun,
 		Jobs:       batch.NewAPI(g.ledger),
-		Draining:   g.ready.Draining,
+		Shutdown:   g.ready.shutdown.Load,
 		BodyBudget: int64(float64(g.settings.Memory) * bodyShare),
 		Logger:     g.logger,
 		Registerer: g.registry,
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -6,6 +6,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"github.com/peridotmount/peridotmount/forward"
 )
 
 // readiness answers whether the host should receive new connections.
@@ -13,20 +15,21 @@
 	configuration *configuration
 	endpoints     *endpoints
 	logger        log.Logger
-	draining      atomic.Bool
+	// shutdown is the schedule by which the host shuts down, nil before.
+	shutdown atomic.Pointer[forward.Shutdown]
 	// said is the reason that was logged last.
 	said atomic.Value
 }
 
 // Draining reports whether the host is shutting down.
 func (r *readiness) Draining() bool {
-	return r.draining.Load()
+	return r.shutdown.Load() != nil
 }
 
 // unready returns why the host should get no connections, or "".
 func (r *readiness) unready() string {
 	switch {
-	case r.draining.Load():
+	case r.Draining():
 		return "draining"
 	case r.configuration.Current() == nil:
 		return "no configuration is known"
