batch: a call that ends with its host says whether it took effect

Test TestCallsThatEndWithTheHostSayWhetherTheyTookEffect, before:

submission, refused: status 504, Retry-After "": the outcome is not known submission, half a body: status 400, Retry-After "": body can't be read: i/o timeout cancellation: status 503, Retry-After "1.000": context canceled: outcome of the write to the ledger is unknown

Cause: a cancellation answered 503 for all errors of its append, also those after which the record may be in the ledger; a submission whose context ended did not ask its append what it knew; a body whose read time ends was taken for a client's fault.

Change: 504 if the record may be in the ledger, 503 with Retry-After only if it is not. A body that had not arrived when the host's time ended gets 503.

--- a/batch/api.go
+++ b/batch/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -221,7 +222,12 @@
 	if !cancelled {
 		ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 		defer cancel()
-		if err := a.ledger.Write(ctx, "cancel", &jobs.Record{Job: call.Job, Cancel: &jobs.Cancel{}}); err != nil {
+		err := a.ledger.Write(ctx, "cancel", &jobs.Record{Job: call.Job, Cancel: &jobs.Cancel{}})
+		if errors.Is(err, ErrOutcomeUnknown) {
+			a.refuse(w, r, http.StatusGatewayTimeout, "the outcome is not known", 0)
+			return
+		}
+		if err != nil {
 			a.refuse(w, r, http.StatusServiceUnavailable, err.Error(), outageRetryAfter)
 			return
 		}
@@ -268,13 +274,18 @@
 	}
 }
 
+// refuseBody refuses a submission whose body could not be read. The time for reading it passes only
+// when the host shuts down.
 func (a *API) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		a.refuse(w, r, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
-		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		a.refuse(w, r, http.StatusServiceUnavailable, "the host shuts down", shutdownRetryAfter)
+	default:
+		a.refuse(w, r, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
 	}
-	a.refuse(w, r, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
 }
 
 func verdictName(v jobs.Verdict, err error) string {
--- a/batch/options.go
+++ b/batch/options.go
@@ -135,4 +135,6 @@
 	quotaRetryAfter = 2 * time.Second
 	// outageRetryAfter is the Retry-After of a call while the store is unavailable.
 	outageRetryAfter = time.Second
+	// shutdownRetryAfter is that of a host that shuts down: others serve the call now.
+	shutdownRetryAfter = 200 * time.Millisecond
 )
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -199,6 +199,12 @@
 			}
 			appended = nil
 		case <-ctx.Done():
+			if appended != nil {
+				// The append ends with ctx, and tells whether the record may be in the ledger.
+				if err := <-appended; err != nil {
+					return 0, err
+				}
+			}
 			return 0, errors.Wrap(ErrOutcomeUnknown, ctx.Err().Error())
 		}
 	}
