forward: what a request waits for ends with the host's time, and it is answered

Cause: EndRequests ended the context of a request from the moment at which it had been read whole. Before that, and in calls of batch jobs, waits ended only with the client: a read of a body; the question for the newest configuration, which may take 500 ms where 250 ms are kept for answers; the append of a submission, which may take 3.5 s. Ruled out: the wait of a host that starts, which ends by itself within 250 ms, though it too may be longer than what is left.

Change: these waits get a context that ends with the host's time, and reads of a body a read deadline at that moment. A request whose body had not arrived is refused, a job call answers as package batch does. net/http cancels the context of a request whose read fails; that no longer counts as a client that left. The host's own responses state their length, so that a refusal is complete before the body behind it has been discarded.

--- a/e2e/latestop_test.go
+++ b/e2e/latestop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,39 @@
 		})
 	}
 }
+
+// TestUploadsInAPlannedStopAreAnswered begins to send bodies before a host takes no more requests.
+// One arrives whole behind that, and can end in time; one never does.
+func TestUploadsInAPlannedStopAreAnswered(t *testing.T) {
+	f := newRoutedFleet(t, 1)
+	f.withOnceRoute()
+	g := f.gateways[0]
+	begun := time.Now()
+	go g.stop()
+	for path, want := range map[string]struct{ whole, half int }{
+		"/once/":    {http.StatusOK, http.StatusServiceUnavailable},
+		"/lots-in/": {http.StatusAccepted, http.StatusServiceUnavailable},
+	} {
+		for id, status := range map[string]int{"whole": want.whole, "half": want.half} {
+			c := newRawCaller(t, g)
+			t.Run(path+id, func(t *testing.T) {
+				t.Parallel()
+				id += strings.Trim(path, "/")
+				body := job(id, 1)
+				c.send(fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 6000\r\nContent-Length: %d\r\n\r\n%s",
+					path, id, routedHost, id, len(body), body[:len(body)/2]))
+				time.Sleep(time.Until(begun.Add(noticeTime + 500*time.Millisecond)))
+				if strings.HasPrefix(id, "whole") {
+					c.send(string(body[len(body)/2:]))
+				}
+				resp, err := c.answer()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if resp.StatusCode != status || (resp.Header.Get("Retry-After") != "") != (status == http.StatusServiceUnavailable) {
+					t.Errorf("status %d after %s, Retry-After %q", resp.StatusCode, time.Since(begun), resp.Header.Get("Retry-After"))
+				}
+			})
+		}
+	}
+}
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -46,6 +46,13 @@
 	return ending(disconnect.ClientClosed)
 }
 
+// clientLeft reports whether the context of a client's request was cancelled because its
+// connection ended. net/http cancels it too if the wait for a body is interrupted, as it is once
+// the host has no more time.
+func (f *Forwarder) clientLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && (f.closing.Err() == nil || disconnect.CauseIn(ctx) != disconnect.None)
+}
+
 // interrupted returns the ending of a request whose response ended early with err. The
 // contexts are that of the client's request and that with its deadline.
 func interrupted(client, request context.Context, err error, otherwise ending) ending {
--- a/forward/ending_test.go
+++ b/forward/ending_test.go
@@ -54,13 +54,20 @@
 // dial sends the head of a request, which promises a body of a number of bytes, on a
 // connection of its own.
 func (b *testbed) dial(promised string) net.Conn {
+	b.t.Helper()
+	return b.dialHost("h.example", promised)
+}
+
+// dialHost does the same for another Host header. Reads end after testTimeout.
+func (b *testbed) dialHost(host, promised string) net.Conn {
 	b.t.Helper()
 	c, err := net.Dial("tcp", b.server.Listener.Addr().String())
 	if err != nil {
 		b.t.Fatal(err)
 	}
 	b.t.Cleanup(func() { _ = c.Close() })
-	if _, err := c.Write([]byte("POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q\r\nContent-Length: " + promised + "\r\n\r\n")); err != nil {
+	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := c.Write([]byte("POST /p/x HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: q\r\nContent-Length: " + promised + "\r\n\r\n")); err != nil {
 		b.t.Fatal(err)
 	}
 	return c
--- /dev/null
+++ b/forward/endingbody.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// endingBody is the body of a client's request. Reads that wait for the client fail once the host
+// has no more time.
+type endingBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+	// forget ends the wait for the end of the host's time.
+	forget func() bool
+
+	mu sync.Mutex
+	// ended is set once the body was read to its end.
+	ended bool
+}
+
+// newEndingBody returns the body of a request; closing ends with the host's time.
+func newEndingBody(w http.ResponseWriter, body io.ReadCloser, closing context.Context) *endingBody {
+	b := &endingBody{ReadCloser: body, control: http.NewResponseController(w)}
+	b.forget = context.AfterFunc(closing, b.interrupt)
+	return b
+}
+
+// interrupt ends the read that waits for the client, unless the body has ended: from then on
+// net/http watches the connection.
+func (b *endingBody) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		_ = b.control.SetReadDeadline(time.Now())
+	}
+}
+
+// Read implements io.Reader.
+func (b *endingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.ended = true
+		b.forget()
+	}
+	return n, err
+}
--- a/forward/endrequests_test.go
+++ b/forward/endrequests_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -52,3 +54,48 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestWhatRequestsWaitForEndsWithTheHost ends the time of a host while requests wait for the rest
+// of their bodies, for the newest configuration, and for a call of a batch job. Each is answered.
+func TestWhatRequestsWaitForEndsWithTheHost(t *testing.T) {
+	t.Parallel()
+	afterContext := func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}
+	afterBody := func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	for name, one := range map[string]struct {
+		route    route.Route
+		promised string
+		host     string
+		jobs     http.HandlerFunc
+		status   int
+	}{
+		"body":               {idempotent, "100", "h.example", nil, http.StatusServiceUnavailable},
+		"newest routes":      {idempotent, "0", "new.example", nil, http.StatusServiceUnavailable},
+		"job call":           {route.Route{Kind: route.Batch}, "0", "h.example", afterContext, http.StatusGatewayTimeout},
+		"body of a job call": {route.Route{Kind: route.Batch}, "100", "h.example", afterBody, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestbed(t, one.route, 1, 0)
+			b.config.waits, b.jobs = true, one.jobs
+			c := b.dialHost(one.host, one.promised)
+			time.AfterFunc(100*time.Millisecond, b.forwarder.EndRequests)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != one.status {
+				t.Errorf("status %d, error %v", resp.StatusCode, err)
+			}
+			if len(b.replicas[0].Runs()) > 0 {
+				t.Error("the request ran")
+			}
+		})
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -62,31 +62,47 @@
 			return
 		}
 	}
-	f.opts.Started.Wait(hr.Context())
+	waiting, stop := f.untilEnd(hr.Context())
+	defer stop()
+	f.opts.Started.Wait(waiting)
 	config := f.opts.Configuration.Current()
 	if config == nil {
 		f.reject(w, req, &Rejection{Reason: "no configuration is known yet", RetryAfter: startupRetry})
 		return
 	}
 	if platform.IsJobCall(hr) && config.Serves(hr.Host) {
-		f.serveJobs(w, req)
+		f.serveJobs(waiting, w, req)
 		return
 	}
-	if !f.match(w, req, config) {
+	if !f.match(waiting, w, req, config) {
 		return
 	}
 	if req.route.Kind == route.Batch {
-		f.serveJobs(w, req)
+		f.serveJobs(waiting, w, req)
 		return
 	}
 	f.serve(w, req, config.Limits)
 }
 
+// untilEnd returns a context that ends with that of a request, and with the host's time.
+func (f *Forwarder) untilEnd(client context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(client)
+	forget := context.AfterFunc(f.closing, cancel)
+	return ctx, func() {
+		forget()
+		cancel()
+	}
+}
+
 // serveJobs serves a call of the API of batch jobs, and logs and counts it if its client's
-// connection ended meanwhile.
-func (f *Forwarder) serveJobs(w http.ResponseWriter, req *request) {
-	f.opts.Jobs.ServeHTTP(w, req.http)
-	if ctx := req.http.Context(); ctx.Err() != nil {
+// connection ended meanwhile. The context is that of untilEnd.
+func (f *Forwarder) serveJobs(ctx context.Context, w http.ResponseWriter, req *request) {
+	call := req.http.WithContext(ctx)
+	if call.ContentLength != 0 {
+		call.Body = newEndingBody(w, call.Body, f.closing)
+	}
+	f.opts.Jobs.ServeHTTP(w, call)
+	if ctx := req.http.Context(); f.clientLeft(ctx) {
 		// net/http watches the connection only once the body was read whole.
 		req.phase, req.ending = awaitingResponse, disconnected(ctx)
 		f.metrics.incomplete.WithLabelValues(route.Batch.String(), string(req.phase), string(req.ending)).Inc()
@@ -102,12 +118,12 @@
 }
 
 // match sets the route and the service of a request and reports true, or responds that
-// there is no route and reports false.
-func (f *Forwarder) match(w http.ResponseWriter, req *request, config *route.Configuration) bool {
+// there is no route and reports false. The context is that of untilEnd.
+func (f *Forwarder) match(ctx context.Context, w http.ResponseWriter, req *request, config *route.Configuration) bool {
 	req.route = config.Match(req.http.Host, req.http.URL.Path)
 	if req.route == nil {
 		// A route may have been added since the configuration was last read.
-		if err := f.opts.Configuration.Confirm(req.http.Context()); err != nil {
+		if err := f.opts.Configuration.Confirm(ctx); err != nil {
 			f.reject(w, req, &Rejection{Reason: "no route is known, and the configuration may be old", RetryAfter: startupRetry})
 			return false
 		}
@@ -186,7 +202,8 @@
 	if !f.bodies.TryAcquire(size) {
 		return nil, &Rejection{Reason: "memory for bodies is used up", RetryAfter: briefRetry}
 	}
-	body, err := readAll(http.MaxBytesReader(w, req.http.Body, limit), req.http.ContentLength)
+	ending := newEndingBody(w, req.http.Body, f.closing)
+	body, err := readAll(http.MaxBytesReader(w, ending, limit), req.http.ContentLength)
 	if err != nil {
 		f.bodies.Release(size)
 		return nil, err
@@ -204,8 +221,10 @@
 		f.reject(w, req, rejection)
 	case errors.As(err, &tooLarge):
 		f.respond(w, req, http.StatusRequestEntityTooLarge, "body exceeds the limit")
-	case req.http.Context().Err() != nil:
+	case f.clientLeft(req.http.Context()):
 		f.finishDisconnected(req)
+	case f.closing.Err() != nil:
+		f.refuseUnread(w, req, shutdownRejection("the body was not read whole"))
 	default:
 		f.respond(w, req, http.StatusBadRequest, "body can't be read: "+err.Error())
 	}
--- a/forward/latestop_test.go
+++ b/forward/latestop_test.go
@@ -127,7 +127,9 @@
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Fatalf("%v, %v", resp, err)
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
+	if _, err := io.ReadAll(resp.Body); err != nil || resp.ContentLength < 0 {
+		t.Errorf("the response ends with the connection: length %d, error %v", resp.ContentLength, err)
+	}
 	if _, err := answers.ReadByte(); err != io.EOF {
 		t.Errorf("the connection goes on: %v", err)
 	}
--- a/forward/options.go
+++ b/forward/options.go
@@ -84,7 +84,9 @@
 	cutOffRetry = 500 * time.Millisecond
 	// discardTime is how long the body of a request that was refused unread is discarded: a client
 	// may send all of it before it reads the response, and loses that if the connection is reset.
-	discardTime = time.Second
+	// Where the host has no more time, it is discarded for lastDiscardTime.
+	discardTime     = time.Second
+	lastDiscardTime = 100 * time.Millisecond
 	// startupRetry is the Retry-After of a host whose configuration is not known, or may be
 	// stale.
 	startupRetry = 500 * time.Millisecond
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -19,6 +21,7 @@
 	h := w.Header()
 	platform.EchoID(h, req.ID)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(reason + "\n"))
 	f.finish(req, status)
@@ -46,6 +49,7 @@
 		return
 	}
 	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	defer context.AfterFunc(f.closing, func() { _ = control.SetReadDeadline(time.Now().Add(lastDiscardTime)) })()
 	// A body that does not end in time is left to net/http, which closes the connection.
 	_, _ = io.Copy(io.Discard, req.http.Body)
 }
@@ -55,7 +59,7 @@
 func (f *Forwarder) failRequest(w http.ResponseWriter, req *request, err error) {
 	var rejection *Rejection
 	switch {
-	case req.http.Context().Err() != nil:
+	case f.clientLeft(req.http.Context()):
 		f.finishDisconnected(req)
 	case !time.Now().Before(req.deadline):
 		f.respond(w, req, http.StatusGatewayTimeout, "deadline exceeded")
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -60,7 +60,7 @@
 		s.f.failRequest(s.w, s.req, err)
 		return
 	}
-	if s.req.http.Context().Err() != nil {
+	if s.f.clientLeft(s.req.http.Context()) {
 		s.f.finishDisconnected(s.req)
 		return
 	}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -32,12 +32,20 @@
 // testConfiguration is a fixed Configuration.
 type testConfiguration struct {
 	current *route.Configuration
-	// confirmErr is the error of Confirm.
+	// confirmErr is the error of Confirm, unless it waits until its context ends.
 	confirmErr error
+	waits      bool
 }
 
 func (c *testConfiguration) Current() *route.Configuration { return c.current }
-func (c *testConfiguration) Confirm(context.Context) error { return c.confirmErr }
+
+func (c *testConfiguration) Confirm(ctx context.Context) error {
+	if c.waits {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.confirmErr
+}
 
 // testPlacer is a Placer that chooses the first of its endpoints that is not to be avoided and
 // has the version that is asked for.
@@ -96,6 +104,8 @@
 	// forwarder is the handler of the server.
 	forwarder *Forwarder
 	seq       int
+	// jobs serves the calls of batch jobs, if a test sets it before the first request.
+	jobs http.HandlerFunc
 	// begunMu guards begunRequest and begunVersion, the arguments of the last OnBegun.
 	begunMu                    sync.Mutex
 	begunRequest, begunVersion string
@@ -129,7 +139,7 @@
 		OnLeaving:     func(i endpoint.Incarnation) { b.leaving <- i },
 		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
-		Jobs:          http.NotFoundHandler(),
+		Jobs:          http.HandlerFunc(b.serveJobs),
 		Shutdown:      b.shutdown.Load,
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
@@ -145,6 +155,14 @@
 	return b
 }
 
+func (b *testbed) serveJobs(w http.ResponseWriter, r *http.Request) {
+	if b.jobs == nil {
+		http.NotFound(w, r)
+		return
+	}
+	b.jobs(w, r)
+}
+
 // ignoreReleases takes the placements that are released, for tests with many requests.
 func (b *testbed) ignoreReleases() {
 	done := make(chan struct{})
