forward: fewer recent requests tell how long the next one takes, with a wider margin

Beside restarts every few seconds, hosts that had just started refused much of what may run only once, as they knew fewer than 16 requests of a route.

--- a/forward/shutdown.go
+++ b/forward/shutdown.go
@@ -18,10 +18,13 @@
 
 const (
 	// minDurations is the number of recent requests of a route from which it is known how long
-	// the next one takes: of so many, the next exceeds the longest once in seventeen times, and
-	// durationMargin times the longest far less often.
-	minDurations   = 16
+	// the next one takes.
+	minDurations = 4
+	// durationMargin is the margin over the longest of many requests, fewMargin divided by their
+	// number what is added for few. Of durations without memory, the next one exceeds the bound
+	// once in fifty times after four requests, and more rarely after more.
 	durationMargin = 1.5
+	fewMargin      = 8
 )
 
 // candidate is a request that may be passed on.
@@ -56,10 +59,18 @@
 	case c.once && c.known < minDurations:
 		return false
 	default:
-		return now.Add(time.Duration(durationMargin * float64(c.longest))).Before(s.Ends)
+		return now.Add(c.bound()).Before(s.Ends)
 	}
 }
 
+// bound returns how long the request takes at most, by what is known; zero if nothing is.
+func (c *candidate) bound() time.Duration {
+	if c.known == 0 {
+		return 0
+	}
+	return time.Duration((durationMargin + fewMargin/float64(c.known)) * float64(c.longest))
+}
+
 // shutdownRejection returns the rejection of a request that other hosts serve now.
 func shutdownRejection(inputs string) *Rejection {
 	return &Rejection{Reason: "the host shuts down", RetryAfter: briefRetry, Inputs: inputs}
