forward, gateway: a request that is cut at a stop has a line that says so

Cause: once answers have had their time, the process ended, and its connections with it; the handler of a cut request logs behind that, if it still comes to. And the end named was that of the connection, which this host closes because it has no more time.

Change: the callers' connections are closed right after requests_cut, and the requests have 100 ms to log their ends, as ended_by host_shut_down. Calls made for other hosts that are cut are counted by the line detours_cut.

--- a/e2e/latestop_test.go
+++ b/e2e/latestop_test.go
@@ -1,12 +1,18 @@
 package e2e
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/peridotmount/peridotmount/standin"
 )
 
@@ -102,3 +108,50 @@
 		}
 	}
 }
+
+// endings returns how a gateway logged the ends of a request without a complete answer.
+func (g *gateway) endings(id string) []string {
+	data, err := os.ReadFile(g.log.Name())
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, text := range bytes.Split(data, []byte("\n")) {
+		var line struct {
+			Event, Request string
+			Status         int
+			EndedBy        string `json:"ended_by"`
+		}
+		if json.Unmarshal(text, &line) == nil && line.Event == "request" && line.Request == id && line.Status == 0 {
+			out = append(out, line.EndedBy)
+		}
+	}
+	return out
+}
+
+// TestCutRequestIsLoggedBeforeAHostEnds has a client take no more of its stream, so that the host
+// can't end it in time.
+func TestCutRequestIsLoggedBeforeAHostEnds(t *testing.T) {
+	f := newRoutedFleet(t, 1)
+	for _, r := range f.engines {
+		r.SetFaults(standin.ReplicaFaults{Endless: true})
+	}
+	g := f.gateways[0]
+	c := newRawCaller(t, g)
+	c.send(streamRequest("stuck"))
+	begun := time.Now()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		g.stop()
+	}()
+	// The kernel gives a connection up after some seconds without progress.
+	_ = c.SetReadDeadline(begun.Add(noticeTime + time.Second))
+	if n, err := io.Copy(io.Discard, c); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the stream ended after %d bytes: %v", n, err)
+	}
+	<-stopped
+	if got := g.endings("stuck"); len(got) != 1 || got[0] != "host_shut_down" {
+		t.Errorf("logged ends: %q", got)
+	}
+}
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -53,6 +53,15 @@
 	return ctx.Err() != nil && (f.closing.Err() == nil || disconnect.CauseIn(ctx) != disconnect.None)
 }
 
+// unlessShutDown returns why a request ended that was not ended by its client, its endpoint or its
+// deadline: for want of time if the host has none, otherwise as given.
+func (f *Forwarder) unlessShutDown(otherwise ending) ending {
+	if f.closing.Err() != nil {
+		return hostShutDown
+	}
+	return otherwise
+}
+
 // interrupted returns the ending of a request whose response ended early with err. The
 // contexts are that of the client's request and that with its deadline.
 func interrupted(client, request context.Context, err error, otherwise ending) ending {
--- a/forward/ending_test.go
+++ b/forward/ending_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,6 +78,8 @@
 // TestIncompleteAnswerNamesItsCause ends a request in each way, and reads the cause and the
 // phase in the log.
 func TestIncompleteAnswerNamesItsCause(t *testing.T) {
+	// More than the buffers of a connection hold.
+	large := standin.Answer{Status: http.StatusOK, Body: strings.Repeat("x", 32<<20)}
 	for name, one := range map[string]struct {
 		route  route.Route
 		faults standin.ReplicaFaults
@@ -97,6 +101,14 @@
 			b.awaitRun()
 			_ = b.server.Config.Close()
 		}, loggedEnding{Phase: "waiting", EndedBy: "closed_here"}},
+		"closed at the end of the host's time": {atMostOnce, standin.ReplicaFaults{Answer: &large}, func(b *testbed) {
+			c := b.dial("0")
+			if _, err := c.Read(make([]byte, 1)); err != nil {
+				t.Error(err)
+			}
+			b.forwarder.EndRequests()
+			_ = b.server.Config.Close()
+		}, loggedEnding{Phase: "response", EndedBy: "host_shut_down"}},
 		"stream cut": {singleRunStream, standin.ReplicaFaults{CutAfter: 3}, func(b *testbed) {
 			b.send(context.Background(), "", nil)
 		}, loggedEnding{Phase: "response", EndedBy: "stream_not_resumed"}},
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -86,7 +86,7 @@
 	}
 	if err != nil {
 		r.release(OutcomeTruncated)
-		f.abort(req, "response interrupted: "+err.Error(), interrupted(req.http.Context(), ctx, err, ending(disconnect.Failed)))
+		f.abort(req, "response interrupted: "+err.Error(), interrupted(req.http.Context(), ctx, err, f.unlessShutDown(ending(disconnect.Failed))))
 	}
 	outcome := OutcomeAnswered
 	if r.verdict == platform.Failed {
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -87,6 +87,9 @@
 // abort ends a request by breaking off the client's connection, so that the client does
 // not take the part it got for a complete response.
 func (f *Forwarder) abort(req *request, reason string, why ending) {
+	if why == ending(disconnect.Closed) {
+		why = f.unlessShutDown(why)
+	}
 	req.reason, req.ending = reason, why
 	f.finish(req, 0)
 	panic(http.ErrAbortHandler)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -64,11 +64,7 @@
 		s.f.finishDisconnected(s.req)
 		return
 	}
-	otherwise := streamNotResumed
-	if s.f.closing.Err() != nil {
-		otherwise = hostShutDown
-	}
-	s.f.abort(s.req, "stream interrupted and not resumed", interrupted(s.req.http.Context(), s.ctx, nil, otherwise))
+	s.f.abort(s.req, "stream interrupted and not resumed", interrupted(s.req.http.Context(), s.ctx, nil, s.f.unlessShutDown(streamNotResumed)))
 }
 
 // relay passes on the events of an attempt and reports whether the request has ended.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -25,6 +25,10 @@
 	minHandOverTime = time.Second
 	// answerTime is the time in which requests that were ended get their answers.
 	answerTime = 250 * time.Millisecond
+	// logTime is the time in which requests that were cut log their ends, logTick that between
+	// two looks whether they have.
+	logTime = 100 * time.Millisecond
+	logTick = 5 * time.Millisecond
 )
 
 // requestTime returns how long after its beginning a drain waits for requests in flight.
@@ -61,17 +65,29 @@
 		g.forwarder.EndRequests()
 		if !g.finishRequests(schedule.Ends.Add(answerTime)) {
 			_ = level.Error(g.logger).Log("event", "requests_cut", "requests", g.forwarder.InFlight())
+			g.cutRequests()
 		}
 	}
 	over, stop := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-handOverTime/3))
 	defer stop()
 	g.runner.Wait(over)
-	g.helper.Wait(over)
+	if g.helper.Wait(over); g.helper.InProgress() > 0 {
+		_ = level.Error(g.logger).Log("event", "detours_cut", "calls", g.helper.InProgress())
+	}
 	if err := g.registrar.Remove(over); err != nil {
 		_ = level.Warn(g.logger).Log("event", "host_record_left", "err", err)
 	}
 }
 
+// cutRequests closes the connections of all callers, and gives their requests time to log why they
+// end.
+func (g *Gateway) cutRequests() {
+	_ = g.callers.http.Close()
+	for until := time.Now().Add(logTime); g.forwarder.InFlight() > 0 && time.Now().Before(until); {
+		time.Sleep(logTick)
+	}
+}
+
 // finishRequests waits until no request is in flight, and reports whether that is so by a time.
 func (g *Gateway) finishRequests(end time.Time) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
