detour: a host that shuts down keeps no connection for calls of others

TestLeavingHostKeepsNoConnection before: outcome "leaving", connection ends false.

Change: the refusal ends its connection.

--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -400,6 +400,25 @@
 	}
 }
 
+// TestLeavingHostKeepsNoConnection has a host that shuts down refuse a call. A call on a connection
+// that it kept could cross its end, and would count as one that may have run.
+func TestLeavingHostKeepsNoConnection(t *testing.T) {
+	e := startTestEndpoint(t)
+	hosts := startTestHosts(t, 2, e, func(i int, o *Options) { o.Draining = func() bool { return i == 1 } })
+	req, err := newCallRequest(testContext(t), &hosts[1].host, "e0", &upstream.Call{Request: "r", Method: http.MethodGet, Target: "/echo"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if !resp.Close || resp.Header.Get(outcomeHeader) != string(leaving) {
+		t.Errorf("outcome %q, connection ends %t", resp.Header.Get(outcomeHeader), resp.Close)
+	}
+}
+
 // hide makes a host know no endpoint.
 func hide(hidden bool, o *Options) {
 	known := o.Endpoint
--- a/detour/server.go
+++ b/detour/server.go
@@ -55,6 +55,8 @@
 // ServeCall makes one call.
 func (s *Server) ServeCall(w http.ResponseWriter, r *http.Request) {
 	if s.sender.opts.Draining() {
+		// A call on a kept connection could cross the end of this host.
+		w.Header().Set("Connection", "close")
 		s.refuse(w, "", leaving, "the host is shutting down")
 		return
 	}
