--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -18,3 +18,14 @@
 		}
 	}
 }
+
+// TestShutdownScheduleFitsTheGracePeriod takes no request beyond the time at which requests are ended.
+func TestShutdownScheduleFitsTheGracePeriod(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	for grace, closes := range map[time.Duration]time.Duration{time.Second: 0, 3 * time.Second: 2 * time.Second, 8 * time.Second: drainNotice} {
+		s := shutdownSchedule(begun, grace)
+		if s.Closes.Sub(begun) != closes || s.Ends.Sub(begun) != requestTime(grace) || s.Ends.Before(s.Closes) {
+			t.Errorf("grace %s: closes after %s, ends after %s", grace, s.Closes.Sub(begun), s.Ends.Sub(begun))
+		}
+	}
+}
