forward: the rest of an interrupted body is not taken for the next request

What the client still sends of the body would have been read as its next request. TestWhatRequestsWaitForEndsWithTheHost/body, with the check added: "what follows of the body would be taken for a request". A host at that point passes nothing on, so that it could have run nowhere, but the client would have got a second response.

Change: the response to a request whose body was interrupted ends its connection.

--- a/forward/endingbody.go
+++ b/forward/endingbody.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // endingBody is the body of a client's request. Reads that wait for the client fail once the host
@@ -13,6 +16,8 @@
 type endingBody struct {
 	io.ReadCloser
 	control *http.ResponseController
+	// header is that of the response.
+	header http.Header
 	// forget ends the wait for the end of the host's time.
 	forget func() bool
 
@@ -23,7 +28,7 @@
 
 // newEndingBody returns the body of a request; closing ends with the host's time.
 func newEndingBody(w http.ResponseWriter, body io.ReadCloser, closing context.Context) *endingBody {
-	b := &endingBody{ReadCloser: body, control: http.NewResponseController(w)}
+	b := &endingBody{ReadCloser: body, control: http.NewResponseController(w), header: w.Header()}
 	b.forget = context.AfterFunc(closing, b.interrupt)
 	return b
 }
@@ -41,6 +46,10 @@
 // Read implements io.Reader.
 func (b *endingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// net/http would take the rest of the body for the next request.
+		b.header.Set("Connection", "close")
+	}
 	if err != nil {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/forward/endrequests_test.go
+++ b/forward/endrequests_test.go
@@ -93,6 +93,9 @@
 			if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != one.status {
 				t.Errorf("status %d, error %v", resp.StatusCode, err)
 			}
+			if one.promised != "0" && !resp.Close {
+				t.Error("what follows of the body would be taken for a request")
+			}
 			if len(b.replicas[0].Runs()) > 0 {
 				t.Error("the request ran")
 			}
