--- a/forward/ending.go
+++ b/forward/ending.go
@@ -46,6 +46,22 @@
 	return ending(disconnect.ClientClosed)
 }
 
+// clientLeft reports whether the context of a client's request was cancelled because its
+// connection ended. net/http cancels it too if the wait for a body is interrupted, as it is once
+// the host has no more time.
+func (f *Forwarder) clientLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && (f.closing.Err() == nil || disconnect.CauseIn(ctx) != disconnect.None)
+}
+
+// unlessShutDown returns why a request ended that was not ended by its client, its endpoint or its
+// deadline: for want of time if the host has none, otherwise as given.
+func (f *Forwarder) unlessShutDown(otherwise ending) ending {
+	if f.closing.Err() != nil {
+		return hostShutDown
+	}
+	return otherwise
+}
+
 // interrupted returns the ending of a request whose response ended early with err. The
 // contexts are that of the client's request and that with its deadline.
 func interrupted(client, request context.Context, err error, otherwise ending) ending {
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -18,6 +21,7 @@
 	h := w.Header()
 	platform.EchoID(h, req.ID)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(reason + "\n"))
 	f.finish(req, status)
@@ -33,12 +37,29 @@
 	f.respond(w, req, http.StatusServiceUnavailable, r.Reason)
 }
 
+// refuseUnread rejects a request whose body was not read. The client gets the response before
+// its body is discarded.
+func (f *Forwarder) refuseUnread(w http.ResponseWriter, req *request, r *Rejection) {
+	control := http.NewResponseController(w)
+	// Without full duplex net/http may read the body before it writes the response.
+	_ = control.EnableFullDuplex()
+	f.reject(w, req, r)
+	_ = control.Flush()
+	if req.http.ContentLength == 0 || req.http.Header.Get("Expect") != "" {
+		return
+	}
+	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	defer context.AfterFunc(f.closing, func() { _ = control.SetReadDeadline(time.Now().Add(lastDiscardTime)) })()
+	// A body that does not end in time is left to net/http, which closes the connection.
+	_, _ = io.Copy(io.Discard, req.http.Body)
+}
+
 // failRequest ends a request that has no attempts left, passed its deadline, or could not
 // be placed; in the last case err is the error of the Placer.
 func (f *Forwarder) failRequest(w http.ResponseWriter, req *request, err error) {
 	var rejection *Rejection
 	switch {
-	case req.http.Context().Err() != nil:
+	case f.clientLeft(req.http.Context()):
 		f.finishDisconnected(req)
 	case !time.Now().Before(req.deadline):
 		f.respond(w, req, http.StatusGatewayTimeout, "deadline exceeded")
@@ -47,7 +68,7 @@
 	case errors.As(err, &rejection):
 		f.reject(w, req, rejection)
 	case f.closing.Err() != nil:
-		f.reject(w, req, &Rejection{Reason: "the host shuts down", RetryAfter: briefRetry})
+		f.reject(w, req, shutdownRejection("the host has no more time"))
 	default:
 		f.reject(w, req, &Rejection{Reason: "no endpoint took the request", RetryAfter: briefRetry})
 	}
@@ -66,6 +87,9 @@
 // abort ends a request by breaking off the client's connection, so that the client does
 // not take the part it got for a complete response.
 func (f *Forwarder) abort(req *request, reason string, why ending) {
+	if why == ending(disconnect.Closed) {
+		why = f.unlessShutDown(why)
+	}
 	req.reason, req.ending = reason, why
 	f.finish(req, 0)
 	panic(http.ErrAbortHandler)
@@ -96,6 +120,7 @@
 		kind, name, target = req.route.Kind.String(), req.route.Name, ""
 	}
 	f.metrics.observe(kind, status, now.Sub(req.started))
+	f.keepDuration(req, status, now)
 	if status == 0 {
 		f.metrics.incomplete.WithLabelValues(kind, string(req.phase), string(req.ending)).Inc()
 	}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,12 +32,20 @@
 // testConfiguration is a fixed Configuration.
 type testConfiguration struct {
 	current *route.Configuration
-	// confirmErr is the error of Confirm.
+	// confirmErr is the error of Confirm, unless it waits until its context ends.
 	confirmErr error
+	waits      bool
 }
 
 func (c *testConfiguration) Current() *route.Configuration { return c.current }
-func (c *testConfiguration) Confirm(context.Context) error { return c.confirmErr }
+
+func (c *testConfiguration) Confirm(ctx context.Context) error {
+	if c.waits {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.confirmErr
+}
 
 // testPlacer is a Placer that chooses the first of its endpoints that is not to be avoided and
 // has the version that is asked for.
@@ -48,8 +57,9 @@
 	mayRepeat bool
 	// released receives the Usage of each placement that is released.
 	released chan Usage
-	// full makes requests wait until they end.
-	full bool
+	// full makes requests wait until they end, delay for some time.
+	full  bool
+	delay time.Duration
 	// placed, unless it is nil, counts the placements of each request: the endpoints are chosen in
 	// their order, also by an attempt that begins before another one knows its endpoint.
 	placed map[string]int
@@ -68,6 +78,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	time.Sleep(p.delay)
 	for _, e := range p.endpoints[skip:] {
 		if (p.mayRepeat || !slices.Contains(request.Avoid, e.ID)) && (request.Version == nil || *request.Version == e.Version) {
 			return &testPlacement{placer: p, endpoint: e}, nil
@@ -96,10 +107,14 @@
 	// started is open, unless a test replaces it before the first request.
 	started *startup.Gate
 	server  *httptest.Server
+	// shutdown is the schedule of the host's shutdown, if it shuts down.
+	shutdown atomic.Pointer[Shutdown]
 	// forwarder is the handler of the server, pool its connections to the replicas.
 	forwarder *Forwarder
 	pool      *upstream.Pool
 	seq       int
+	// jobs serves the calls of batch jobs, if a test sets it before the first request.
+	jobs http.HandlerFunc
 	// begunMu guards begunRequest and begunVersion, the arguments of the last OnBegun.
 	begunMu                    sync.Mutex
 	begunRequest, begunVersion string
@@ -133,8 +148,8 @@
 		OnLeaving:     func(i endpoint.Incarnation) { b.leaving <- i },
 		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
-		Jobs:          http.NotFoundHandler(),
-		Draining:      func() bool { return false },
+		Jobs:          http.HandlerFunc(b.serveJobs),
+		Shutdown:      b.shutdown.Load,
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
 	})
@@ -149,6 +164,14 @@
 	return b
 }
 
+func (b *testbed) serveJobs(w http.ResponseWriter, r *http.Request) {
+	if b.jobs == nil {
+		http.NotFound(w, r)
+		return
+	}
+	b.jobs(w, r)
+}
+
 // ignoreReleases takes the placements that are released, for tests with many requests.
 func (b *testbed) ignoreReleases() {
 	done := make(chan struct{})
