slots: a scheduler that hosts leave for its successor no longer starts work in their slots

Cause: when the scheduling host stops, all hosts move to the successor within 0.2 to 0.7 s, one by one, and take their work along. The old scheduler counted each closed session as a host that has ended, until a record of that host was read, and gave its slots to items of the hosts that had not moved yet. It counted hosts every 0.1 s only, so for that long even hosts known to be elsewhere left their slots to it.

Change: a scheduler whose own host uses another one, or shuts down, is superseded: hosts that close their sessions there count as being elsewhere, for as long as their records last. Hosts are counted before the slots of one that left are given away. TestMovedHostsKeepTheirSlots failed with '2 items started in slots that the host which moved still uses'.

--- a/slots/attendance.go
+++ b/slots/attendance.go
@@ -46,6 +46,9 @@
 	// hosts that have not joined may then still use it, on the other side of a network
 	// partition. Otherwise that scheduler has ended, and they will join.
 	prevTimedOut bool
+	// superseded is set while this host itself uses the scheduler of another host, or shuts
+	// down. Hosts that close their sessions here then move to that one and keep their slots.
+	superseded bool
 }
 
 func newParticipation() *participation {
@@ -118,8 +121,11 @@
 }
 
 // countClosed returns how many hosts closed their session so recently that their records
-// would not show yet whether they use another scheduler.
+// would not show yet whether they use another scheduler. count counts them while superseded.
 func (p *participation) countClosed(readUntil time.Time, hosts []peers.Host, lastRecord func(string) time.Time) int {
+	if p.superseded {
+		return 0
+	}
 	n := 0
 	for i := range hosts {
 		absent, found := p.absent[hosts[i].Name]
@@ -154,8 +160,8 @@
 		switch {
 		case lastRecord(name).After(absent.since):
 			t.elsewhere++
-		case absent.cause == closed, readUntil.Sub(absent.since) > peers.RecordTimeout:
-		case absent.cause == timedOut, p.prevTimedOut:
+		case absent.cause == closed && !p.superseded, readUntil.Sub(absent.since) > peers.RecordTimeout:
+		case absent.cause != neverJoined, p.prevTimedOut:
 			t.elsewhere++
 		default:
 			t.undecided++
--- a/slots/client.go
+++ b/slots/client.go
@@ -186,6 +186,7 @@
 func (c *Client) AnnounceShutdown() {
 	c.mu.Lock()
 	c.shuttingDown = true
+	c.localScheduler.SetSuperseded(true)
 	if c.link != nil {
 		c.link.send(HostMessage{Leaving: true})
 	}
@@ -268,6 +269,7 @@
 	}
 	hello.Sent = c.sent.since(now)
 	c.link = l
+	c.localScheduler.SetSuperseded(c.shuttingDown || l.scheduler() != c.opts.Self.Name)
 	l.send(HostMessage{Hello: hello})
 	if leaving := c.opts.LeavingEndpoints(); len(leaving) > 0 {
 		l.send(HostMessage{EndpointsLeaving: leaving})
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -277,6 +277,8 @@
 		if !current {
 			return
 		}
+		// Before its slots are given to others: they are free only if it has ended.
+		l.updateShare(now)
 		c.Leave(now, host)
 		_ = level.Info(l.logger).Log("event", "session_closed", "peer", host, "reason", end.reason, "sessions", n)
 	})
@@ -290,6 +292,20 @@
 	l.participation.prevTimedOut = !wasClosed
 }
 
+// SetSuperseded records whether this host uses the scheduler of another host, or shuts down,
+// so that the hosts that still have sessions here are about to leave for another one.
+func (l *LocalScheduler) SetSuperseded(superseded bool) {
+	l.enqueue(func(now time.Time, _ *scheduler.Core) {
+		l.mu.Lock()
+		changed := l.participation.superseded != superseded
+		l.participation.superseded = superseded
+		l.mu.Unlock()
+		if changed {
+			l.updateShare(now)
+		}
+	})
+}
+
 // Handle processes a message of a host.
 func (l *LocalScheduler) Handle(host string, m *HostMessage) {
 	switch {
