forward, batch: a job that was accepted is found and accepted again whatever the routes are by now

What callers would see: 404 for the status, the items' bodies and the end of a batch job that was accepted, and 404, 503 or 413 when it is handed in again, once a configuration has dropped the last route of its host, dropped its route or lowered the limit of bodies. The same 404 came from a host that had not read a new host's first route yet: after the configuration was read again, only the routes were asked, and a call on a job has none.

Cause: the configuration in force was asked before the ledger. A job outlasts its route.

Change: a proper call on a job needs no route of its host; the ledger answers. A submission that repeats a job accepted for this host and path is accepted again; Submit asks the ledger first, and so does the answer to a body beyond the limit. Anything else without a route still gets 404.

--- a/batch/api.go
+++ b/batch/api.go
@@ -240,7 +240,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.ledger.bodyLimit()))
 	if err != nil {
-		a.refuseBody(w, r, err)
+		a.refuseBody(w, r, id, err)
 		return
 	}
 	items, err := platform.DecodeItems(body)
@@ -268,9 +268,14 @@
 	}
 }
 
-func (a *API) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+func (a *API) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		if a.ledger.Repeats(id, r.Host, r.URL.Path) {
+			// The limit was higher when the job was accepted.
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
 		a.refuse(w, r, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
 		return
 	}
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -37,9 +37,22 @@
 	return clock.Now().Sub(l.follower.Complete())
 }
 
+// Repeats reports whether a job with this ID was accepted for a host and path, so that a
+// submission of it is accepted again, whatever the configuration allows by now.
+func (l *Ledger) Repeats(id, host, path string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	job := l.state.Job(id)
+	return job != nil && job.Submission.Host == host && job.Submission.Path == path
+}
+
 // Submit submits a job and returns the ledger's verdict. Errors are ErrNotWritten,
 // after which this call does not cause the job to be accepted, and ErrOutcomeUnknown.
 func (l *Ledger) Submit(ctx context.Context, id, host, path string, items []jobs.Item) (jobs.Verdict, error) {
+	l.listed.Wait(ctx)
+	if l.HasJob(id) {
+		return jobs.Repeated, nil
+	}
 	config := l.opts.Configuration()
 	var r *route.Route
 	if config != nil {
@@ -49,14 +62,10 @@
 		return 0, errors.Wrap(ErrNotWritten, "no route for batch jobs")
 	}
 	sub := newSubmission(r, host, path, items)
-	l.listed.Wait(ctx)
 	l.mu.Lock()
-	exists := l.state.Job(id) != nil
 	fits := sub.Quota <= 0 || l.state.Waiting(sub.Route)+sub.Tokens <= sub.Quota
 	l.mu.Unlock()
 	switch {
-	case exists:
-		return jobs.Repeated, nil
 	case l.storeUnreachable.Load() || l.follower.Complete().IsZero():
 		return 0, errors.Wrap(ErrNotWritten, "the ledger can't be reached")
 	case !fits:
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/peridotmount/peridotmount/jobs"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/standin"
 )
@@ -150,3 +154,34 @@
 		}
 	}
 }
+
+// TestRepeatOutlastsTheConfiguration hands a job in again after its route was dropped, and after
+// the limit of bodies was lowered below its size.
+func TestRepeatOutlastsTheConfiguration(t *testing.T) {
+	l, _, _, _ := newInstrumentedLedger(t)
+	api := NewAPI(l)
+	submit := func() int {
+		r := httptest.NewRequest(http.MethodPost, "http://h/lots-in/j", strings.NewReader(
+			`{"items":[{"id":"i","path":"/lots-in/run","headers":{},"body":"cQ==","tokens":3}]}`))
+		r.Header.Set("X-Request-Id", "j")
+		w := httptest.NewRecorder()
+		api.ServeHTTP(w, r)
+		return w.Code
+	}
+	if status := submit(); status != http.StatusAccepted {
+		t.Fatalf("status %d", status)
+	}
+	config := l.opts.Configuration
+	l.opts.Configuration = func() *route.Configuration { return &route.Configuration{Version: 2} }
+	if status := submit(); status != http.StatusAccepted {
+		t.Errorf("without its route: status %d", status)
+	}
+	l.opts.Configuration = func() *route.Configuration {
+		c := config()
+		c.Limits.BodyBytes = 8
+		return c
+	}
+	if status := submit(); status != http.StatusAccepted {
+		t.Errorf("beyond the limit of bodies: status %d", status)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -62,7 +62,7 @@
 		f.reject(w, req, &Rejection{Reason: "no configuration is known yet", RetryAfter: startupRetry})
 		return
 	}
-	if platform.IsJobCall(hr) && config.Serves(hr.Host) {
+	if f.isJobCall(req, config) {
 		f.serveJobs(w, req)
 		return
 	}
@@ -76,6 +76,17 @@
 	f.serve(w, req, config.Limits)
 }
 
+// isJobCall reports whether a request is a call on a batch job. A job is known to all hosts for
+// longer than its route may exist, so only the ledger can tell that there is none.
+func (f *Forwarder) isJobCall(req *request, config *route.Configuration) bool {
+	hr := req.http
+	if platform.IsJobCall(hr) {
+		_, err := platform.ParseJobCall(hr)
+		return err == nil || config.Serves(hr.Host)
+	}
+	return hr.Method == http.MethodPost && config.Match(hr.Host, hr.URL.Path) == nil && f.opts.RepeatsJob(req.ID, hr.Host, hr.URL.Path)
+}
+
 // serveJobs serves a call of the API of batch jobs, and logs and counts it if its client's
 // connection ended meanwhile.
 func (f *Forwarder) serveJobs(w http.ResponseWriter, req *request) {
--- a/forward/options.go
+++ b/forward/options.go
@@ -32,6 +32,8 @@
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
 	// Jobs serves the API of batch jobs.
 	Jobs http.Handler
+	// RepeatsJob reports whether a batch job with this id was accepted for this host and path.
+	RepeatsJob func(id, host, path string) bool
 	// Draining reports whether the host is shutting down.
 	Draining func() bool
 	// BodyBudget bounds the memory of all request bodies in flight, in bytes.
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -125,6 +125,7 @@
 		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
 		Jobs:          http.NotFoundHandler(),
+		RepeatsJob:    func(string, string, string) bool { return false },
 		Draining:      func() bool { return false },
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -340,6 +340,7 @@
 		OnLimit:    g.limits.Answered,
 		OnBegun:    g.origins.Begun,
 		Jobs:       batch.NewAPI(g.ledger),
+		RepeatsJob: g.ledger.Repeats,
 		Draining:   g.ready.Draining,
 		BodyBudget: int64(float64(g.settings.Memory) * bodyShare),
 		Logger:     g.logger,
