batch: no item is given up by a configuration that is not known to be the newest

What callers would see: all items of a batch job listed as dead letters with the reason 'the route is gone', moments after the 202, though the route is there.

Cause: the scheduling host looks once a second for jobs whose route is gone, by the configuration that it has. The ledger and the configuration are read independently of each other: a job that another host accepted by a route that was added just now can be read before the route is. The same holds for as long as the configuration can't be read and the ledger can.

Ruled out elsewhere: Reschedule only takes items off the queue by an old configuration, and puts them back with the next; a run whose route is unknown is tried again.

Change: the configuration is confirmed first, and the jobs are looked up again by what is in force then; if it can't be confirmed, none is given up.

--- a/batch/janitor.go
+++ b/batch/janitor.go
@@ -21,6 +21,14 @@
 // FailUnrunnable records a dead result for each open item that can't be run any more,
 // because the route of its job no longer exists or the retention time has passed.
 func (l *Ledger) FailUnrunnable(ctx context.Context, now time.Time) {
+	if len(l.findUnrunnableJobs(now)) == 0 {
+		return
+	}
+	// Another host may have accepted a job by a route that this host has not read yet.
+	if err := l.opts.ConfirmConfiguration(ctx); err != nil {
+		_ = level.Info(l.opts.Logger).Log("event", "configuration_not_confirmed", "err", err)
+		return
+	}
 	for _, j := range l.findUnrunnableJobs(now) {
 		for _, item := range j.items {
 			err := l.Write(ctx, "result", &jobs.Record{Job: j.job, Result: &jobs.Result{Item: item, Dead: true, Reason: j.reason}})
--- a/batch/options.go
+++ b/batch/options.go
@@ -53,6 +53,9 @@
 	Sender upstream.Sender
 	// Configuration returns the configuration in force, or nil if there is none yet.
 	Configuration func() *route.Configuration
+	// ConfirmConfiguration returns nil once every configuration written before the call is in
+	// force. Needed only by FailUnrunnable.
+	ConfirmConfiguration func(ctx context.Context) error
 	// Endpoint returns an endpoint by its ID, or nil.
 	Endpoint func(id string) *endpoint.Endpoint
 	// OnLeaving is called with each endpoint that announces in a response that it is
