scheduler, batch: a host that has not read the ledger yet gets no more items for a moment

Cause: a host lists the ledger up to 1.3 s after its start, as hosts that start together take turns. Until then it returned each item as abandoned, to be started again after 0.25 s. The scheduler gives items to the host that runs the fewest, and to the one that accepted their job by its name, which a started host has too: both are the host that can't run any.

Ruled out: endpoints' slots lost to this (the runs took 80 ms together); what is lost is the 0.25 s or more that each item waited, again and again.

Change: such an item comes back as ledger-unread, without a pause of its own. The scheduler starts it at another host at once, and gives the host no items for 0.4 s, as after an endpoint that it has not read. TestStartingHostTakesNoItems failed before: 20 items started at the starting host and none at the other.

--- a/batch/run.go
+++ b/batch/run.go
@@ -85,26 +85,28 @@
 }
 
 // prepare finds the item, reads its input and restores its progress. If the item can't
-// be run, it returns the reason and the pause before the next attempt.
-func (x *itemRun) prepare(ctx context.Context) (string, time.Duration) {
+// be run, it returns the reason and the use of the slot.
+func (x *itemRun) prepare(ctx context.Context) (string, scheduler.Usage) {
 	saved, reason := x.findItem()
 	if reason == reasonUnknownItem {
 		// The scheduler has read more of the ledger than this host; catch up.
 		if err := x.ledger.refresh(ctx); err != nil {
-			return err.Error(), misplacedDelay
+			return err.Error(), scheduler.Usage{Outcome: scheduler.LedgerUnread}
 		}
 		saved, reason = x.findItem()
 	}
 	if reason != "" {
-		return reason, misplacedDelay
+		// An item that has ended has its result in the ledger; the scheduler just has not
+		// read it yet.
+		return reason, scheduler.Usage{Outcome: scheduler.Abandoned, Delay: misplacedDelay, Settled: reason == reasonItemEnded}
 	}
 	item, err := x.ledger.readItem(ctx, x.job, x.ref.Item)
 	if err != nil {
-		return err.Error(), unreadInputDelay
+		return err.Error(), scheduler.Usage{Outcome: scheduler.Abandoned, Delay: unreadInputDelay}
 	}
 	x.item = item
 	x.restoreProgress(ctx, saved)
-	return "", 0
+	return "", scheduler.Usage{}
 }
 
 // findItem sets the job and route of the item. It returns the item's progress in the
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -92,10 +92,7 @@
 		x.endRun("unread", "this host has not read the record of "+s.Endpoint, scheduler.Usage{Outcome: scheduler.Unread})
 		return
 	}
-	if reason, delay := x.prepare(ctx); reason != "" {
-		// An item that has ended has its result in the ledger; the scheduler just has not
-		// read it yet.
-		use := scheduler.Usage{Outcome: scheduler.Abandoned, Delay: delay, Settled: reason == reasonItemEnded}
+	if reason, use := x.prepare(ctx); reason != "" {
 		x.endRun("misplaced", reason, use)
 		return
 	}
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -322,3 +322,15 @@
 		t.Errorf("slot of a sound item released with %+v", use)
 	}
 }
+
+// TestStartingHostGivesItemsBack starts an item at a host that has not listed the ledger yet:
+// the scheduler is told so, and may start it elsewhere at once.
+func TestStartingHostGivesItemsBack(t *testing.T) {
+	address, engine := startStoreAndEngine(t, 3)
+	l := newStoredLedger("starting", address, engine)
+	var uses recordingSlot
+	NewRunner(t.Context(), l).Run(t.Context(), &scheduler.Start{Ticket: "t", Endpoint: "engine-0", Item: scheduler.ItemRef{Job: "j"}}, &uses)
+	if len(uses) != 1 || uses[0].Outcome != scheduler.LedgerUnread || uses[0].Delay != 0 || uses[0].Settled {
+		t.Errorf("slot released with %+v", uses)
+	}
+}
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -112,12 +112,12 @@
 // that can. During an outage of the store no other host can read the input, and slots would
 // stay idle. It returns nil if there is none.
 func (c *Core) hostFor(now time.Time, v *service, i *openItem, free func(*endpointState) bool) *member {
-	if m := c.members[i.host]; m != nil && !m.leaving && (i.TokensDone > 0 || m.canUseAny(now, v, free)) {
+	if m := c.members[i.host]; m != nil && !m.leaving && !now.Before(m.itemsAfter) && (i.TokensDone > 0 || m.canUseAny(now, v, free)) {
 		return m
 	}
 	var best *member
 	for _, m := range c.members {
-		if m.leaving || m.stranded || !m.canUseAny(now, v, free) {
+		if m.leaving || m.stranded || now.Before(m.itemsAfter) || !m.canUseAny(now, v, free) {
 			continue
 		}
 		if best == nil || m.runningItems < best.runningItems || (m.runningItems == best.runningItems && m.name < best.name) {
@@ -228,7 +228,7 @@
 	if u.TokensDone > i.TokensDone {
 		v.observeTokens(now.Sub(i.startedAt)-v.meanFirst, u.TokensDone-i.TokensDone)
 		i.TokensDone, i.version, i.failures = u.TokensDone, u.Version, 0
-	} else if u.Outcome != Abandoned && u.Outcome != Unread {
+	} else if u.Outcome != Abandoned && u.Outcome != Unread && u.Outcome != LedgerUnread {
 		i.failures++
 	}
 	if u.Settled {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -311,6 +311,10 @@
 		if m := c.members[t.host]; m != nil {
 			m.setUnread(now, s.ID)
 		}
+	case LedgerUnread:
+		if m := c.members[t.host]; m != nil {
+			m.itemsAfter = now.Add(unreadPause)
+		}
 	case Abandoned:
 	}
 	if u.Reusable {
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -14,6 +14,9 @@
 	// stranded means that the host reaches no endpoint itself: what it reports of endpoints
 	// says nothing of them, and it gets no items but those that it has output or input of.
 	stranded bool
+	// itemsAfter is when the host gets batch items again, after one of a job that it had not
+	// read. A host that starts has the fewest items, and would be given all.
+	itemsAfter time.Time
 	// unread holds the endpoints that the host was given and had not read yet.
 	unread map[string]unreadEndpoint
 }
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -103,7 +103,7 @@
 	// stalled. The report is repeated every 250 ms while the stall lasts.
 	stallPause = 350 * time.Millisecond
 	// unreadPause is how long a host gets no work at an endpoint whose record it has not
-	// read: hosts read the records within 300 ms of each other, and a read takes some time.
+	// read, and no batch items if it has not read their job: hosts read the records within 300 ms of each other, and a read takes some time.
 	unreadPause = 400 * time.Millisecond
 	// strandedHolds is after how many mean times of a request the slots of those are released
 	// that were in progress at a host that lost its links.
--- a/scheduler/unread_test.go
+++ b/scheduler/unread_test.go
@@ -237,3 +237,47 @@
 	}
 	return out
 }
+
+// TestStartingHostTakesNoItems has a host join that has not read the ledger yet, while the other
+// hosts run items. It has the fewest items, and the inputs of some by the name that it had
+// before, but items that it gives back start at other hosts until it had time to read.
+func TestStartingHostTakesNoItems(t *testing.T) {
+	c, now := NewCore(Options{}), replayStart
+	c.SetEndpoints(now, []Endpoint{{ID: "e", Service: "s", Slots: 8}})
+	c.Join(now, &Hello{Host: "current"})
+	c.Join(now, &Hello{Host: "starting"})
+	for i := range 20 {
+		c.AddItem(now, Item{
+			Ref: ItemRef{Job: "j", Item: i}, Service: "s", Due: now.Add(time.Minute), ExpectedTokens: 1000, InputHost: "starting",
+		})
+	}
+	runs := 0
+	for range 50 {
+		returned := 0
+		for _, e := range c.Effects() {
+			if s, ok := e.(Start); ok && s.Host == "starting" {
+				c.Done(now, Usage{Ticket: s.Ticket, Outcome: LedgerUnread})
+				returned++
+			}
+		}
+		if returned == 0 {
+			break
+		}
+		runs += returned
+	}
+	if runs > 8 {
+		t.Errorf("%d items started at a host that gave each back", runs)
+	}
+	if n := c.members["current"].runningItems; n != 8 {
+		t.Errorf("%d items run at the other host, want all 8 slots in use", n)
+	}
+	c.SetEndpoints(now, []Endpoint{{ID: "e", Service: "s", Slots: 9}})
+	if got := startsByHost(c); got["starting"] != 0 {
+		t.Errorf("started %v before the host had time to read", got)
+	}
+	now = now.Add(unreadPause)
+	c.SetEndpoints(now, []Endpoint{{ID: "e", Service: "s", Slots: 10}})
+	if got := startsByHost(c); got["starting"] != 1 {
+		t.Errorf("started %v after the host had time to read", got)
+	}
+}
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -26,6 +26,9 @@
 	// Unread means that the host has read no record of the endpoint, or another one than the
 	// scheduler, and didn't use the slot. Hosts read the records at different times.
 	Unread Outcome = "unread"
+	// LedgerUnread means that the host has not read the ledger's record of the item's job, and
+	// didn't use the slot.
+	LedgerUnread Outcome = "ledger-unread"
 )
 
 // Usage reports the end of the use of a slot to the scheduler.
