slots: a scheduler that shuts down tells its hosts, which move to the next one together

Cause: hosts learn from the store's list of hosts that a scheduler leaves, which each reads at a moment of its own, once a second.

Ruled out: hosts that could not reach the next scheduler (no scheduler_unreachable in these elections); a second election (all went to front-sfax-a-2).

Change: the scheduler tells its hosts in their sessions, and each that joins it later. They leave it out of their elections from then on, by its incarnation. A host of an older build ignores the message and moves as before. TestHostsMoveAsSoonAsTheirSchedulerDeparts failed before: the host stayed for as long as the directory listed its scheduler.

--- a/slots/client.go
+++ b/slots/client.go
@@ -85,6 +85,8 @@
 	sent         sentLog
 	seq          uint64
 	shuttingDown bool
+	// departed holds, by name and incarnation, when a scheduler announced its shutdown.
+	departed map[string]time.Time
 	// strandedSince is since when the host reaches no endpoint itself; zero if it does.
 	strandedSince time.Time
 	// crashes are the last reports of crashes, oldest first.
@@ -113,6 +115,7 @@
 		held:           make(map[string]*heldSlot),
 		answers:        blame.NewAnswers(),
 		backoffs:       make(map[string]*backoff),
+		departed:       make(map[string]time.Time),
 	}
 	return c, c.localScheduler
 }
@@ -186,7 +189,7 @@
 func (c *Client) AnnounceShutdown() {
 	c.mu.Lock()
 	c.shuttingDown = true
-	c.localScheduler.SetSuperseded(true)
+	c.localScheduler.AnnounceShutdown()
 	if c.link != nil {
 		c.link.send(HostMessage{Leaving: true})
 	}
@@ -353,6 +356,8 @@
 		c.handleStart(ctx, m.Start)
 	case m.Broadcast != nil:
 		c.applyBroadcast(m.Broadcast)
+	case m.Departing != "":
+		c.markDeparted(m.Departing)
 	}
 }
 
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -53,6 +53,8 @@
 	// of the last count.
 	participation *participation
 	lastCount     hostCounts
+	// departing means that this host shuts down. Only the goroutine of Serve accesses it.
+	departing bool
 	// majoritySince is the time since which a majority of the hosts has a session;
 	// zero while there is none. Only the goroutine of Serve accesses it.
 	majoritySince time.Time
@@ -258,6 +260,9 @@
 		if notices := l.limits.Notices(); len(notices) > 0 {
 			deliver(SchedulerMessage{Limits: notices})
 		}
+		if l.departing {
+			deliver(SchedulerMessage{Departing: l.self})
+		}
 		_ = level.Info(l.logger).Log("event", "session_opened", "peer", h.Host, "running", len(h.Running), "kept", len(h.Resumable), "sessions", n)
 	})
 	return s
@@ -306,6 +311,16 @@
 	})
 }
 
+// AnnounceShutdown tells the hosts that this one shuts down. They move to the next scheduler
+// together, rather than each when it reads of that in the store.
+func (l *LocalScheduler) AnnounceShutdown() {
+	l.SetSuperseded(true)
+	l.enqueue(func(time.Time, *scheduler.Core) {
+		l.departing = true
+		l.broadcast(SchedulerMessage{Departing: l.self})
+	})
+}
+
 // Handle processes a message of a host.
 func (l *LocalScheduler) Handle(host string, m *HostMessage) {
 	switch {
--- a/slots/election.go
+++ b/slots/election.go
@@ -81,7 +81,7 @@
 }
 
 // candidates returns the hosts that precede this host's scheduler in the directory and
-// may be reachable: their token is known and they are not in backoff. It also reports
+// may be reachable: their token is known, they are not in backoff and have not departed. It also reports
 // whether the current scheduler is kept if none of them is reachable, which is so if it
 // precedes this host.
 func (c *Client) candidates() (out []peers.Host, keepCurrent bool) {
@@ -96,6 +96,9 @@
 			}
 			return out, false
 		}
+		if c.hasDeparted(&h) {
+			continue
+		}
 		if h.Name == current {
 			return out, true
 		}
@@ -106,6 +109,31 @@
 	return out, false
 }
 
+// markDeparted excludes the current incarnation of a scheduler that shuts down from elections.
+// Called with mu locked.
+func (c *Client) markDeparted(scheduler string) {
+	now := time.Now()
+	for key, since := range c.departed {
+		if now.Sub(since) > backoffRetention {
+			delete(c.departed, key)
+		}
+	}
+	for _, h := range c.opts.Directory.Hosts() {
+		if h.Name == scheduler && scheduler != c.opts.Self.Name {
+			c.departed[incarnationKey(&h)] = now
+			c.triggerElection()
+		}
+	}
+}
+
+// hasDeparted reports whether a host announced its shutdown as a scheduler.
+func (c *Client) hasDeparted(h *peers.Host) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, departed := c.departed[incarnationKey(h)]
+	return departed
+}
+
 // rounds splits hosts into groups that are tried concurrently: one host, then twice as
 // many in each group. After a network partition a host may have to try the forty
 // unreachable hosts that precede it; one by one, each would take connectTimeout.
--- a/slots/handover_test.go
+++ b/slots/handover_test.go
@@ -96,3 +96,24 @@
 		t.Errorf("%d items started in the two slots of a host that was killed", h.starts-20)
 	}
 }
+
+// TestHostsMoveAsSoonAsTheirSchedulerDeparts stops the host that schedules, while the directory
+// of the others still lists it: they are told, and move to the next host. One that finds it
+// later moves on too.
+func TestHostsMoveAsSoonAsTheirSchedulerDeparts(t *testing.T) {
+	departing := newLeavingScheduler(t, &leavingEndpoints{})
+	first, second := serveSessions(t, "first", departing), servingHost(t, "second")
+	directory := newFakeDirectory(first, second, peers.Host{Name: "a", Incarnation: "i"}, peers.Host{Name: "b", Incarnation: "i"})
+	a := runClient(t, "a", &leavingEndpoints{}, directory)
+	eventually(t, "session", func() bool { return a.Scheduler() == "first" })
+	departing.AnnounceShutdown()
+	eventually(t, "the host moves to the next scheduler", func() bool { return a.Scheduler() == "second" })
+	b := runClient(t, "b", &leavingEndpoints{}, directory)
+	eventually(t, "a host that comes later moves on", func() bool { return b.Scheduler() == "second" })
+	for range 3 {
+		time.Sleep(electionInterval)
+		if got := a.Scheduler(); got != "second" {
+			t.Fatalf("the host moved back to %q", got)
+		}
+	}
+}
--- a/slots/message.go
+++ b/slots/message.go
@@ -49,6 +49,8 @@
 	Limits []throttle.Notice `json:"limits,omitempty"`
 	// Streams are streams that began, for hosts that may schedule next.
 	Streams origin.Streams `json:"streams,omitempty"`
+	// Departing is the name of the scheduler if its host shuts down.
+	Departing string `json:"departing,omitempty"`
 }
 
 // Broadcast is the state that a scheduler sends to all its hosts periodically.
