forward, batch: calls on batch jobs end with an answer when their host shuts down

What callers would see: in a planned stop, the connection of a call on a batch job is closed without an answer at the end of the grace period, though the call had been read whole.

Cause: EndRequests ends the requests on routes with an answer 0.25 s before the host stops; calls on jobs were not bound by it. A submission or an end waits up to 3.5 s for the store, and a read up to 1 s for results and 0.7 s for the ledger; one that comes on a kept connection later than 3.3 s into the stop, while the store is slow, was still waiting when the connections were cut.

Evidence: read, and TestJobCallsEndWithAnAnswer, which failed before (the call went on for as long as its handler did).

Change: the calls' context ends with EndRequests, and they answer 503, or 504 if the submission may have been written. A read of results that is ended so answers 503 rather than an empty list, which would say that there is no result (TestReadThatIsEndedHasNoEmptyResult: 200 before).

--- a/batch/api.go
+++ b/batch/api.go
@@ -162,9 +162,9 @@
 }
 
 // waitForResults waits until a job has results from a position on, all its items have
-// ended, the wait time has passed, or ctx has ended. It returns false if the wait time
-// has passed and the ledger view may be stale, so that results may exist that this host
-// has not read.
+// ended, the wait time has passed, or ctx has ended. It returns false if results may exist
+// that this host has not read: ctx has ended, or the wait time has passed and the ledger
+// view may be stale.
 func (a *API) waitForResults(ctx context.Context, job *jobs.Job, after int, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -179,7 +179,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return true
+			return false
 		case <-timer.C:
 			return a.ledger.Confirm(ctx) == nil
 		}
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -185,3 +185,22 @@
 		t.Errorf("beyond the limit of bodies: status %d", status)
 	}
 }
+
+// TestReadThatIsEndedHasNoEmptyResult ends a read of results while it waits for the store: other
+// hosts may have results that this one has not read.
+func TestReadThatIsEndedHasNoEmptyResult(t *testing.T) {
+	l, _, _, _ := newInstrumentedLedger(t)
+	items := []jobs.Item{{ID: "i", Path: "/lots-in/run", Tokens: 3, Body: []byte("q")}}
+	if v, err := l.Submit(t.Context(), "j", "h", "/lots-in/j", items); err != nil || v != jobs.Accepted {
+		t.Fatalf("verdict %v, error %v", v, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r := httptest.NewRequest(http.MethodGet, "http://h/lots/j", http.NoBody).WithContext(ctx)
+	r.Header.Set("X-Wait-Ms", "1000")
+	w := httptest.NewRecorder()
+	NewAPI(l).ServeHTTP(w, r)
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d: %s", w.Code, w.Body)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -87,10 +87,13 @@
 	return hr.Method == http.MethodPost && config.Match(hr.Host, hr.URL.Path) == nil && f.opts.RepeatsJob(req.ID, hr.Host, hr.URL.Path)
 }
 
-// serveJobs serves a call of the API of batch jobs, and logs and counts it if its client's
-// connection ended meanwhile.
+// serveJobs serves a call of the API of batch jobs, until EndRequests at the latest, and logs and
+// counts it if its client's connection ended meanwhile.
 func (f *Forwarder) serveJobs(w http.ResponseWriter, req *request) {
-	f.opts.Jobs.ServeHTTP(w, req.http)
+	ctx, cancel := context.WithCancel(req.http.Context())
+	defer cancel()
+	defer context.AfterFunc(f.closing, cancel)()
+	f.opts.Jobs.ServeHTTP(w, req.http.WithContext(ctx))
 	if ctx := req.http.Context(); ctx.Err() != nil {
 		// net/http watches the connection only once the body was read whole.
 		req.phase, req.ending = awaitingResponse, disconnected(ctx)
--- a/forward/jobcalls_test.go
+++ b/forward/jobcalls_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -54,3 +55,27 @@
 		}
 	}
 }
+
+// TestJobCallsEndWithAnAnswer ends the requests of a host that shuts down while the API of batch
+// jobs waits for the store: its caller gets an answer, as callers of routes do.
+func TestJobCallsEndWithAnAnswer(t *testing.T) {
+	f := newJobForwarder()
+	waiting := make(chan struct{})
+	f.opts.Jobs = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(waiting)
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case <-time.After(testTimeout):
+		}
+	})
+	go func() {
+		<-waiting
+		f.EndRequests()
+	}()
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://h.example/lots/j", http.NoBody))
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want the call to end with the host's requests", w.Code)
+	}
+}
