slots: a departing scheduler starts no batch items

Cause: items that the departing scheduler starts while its hosts move, and those that its successor starts or takes over, meet at the same endpoints; callers' requests that are placed there wait in the engine's queue.

TestDepartingSchedulerStartsNoItems failed before: 8 items started in 8 free slots.

--- a/slots/duty.go
+++ b/slots/duty.go
@@ -191,7 +191,8 @@
 	if t.joined == 0 {
 		return
 	}
-	batch := l.hasStableMajority(now, t)
+	// Items that a departing scheduler starts take the slots of work that its hosts move with.
+	batch := l.hasStableMajority(now, t) && !l.departing
 	if changed {
 		_ = level.Info(l.logger).Log("event", "attendance_changed", "here", t.joined, "elsewhere", t.elsewhere,
 			"unclear", t.undecided, "share", t.share(), "rate_share", rateShare, "majority", t.majority())
@@ -315,8 +316,9 @@
 // together, rather than each when it reads of that in the store.
 func (l *LocalScheduler) AnnounceShutdown() {
 	l.SetSuperseded(true)
-	l.enqueue(func(time.Time, *scheduler.Core) {
+	l.enqueue(func(now time.Time, _ *scheduler.Core) {
 		l.departing = true
+		l.updateShare(now)
 		l.broadcast(SchedulerMessage{Departing: l.self})
 	})
 }
--- a/slots/handover_test.go
+++ b/slots/handover_test.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// TestDepartingSchedulerStartsNoItems frees slots at a scheduler whose host shuts down: the items
+// wait for its successor, at which the hosts are within a moment.
+func TestDepartingSchedulerStartsNoItems(t *testing.T) {
+	h := newHandover()
+	h.AnnounceShutdown()
+	h.advance(0)
+	h.SetEndpoints([]scheduler.Endpoint{{ID: "free", Service: "s", Slots: 8}})
+	h.advance(shareInterval)
+	if h.starts != 20 {
+		t.Errorf("%d items started", h.starts-20)
+	}
+}
+
 // TestKilledHostLeavesItsSlots kills a host while the scheduler stays: its slots are used at
 // once.
 func TestKilledHostLeavesItsSlots(t *testing.T) {
