--- a/batch/api.go
+++ b/batch/api.go
@@ -163,9 +163,9 @@
 }
 
 // waitForResults waits until a job has results from a position on, all its items have
-// ended, the wait time has passed, or ctx has ended. It returns false if the wait time
-// has passed and the ledger view may be stale, so that results may exist that this host
-// has not read.
+// ended, the wait time has passed, or ctx has ended. It returns false if results may exist
+// that this host has not read: ctx has ended, or the wait time has passed and the ledger
+// view may be stale.
 func (a *API) waitForResults(ctx context.Context, job *jobs.Job, after int, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -180,7 +180,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return true
+			return false
 		case <-timer.C:
 			return a.ledger.Confirm(ctx) == nil
 		}
@@ -246,7 +246,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.ledger.bodyLimit()))
 	if err != nil {
-		a.refuseBody(w, r, err)
+		a.refuseBody(w, r, id, err)
 		return
 	}
 	items, err := platform.DecodeItems(body)
@@ -276,10 +276,15 @@
 
 // refuseBody refuses a submission whose body could not be read. The time for reading it passes only
 // when the host shuts down.
-func (a *API) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+func (a *API) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
+		if a.ledger.Repeats(id, r.Host, r.URL.Path) {
+			// The limit was higher when the job was accepted.
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
 		a.refuse(w, r, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.refuse(w, r, http.StatusServiceUnavailable, "the host shuts down", shutdownRetryAfter)
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/peridotmount/peridotmount/jobs"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/standin"
 )
@@ -150,3 +154,53 @@
 		}
 	}
 }
+
+// TestRepeatOutlastsTheConfiguration hands a job in again after its route was dropped, and after
+// the limit of bodies was lowered below its size.
+func TestRepeatOutlastsTheConfiguration(t *testing.T) {
+	l, _, _, _ := newInstrumentedLedger(t)
+	api := NewAPI(l)
+	submit := func() int {
+		r := httptest.NewRequest(http.MethodPost, "http://h/lots-in/j", strings.NewReader(
+			`{"items":[{"id":"i","path":"/lots-in/run","headers":{},"body":"cQ==","tokens":3}]}`))
+		r.Header.Set("X-Request-Id", "j")
+		w := httptest.NewRecorder()
+		api.ServeHTTP(w, r)
+		return w.Code
+	}
+	if status := submit(); status != http.StatusAccepted {
+		t.Fatalf("status %d", status)
+	}
+	config := l.opts.Configuration
+	l.opts.Configuration = func() *route.Configuration { return &route.Configuration{Version: 2} }
+	if status := submit(); status != http.StatusAccepted {
+		t.Errorf("without its route: status %d", status)
+	}
+	l.opts.Configuration = func() *route.Configuration {
+		c := config()
+		c.Limits.BodyBytes = 8
+		return c
+	}
+	if status := submit(); status != http.StatusAccepted {
+		t.Errorf("beyond the limit of bodies: status %d", status)
+	}
+}
+
+// TestReadThatIsEndedHasNoEmptyResult ends a read of results while it waits for the store: other
+// hosts may have results that this one has not read.
+func TestReadThatIsEndedHasNoEmptyResult(t *testing.T) {
+	l, _, _, _ := newInstrumentedLedger(t)
+	items := []jobs.Item{{ID: "i", Path: "/lots-in/run", Tokens: 3, Body: []byte("q")}}
+	if v, err := l.Submit(t.Context(), "j", "h", "/lots-in/j", items); err != nil || v != jobs.Accepted {
+		t.Fatalf("verdict %v, error %v", v, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r := httptest.NewRequest(http.MethodGet, "http://h/lots/j", http.NoBody).WithContext(ctx)
+	r.Header.Set("X-Wait-Ms", "1000")
+	w := httptest.NewRecorder()
+	NewAPI(l).ServeHTTP(w, r)
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d: %s", w.Code, w.Body)
+	}
+}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -149,6 +149,7 @@
 		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
 		Jobs:          http.HandlerFunc(b.serveJobs),
+		RepeatsJob:    func(string, string, string) bool { return false },
 		Shutdown:      b.shutdown.Load,
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -53,6 +53,8 @@
 	// of the last count.
 	participation *participation
 	lastCount     hostCounts
+	// departing means that this host shuts down. Only the goroutine of Serve accesses it.
+	departing bool
 	// majoritySince is the time since which a majority of the hosts has a session;
 	// zero while there is none. Only the goroutine of Serve accesses it.
 	majoritySince time.Time
@@ -189,7 +191,8 @@
 	if t.joined == 0 {
 		return
 	}
-	batch := l.hasStableMajority(now, t)
+	// Items that a departing scheduler starts take the slots of work that its hosts move with.
+	batch := l.hasStableMajority(now, t) && !l.departing
 	if changed {
 		_ = level.Info(l.logger).Log("event", "attendance_changed", "here", t.joined, "elsewhere", t.elsewhere,
 			"unclear", t.undecided, "share", t.share(), "rate_share", rateShare, "majority", t.majority())
@@ -258,6 +261,9 @@
 		if notices := l.limits.Notices(); len(notices) > 0 {
 			deliver(SchedulerMessage{Limits: notices})
 		}
+		if l.departing {
+			deliver(SchedulerMessage{Departing: l.self})
+		}
 		_ = level.Info(l.logger).Log("event", "session_opened", "peer", h.Host, "running", len(h.Running), "kept", len(h.Resumable), "sessions", n)
 	})
 	return s
@@ -277,6 +283,8 @@
 		if !current {
 			return
 		}
+		// Before its slots are given to others: they are free only if it has ended.
+		l.updateShare(now)
 		c.Leave(now, host)
 		_ = level.Info(l.logger).Log("event", "session_closed", "peer", host, "reason", end.reason, "sessions", n)
 	})
@@ -290,6 +298,31 @@
 	l.participation.prevTimedOut = !wasClosed
 }
 
+// SetSuperseded records whether this host uses the scheduler of another host, or shuts down,
+// so that the hosts that still have sessions here are about to leave for another one.
+func (l *LocalScheduler) SetSuperseded(superseded bool) {
+	l.enqueue(func(now time.Time, _ *scheduler.Core) {
+		l.mu.Lock()
+		changed := l.participation.superseded != superseded
+		l.participation.superseded = superseded
+		l.mu.Unlock()
+		if changed {
+			l.updateShare(now)
+		}
+	})
+}
+
+// AnnounceShutdown tells the hosts that this one shuts down. They move to the next scheduler
+// together, rather than each when it reads of that in the store.
+func (l *LocalScheduler) AnnounceShutdown() {
+	l.SetSuperseded(true)
+	l.enqueue(func(now time.Time, _ *scheduler.Core) {
+		l.departing = true
+		l.updateShare(now)
+		l.broadcast(SchedulerMessage{Departing: l.self})
+	})
+}
+
 // Handle processes a message of a host.
 func (l *LocalScheduler) Handle(host string, m *HostMessage) {
 	switch {
