gateway: TestListenerSaysThatItIsFull gives its listener a log and metrics

In one run of `go test -race ./gateway`, beside other runs, the test panicked in graceful.(*Metrics).countUnanswered, at a nil receiver.

Cause: the test's options had none for package graceful, which no host lacks. Package graceful counted a request as unanswered whose response the client had just read: it notes that it answers after the write has returned, and the test closes the server in between. That count is wrong in itself, and left to that package. The checks of the test are unchanged.

--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/peridotmount/peridotmount/bounded"
+	"github.com/peridotmount/peridotmount/graceful"
 )
 
 // ask sends a request on a new connection, which stays open until the test ends.
@@ -37,6 +39,9 @@
 		handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
 		full:    bounded.RespondFull,
 		metrics: bounded.NewVectors(prometheus.NewRegistry()).ForParty("test"),
+		graceful: graceful.Options{
+			Party: "test", Logger: log.NewNopLogger(), Metrics: graceful.NewMetrics(prometheus.NewRegistry()),
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
