forward: a placement that is given back can be used again (test)

The placer of the cut tests counted the placements of a request, so that a replacement that was offered and not used cost it its next endpoint: "not served" then is the test's fault. It now avoids the endpoints whose placements are held, which keeps a hedge from the first attempt's endpoint as before. What is checked is unchanged.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -129,7 +129,7 @@
 	t.Helper()
 	b := &cutBed{testbed: newTestbed(t, kind.route, 0, 0), kind: kind, runs: make(map[string][]string)}
 	b.ignoreReleases()
-	b.placer.placed = make(map[string]int)
+	b.placer.held = make(map[string]bool)
 	for i, role := range kind.roles {
 		id := fmt.Sprint("e", i)
 		e, err := rawhttp.Start(func(c *net.TCPConn, req *http.Request, _ int) bool { return b.answer(c, req, id, role) })
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -50,27 +50,24 @@
 	released chan Usage
 	// full makes requests wait until they end.
 	full bool
-	// placed, unless it is nil, counts the placements of each request: the endpoints are chosen in
-	// their order, also by an attempt that begins before another one knows its endpoint.
-	placed map[string]int
+	// held, unless it is nil, holds the requests and endpoints of placements in use, which are
+	// avoided too: an attempt may begin before another one has told its endpoint.
+	held map[string]bool
 }
 
 func (p *testPlacer) Place(ctx context.Context, request *PlacementRequest) (Placement, error) {
 	p.mu.Lock()
 	p.requests = append(p.requests, request)
-	skip := 0
-	if p.placed != nil {
-		skip = min(p.placed[request.Request], len(p.endpoints))
-		p.placed[request.Request]++
-	}
 	p.mu.Unlock()
 	if p.full {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	for _, e := range p.endpoints[skip:] {
+	for _, e := range p.endpoints {
 		if (p.mayRepeat || !slices.Contains(request.Avoid, e.ID)) && (request.Version == nil || *request.Version == e.Version) {
-			return &testPlacement{placer: p, endpoint: e}, nil
+			if placement := (&testPlacement{placer: p, endpoint: e, key: request.Request + " " + e.ID}); placement.hold() {
+				return placement, nil
+			}
 		}
 	}
 	return nil, &Rejection{Reason: "all endpoints are to be avoided", RetryAfter: time.Second}
@@ -79,12 +76,32 @@
 type testPlacement struct {
 	placer   *testPlacer
 	endpoint *endpoint.Endpoint
+	// key is that of testPlacer.held.
+	key string
+}
+
+// hold reports whether the placement may be used.
+func (p *testPlacement) hold() bool {
+	p.placer.mu.Lock()
+	defer p.placer.mu.Unlock()
+	if p.placer.held == nil {
+		return true
+	}
+	held := p.placer.held[p.key]
+	p.placer.held[p.key] = true
+	return !held
 }
 
 func (p *testPlacement) Endpoint() *endpoint.Endpoint { return p.endpoint }
 func (p *testPlacement) ReportStalled()               {}
 func (p *testPlacement) ReportResponding()            {}
-func (p *testPlacement) Release(u Usage)              { p.placer.released <- u }
+
+func (p *testPlacement) Release(u Usage) {
+	p.placer.mu.Lock()
+	delete(p.placer.held, p.key)
+	p.placer.mu.Unlock()
+	p.placer.released <- u
+}
 
 // testbed is an HTTP server with a Forwarder, and the replicas that it sends requests to.
 type testbed struct {
