--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -89,23 +89,33 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if c.secured == nil {
-		c.wrote(n, err)
+	if c.secured != nil {
+		return c.Conn.Write(p)
 	}
+	c.writing()
+	n, err := c.Conn.Write(p)
+	c.wrote(err)
 	return n, err
 }
 
-// wrote notes what was written of responses.
-func (c *Conn) wrote(n int, err error) {
+// writing notes that a part of a response is about to be written: once it is, the client may
+// have it, and the connection may be closed, before that could be noted.
+func (c *Conn) writing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.phase != awaiting && c.phase != ending {
+	if c.phase != awaiting && c.phase != ending {
 		c.phase = answering
 	}
-	if err != nil {
-		c.ended = true
+}
+
+// wrote notes the error of a write.
+func (c *Conn) wrote(err error) {
+	if err == nil {
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
 }
 
 // Close implements net.Conn.
--- a/graceful/tls.go
+++ b/graceful/tls.go
@@ -66,7 +66,8 @@
 
 // Write implements net.Conn.
 func (c *tlsConn) Write(p []byte) (int, error) {
+	c.own.writing()
 	n, err := c.Conn.Write(p)
-	c.own.wrote(n, err)
+	c.own.wrote(err)
 	return n, err
 }
