slots: hosts that stop together keep one scheduler

What callers would see: all hosts stop at once, or the last ones of a wave do, and each schedules for itself until it ends: it grants requests only in its share of the slots, one in the number of hosts, and each host opened sessions with all before it.

Cause: a host leaves out of its elections whoever announced its shutdown, for good. If all shut down, each scheduler that it joins says so, and only the host itself remains.

Change: once the directory shows that a host leaves, its rank there counts, which is the same for all hosts: behind those that stay, the first of those that leave before the others.

--- a/slots/election.go
+++ b/slots/election.go
@@ -81,9 +81,9 @@
 }
 
 // candidates returns the hosts that precede this host's scheduler in the directory and
-// may be reachable: their token is known, they are not in backoff and have not departed. It also reports
-// whether the current scheduler is kept if none of them is reachable, which is so if it
-// precedes this host.
+// may be reachable: their token is known, they are not in backoff and have not announced a shutdown
+// that the directory does not show yet. It also reports whether the current scheduler is kept if
+// none of them is reachable, which is so if it precedes this host.
 func (c *Client) candidates() (out []peers.Host, keepCurrent bool) {
 	current := c.Scheduler()
 	for _, h := range c.opts.Directory.Hosts() {
@@ -96,7 +96,9 @@
 			}
 			return out, false
 		}
-		if c.hasDeparted(&h) {
+		// Once its record says that it leaves, the directory ranks it for all hosts alike. If all
+		// leave, they keep one scheduler.
+		if !h.Leaving && c.hasDeparted(&h) {
 			continue
 		}
 		if h.Name == current {
