slots: a late announcement of a shutdown is not taken for one of the next incarnation

What callers would see: after a rolling restart one host follows another scheduler than all others, until the next planned stop; both share the slots by their numbers of hosts.

Cause: the announcement names the host, and was taken for the incarnation that the directory lists when it is read. A host that stood still meanwhile reads it late, perhaps behind the record of the next incarnation, and leaves that one out of its elections for good.

Change: a session knows the incarnation that it was opened with, and the announcement is taken for that one. What is sent is unchanged.

TestLateAnnouncementIsOfThePreviousIncarnation failed before: 'the next incarnation is taken for the one that shuts down'.

--- a/slots/election.go
+++ b/slots/election.go
@@ -111,21 +111,21 @@
 	return out, false
 }
 
-// markDeparted excludes the current incarnation of a scheduler that shuts down from elections.
+// markDeparted excludes a scheduler that shuts down, named by its incarnationKey, from elections.
 // Called with mu locked.
-func (c *Client) markDeparted(scheduler string) {
+func (c *Client) markDeparted(key string) {
+	if key == c.opts.Self.Name {
+		// The host's own scheduler, which has no remoteLink.
+		return
+	}
 	now := time.Now()
-	for key, since := range c.departed {
+	for other, since := range c.departed {
 		if now.Sub(since) > backoffRetention {
-			delete(c.departed, key)
-		}
-	}
-	for _, h := range c.opts.Directory.Hosts() {
-		if h.Name == scheduler && scheduler != c.opts.Self.Name {
-			c.departed[incarnationKey(&h)] = now
-			c.triggerElection()
+			delete(c.departed, other)
 		}
 	}
+	c.departed[key] = now
+	c.triggerElection()
 }
 
 // hasDeparted reports whether a host announced its shutdown as a scheduler.
--- a/slots/handover_test.go
+++ b/slots/handover_test.go
@@ -130,3 +130,28 @@
 		}
 	}
 }
+
+// TestLateAnnouncementIsOfThePreviousIncarnation reads the announcement of a scheduler that shuts
+// down when the directory lists the host's next incarnation already, as a host may that stood still
+// meanwhile. It must not leave that one out of its elections, as the others follow it.
+func TestLateAnnouncementIsOfThePreviousIncarnation(t *testing.T) {
+	departing := newLeavingScheduler(t, &leavingEndpoints{})
+	first, second := serveSessions(t, "first", departing), servingHost(t, "second")
+	first.Incarnation = "i1"
+	self := peers.Host{Name: "a", Incarnation: "i"}
+	directory := newFakeDirectory(first, second, self)
+	a := runClient(t, "a", &leavingEndpoints{}, directory)
+	eventually(t, "session", func() bool { return a.Scheduler() == "first" })
+	next := first
+	next.Incarnation = "i2"
+	directory.set(next, second, self)
+	departing.AnnounceShutdown()
+	eventually(t, "the announcement is read", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.departed) > 0
+	})
+	if a.hasDeparted(&next) || !a.hasDeparted(&first) {
+		t.Error("the next incarnation is taken for the one that shuts down")
+	}
+}
--- a/slots/message.go
+++ b/slots/message.go
@@ -49,7 +49,8 @@
 	Limits []throttle.Notice `json:"limits,omitempty"`
 	// Streams are streams that began, for hosts that may schedule next.
 	Streams origin.Streams `json:"streams,omitempty"`
-	// Departing is the name of the scheduler if its host shuts down.
+	// Departing is the name of the scheduler if its host shuts down. A remoteLink delivers it as the
+	// incarnationKey of the host that it was opened with.
 	Departing string `json:"departing,omitempty"`
 }
 
--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -32,6 +32,8 @@
 // remoteLink is a session with the scheduler on another host.
 type remoteLink struct {
 	host string
+	// key is the incarnationKey of the host that the session was opened with.
+	key string
 	// ctx ends with the session.
 	ctx    context.Context
 	outbox *ring.Ring[HostMessage]
@@ -47,7 +49,7 @@
 // openRemote opens a session, which ends at the latest when ctx is done.
 func openRemote(ctx context.Context, httpClient *http.Client, h peers.Host, deliver Sink, onLost func(*remoteLink, sessionEnd)) (*remoteLink, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &remoteLink{host: h.Name, ctx: ctx, outbox: ring.New[HostMessage](outboxCapacity), cancel: cancel, deliver: deliver, onLost: onLost}
+	l := &remoteLink{host: h.Name, key: incarnationKey(&h), ctx: ctx, outbox: ring.New[HostMessage](outboxCapacity), cancel: cancel, deliver: deliver, onLost: onLost}
 	body, pipe := io.Pipe()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.Address+SessionPath, body)
 	if err != nil {
@@ -151,6 +153,10 @@
 			l.end("malformed message: "+err.Error(), closed)
 			return
 		}
+		if m.Departing != "" {
+			// A late announcement must not be taken for one of the host's next incarnation.
+			m.Departing = l.key
+		}
 		l.deliver(m)
 	}
 	reason := "closed by the scheduler"
