batch: a host that knows the ledger gets items while the store is down

What callers would see: less batch work is done during an outage of the store, once a host that accepted jobs has ended: its items can be read by no other host.

Cause: since a host that can't refresh its ledger gives such an item back as ledger-unread. The scheduler then starts it at the next host at once, and gives each of these hosts no items for 0.4 s, also none of the jobs that it knows, which go to hosts that can't read them either.

Change: only a host that has not listed the ledger yet, as one that starts, gives items back as ledger-unread.

TestOutageIsNoStart failed before: released with ledger-unread, delay 0.

--- a/batch/run.go
+++ b/batch/run.go
@@ -93,6 +93,11 @@
 	if reason == reasonUnknownItem {
 		// The scheduler has read more of the ledger than this host; catch up.
 		if err := x.ledger.refresh(ctx); err != nil {
+			if x.ledger.listed.Opened() {
+				// The store is down. Other hosts can't read the job either, and this one runs
+				// the items that it knows.
+				return err.Error(), scheduler.Usage{Outcome: scheduler.Abandoned, Delay: misplacedDelay}
+			}
 			return err.Error(), scheduler.Usage{Outcome: scheduler.LedgerUnread}
 		}
 		saved, reason = x.findItem()
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -334,3 +334,22 @@
 		t.Errorf("slot released with %+v", uses)
 	}
 }
+
+// TestOutageIsNoStart starts an item of a job that this host has not read while the store is down.
+// The host has read the ledger before and can run the items that it knows: only this one waits.
+func TestOutageIsNoStart(t *testing.T) {
+	server := httptest.NewServer(standin.NewStore(standin.StoreFaults{}).Handler())
+	t.Cleanup(server.Close)
+	l := newStoredLedger("host", server.Listener.Addr().String(), nil)
+	l.opts.Endpoint = func(id string) *endpoint.Endpoint {
+		return &endpoint.Endpoint{ID: id, Service: "engine", State: endpoint.Ready}
+	}
+	t.Cleanup(followLedger(t, l))
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+	var uses recordingSlot
+	NewRunner(t.Context(), l).Run(t.Context(), &scheduler.Start{Ticket: "t", Endpoint: "engine-0", Item: scheduler.ItemRef{Job: "j"}}, &uses)
+	if len(uses) != 1 || uses[0].Outcome != scheduler.Abandoned || uses[0].Delay != misplacedDelay {
+		t.Errorf("slot released with %+v", uses)
+	}
+}
