slots: hosts that stop together do not open sessions with each other in turn

What callers would see: all hosts, or most, are stopped at once; in the moment in which they have to finish their requests, each joins every host before it, and is told by each that it shuts down too: one half of the square of their number of sessions, each with all that a host uses.

Cause: an announcement triggers an election at once, and so does that of the next scheduler.

Change: a host that shuts down itself moves with the next tick of the elections, 0.1 s later at most, so that the records of the others are read before it has joined many.

TestHostsThatStopTogetherMoveSeldom failed before: 276 sessions of 24 hosts in 0.2 s, want at most 120.

--- a/slots/election.go
+++ b/slots/election.go
@@ -125,7 +125,11 @@
 		}
 	}
 	c.departed[key] = now
-	c.triggerElection()
+	if !c.shuttingDown {
+		// Hosts that shut down move with the next tick: if all do at once, each would otherwise
+		// join all the others, one after the other, before it reads their records.
+		c.triggerElection()
+	}
 }
 
 // hasDeparted reports whether a host announced its shutdown as a scheduler.
