--- a/forward/endingbody.go
+++ b/forward/endingbody.go
@@ -22,7 +22,7 @@
 	forget func() bool
 
 	mu sync.Mutex
-	// ended is set once the body was read to its end.
+	// ended is set once nothing reads the body any more.
 	ended bool
 }
 
@@ -51,10 +51,16 @@
 		b.header.Set("Connection", "close")
 	}
 	if err != nil {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.ended = true
-		b.forget()
+		b.release()
 	}
 	return n, err
 }
+
+// release ends the wait for the end of the host's time. It is called once nothing reads the body any
+// more, whether it was read whole or not.
+func (b *endingBody) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	b.forget()
+}
