--- a/slots/election.go
+++ b/slots/election.go
@@ -81,9 +81,9 @@
 }
 
 // candidates returns the hosts that precede this host's scheduler in the directory and
-// may be reachable: their token is known, they are not in backoff and have not departed. It also reports
-// whether the current scheduler is kept if none of them is reachable, which is so if it
-// precedes this host.
+// may be reachable: their token is known, they are not in backoff and have not announced a shutdown
+// that the directory does not show yet. It also reports whether the current scheduler is kept if
+// none of them is reachable, which is so if it precedes this host.
 func (c *Client) candidates() (out []peers.Host, keepCurrent bool) {
 	current := c.Scheduler()
 	for _, h := range c.opts.Directory.Hosts() {
@@ -96,7 +96,9 @@
 			}
 			return out, false
 		}
-		if c.hasDeparted(&h) {
+		// Once its record says that it leaves, the directory ranks it for all hosts alike. If all
+		// leave, they keep one scheduler.
+		if !h.Leaving && c.hasDeparted(&h) {
 			continue
 		}
 		if h.Name == current {
@@ -109,20 +111,24 @@
 	return out, false
 }
 
-// markDeparted excludes the current incarnation of a scheduler that shuts down from elections.
+// markDeparted excludes a scheduler that shuts down, named by its incarnationKey, from elections.
 // Called with mu locked.
-func (c *Client) markDeparted(scheduler string) {
+func (c *Client) markDeparted(key string) {
+	if key == c.opts.Self.Name {
+		// The host's own scheduler, which has no remoteLink.
+		return
+	}
 	now := time.Now()
-	for key, since := range c.departed {
+	for other, since := range c.departed {
 		if now.Sub(since) > backoffRetention {
-			delete(c.departed, key)
+			delete(c.departed, other)
 		}
 	}
-	for _, h := range c.opts.Directory.Hosts() {
-		if h.Name == scheduler && scheduler != c.opts.Self.Name {
-			c.departed[incarnationKey(&h)] = now
-			c.triggerElection()
-		}
+	c.departed[key] = now
+	if !c.shuttingDown {
+		// Hosts that shut down move with the next tick: if all do at once, each would otherwise
+		// join all the others, one after the other, before it reads their records.
+		c.triggerElection()
 	}
 }
 
