standin: a refusal that is repeated behind an answer is written with it

The stand-in wrote the refusal after the answer, so the client could send the next request on the connection before the refusal came; that is the case 'before', for which the test allows 502, as a refusal that names no request may be that of the one in progress.

--- a/standin/repeatingconn.go
+++ b/standin/repeatingconn.go
@@ -26,6 +26,18 @@
 	net.Conn
 	refusal string
 	at      RepeatAt
+	// answer is held back for RepeatBehind: in one write with the refusal it can't be read, and
+	// the next request not be sent, before the refusal is there.
+	answer []byte
+}
+
+// Write implements net.Conn.
+func (c *repeatingConn) Write(p []byte) (int, error) {
+	if c.at != RepeatBehind {
+		return c.Conn.Write(p)
+	}
+	c.answer = append(c.answer, p...)
+	return len(p), nil
 }
 
 func (c *repeatingConn) before() {
@@ -37,6 +49,7 @@
 
 func (c *repeatingConn) behind() {
 	if c.at == RepeatBehind {
-		_, _ = io.WriteString(c.Conn, c.refusal)
+		_, _ = c.Conn.Write(append(c.answer, c.refusal...))
+		c.answer = nil
 	}
 }
