graceful: a request that was read with the one before is not served behind its refusal

Requests that come together are read together. If the server stood still between the two for as long as a connection has to be quiet, its shutdown ended the connection with a 408 (not run), and the handler then served the second request: one that may run only once was told that it had not run, and ran.

The handler now ends a request whose connection was ended.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -154,14 +154,16 @@
 	}
 }
 
-// enter begins a phase, unless the connection was ended.
-func (c *Conn) enter(p phase) {
+// enter begins a phase, and reports whether it did: not if the connection was ended.
+func (c *Conn) enter(p phase) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != ending {
-		c.phase, c.changed, c.fresh = p, time.Now(), false
+	if c.phase == ending {
+		return false
 	}
+	c.phase, c.changed, c.fresh = p, time.Now(), false
 	if c.phase == awaiting && c.partial {
 		c.begin()
 	}
+	return true
 }
--- a/graceful/listener.go
+++ b/graceful/listener.go
@@ -89,8 +89,11 @@
 		if l.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			c.enter(serving)
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && !c.enter(serving) {
+			// The server had read the request with the one before; its client is told that it
+			// did not run.
+			l.unanswered(c, ending, 0, 0)
+			panic(http.ErrAbortHandler)
 		}
 		h.ServeHTTP(w, r)
 	})
--- a/graceful/shutdown_test.go
+++ b/graceful/shutdown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	t       *testing.T
 	metrics *Metrics
 	served  chan error
+	// held is called after ConnState, if it is set.
+	held atomic.Pointer[func(http.ConnState)]
 }
 
 func newTestServer(t *testing.T, handler http.HandlerFunc) *testServer {
@@ -30,12 +33,20 @@
 	}
 	s := &testServer{t: t, metrics: NewMetrics(prometheus.NewRegistry()), served: make(chan error, 1)}
 	s.Listener = NewListener(socket, Options{Party: "test", Refuse: true, Logger: log.NewNopLogger(), Metrics: s.metrics})
-	server := &http.Server{Handler: s.Handler(handler), ConnState: s.ConnState, ConnContext: ConnContext, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: s.Handler(handler), ConnState: s.connState, ConnContext: ConnContext, ReadHeaderTimeout: time.Minute}
 	go func() { s.served <- server.Serve(s.Listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
 
+// connState is the ConnState of the server.
+func (s *testServer) connState(c net.Conn, state http.ConnState) {
+	s.ConnState(c, state)
+	if held := s.held.Load(); held != nil {
+		(*held)(state)
+	}
+}
+
 // dial connects a client, and waits until the connection is accepted.
 func (s *testServer) dial() net.Conn {
 	s.t.Helper()
