forward: a refusal whose body is not read ends its connection also as the shutdown begins

A request whose head was read before the shutdown began, and that is refused by its schedule (it waited for the start, or for the newest configuration), got a 503 on a connection that was kept. net/http does not end it under full duplex if the rest of the body comes later than it is discarded: the rest was read as the next request, with a context that had ended, and the connection was then closed without an answer. No such request was passed on.

TestRestOfARefusedBodyIsNoRequest; without the change the response has no "Connection: close".

--- a/forward/latestop_test.go
+++ b/forward/latestop_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/standin"
+	"github.com/peridotmount/peridotmount/startup"
 )
 
 // TestRequestThatOutlastsTheHostIsRefused sends requests that would last longer than a host has
@@ -134,3 +135,40 @@
 		t.Errorf("the connection goes on: %v", err)
 	}
 }
+
+// TestRestOfARefusedBodyIsNoRequest refuses a request whose host began to shut down after its head
+// was read. The client pauses inside the body for longer than it is discarded, and the rest looks
+// like a request.
+func TestRestOfARefusedBodyIsNoRequest(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, atMostOnce, 1, 0)
+	gate := startup.NewGate()
+	b.forwarder.opts.Started = gate
+	rest := "POST /p/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: inside\r\nContent-Length: 0\r\n\r\n"
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: outside\r\nContent-Length: %d\r\n\r\n1", 1+len(rest))
+	for b.forwarder.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The request waits for the gate.
+	time.Sleep(50 * time.Millisecond)
+	b.shutdown.Store(&Shutdown{Closes: time.Now().Add(testTimeout), Ends: time.Now().Add(time.Second)})
+	gate.Open()
+	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+	answers := bufio.NewReader(c)
+	resp, err := http.ReadResponse(answers, nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	_, _ = io.ReadAll(resp.Body)
+	time.Sleep(discardTime + 200*time.Millisecond)
+	b.shutdown.Store(nil)
+	_, _ = io.WriteString(c, rest)
+	if answer, _ := io.ReadAll(answers); len(answer) > 0 || len(b.runs("inside")) > 0 {
+		t.Errorf("the rest of the body was served: %q, %d runs", answer, len(b.runs("inside")))
+	}
+}
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -43,6 +43,8 @@
 	control := http.NewResponseController(w)
 	// Without full duplex net/http may read the body before it writes the response.
 	_ = control.EnableFullDuplex()
+	// Nor does it end the connection by itself if the rest of the body doesn't come.
+	w.Header().Set("Connection", "close")
 	f.reject(w, req, r)
 	_ = control.Flush()
 	if req.http.ContentLength == 0 || req.http.Header.Get("Expect") != "" {
