graceful: the refusal of a long request that crosses the end of its connection is not lost to a reset

A request that arrives on a connection that was half-closed behind a 408 was read once, up to 4 KiB, and the connection closed at once. If more of it was unread or on its way, the kernel reset the connection: a client that sends its body before it reads got an error in place of the refusal.

What crosses the end is now discarded until the client closes its side, or for endTime at most.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -44,17 +44,23 @@
 // Read implements net.Conn. What comes after the connection was ended is a request that crossed
 // its end: it is counted, and not returned.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	read, err := c.Conn.Read(p)
 	if c.secured == nil {
-		return c.received(n, err)
+		n, err := c.received(read, err)
+		if read > 0 && n == 0 {
+			// The refusal would be lost to a reset if a part of the request stayed unread. Ends with
+			// the connection, after endTime.
+			_, _ = io.Copy(io.Discard, c.Conn)
+		}
+		return n, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
+	if read > 0 {
 		c.partial = true
 		c.begin()
 	}
-	return n, err
+	return read, err
 }
 
 // received notes what was read of requests, and returns what is to be returned for it.
