node, graceful: who goes on asking does not keep a host from its end

The listeners of operators and of other hosts wait at the end of a shutdown, as that of callers does, until nothing has arrived for 500 ms. They stayed open, while the duties behind them had ended, for as long as anyone asked more often than that: monitoring from several places, or hosts that have not seen the host leave. The end then took host.drain_timeout (30 s by default) less 750 ms more, beyond the notice and the drain; the platform may have killed the host by then.

These listeners now close after a second at the latest. That of callers, whose late requests get refusals, stays as it is.

--- a/graceful/options.go
+++ b/graceful/options.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -19,8 +20,10 @@
 	Refuse bool
 	// RefusalHeader is added to that response.
 	RefusalHeader http.Header
-	Logger        log.Logger
-	Metrics       *Metrics
+	// SettleWithin bounds the wait for a moment in which nothing arrives, if it is set.
+	SettleWithin time.Duration
+	Logger       log.Logger
+	Metrics      *Metrics
 }
 
 // refusal returns the response of Refuse, or nothing.
--- a/graceful/shutdown.go
+++ b/graceful/shutdown.go
@@ -50,23 +50,24 @@
 	}
 }
 
-// Shutdown waits until nothing has arrived for settleTime, or until lastCall before the deadline
-// of ctx. Then it closes the listener, once all connections made so far are accepted, and ends
-// each connection that awaits a request. The others go on until their responses are written. It
-// returns when no connection is left, or the error of ctx; until then the http.Server has to
-// serve.
+// Shutdown waits until nothing has arrived for settleTime, for SettleWithin, or until lastCall
+// before the deadline of ctx. Then it closes the listener, once all connections made so far are
+// accepted, and ends each connection that awaits a request. The others go on until their responses
+// are written. It returns when no connection is left, or the error of ctx; until then the
+// http.Server has to serve.
 //
 // It takes the place of http.Server.Shutdown, which drops each request that it reads, and closes
 // connections in whose buffers requests wait.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.closing.Store(true)
 	l.arrived()
+	begun := time.Now()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for quiet := 0; ; {
 		now := time.Now()
 		if quiet < quietLooks {
-			if quiet++; pending(l.Listener) || !l.settled(ctx, now) {
+			if quiet++; pending(l.Listener) || !l.settled(ctx, begun, now) {
 				quiet = 0
 			}
 			if quiet == quietLooks {
@@ -89,12 +90,15 @@
 	l.lastArrival.Store(int64(time.Since(l.begun)))
 }
 
-// settled reports whether the listener may be closed, by what has arrived and by the time that
-// is left.
-func (l *Listener) settled(ctx context.Context, now time.Time) bool {
+// settled reports whether the listener may be closed, by what has arrived and by the time since
+// the shutdown began and that which is left.
+func (l *Listener) settled(ctx context.Context, begun, now time.Time) bool {
 	if end, ok := ctx.Deadline(); ok && now.Add(lastCall).After(end) {
 		return true
 	}
+	if within := l.opts.SettleWithin; within > 0 && now.Sub(begun) >= within {
+		return true
+	}
 	return now.Sub(l.begun)-time.Duration(l.lastArrival.Load()) >= settleTime
 }
 
--- a/node/server.go
+++ b/node/server.go
@@ -31,6 +31,9 @@
 	full http.HandlerFunc
 	// drain bounds the wait for requests in progress at the end.
 	drain time.Duration
+	// settleWithin bounds how long the listener stays open at the end while requests arrive. Zero
+	// is for callers, who get their refusals meanwhile.
+	settleWithin time.Duration
 	// connections bounds those open at the same time.
 	connections int
 	// headerLimit bounds the headers of a request, in bytes.
@@ -76,7 +79,7 @@
 		return errors.Wrapf(err, "listen for %s", s.opts.party)
 	}
 	s.connections = graceful.NewListener(socket, graceful.Options{
-		Party: s.opts.party, Logger: s.opts.logger, Metrics: s.opts.unanswered,
+		Party: s.opts.party, SettleWithin: s.opts.settleWithin, Logger: s.opts.logger, Metrics: s.opts.unanswered,
 	})
 	s.listener = bounded.NewListener(s.opts.traffic.Listener(s.connections, s.opts.party), s.opts.connections, s.opts.metrics)
 	if s.opts.tls != nil {
--- a/node/servers.go
+++ b/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/peridotmount/peridotmount/admission"
 	"github.com/peridotmount/peridotmount/bounded"
@@ -15,6 +16,10 @@
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
+// settleWithin is how long operators and other hosts who go on asking, as monitoring does, may keep
+// a host from its end. Its duties have ended by then.
+const settleWithin = time.Second
+
 func (n *Node) buildServers() {
 	listen, files := n.settings.Listen, n.settings.TLS
 	peers := timeline.Middleware(n.clock, n.unstampedCall, n.peerHandler())
@@ -27,20 +32,22 @@
 		tls:         n.listenerTLS(files.Callers),
 	})
 	n.operators = n.newServer(serverOptions{
-		party:       traffic.PartyOperators,
-		address:     listen.Operators,
-		connections: listen.OperatorsConnections,
-		handler:     n.operatorHandler(),
-		full:        bounded.RespondFull,
-		tls:         n.listenerTLS(files.Operators),
+		party:        traffic.PartyOperators,
+		address:      listen.Operators,
+		connections:  listen.OperatorsConnections,
+		handler:      n.operatorHandler(),
+		full:         bounded.RespondFull,
+		settleWithin: settleWithin,
+		tls:          n.listenerTLS(files.Operators),
 	})
 	n.peers = n.newServer(serverOptions{
-		party:       traffic.PartyPeers,
-		address:     listen.Peers,
-		connections: listen.PeersConnections,
-		handler:     httpjson.RequireSecret(listen.Secret, peers),
-		full:        bounded.RespondFull,
-		tls:         n.listenerTLS(files.Peers),
+		party:        traffic.PartyPeers,
+		address:      listen.Peers,
+		connections:  listen.PeersConnections,
+		handler:      httpjson.RequireSecret(listen.Secret, peers),
+		full:         bounded.RespondFull,
+		settleWithin: settleWithin,
+		tls:          n.listenerTLS(files.Peers),
 	})
 }
 
