forward: a body that is not read to its end is not kept until the host ends

Each call of a batch job with a body, and each request that is passed on, has its body watch for the end of the host's time. It did so until the body was read to its end: for a call that is refused unread, and for a body over the limit, until the host ended. Memory grew with each, and at the end of a shutdown the read deadlines of connections were set for requests that were long answered.

The watch now ends with the request. TestUnreadBodyOutlivesNoRequest; without the change: "the body is kept".

--- a/forward/endingbody.go
+++ b/forward/endingbody.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// finish ends the wait for the end of the host's time, of a body that may not be read to its end.
+func (b *endingBody) finish() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	b.forget()
+}
+
 // Read implements io.Reader.
 func (b *endingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
@@ -51,10 +59,7 @@
 		b.header.Set("Connection", "close")
 	}
 	if err != nil {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.ended = true
-		b.forget()
+		b.finish()
 	}
 	return n, err
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -110,7 +110,9 @@
 func (f *Forwarder) serveJobs(ctx context.Context, w http.ResponseWriter, req *request) {
 	call := req.http.WithContext(ctx)
 	if call.ContentLength != 0 {
-		call.Body = newEndingBody(w, call.Body, f.closing)
+		body := newEndingBody(w, call.Body, f.closing)
+		defer body.finish()
+		call.Body = body
 	}
 	f.opts.Jobs.ServeHTTP(w, call)
 	if ctx := req.http.Context(); f.clientLeft(ctx) {
@@ -214,6 +216,7 @@
 		return nil, &Rejection{Reason: "memory for bodies is used up", RetryAfter: briefRetry}
 	}
 	ending := newEndingBody(w, req.http.Body, f.closing)
+	defer ending.finish()
 	body, err := readAll(http.MaxBytesReader(w, ending, limit), req.http.ContentLength)
 	if err != nil {
 		f.bodies.Release(size)
