graceful: a shutdown ends its connections though others wait to be accepted

Found in review, by reading: while each look finds connections to accept, as beside a flood of them, the listener stays open and no connection is ended until the host cuts them all. Half a second before the end of its time it now goes on regardless. Before: TestShutdownEndsBesideConnectionsThatNobodyAccepts, "connections were not ended: context deadline exceeded".

--- a/graceful/shutdown.go
+++ b/graceful/shutdown.go
@@ -24,6 +24,8 @@
 	// lastCall is how long before the end of a shutdown its connections are ended though
 	// requests still arrive.
 	lastCall = 750 * time.Millisecond
+	// lastAccept is how long before the end connections are accepted at most, however many come.
+	lastAccept = 500 * time.Millisecond
 	// firstRequestTime is how long a new connection is kept for its first request. The client
 	// sends it a round trip after it has connected.
 	firstRequestTime = time.Second
@@ -67,7 +69,7 @@
 	for quiet := 0; ; {
 		now := time.Now()
 		if quiet < quietLooks {
-			if quiet++; pending(l.Listener) || !l.settled(ctx, begun, now) {
+			if quiet++; !l.settled(ctx, begun, now) || pending(l.Listener) && !within(ctx, now, lastAccept) {
 				quiet = 0
 			}
 			if quiet == quietLooks {
@@ -93,15 +95,21 @@
 // settled reports whether the listener may be closed, by what has arrived and by the time since
 // the shutdown began and that which is left.
 func (l *Listener) settled(ctx context.Context, begun, now time.Time) bool {
-	if end, ok := ctx.Deadline(); ok && now.Add(lastCall).After(end) {
+	if within(ctx, now, lastCall) {
 		return true
 	}
-	if within := l.opts.SettleWithin; within > 0 && now.Sub(begun) >= within {
+	if longest := l.opts.SettleWithin; longest > 0 && now.Sub(begun) >= longest {
 		return true
 	}
 	return now.Sub(l.begun)-time.Duration(l.lastArrival.Load()) >= settleTime
 }
 
+// within reports whether less than a time is left until the deadline of ctx.
+func within(ctx context.Context, now time.Time, left time.Duration) bool {
+	end, ok := ctx.Deadline()
+	return ok && now.Add(left).After(end)
+}
+
 // stopAccepting closes the listener, unless an earlier shutdown did.
 func (l *Listener) stopAccepting() {
 	if err := l.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/graceful/shutdown_test.go
+++ b/graceful/shutdown_test.go
@@ -270,3 +270,23 @@
 		t.Error(err)
 	}
 }
+
+// TestShutdownEndsBesideConnectionsThatNobodyAccepts keeps connections in the queue of a listener:
+// what else is open is still ended in time.
+func TestShutdownEndsBesideConnectionsThatNobodyAccepts(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(socket, Options{Party: "test", Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry())})
+	c, err := net.Dial("tcp", socket.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*lastCall)
+	defer cancel()
+	if err := l.Shutdown(ctx); err != nil {
+		t.Errorf("connections were not ended: %v", err)
+	}
+}
