--- a/review/cases/harness_test.go
+++ b/review/cases/harness_test.go
@@ -175,6 +175,20 @@
 		`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":%d,"state":"ready","born":1,"seq":1,"cold_left_ms":0}`, service, address, slots))
 }
 
+// unlist removes the record of a replica.
+func (w *world) unlist(id string) {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+w.storeAddress+"/standin/keys/keyed.servers/"+id, nil)
+	if err == nil {
+		var resp *http.Response
+		if resp, err = http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	if err != nil {
+		w.note("record of %s stays: %v", id, err)
+	}
+}
+
 // configure publishes a configuration.
 func (w *world) configure(text string) {
 	w.store.Put("keyed.op", "config", []byte(text))
--- a/review/cases/main_test.go
+++ b/review/cases/main_test.go
@@ -12,6 +12,7 @@
 
 var all = map[string]func(w *world){
 	"late-submission": lateSubmission,
+	"deadly-request":  deadlyRequest,
 }
 
 func TestMain(*testing.M) {
