--- a/review/cases/deadly_test.go
+++ b/review/cases/deadly_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -142,9 +144,57 @@
 }
 
 // deadlyRequest: a request crashes each replica that begins to run it, and comes again. Beside it
-// two of twelve replicas of another service crash once. After the third crash and stable_window_ms the
-// request may reach replicas in three retries more.
+// two of twelve replicas of another service crash once.
 func deadlyRequest(w *world) {
+	playDeadly(w, every(8, 4*time.Second), func(began time.Time) {
+		time.Sleep(time.Until(began.Add(2 * time.Second)))
+		w.note("replicas i-engine-0 and i-engine-1 of the other service crash")
+		w.replicas[0].Close()
+		w.replicas[1].Close()
+		// Their records lapse after three heartbeats.
+		time.Sleep(3600 * time.Millisecond)
+		w.unlist("i-engine-0")
+		w.unlist("i-engine-1")
+	})
+}
+
+// deadlyRoll: a request crashes each replica that begins to run it, and comes again. All machines
+// are stopped and started in turn, once, between the first time and the second.
+func deadlyRoll(w *world) {
+	playDeadly(w, []time.Duration{0, 28 * time.Second, 32 * time.Second, 36 * time.Second, 40 * time.Second}, func(began time.Time) {
+		time.Sleep(time.Until(began.Add(time.Second)))
+		for _, h := range w.hosts {
+			w.note("%s gets SIGTERM", h.name)
+			h.signal(syscall.SIGTERM)
+			select {
+			case <-h.done:
+			case <-time.After(8 * time.Second):
+				h.signal(syscall.SIGKILL)
+				<-h.done
+			}
+			_ = h.log.Close()
+			w.start(h)
+			time.Sleep(time.Second)
+		}
+		if over := time.Since(began); over > 24*time.Second {
+			w.note("the machines were started only %s after the request first came", over)
+		}
+	})
+}
+
+// every returns n times at a distance.
+func every(n int, distance time.Duration) []time.Duration {
+	var out []time.Duration
+	for i := range n {
+		out = append(out, time.Duration(i)*distance)
+	}
+	return out
+}
+
+// playDeadly sends the deadly request at the given times, each time with one retry of its client
+// after a failure, beside sound requests. After the third crash and stable_window_ms the request
+// may reach replicas in three retries more.
+func playDeadly(w *world, times []time.Duration, disrupt func(began time.Time)) {
 	w.startStore()
 	var plain []*crashingReplica
 	for i := range 3 {
@@ -164,49 +214,30 @@
 	defer close(stop)
 	var mu sync.Mutex
 	answers := make(map[string]int)
-	// Sound traffic.
 	for c := range 27 {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(100 * time.Millisecond):
-				}
-				h, id := w.hosts[(c+n)%3], fmt.Sprintf("%04x%012x", c, n)
-				path, header := "/lohu930/"+id, map[string]string{"X-Deadline-Ms": "2000"}
-				if c < 24 {
-					path = "/pufi791/" + id
-					header = map[string]string{"X-Deadline-Ms": "5000", "X-Model": "m", "X-Token-Counts": "250,150", "X-Prompt-Prefix": id + ":250"}
-				}
-				r := w.send(h, http.MethodPost, path, id, []byte("sound "+id), header)
+			w.callSound(c, stop, func(kind string, r reply) {
 				mu.Lock()
-				answers[fmt.Sprintf("%s %d", path[:9], r.status)]++
-				mu.Unlock()
-			}
+				defer mu.Unlock()
+				answers[fmt.Sprintf("%s %d", kind, r.status)]++
+			})
 		}()
 	}
 	time.Sleep(4 * time.Second)
 	began := time.Now()
+	var disruption sync.WaitGroup
+	defer disruption.Wait()
 	if w.trouble {
-		time.AfterFunc(2*time.Second, func() {
-			w.note("replicas i-engine-0 and i-engine-1 of the other service crash")
-			w.replicas[0].Close()
-			w.replicas[1].Close()
-		})
-	}
-	if w.trouble {
-		// Their records lapse after three heartbeats.
-		time.AfterFunc(2*time.Second+3600*time.Millisecond, func() {
-			w.unlist("i-engine-0")
-			w.unlist("i-engine-1")
-		})
+		disruption.Add(1)
+		go func() {
+			defer disruption.Done()
+			disrupt(began)
+		}()
 	}
-	// The request comes every four seconds. Its client retries once, after a failure.
-	for n := range 8 {
-		time.Sleep(time.Until(began.Add(time.Duration(n) * 4 * time.Second)))
+	for n, at := range times {
+		time.Sleep(time.Until(began.Add(at)))
 		for attempt := range 2 {
 			h, id := w.hosts[(n+attempt)%3], fmt.Sprintf("dead%04x%08x", n, attempt)
 			r := w.send(h, http.MethodPost, "/lohu930/deadly", id, []byte(deadlyBody), map[string]string{"X-Deadline-Ms": "2000"})
@@ -223,7 +254,7 @@
 		runs = append(runs, r.deadly...)
 		r.mu.Unlock()
 	}
-	sortRuns(runs)
+	slices.SortFunc(runs, func(a, b deadlyRun) int { return a.at.Compare(b.at) })
 	w.need(len(runs) >= 3, "the request ran %d times", len(runs))
 	late := make(map[string]bool)
 	lateRuns := 0
@@ -234,7 +265,7 @@
 		}
 	}
 	mu.Lock()
-	w.note("sound requests: %v", answers)
+	w.note("sound requests by status: %v", answers)
 	mu.Unlock()
 	w.note("%d crashes; later than %s after the third, %d retries of the client reached a replica, in %d runs", len(runs), stableWindow, len(late), lateRuns)
 	if len(late) > 3 {
@@ -242,10 +273,20 @@
 	}
 }
 
-func sortRuns(runs []deadlyRun) {
-	for i := range runs {
-		for j := i; j > 0 && runs[j].at.Before(runs[j-1].at); j-- {
-			runs[j], runs[j-1] = runs[j-1], runs[j]
+// callSound sends sound requests, one caller's, until stop is closed.
+func (w *world) callSound(caller int, stop <-chan struct{}, answered func(kind string, r reply)) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		h, id := w.hosts[(caller+n)%3], fmt.Sprintf("%04x%012x", caller, n)
+		kind, path, header := "check", "/lohu930/"+id, map[string]string{"X-Deadline-Ms": "2000"}
+		if caller < 24 {
+			kind, path = "stream", "/pufi791/"+id
+			header = map[string]string{"X-Deadline-Ms": "5000", "X-Model": "m", "X-Token-Counts": "250,150", "X-Prompt-Prefix": id + ":250"}
 		}
+		answered(kind, w.send(h, http.MethodPost, path, id, []byte("sound "+id), header))
 	}
 }
--- a/review/cases/main_test.go
+++ b/review/cases/main_test.go
@@ -13,6 +13,7 @@
 var all = map[string]func(w *world){
 	"late-submission": lateSubmission,
 	"deadly-request":  deadlyRequest,
+	"deadly-roll":     deadlyRoll,
 }
 
 func TestMain(*testing.M) {
