--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/peridotmountd ] && [ -x target/review/cases ] || { echo "run the build of deploy/system.toml and review/build.sh first"; exit 2; }
-CASE=deadly-request CASE_DIR="$here" DAEMON="$PWD/target/peridotmountd" exec target/review/cases
+CASE=mixed-versions CASE_DIR="$here" DAEMON="$PWD/target/peridotmountd" exec target/review/cases
--- a/review/cases/main_test.go
+++ b/review/cases/main_test.go
@@ -14,6 +14,7 @@
 	"late-submission": lateSubmission,
 	"deadly-request":  deadlyRequest,
 	"deadly-roll":     deadlyRoll,
+	"mixed-versions":  mixedVersions,
 }
 
 func TestMain(*testing.M) {
