--- a/review/cases/deadly_test.go
+++ b/review/cases/deadly_test.go
@@ -53,7 +53,7 @@
 }
 
 func (w *world) startCrashing(id string) *crashingReplica {
-	l, err := net.Listen("tcp", "127.0.0.3:0")
+	l, err := net.Listen("tcp", hostIP+":0")
 	w.need(err == nil, "replica: %v", err)
 	r := &crashingReplica{w: w, id: id, address: l.Addr().String()}
 	w.servers = append(w.servers, r)
--- a/review/cases/harness_test.go
+++ b/review/cases/harness_test.go
@@ -29,13 +29,12 @@
 	cannotRun = 2
 )
 
-const (
-	// routeHost is the Host of all routes.
-	routeHost = "ficu95.example"
-	// hostIP is the loopback address of the hosts' listeners. No connection is made from it, so
-	// that a host that is started again finds its ports free.
-	hostIP = "127.0.0.2"
-)
+// routeHost is the Host of all routes.
+const routeHost = "ficu95.example"
+
+// hostIP is the loopback address of the hosts' listeners, another one in each process of this
+// program. No connection is made from it, so that a host that is started again finds its ports free.
+var hostIP = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
 
 // world is a small deployment: the platform's store, replicas, and hosts as separate processes.
 type world struct {
@@ -276,20 +275,29 @@
 	_ = h.log.Close()
 }
 
-// awaitReady waits until a host is ready and has read the ledger of batch jobs.
+// awaitReady waits until hosts are ready and have read the ledger of batch jobs.
 func (w *world) awaitReady(hosts ...*host) {
 	for _, h := range hosts {
-		w.eventually(15*time.Second, h.name+" is ready", func() bool {
-			resp, err := http.Get("http://" + h.ready + "/ready")
-			if err != nil {
-				return false
-			}
-			_ = resp.Body.Close()
-			return resp.StatusCode == http.StatusOK && w.send(h, http.MethodGet, "/lots/none?after=0", "probe", nil, nil).status == http.StatusNotFound
+		w.awaitRotation(h)
+		w.eventually(15*time.Second, h.name+" knows the ledger", func() bool {
+			return w.send(h, http.MethodGet, "/lots/none?after=0", "probe", nil, nil).status == http.StatusNotFound
 		})
 	}
 }
 
+// awaitRotation waits until a host is ready, so that the platform sends it new connections.
+func (w *world) awaitRotation(h *host) {
+	w.eventually(15*time.Second, h.name+" is ready", func() bool {
+		resp, err := http.Get("http://" + h.ready + "/ready")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	w.note("%s is ready", h.name)
+}
+
 // eventually waits for a condition that the case needs.
 func (w *world) eventually(limit time.Duration, what string, ok func() bool) {
 	for end := time.Now().Add(limit); ; time.Sleep(5 * time.Millisecond) {
--- a/review/cases/latesubmission_test.go
+++ b/review/cases/latesubmission_test.go
@@ -63,6 +63,7 @@
 	}
 	at(2200 * time.Millisecond)
 	added := w.newHost("front-2", w.storeAddress)
+	w.awaitReady(added)
 	at(3800 * time.Millisecond)
 	answer = w.send(added, http.MethodPost, "/pule252/"+jobID, jobID, job(jobID, items, itemTokens), nil)
 	w.note("job %s again at %s: %s", jobID, added.name, answer)
--- a/review/cases/versions_test.go
+++ b/review/cases/versions_test.go
@@ -99,6 +99,8 @@
 	}
 	at(1500 * time.Millisecond)
 	others[2] = w.newHost("front-3", address)
+	w.awaitRotation(others[2])
+	w.need(time.Since(began) < 2900*time.Millisecond, "front-3 was ready too late")
 	at(2900 * time.Millisecond)
 	w.note("front-1 is killed")
 	w.hosts[1].signal(syscall.SIGKILL)
