jobs: rejected submissions stay rejected at hosts that start later

Cause: the verdict on a submission is found by replaying the ledger, but that an attempt was rejected was remembered in memory only, and the record of the rejected submission was deleted within a second. If the store carries out an earlier copy of that append late, hosts that were there reject it and hosts that have listed the ledger since accept it. A relative: if the owner of the ledger ends before it deletes the record, nobody did any more (each host discarded its own list of such records), and once the jobs that had filled the quota expired, a host that listed the ledger accepted it. Also each host forgot expired jobs by its own clock.

Now the state is a function of what is left in the ledger. The owner replaces the record of a rejected submission by one of the rejection, in one append, and keeps it for as long as copies may come. Jobs are deleted only after the rejections that they caused are written, copies of a submission before the accepted one, and forgotten when their deletion is read. What could not be written is found again at the next look, also by another owner. A listing learns all rejections before it decides: their keys sort behind the others, so that pages of different moments can't miss them.

TestDroppedJobNamesItsRecords asked State.Drop, which is gone; TestDeletedJobLeavesNothing asks the same keys of Cleanup, and besides that the job is known until its deletion is read.

--- a/batch/janitor.go
+++ b/batch/janitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -14,8 +15,12 @@
 	// maxClockSkew is the allowed difference between the wall clocks of hosts. The age of
 	// a job is measured from the wall clock of the host that accepted it.
 	maxClockSkew = 5 * time.Second
-	// maxTombstonesPerAppend bounds the number of keys that one append deletes.
-	maxTombstonesPerAppend = 500
+	// copyWindow bounds the time after its submission in which copies of a record may still
+	// appear in the ledger: the store may carry out an append seconds after it was sent.
+	copyWindow = time.Minute
+	// maxRecordsPerCleanup bounds the number of records that one append of a cleanup writes or
+	// deletes.
+	maxRecordsPerCleanup = 500
 )
 
 // FailUnrunnable records a dead result for each open item that can't be run any more,
@@ -85,56 +90,70 @@
 	return now.Sub(time.UnixMilli(job.Submission.SubmittedMillis))
 }
 
-// DeleteExpired drops ended jobs whose status no longer has to be readable. If owns is
-// set, it also deletes their records from the store; exactly one host, the owner of the
-// ledger's records, should do so.
+// DeleteExpired deletes ended jobs whose status no longer has to be readable from the store, and
+// replaces the submissions that were rejected by records of their rejection. If owns is not set it
+// writes nothing: exactly one host, the owner of the ledger's records, should do so. All hosts
+// forget a job when they read that its records are deleted.
 func (l *Ledger) DeleteExpired(now time.Time, owns bool) {
-	removed := l.dropExpiredJobs(now)
-	if !owns {
+	expired := now.Add(-max(time.Duration(l.statusRetention.Load()), copyWindow) - maxClockSkew)
+	l.mu.Lock()
+	cleanup := l.state.Cleanup(expired.UnixMilli())
+	readBack := l.state.Next() > l.cleanupOffset
+	l.mu.Unlock()
+	if !owns || !readBack || l.storeUnreachable.Load() {
+		return
+	}
+	records := make([][]byte, 0, len(cleanup.Rejections)+len(cleanup.Records))
+	for i := range cleanup.Rejections {
+		r := &cleanup.Rejections[i]
+		r.Writer = l.opts.Writer
+		value, err := r.Encode()
+		if err != nil {
+			_ = level.Error(l.opts.Logger).Log("event", "rejection_not_written", "job", r.Job, "attempt", r.Rejection.Attempt, "err", err)
+			return
+		}
+		records = append(records, platform.EncodeKeyed(jobs.RejectionKey(r.Rejection.Attempt), value))
+	}
+	records = append(records, deletions(cleanup.Records)...)
+	if len(records) == 0 {
 		return
 	}
 	// Payloads are deleted before the records that refer to them, so that the remaining
 	// ones can still be found if a call fails.
-	if l.deleteKeys(platform.TopicPayloads, removed.Payloads) {
-		l.deleteKeys(platform.TopicJobs, removed.Records)
+	if _, err := l.appendAll(platform.TopicPayloads, deletions(cleanup.Payloads)); err != nil {
+		return
 	}
+	offset, err := l.appendAll(platform.TopicJobs, records)
+	l.mu.Lock()
+	l.cleanupOffset = max(l.cleanupOffset, offset)
+	l.mu.Unlock()
+	_ = level.Info(l.opts.Logger).Log("event", "ledger_cleaned_up", "rejections", len(cleanup.Rejections),
+		"records", len(cleanup.Records), "payloads", len(cleanup.Payloads), "offset", offset, "complete", err == nil)
 }
 
-// dropExpiredJobs drops ended jobs past their status retention from the state, and
-// returns the keys of their records and payloads, and of records that belong to no job.
-func (l *Ledger) dropExpiredJobs(now time.Time) jobs.Dropped {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	removed := l.state.TakeOrphans()
-	for id, job := range l.state.Jobs() {
-		if job.Open() == 0 && jobAge(job, now) > time.Duration(l.statusRetention.Load())+maxClockSkew {
-			dropped := l.state.Drop(id)
-			removed.Records = append(removed.Records, dropped.Records...)
-			removed.Payloads = append(removed.Payloads, dropped.Payloads...)
-			delete(l.scheduledService, id)
-		}
+// deletions returns the records that delete keys.
+func deletions(keys []string) [][]byte {
+	out := make([][]byte, len(keys))
+	for i, key := range keys {
+		out[i] = platform.EncodeKeyed(key, nil)
 	}
-	return removed
+	return out
 }
 
-// deleteKeys deletes keys from the store and reports whether all were deleted.
-// Remaining ones use space in the store until a host lists the ledger again and finds
-// their job expired.
-func (l *Ledger) deleteKeys(topic platform.Topic, keys []string) bool {
-	for len(keys) > 0 {
-		n := min(len(keys), maxTombstonesPerAppend)
-		records := make([][]byte, n)
-		for i, key := range keys[:n] {
-			records[i] = platform.EncodeKeyed(key, nil)
-		}
+// appendAll appends records in order, some at a time, up to the first append that fails, and
+// returns the offset of the last one that was appended, or -1. What could not be appended is found
+// again at the next cleanup.
+func (l *Ledger) appendAll(topic platform.Topic, records [][]byte) (int64, error) {
+	last := int64(-1)
+	for part := range slices.Chunk(records, maxRecordsPerCleanup) {
 		ctx, cancel := context.WithTimeout(context.Background(), minAppendTimeout)
-		_, err := l.opts.Store.Append(ctx, topic, records)
+		offset, err := l.opts.Store.Append(ctx, topic, part)
 		cancel()
 		if err != nil {
-			_ = level.Warn(l.opts.Logger).Log("event", "records_left", "topic", topic.Name, "keys", len(keys), "err", err)
-			return false
+			_ = level.Warn(l.opts.Logger).Log("event", "records_left", "topic", topic.Name, "err", err)
+			return last, err
 		}
-		keys = keys[n:]
+		last = offset + int64(len(part)) - 1
 	}
-	return true
+	return last, nil
 }
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -36,6 +36,8 @@
 
 	mu    sync.Mutex
 	state *jobs.State
+	// cleanupOffset is the offset of the last record that DeleteExpired has written, -1 before.
+	cleanupOffset int64
 	// listing is true while records of a listing are applied. Later records of the listing
 	// may end the items of earlier ones, so no items are offered meanwhile.
 	listing bool
@@ -65,6 +67,7 @@
 		pendingWrites:    make(map[string]chan struct{}),
 		scheduledService: make(map[string]string),
 		watchers:         make(map[string]chan struct{}),
+		cleanupOffset:    -1,
 	}
 	l.SetStatusRetention(o.StatusRetention)
 	l.follower = follow.New(follow.Options{
@@ -93,6 +96,7 @@
 	n := sort.Search(len(records), func(i int) bool { return records[i].Offset >= end })
 	l.mu.Lock()
 	l.listing = true
+	l.applyListed(records, end)
 	l.applyAll(records[:n])
 	l.listing = false
 	l.mu.Unlock()
@@ -125,11 +129,13 @@
 // apply applies one record to the state. l.mu must be held.
 func (l *Ledger) apply(r *platform.KeyedRecord) {
 	if r.Deletes() {
+		if job := l.state.ApplyDeletion(r.Offset, r.Key); job != nil {
+			l.forget(job)
+		}
 		return
 	}
-	record, err := jobs.DecodeRecord(r.Value)
-	if err != nil {
-		_ = level.Error(l.opts.Logger).Log("event", "ledger_record_unreadable", "key", r.Key, "offset", r.Offset, "err", err)
+	record := l.decode(r)
+	if record == nil {
 		return
 	}
 	change := l.state.Apply(r.Offset, r.Key, record)
@@ -141,12 +147,55 @@
 	l.handleChange(r.Offset, record, &change)
 }
 
+// decode returns a record of the ledger, or nil if it can't be decoded.
+func (l *Ledger) decode(r *platform.KeyedRecord) *jobs.Record {
+	record, err := jobs.DecodeRecord(r.Value)
+	if err != nil {
+		_ = level.Error(l.opts.Logger).Log("event", "ledger_record_unreadable", "key", r.Key, "offset", r.Offset, "err", err)
+		return nil
+	}
+	return record
+}
+
+// applyListed applies what a listing tells apart from the order of its records: all rejections, as
+// the submissions that they decide on may be deleted but for a late copy, and what is missing since
+// an earlier listing. l.mu must be held.
+func (l *Ledger) applyListed(records []platform.KeyedRecord, end int64) {
+	listed := make(map[string]bool, len(records))
+	for i := range records {
+		listed[records[i].Key] = true
+		if !jobs.IsRejectionKey(records[i].Key) {
+			continue
+		}
+		if record := l.decode(&records[i]); record != nil && record.Rejection != nil {
+			l.state.Reject(records[i].Key, record)
+		}
+	}
+	if l.state.Next() > end {
+		return // All deletions before the listing were read.
+	}
+	for _, job := range l.state.Retain(listed) {
+		l.forget(job)
+	}
+}
+
+// forget removes what is kept for a job that was deleted from the ledger. l.mu must be held.
+func (l *Ledger) forget(job *jobs.Job) {
+	for i := range job.Items() {
+		if !job.Ended(i) {
+			l.dropItem(job, i)
+		}
+	}
+	delete(l.scheduledService, job.ID)
+	l.notifyWatchers(job.ID)
+}
+
 // handleChange informs the scheduler, watchers and metrics of a change that a record
 // made. l.mu must be held.
 func (l *Ledger) handleChange(offset int64, r *jobs.Record, c *jobs.Change) {
 	switch {
 	case c.Attempt != "":
-		l.handleVerdict(offset, c)
+		l.handleVerdict(offset, r, c)
 	case c.Ended:
 		l.metrics.results.WithLabelValues(resultState(r.Result)).Inc()
 		l.dropItem(c.Job, c.Item)
@@ -196,8 +245,12 @@
 
 // handleVerdict schedules the items of an accepted job, and passes the verdict to the
 // submission that waits for it. l.mu must be held.
-func (l *Ledger) handleVerdict(offset int64, c *jobs.Change) {
-	if c.Verdict == jobs.Accepted {
+func (l *Ledger) handleVerdict(offset int64, r *jobs.Record, c *jobs.Change) {
+	switch c.Verdict {
+	case jobs.OverQuota:
+		_ = level.Info(l.opts.Logger).Log("event", "job_rejected", "job", r.Job, "attempt", c.Attempt, "offset", offset,
+			"tokens", r.Submit.Tokens, "open_tokens", l.state.Waiting(r.Submit.Route), "quota", r.Submit.Quota, "listing", l.listing)
+	case jobs.Accepted:
 		l.scheduleItems(c.Job)
 		if l.isOwn(c.Job) && !l.listing {
 			l.opts.Offer(l.appendOffers(nil, time.Now(), c.Job))
--- a/batch/payloads_test.go
+++ b/batch/payloads_test.go
@@ -182,7 +182,9 @@
 	}
 	r.store.SetFaults(standin.StoreFaults{})
 	l := NewLedger(Options{Writer: "w", Store: r.reader.store, Logger: log.NewNopLogger(), Configuration: testConfiguration})
-	l.deleteKeys(platform.TopicPayloads, blob.Keys())
+	if _, err := l.appendAll(platform.TopicPayloads, deletions(blob.Keys())); err != nil {
+		t.Fatal(err)
+	}
 	r.store.Trim(standin.TrimRequest{Topic: platform.TopicPayloads.Name, Before: -1})
 	if _, err := r.reader.get(context.Background(), &blob); !errors.Is(err, ErrUnreadable) {
 		t.Errorf("read of a deleted payload: got error %v, want ErrUnread", err)
--- a/cli/routesjobs.go
+++ b/cli/routesjobs.go
@@ -59,13 +59,22 @@
 func replayJobs(records []platform.KeyedRecord, unreadable func(key string)) []routesJob {
 	sort.Slice(records, func(i, j int) bool { return records[i].Offset < records[j].Offset })
 	state := jobs.NewState()
+	decoded := make([]*jobs.Record, len(records))
 	for i := range records {
 		r, err := jobs.DecodeRecord(records[i].Value)
-		if err != nil {
+		switch {
+		case err != nil:
 			unreadable(records[i].Key)
-			continue
+		case r.Rejection != nil:
+			state.Reject(records[i].Key, r)
+		default:
+			decoded[i] = r
+		}
+	}
+	for i, r := range decoded {
+		if r != nil {
+			state.Apply(records[i].Offset, records[i].Key, r)
 		}
-		state.Apply(records[i].Offset, records[i].Key, r)
 	}
 	out := make([]routesJob, 0, len(state.Jobs()))
 	for _, j := range state.Jobs() {
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -1,5 +1,7 @@
 package jobs
 
+import "slices"
+
 // Job is an accepted batch job.
 type Job struct {
 	ID         string
@@ -10,7 +12,11 @@
 
 	progress []progress
 	open     int
-	// recordKeys are the keys of the job's ledger records; payloadKeys are the keys
+	// acceptedKey is the key of the accepted submission, and duplicateKeys those of its copies
+	// and of later submissions of the job.
+	acceptedKey   string
+	duplicateKeys []string
+	// recordKeys are the keys of the job's other ledger records; payloadKeys are the keys
 	// of the records that hold its inputs and outputs.
 	recordKeys, payloadKeys []string
 }
@@ -73,6 +79,12 @@
 	return -1
 }
 
+// deletionOrder returns the keys of the job's ledger records. If only the first of them are
+// deleted, a host that lists the rest either knows the job as before or does not know it.
+func (j *Job) deletionOrder() []string {
+	return slices.Concat(j.duplicateKeys, []string{j.acceptedKey}, j.recordKeys)
+}
+
 // hasItem reports whether the job has an item with this number.
 func (j *Job) hasItem(item int) bool {
 	return item >= 0 && item < len(j.Submission.Items)
--- a/jobs/oddrecord_test.go
+++ b/jobs/oddrecord_test.go
@@ -70,7 +70,7 @@
 				for i := range job.Items() {
 					job.Input(i)
 				}
-				s.Drop("k")
+				s.ApplyDeletion(s.Next(), job.acceptedKey)
 			}
 			if got := s.Waiting("r"); got != 10 {
 				t.Fatalf("%s: %d tokens wait on the route, want 10", text, got)
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -19,6 +19,8 @@
 	Failure *Failure    `json:"failure,omitempty"`
 	Partial *Partial    `json:"partial,omitempty"`
 	Cancel  *Cancel     `json:"cancel,omitempty"`
+	// Rejection names an attempt to submit Job.
+	Rejection *Rejection `json:"rejection,omitempty"`
 }
 
 // Submission requests the acceptance of a job.
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -1,9 +1,8 @@
 package jobs
 
 import (
+	"maps"
 	"slices"
-
-	"github.com/peridotmount/peridotmount/recent"
 )
 
 // Verdict is the decision on a submission.
@@ -25,13 +24,10 @@
 	return [...]string{"accepted", "repeated", "over-quota"}[v]
 }
 
-// maxRejectedAttempts bounds the number of rejected attempts that are remembered. A
-// bounded set suffices because a duplicate of a submission arrives within seconds.
-const maxRejectedAttempts = 4096
-
 // State is the result of applying the ledger's records up to an offset. It is a
 // deterministic state machine: all replicas that apply the same records reach the
-// same state. It is not safe for concurrent use.
+// same state, and so does one that lists what deletions have left of them. It is not safe
+// for concurrent use.
 //
 // Invariants: the first submission of a job that fits the quota is the one
 // accepted, the first result of an item is final, a result keeps its position, and
@@ -42,20 +38,29 @@
 	openTokens map[string]int64
 	// next is the offset after the newest applied record.
 	next int64
-	// rejected remembers the attempts that were rejected: a late duplicate of one
-	// must not be accepted, because its client was told of the rejection.
-	rejected *recent.Set
-	// orphans lists the keys of records and payloads that belong to no job, as those of
-	// rejected submissions.
-	orphans Dropped
+	// rejections holds the attempts that were rejected: a late duplicate of one must not be
+	// accepted, because its client was told of the rejection.
+	rejections map[string]*rejection
+	// rejectionKeys holds, by key, the attempts whose rejections are in the ledger.
+	rejectionKeys map[string]string
+	// submissions holds, by key, the submissions in the ledger.
+	submissions map[string]submissionRef
+	// orphans holds the keys of other records in the ledger that belong to no job.
+	orphans map[string]bool
 }
 
+// submissionRef names a submission in the ledger.
+type submissionRef struct{ job, attempt string }
+
 // NewState returns an empty State.
 func NewState() *State {
 	return &State{
-		jobs:       make(map[string]*Job),
-		openTokens: make(map[string]int64),
-		rejected:   recent.NewSet(maxRejectedAttempts),
+		jobs:          make(map[string]*Job),
+		openTokens:    make(map[string]int64),
+		rejections:    make(map[string]*rejection),
+		rejectionKeys: make(map[string]string),
+		submissions:   make(map[string]submissionRef),
+		orphans:       make(map[string]bool),
 	}
 }
 
@@ -87,12 +92,16 @@
 		return Change{}
 	}
 	s.next = offset + 1
-	if r.Submit != nil {
+	switch {
+	case r.Submit != nil:
 		return s.applySubmission(key, r)
+	case r.Rejection != nil:
+		s.Reject(key, r)
+		return Change{}
 	}
 	job := s.jobs[r.Job]
 	if job == nil {
-		s.orphans.Records = append(s.orphans.Records, key)
+		s.orphans[key] = true
 		return Change{}
 	}
 	job.recordKeys = append(job.recordKeys, key)
@@ -113,29 +122,45 @@
 func (s *State) applySubmission(key string, r *Record) Change {
 	sub := r.Submit
 	verdict := s.decideVerdict(r)
+	s.submissions[key] = submissionRef{job: r.Job, attempt: sub.Attempt}
 	switch verdict {
 	case Accepted:
 		s.accept(key, r)
 	case Repeated:
 		job := s.jobs[r.Job]
-		job.recordKeys = append(job.recordKeys, key)
+		job.duplicateKeys = append(job.duplicateKeys, key)
 		// A duplicate of the accepted record refers to the same payloads.
 		if job.Submission.Attempt != sub.Attempt {
 			job.payloadKeys = append(job.payloadKeys, inputKeys(sub)...)
 		}
 	default:
-		s.rejected.Add(sub.Attempt)
-		s.orphans.Records = append(s.orphans.Records, key)
-		s.orphans.Payloads = append(s.orphans.Payloads, inputKeys(sub)...)
+		rejected := s.rejection(r.Job, sub.Attempt, sub.SubmittedMillis)
+		rejected.submissionKeys = append(rejected.submissionKeys, key)
+		rejected.payloadKeys = inputKeys(sub)
 	}
 	return Change{Attempt: sub.Attempt, Verdict: verdict, Job: s.jobs[r.Job]}
 }
 
+// rejection returns what is known of a rejected attempt.
+func (s *State) rejection(job, attempt string, submittedMillis int64) *rejection {
+	if s.rejections[attempt] == nil {
+		s.rejections[attempt] = &rejection{job: job, submittedMillis: submittedMillis}
+	}
+	return s.rejections[attempt]
+}
+
+// Reject applies a record of a rejection. Unlike with Apply the order does not matter: a host that
+// lists the ledger has to know all rejections before it decides on the submissions that are left.
+func (s *State) Reject(key string, r *Record) {
+	s.rejection(r.Job, r.Rejection.Attempt, r.Rejection.SubmittedMillis).recordKey = key
+	s.rejectionKeys[key] = r.Rejection.Attempt
+}
+
 func (s *State) decideVerdict(r *Record) Verdict {
 	switch {
 	case s.jobs[r.Job] != nil:
 		return Repeated
-	case s.rejected.Has(r.Submit.Attempt):
+	case s.rejections[r.Submit.Attempt] != nil:
 		return OverQuota
 	case r.Submit.Quota > 0 && s.openTokens[r.Submit.Route]+r.Submit.Tokens > r.Submit.Quota:
 		return OverQuota
@@ -151,7 +176,7 @@
 		Submission:  *r.Submit,
 		progress:    make([]progress, items),
 		open:        items,
-		recordKeys:  []string{key},
+		acceptedKey: key,
 		payloadKeys: inputKeys(r.Submit),
 	}
 	s.openTokens[r.Submit.Route] += r.Submit.Tokens
@@ -216,22 +241,109 @@
 	return Change{Job: job, Cancelled: true}
 }
 
-// TakeOrphans returns the keys of records and payloads that belong to no job, and
-// clears them: each key is returned once.
-func (s *State) TakeOrphans() Dropped {
-	keys := s.orphans
-	s.orphans = Dropped{}
-	return keys
+// ApplyDeletion applies the deletion of a key at an offset, and returns the job whose accepted
+// submission it deletes, or nil. Such a job is unknown from then on.
+func (s *State) ApplyDeletion(offset int64, key string) *Job {
+	if offset < s.next {
+		return nil
+	}
+	s.next = offset + 1
+	return s.delete(key)
 }
 
-// Drop removes a job whose status no longer has to be readable, and returns the keys
-// of its records and payloads so that they can be deleted.
-func (s *State) Drop(id string) Dropped {
-	job := s.jobs[id]
-	if job == nil {
-		return Dropped{}
+func (s *State) delete(key string) *Job {
+	delete(s.orphans, key)
+	ref, found := s.submissions[key]
+	if !found {
+		s.deleteRejection(key)
+		return nil
+	}
+	delete(s.submissions, key)
+	if job := s.jobs[ref.job]; job != nil {
+		if job.acceptedKey == key {
+			s.drop(job)
+			return job
+		}
+		job.duplicateKeys = withoutKey(job.duplicateKeys, key)
+	}
+	if rejected := s.rejections[ref.attempt]; rejected != nil {
+		rejected.submissionKeys = withoutKey(rejected.submissionKeys, key)
+	}
+	return nil
+}
+
+// deleteRejection applies that the ledger no longer holds the record of a rejection. The rejection
+// itself is kept until Cleanup finds it expired.
+func (s *State) deleteRejection(key string) {
+	if rejected := s.rejections[s.rejectionKeys[key]]; rejected != nil {
+		rejected.recordKey = ""
 	}
+	delete(s.rejectionKeys, key)
+}
+
+// drop removes a job. What is left of its records belongs to no job.
+func (s *State) drop(job *Job) {
 	s.applyCancel(job) // Subtracts the tokens of items that are still open.
-	delete(s.jobs, id)
-	return Dropped{Records: job.recordKeys, Payloads: job.payloadKeys}
+	delete(s.jobs, job.ID)
+	for _, key := range append(job.duplicateKeys, job.recordKeys...) {
+		delete(s.submissions, key)
+		s.orphans[key] = true
+	}
+}
+
+func withoutKey(keys []string, key string) []string {
+	if i := slices.Index(keys, key); i >= 0 {
+		return slices.Delete(keys, i, i+1)
+	}
+	return keys
+}
+
+// Retain applies the deletions that a host missed which lists the ledger again: of what was
+// applied so far, only the listed keys are left. It returns the jobs that are gone.
+func (s *State) Retain(listed map[string]bool) []*Job {
+	var gone []*Job
+	for key := range s.submissions {
+		if !listed[key] {
+			if job := s.delete(key); job != nil {
+				gone = append(gone, job)
+			}
+		}
+	}
+	for key := range s.rejectionKeys {
+		if !listed[key] {
+			s.deleteRejection(key)
+		}
+	}
+	maps.DeleteFunc(s.orphans, func(key string, _ bool) bool { return !listed[key] })
+	return gone
+}
+
+// Cleanup returns what is left to be written and deleted. Ended jobs and rejections expire if they
+// were submitted before a time, in Unix milliseconds; rejections that have expired and that the
+// ledger does not keep any more are forgotten.
+func (s *State) Cleanup(expiredMillis int64) Cleanup {
+	var c Cleanup
+	for attempt, r := range s.rejections {
+		expired := r.submittedMillis < expiredMillis
+		switch {
+		case expired && len(r.submissionKeys) == 0 && r.recordKey == "":
+			delete(s.rejections, attempt)
+		case expired && r.settled():
+			c.Records = append(c.Records, r.recordKey)
+		case r.recordKey == "":
+			c.Rejections = append(c.Rejections, Record{Job: r.job, Rejection: &Rejection{Attempt: attempt, SubmittedMillis: r.submittedMillis}})
+		}
+		if len(r.submissionKeys) > 0 {
+			c.Records = append(c.Records, r.submissionKeys...)
+			c.Payloads = append(c.Payloads, r.payloadKeys...)
+		}
+	}
+	c.Records = slices.AppendSeq(c.Records, maps.Keys(s.orphans))
+	for _, job := range s.jobs {
+		if job.Open() == 0 && job.Submission.SubmittedMillis < expiredMillis {
+			c.Records = append(c.Records, job.deletionOrder()...)
+			c.Payloads = append(c.Payloads, job.payloadKeys...)
+		}
+	}
+	return c
 }
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -145,28 +145,38 @@
 	}
 }
 
-// TestDroppedJobNamesItsRecords checks that a dropped job leaves nothing in the store:
-// Drop returns the keys of all its records and payloads, including those of
-// duplicate submissions and late results.
-func TestDroppedJobNamesItsRecords(t *testing.T) {
+// TestDeletedJobLeavesNothing checks that an expired job leaves nothing in the store: Cleanup
+// returns the keys of all its records and payloads, including those of duplicate submissions and
+// late results, and the state forgets the job when it reads that they were deleted.
+func TestDeletedJobLeavesNothing(t *testing.T) {
 	l := newTestLedger(t)
 	l.accept("j", "a")
 	l.apply(submit("j", "j-1", 0, "a"))
 	l.apply(submit("j", "j-2", 0, "a"))
 	l.apply(result("j", 0, "first"))
 	l.apply(result("j", 0, "second"))
-	dropped := l.state.Drop("j")
-	slices.Sort(dropped.Payloads)
+	if c := l.state.Cleanup(0); len(c.Records)+len(c.Payloads) != 0 {
+		t.Errorf("cleanup before the job expires: %+v", c)
+	}
+	cleanup := l.state.Cleanup(1)
+	slices.Sort(cleanup.Payloads)
 	want := []string{"payload-first", "payload-j-1", "payload-j-2", "payload-second"}
-	if len(dropped.Records) != 5 || !slices.Equal(dropped.Payloads, want) {
-		t.Errorf("dropped %+v", dropped)
+	if len(cleanup.Records) != 5 || !slices.Equal(cleanup.Payloads, want) {
+		t.Errorf("cleanup %+v", cleanup)
+	}
+	if l.state.Job("j") == nil {
+		t.Error("the job was forgotten before its records were deleted")
+	}
+	for _, key := range cleanup.Records {
+		l.offset++
+		l.state.ApplyDeletion(l.offset, key)
 	}
 	if l.state.Job("j") != nil || l.state.Waiting("r") != 0 {
-		t.Error("the job or its open tokens remain after Drop")
+		t.Error("the job or its open tokens remain after its records were deleted")
 	}
 	l.apply(result("j", 0, "late"))
-	if orphans := l.state.TakeOrphans(); len(orphans.Records) != 1 {
-		t.Errorf("orphans %+v", orphans)
+	if c := l.state.Cleanup(1); len(c.Records) != 1 {
+		t.Errorf("cleanup of a late result: %+v", c)
 	}
 }
 
