origin: a host that starts in an outage guesses no software version

Cause: a host that does not know which version began a stream takes the one that is listed, if there has been no other for long. What it has not watched itself it reads from the notes in the store; if these could not be read, it took the age of the listed endpoints for evidence. The age of those that are left tells nothing of those that left: the replicas of v1 had left the list 0.8 s before the outage. The host named the version in its request to the scheduler, so that one that knew better was not asked.

Ruled out: the borrowed list of endpoints was right, and the scheduler's table held the streams.

Now not having been told is a state of its own, in which no version is certain until the host has watched the service for as long as streams can be taken up. So that streams of a service with a single version go on at such a host, it asks the other hosts for what they know, at most once a second, until one that knows answers; rate limits of endpoints come with it. Hosts that don't know say so, and what several tell is joined.

--- a/gateway/endpointnotes.go
+++ b/gateway/endpointnotes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,6 +21,8 @@
 	// bounds a call to the store for them.
 	notesTick    = 250 * time.Millisecond
 	notesTimeout = time.Second
+	// askInterval is the time between two questions to other hosts while the store doesn't answer.
+	askInterval = time.Second
 	// ticksBeforeWrite is for how many looks a host schedules before it writes: while hosts
 	// elect a scheduler, each schedules for itself for a moment.
 	ticksBeforeWrite = 4
@@ -32,8 +36,8 @@
 )
 
 // endpointNotes keeps in the store what a host that starts when no other is left has to know of
-// endpoints. Every host reads it once, when it starts; the one that schedules writes it. It is
-// a suture service.
+// endpoints. Every host reads it once, when it starts, or asks other hosts for what they know if the
+// store doesn't answer; the one that schedules writes it. It is a suture service.
 type endpointNotes struct {
 	store interface {
 		platform.Lister
@@ -44,10 +48,15 @@
 	// schedules reports whether this host knows the endpoints and schedules for itself or
 	// others, and thus writes.
 	schedules func() bool
-	logger    log.Logger
+	// ask returns what other hosts know, by key.
+	ask    func(ctx context.Context) (map[string]platform.KeyedRecord, error)
+	logger log.Logger
 	// written are the values in the store by key, as far as this host knows; nil until they
 	// were read.
 	written map[string]string
+	// askedAt is when other hosts were last asked; told is set once one has answered.
+	askedAt time.Time
+	told    bool
 }
 
 // String names the service to its supervisor.
@@ -77,23 +86,50 @@
 	}
 }
 
-// read reads the notes and applies them.
+// read reads the notes, or what other hosts know if the store doesn't answer, and applies them.
 func (n *endpointNotes) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, notesTimeout)
+	call, cancel := context.WithTimeout(ctx, notesTimeout)
 	defer cancel()
-	records, err := platform.ListAll(ctx, n.store, platform.TopicEndpointNotes)
+	records, err := platform.ListAll(call, n.store, platform.TopicEndpointNotes)
 	if err != nil {
 		_ = level.Debug(n.logger).Log("event", "endpoint_notes_unread", "err", err)
+		n.askOthers(ctx)
 		return
 	}
 	n.written = make(map[string]string, len(records))
+	for i := range records {
+		if r := &records[i]; !r.Deletes() {
+			n.written[r.Key] = string(r.Value)
+		}
+	}
+	several := n.apply(records)
+	_ = level.Info(n.logger).Log("event", "endpoint_notes_read", "notes", len(n.written), "several_versions", several)
+}
+
+// askOthers asks the other hosts for what they know, until one has answered.
+func (n *endpointNotes) askOthers(ctx context.Context) {
+	if n.told || time.Since(n.askedAt) < askInterval {
+		return
+	}
+	n.askedAt = time.Now()
+	known, err := n.ask(ctx)
+	if err != nil {
+		_ = level.Info(n.logger).Log("event", "endpoint_notes_not_borrowed", "err", err)
+		return
+	}
+	n.told = true
+	several := n.apply(slices.Collect(maps.Values(known)))
+	_ = level.Info(n.logger).Log("event", "endpoint_notes_borrowed", "notes", len(known), "several_versions", several)
+}
+
+// apply applies notes and returns of how many services they say that they have several versions.
+func (n *endpointNotes) apply(records []platform.KeyedRecord) int {
 	several := make(map[string]bool)
 	for i := range records {
 		r := &records[i]
 		if r.Deletes() {
 			continue
 		}
-		n.written[r.Key] = string(r.Value)
 		if service, found := strings.CutPrefix(r.Key, versionsNote); found {
 			several[service] = true
 			continue
@@ -106,8 +142,18 @@
 		limit.Age = notedAge
 		n.limits.Merge([]throttle.Notice{limit})
 	}
-	n.origins.SetNoted(several)
-	_ = level.Info(n.logger).Log("event", "endpoint_notes_read", "notes", len(n.written), "several_versions", len(several))
+	n.origins.AddNoted(several)
+	return len(several)
+}
+
+// Records returns what this host knows, for hosts that start while the store doesn't answer, and
+// whether that is all.
+func (n *endpointNotes) Records() ([]platform.KeyedRecord, bool) {
+	var out []platform.KeyedRecord
+	for key, value := range n.wanted() {
+		out = append(out, platform.KeyedRecord{Key: key, Value: []byte(value)})
+	}
+	return out, n.origins.Informed()
 }
 
 // write brings the store in line with what this host knows.
--- a/gateway/endpointnotes_test.go
+++ b/gateway/endpointnotes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/picture"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/standin"
 	"github.com/peridotmount/peridotmount/throttle"
@@ -25,6 +27,16 @@
 	return &endpointNotes{
 		store: platform.NewStore(address, platform.StoreOptions{}), limits: l, origins: newOrigins(),
 		schedules: func() bool { return true }, logger: log.NewNopLogger(),
+		ask: func(context.Context) (map[string]platform.KeyedRecord, error) { return nil, picture.ErrNobody },
+	}
+}
+
+// askHost returns a question that another host answers, unless it does not know either.
+func askHost(other *endpointNotes) func(context.Context) (map[string]platform.KeyedRecord, error) {
+	return func(ctx context.Context) (map[string]platform.KeyedRecord, error) {
+		server := httptest.NewServer(picture.NewServer(map[string]picture.Read{platform.TopicEndpointNotes.Name: other.Records}))
+		defer server.Close()
+		return picture.NewClient([]string{server.Listener.Addr().String()}, &http.Client{}).AskAll(ctx, platform.TopicEndpointNotes)
 	}
 }
 
@@ -101,3 +113,64 @@
 	late.origins.Observe(serving("v2"))
 	late.runNotes(t, "a host that finds no notes is certain", func() bool { return late.origins.Certain() })
 }
+
+// TestHostAddedInAnOutageGuessesNoVersion guards against streams that go on at another software
+// version than the one that began them: a host that started while the store was down took the
+// version of the endpoints that were left for the only one, as they had started long ago. What it
+// does not know it asks other hosts.
+func TestHostAddedInAnOutageGuessesNoVersion(t *testing.T) {
+	server := httptest.NewServer(standin.NewStore(standin.StoreFaults{Outage: standin.OutageBusy}).Handler())
+	defer server.Close()
+	defer server.CloseClientConnections()
+	address := server.Listener.Addr().String()
+	old := serving("v2")
+	old[0].Started = time.Now().Add(-10 * time.Minute)
+
+	alone := newNotingHost(address)
+	alone.origins.Observe(old)
+	for range 2 {
+		alone.read(context.Background())
+		if version, known := alone.origins.Version("s", "r"); known || alone.origins.Certain() {
+			t.Errorf("a host that nobody told of other versions takes %q for the one that began a stream", version)
+		}
+	}
+	if _, whole := alone.Records(); whole {
+		t.Error("a host that nobody told of other versions claims to know all")
+	}
+
+	left := newNotingHost(address)
+	left.origins.AddNoted(nil)
+	left.origins.Observe(serving("v1", "v2"))
+	left.origins.Observe(old)
+	limited := endpoint.Endpoint{ID: "limited", Service: "s", Started: time.UnixMilli(7)}
+	left.limits.Answered(limited.Incarnation(), 2.5, clock.Now())
+	told := newNotingHost(address)
+	told.ask = askHost(left)
+	told.origins.Observe(old)
+	told.read(context.Background())
+	if version, known := told.origins.Version("s", "r"); known {
+		t.Errorf("a host that was told of two versions takes %q for the one that began a stream", version)
+	}
+	if rate := told.limits.Rate(&limited); rate != 2.5 {
+		t.Errorf("the rate limit that the other host knows is %v, want 2.5", rate)
+	}
+
+	single := newNotingHost(address)
+	single.origins.AddNoted(nil)
+	single.origins.Observe(old)
+	certain := newNotingHost(address)
+	certain.ask = askHost(single)
+	certain.origins.Observe(old)
+	certain.read(context.Background())
+	if version, known := certain.origins.Version("s", "r"); !known || version != "v2" {
+		t.Errorf("a host that was told of no other version: %q, known %t, want v2", version, known)
+	}
+
+	uncertain := newNotingHost(address)
+	uncertain.ask = askHost(alone)
+	uncertain.origins.Observe(old)
+	uncertain.read(context.Background())
+	if _, known := uncertain.origins.Version("s", "r"); known {
+		t.Error("a host that asked one that does not know takes that for knowledge")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,6 +197,9 @@
 	g.notes = &endpointNotes{
 		store: g.store, limits: g.limits, origins: g.origins, logger: g.logger,
 		schedules: func() bool { return g.endpoints.listed.Load() && g.client.Scheduler() == g.self.Name },
+		ask: func(ctx context.Context) (map[string]platform.KeyedRecord, error) {
+			return g.asker.AskAll(ctx, platform.TopicEndpointNotes)
+		},
 	}
 	g.convictions = newConvictions(g.logger)
 	g.starting = &starting{
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
@@ -38,7 +37,7 @@
 	if version, known = o.table.Lookup(now, request); known {
 		return version, true
 	}
-	return o.history.Only(now, time.Now(), service)
+	return o.history.Only(now, service)
 }
 
 // Observe records the endpoints that are listed.
@@ -48,12 +47,18 @@
 	o.history.Observe(clock.Now(), endpoints)
 }
 
-// SetNoted records which services have several versions, as other hosts noted before this one
-// started.
-func (o *origins) SetNoted(services map[string]bool) {
+// AddNoted records which services have several versions, as others knew before this host started.
+func (o *origins) AddNoted(services map[string]bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.history.SetNoted(services)
+	o.history.AddNoted(services)
+}
+
+// Informed reports whether Several names all services that have several versions.
+func (o *origins) Informed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.history.Informed(clock.Now())
 }
 
 // Several returns the services that have several versions.
@@ -95,5 +100,5 @@
 func (o *origins) Certain() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.history.Certain(clock.Now(), time.Now())
+	return o.history.Certain(clock.Now())
 }
--- a/gateway/pictures.go
+++ b/gateway/pictures.go
@@ -15,9 +15,10 @@
 func (g *Gateway) pictures() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+picture.Path, picture.NewServer(map[string]picture.Read{
-		platform.TopicOperator.Name:    g.configuration.follower.Records,
-		platform.TopicEndpoints.Name:   g.endpointFeed.Records,
-		platform.TopicConvictions.Name: g.convictionFeed.Records,
+		platform.TopicOperator.Name:      g.configuration.follower.Records,
+		platform.TopicEndpoints.Name:     g.endpointFeed.Records,
+		platform.TopicConvictions.Name:   g.convictionFeed.Records,
+		platform.TopicEndpointNotes.Name: g.notes.Records,
 		platform.TopicHosts.Name: func() ([]platform.KeyedRecord, bool) {
 			records, whole := g.directoryFeed.Records()
 			return peers.WithoutTokens(records), whole
--- a/origin/history.go
+++ b/origin/history.go
@@ -1,20 +1,18 @@
 package origin
 
 import (
+	"maps"
 	"time"
 
 	"github.com/peridotmount/peridotmount/endpoint"
 )
 
-// startMargin is how far endpoints' clocks may differ from this host's.
-const startMargin = 10 * time.Second
-
 // History tracks which software versions of each service serve. It is not safe for concurrent
 // use.
 type History struct {
 	services map[string]*serviceHistory
-	// noted are the services of which other hosts noted, before this one started, that they
-	// have several versions; nil until that was read.
+	// noted are the services that had several versions, as others knew that were there before
+	// this host; nil until one has told, which is not the same as that there were none.
 	noted map[string]bool
 }
 
@@ -25,8 +23,6 @@
 	// lastSeen is when each version was last listed. A version stays for Retention, as its
 	// endpoints finish their streams after they have left the list.
 	lastSeen map[string]time.Time
-	// newest is the latest start of an endpoint, by the endpoint's own clock.
-	newest time.Time
 }
 
 // NewHistory returns an empty History.
@@ -44,9 +40,6 @@
 			h.services[e.Service] = s
 		}
 		s.lastSeen[e.Version] = now
-		if e.Started.After(s.newest) {
-			s.newest = e.Started
-		}
 	}
 	for _, s := range h.services {
 		for version, at := range s.lastSeen {
@@ -57,10 +50,12 @@
 	}
 }
 
-// SetNoted records which services have several versions, as other hosts noted before this one
-// started.
-func (h *History) SetNoted(services map[string]bool) {
-	h.noted = services
+// AddNoted records which services have several versions, as others knew before this host started.
+func (h *History) AddNoted(services map[string]bool) {
+	if h.noted == nil {
+		h.noted = make(map[string]bool)
+	}
+	maps.Copy(h.noted, services)
 }
 
 // Several returns the services that have several versions, or had them within Retention, as far
@@ -75,20 +70,31 @@
 	return out
 }
 
+// Informed reports whether Several names all such services: others have told what they knew before
+// this host started, or it has watched for long enough itself.
+func (h *History) Informed(now time.Time) bool {
+	if h.noted != nil {
+		return true
+	}
+	for _, s := range h.services {
+		if now.Sub(s.since) < Retention {
+			return false
+		}
+	}
+	return len(h.services) > 0
+}
+
 // Only returns the one version of a service that can have begun streams which still run or can
 // be taken up again. It reports false if there are several, or if this host can't know: it has
-// not watched the service for long, an endpoint started so recently that it may have replaced
-// one of another version, and it has not read that there was none. wall is the time of day.
-func (h *History) Only(now, wall time.Time, service string) (version string, known bool) {
+// not watched the service for long, and nobody has told what was there before. The endpoints that
+// are left tell nothing of those that left.
+func (h *History) Only(now time.Time, service string) (version string, known bool) {
 	s := h.services[service]
 	if s == nil || len(s.lastSeen) != 1 {
 		return "", false
 	}
-	if now.Sub(s.since) < Retention {
-		young := wall.Sub(s.newest) < Retention+startMargin
-		if h.noted[service] || (h.noted == nil && young) {
-			return "", false
-		}
+	if now.Sub(s.since) < Retention && (h.noted == nil || h.noted[service]) {
+		return "", false
 	}
 	for version = range s.lastSeen {
 		return version, true
@@ -98,9 +104,9 @@
 
 // Certain reports whether the version of any stream is known without a record of it, as Only
 // returns one for every service.
-func (h *History) Certain(now, wall time.Time) bool {
+func (h *History) Certain(now time.Time) bool {
 	for service := range h.services {
-		if _, known := h.Only(now, wall, service); !known {
+		if _, known := h.Only(now, service); !known {
 			return false
 		}
 	}
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -104,22 +104,26 @@
 		want  string
 	}{
 		{"nothing seen", nil, old, time.Second, nil, ""},
-		{"one, long before this host", [][]string{{"v1", "v1"}}, old, time.Second, nil, "v1"},
+		{"one, long before this host", [][]string{{"v1", "v1"}}, old, time.Second, nil, ""},
+		{"one, long before this host, and nobody noted several", [][]string{{"v1", "v1"}}, old, time.Second, map[string]bool{}, "v1"},
+		{"one, watched for long, nothing told", [][]string{{"v1"}}, old, Retention, nil, "v1"},
 		{"one, as young as this host", [][]string{{"v2", "v2"}}, start, time.Second, nil, ""},
 		{"the same, and nobody noted several", [][]string{{"v2", "v2"}}, start, time.Second, map[string]bool{}, "v2"},
 		{"the same, and several are noted", [][]string{{"v2", "v2"}}, start, time.Second, map[string]bool{"s": true}, ""},
 		{"one, old, but several are noted", [][]string{{"v1"}}, old, time.Second, map[string]bool{"s": true}, ""},
-		{"one, watched for long", [][]string{{"v2"}}, start, Retention + startMargin, map[string]bool{"s": true}, "v2"},
+		{"one, watched for long", [][]string{{"v2"}}, start, Retention + 10*time.Second, map[string]bool{"s": true}, "v2"},
 		{"two", [][]string{{"v1", "v2"}}, old, time.Second, map[string]bool{}, ""},
 		{"one left of two", [][]string{{"v1", "v2"}, {"v2"}}, old, 5 * time.Second, map[string]bool{}, ""},
 	} {
 		h := NewHistory()
-		h.SetNoted(c.noted)
+		if c.noted != nil {
+			h.AddNoted(c.noted)
+		}
 		for i, versions := range c.seen {
 			h.Observe(start.Add(time.Duration(i)*time.Second), endpoints(c.started, versions...))
 		}
 		now := start.Add(c.after)
-		if got, known := h.Only(now, now, "s"); got != c.want || known != (c.want != "") {
+		if got, known := h.Only(now, "s"); got != c.want || known != (c.want != "") {
 			t.Errorf("%s: %q (known: %t), want %q", c.name, got, known, c.want)
 		}
 	}
@@ -130,18 +134,18 @@
 func TestLeftVersionIsForgotten(t *testing.T) {
 	h := NewHistory()
 	h.Observe(start, endpoints(start, "v1", "v2"))
-	if h.Certain(start, start) {
+	if h.Certain(start) {
 		t.Error("two versions serve, and any stream's is known")
 	}
-	now := start.Add(Retention + startMargin)
+	now := start.Add(Retention + 10*time.Second)
 	h.Observe(start.Add(Retention), endpoints(start, "v1", "v2"))
 	h.Observe(now, endpoints(start, "v2"))
-	if h.Certain(now, now) {
+	if h.Certain(now) {
 		t.Error("the version that left is forgotten at once")
 	}
 	now = start.Add(3 * Retention)
 	h.Observe(now, endpoints(start, "v2"))
-	if got, _ := h.Only(now, now, "s"); !h.Certain(now, now) || got != "v2" {
-		t.Errorf("certain: %t, only version %q, want v2", h.Certain(now, now), got)
+	if got, _ := h.Only(now, "s"); !h.Certain(now) || got != "v2" {
+		t.Errorf("certain: %t, only version %q, want v2", h.Certain(now), got)
 	}
 }
--- a/picture/client.go
+++ b/picture/client.go
@@ -1,9 +1,11 @@
 package picture
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +36,33 @@
 // Ask returns the newest cached view of a topic among the hosts that respond. The error
 // wraps ErrNobody.
 func (c *Client) Ask(ctx context.Context, topic platform.Topic) ([]platform.KeyedRecord, error) {
+	views, err := c.views(ctx, topic)
+	if err != nil {
+		return nil, err
+	}
+	return slices.MaxFunc(views, func(a, b []platform.KeyedRecord) int {
+		return cmp.Compare(newestOffset(a), newestOffset(b))
+	}), nil
+}
+
+// AskAll returns what any host that responds knows of a topic, by key. The error wraps
+// ErrNobody.
+func (c *Client) AskAll(ctx context.Context, topic platform.Topic) (map[string]platform.KeyedRecord, error) {
+	views, err := c.views(ctx, topic)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]platform.KeyedRecord)
+	for _, records := range views {
+		for _, r := range records {
+			out[r.Key] = r
+		}
+	}
+	return out, nil
+}
+
+// views returns the cached views of the hosts that respond, at least one.
+func (c *Client) views(ctx context.Context, topic platform.Topic) ([][]platform.KeyedRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	type result struct {
@@ -47,21 +76,19 @@
 			replies <- result{records, err}
 		}()
 	}
-	var best []platform.KeyedRecord
+	var views [][]platform.KeyedRecord
 	failed := ErrNobody
 	for range c.seeds {
-		r := <-replies
-		switch {
-		case r.err != nil && best == nil:
+		if r := <-replies; r.err != nil {
 			failed = errors.Wrap(ErrNobody, r.err.Error())
-		case r.err == nil && (best == nil || newestOffset(r.records) > newestOffset(best)):
-			best = r.records
+		} else {
+			views = append(views, r.records)
 		}
 	}
-	if best == nil {
+	if len(views) == 0 {
 		return nil, failed
 	}
-	return best, nil
+	return views, nil
 }
 
 func (c *Client) fetchFrom(ctx context.Context, seed string, topic platform.Topic) ([]platform.KeyedRecord, error) {
--- a/picture/picture_test.go
+++ b/picture/picture_test.go
@@ -106,3 +106,16 @@
 		t.Errorf("records %+v, error %v", got, err)
 	}
 }
+
+// TestAllViewsAreJoined asks hosts of which each knows a part.
+func TestAllViewsAreJoined(t *testing.T) {
+	one, two := platform.KeyedRecord{Key: "a", Value: []byte("1")}, platform.KeyedRecord{Key: "b", Value: []byte("2")}
+	c := NewClient([]string{closedSeed(t), seed(t, true, one), seed(t, false), seed(t, true, two), seed(t, true)}, &http.Client{})
+	got, err := c.AskAll(context.Background(), topic)
+	if err != nil || !reflect.DeepEqual(got, map[string]platform.KeyedRecord{"a": one, "b": two}) {
+		t.Errorf("records %+v, error %v", got, err)
+	}
+	if got, err := NewClient([]string{seed(t, false)}, &http.Client{}).AskAll(context.Background(), topic); !errors.Is(err, ErrNobody) {
+		t.Errorf("records %+v, error %v", got, err)
+	}
+}
