blame: crashes that a request can't have met put off no verdict on it

Cause: a service of few endpoints is convicted by four moments of crashes that are nine in ten of all since the first. All crashes were counted: those of services that the request doesn't reach, and those of its own service at times at which it wasn't there.

Ruled out: the reports were all there, and the rule of improbable crashes can't hold for endpoints that crash together.

Now other crashes count against a verdict only if they are of the same service and within 500 ms of one of the request's: only then can a sound request that breaks off have been retried under the next. Each such crash asks for one more moment.

--- a/blame/simulation_test.go
+++ b/blame/simulation_test.go
@@ -11,6 +11,9 @@
 // fault is the part that crashes endpoints in a simulation.
 const faultyPart = "x"
 
+// deadly is the fingerprint of the request that crashes endpoints in a simulation.
+const deadly = "deadly"
+
 // simLoad describes the load of a simulation.
 type simLoad struct {
 	endpoints, hosts, slots int
@@ -27,6 +30,12 @@
 	// waves are the times at which a share of the endpoints crashes for another reason.
 	waves     []time.Duration
 	waveShare float64
+	// deadlyAt are the times at which one and the same request comes that crashes each endpoint;
+	// its client tries once more after deadlyRetry. The hosts send an attempt twice.
+	deadlyAt    []time.Duration
+	deadlyRetry time.Duration
+	// strayAt are the times at which one endpoint crashes for another reason.
+	strayAt []time.Duration
 	// down is how long a crashed endpoint is away.
 	down time.Duration
 	// faultyFrom and length bound the time.
@@ -122,6 +131,18 @@
 	for _, at := range load.waves {
 		s.at(at, s.wave)
 	}
+	for _, at := range load.deadlyAt {
+		for _, again := range []time.Duration{0, load.deadlyRetry} {
+			s.at(at+again, func() { s.send(&simRequest{keys: KeysOf(deadly, nil), faulty: true}) })
+		}
+	}
+	for _, at := range load.strayAt {
+		s.at(at, func() {
+			if e := s.random.IntN(s.load.endpoints); s.now >= s.downUntil[e] {
+				s.crash(e)
+			}
+		})
+	}
 	for at := time.Duration(0); at < load.length; at += 20 * time.Millisecond {
 		s.at(at, s.evaluate)
 	}
--- a/blame/tracker.go
+++ b/blame/tracker.go
@@ -11,9 +11,13 @@
 	// minCrashes is the smallest number of crashes that a verdict may rest on.
 	minCrashes = 3
 	// maxMoments is at how many different moments crashes suffice for a verdict, however
-	// likely each was, if they are nearly all crashes since the first: a service may have
-	// few endpoints.
+	// likely each was, if nearly all crashes about then are among them: a service may have few
+	// endpoints. They are nearly all if there was at most one other for so many.
 	maxMoments = 4
+	nearlyAll  = 9
+	// nearby is how far apart crashes may be for a request that breaks off under one to have been
+	// retried under the other.
+	nearby = 500 * time.Millisecond
 	// narrowingCrashes is how many further crashes narrow a combination that was
 	// convicted already, narrowingSurprise the evidence that they need.
 	narrowingCrashes  = 2
@@ -271,27 +275,30 @@
 }
 
 // unlikely reports whether chance does not explain that a request that crashes nothing was
-// at the crashes: they were unlikely enough, or at so many moments and nearly all there were.
+// at the crashes: they were unlikely enough, or at so many moments and nearly all there were,
+// or at one moment more for each of the others.
 func (t *Tracker) unlikely(crashes []*crash, needed float64, enoughMoments int) bool {
-	return t.surprise(crashes) >= needed || len(moments(crashes)) >= enoughMoments && t.nearlyAll(crashes)
+	if t.surprise(crashes) >= needed {
+		return true
+	}
+	others := t.others(crashes)
+	return len(moments(crashes)) >= enoughMoments+others ||
+		len(moments(crashes)) >= enoughMoments && others <= len(crashes)/nearlyAll
 }
 
-// nearlyAll reports whether crashes are at least nine in ten of those since the first of
-// them that no conviction accounts for.
-func (t *Tracker) nearlyAll(crashes []*crash) bool {
-	first := crashes[0].at
-	for _, c := range crashes {
-		if c.at.Before(first) {
-			first = c.at
-		}
-	}
-	all := 0
+// others returns how many crashes of the same services there were besides, about when such a request
+// was at an endpoint, that no conviction accounts for. Crashes at other times, and of services that
+// such requests do not reach, tell nothing of them.
+func (t *Tracker) others(crashes []*crash) int {
+	about := 0
 	for _, c := range t.crashes {
-		if !c.explained && !c.at.Before(first) {
-			all++
+		if !c.explained && slices.ContainsFunc(crashes, func(o *crash) bool {
+			return o.service == c.service && o.at.Sub(c.at).Abs() <= nearby
+		}) {
+			about++
 		}
 	}
-	return 10*len(crashes) >= 9*all
+	return about - len(crashes)
 }
 
 // surprise returns how unlikely it is that a request that crashes nothing was there at each
--- a/blame/tracker_test.go
+++ b/blame/tracker_test.go
@@ -255,3 +255,83 @@
 		}
 	}
 }
+
+// TestCrashesElsewhereDoNotPutOffTheVerdict guards against a request that goes on crashing the three
+// endpoints of a service, as endpoints of another service, which it can't reach, crash beside them.
+func TestCrashesElsewhereDoNotPutOffTheVerdict(t *testing.T) {
+	tracker, now := NewTracker(), simStart
+	crash := func(service, endpoint string, endpoints int, keys ...Key) {
+		tracker.RecordCrash(now, &Crash{Endpoint: endpoint, Service: service, Endpoints: endpoints, Attempt: "a@" + endpoint, Keys: keys})
+	}
+	var verdicts []Combination
+	const moments = 4
+	for moment := range moments {
+		now = now.Add(time.Second)
+		for i := range 3 {
+			crash("plain", fmt.Sprintf("p%d.%d", i, moment), 3, "request:r")
+		}
+		if moment == 1 {
+			for i := range 3 {
+				crash("engine", fmt.Sprintf("e%d", i), 12, Key(fmt.Sprintf("request:sound%d", i)))
+			}
+		}
+		verdicts = append(verdicts, tracker.Evaluate(now.Add(settle+hearing), verdicts)...)
+	}
+	if len(verdicts) != 1 || verdicts[0].String() != "request:r" {
+		t.Errorf("convicted %v after %d crashes at %d moments", verdicts, 3*moments, moments)
+	}
+}
+
+// smallServices are the loads of services of few endpoints.
+func smallServices() map[string]simLoad {
+	const interval, length = 4 * time.Second, 45 * time.Second
+	var times []time.Duration
+	for at := interval; at < length; at += interval {
+		times = append(times, at)
+	}
+	out := make(map[string]simLoad)
+	for _, endpoints := range []int{1, 2, 3, 6} {
+		out[fmt.Sprint(endpoints)] = simLoad{
+			endpoints: endpoints, hosts: 3, slots: 8, perSecond: 4 * float64(endpoints), firstParts: 1, secondParts: 1000,
+			retries: 1, retryDelay: 20 * time.Millisecond, deadlyAt: times, deadlyRetry: 400 * time.Millisecond,
+			down: 3 * time.Second, length: length,
+		}
+	}
+	return out
+}
+
+// TestDeadlyRequestOfASmallService has one request come again and again that crashes each endpoint
+// of a service of few, alone and beside a crash that it did not cause: it must be convicted in
+// time, and no sound request.
+func TestDeadlyRequestOfASmallService(t *testing.T) {
+	const (
+		crashes = 3
+		delay   = 3 * time.Second
+		runs    = 3
+	)
+	for name, load := range smallServices() {
+		for _, strays := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s/%d", name, strays), func(t *testing.T) {
+				load.strayAt = []time.Duration{7500 * time.Millisecond}[:strays]
+				simulate(t, func(seed uint64) string {
+					s := runSim(load, seed)
+					for _, v := range s.verdicts {
+						if v.String() != requestPrefix+deadly {
+							return fmt.Sprintf("%s was convicted", v)
+						}
+					}
+					late := 0
+					for _, at := range s.faultyRuns {
+						if len(s.crashed) >= crashes && at > s.crashed[crashes-1]+delay {
+							late++
+						}
+					}
+					if late > runs {
+						return fmt.Sprintf("%d runs beyond the bound of %d, verdicts %q", late, len(s.faultyRuns), s.verdicts)
+					}
+					return ""
+				})
+			})
+		}
+	}
+}
