gateway: crashes that verdicts rest on outlive the hosts that saw them

Cause: the crashes were known to the host that schedules and, for 30 s, to the hosts that reported them; only convictions were in the store.

Now the host that schedules keeps the crashes that no conviction accounts for in the store (keyed.crashes): at most 64, with 8 requests each and without the keys that were answered since; one call, at most twice a second, and only when they change, so that calm fleets write nothing. A host that begins to schedule reads them once. Nothing of it is on the path of a request. Ages are taken from the newest crash if the writer's clock can't be right.

Not covered: a store that is away throughout the restarts.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	limits        *limits
 	origins       *origins
 	notes         *endpointNotes
+	crashNotes    *crashNotes
 	convictions   *convictions
 	// convictionFeed follows the convictions in the store.
 	convictionFeed *follow.Follower
@@ -201,6 +202,7 @@
 			return g.asker.AskAll(ctx, platform.TopicEndpointNotes)
 		},
 	}
+	g.crashNotes = &crashNotes{store: g.store, logger: g.logger, schedules: g.notes.schedules}
 	g.convictions = newConvictions(g.logger)
 	g.starting = &starting{
 		gate: startup.NewGate(), configuration: g.configuration, endpoints: g.endpoints, convictions: g.convictions,
@@ -307,6 +309,7 @@
 		Logger:     g.logger,
 		Registerer: g.registry,
 	})
+	g.crashNotes.evidence = g.scheduler
 }
 
 // buildJobs makes what serves batch jobs.
@@ -443,7 +446,7 @@
 
 func (g *Gateway) duties() []suture.Service {
 	return append(g.listeners(),
-		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.limits, g.notes, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
+		g.lines, g.reloader, g.configuration.follower, g.endpointFeed, g.endpoints, g.limits, g.notes, g.crashNotes, g.convictionFeed, g.convictions, g.directoryFeed, g.directory, g.registrar,
 		g.ledger.Follower(), batch.NewCheckpoints(g.ledger), &janitor{host: g.self.Name, client: g.client, ledger: g.ledger},
 		g.scheduler, g.client, g.pool, g.sender.Links())
 }
--- a/slots/convictions.go
+++ b/slots/convictions.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -25,6 +26,34 @@
 		"keys", blame.Combination(r.Keys).String(), "endpoints", r.Endpoints, "age_ms", r.Age.Milliseconds())
 }
 
+// UnexplainedCrashes returns what this host knows, as the scheduler, of crashes that no conviction
+// accounts for, and the time to which their ages refer. The error is that of ctx.
+func (l *LocalScheduler) UnexplainedCrashes(ctx context.Context) ([]blame.Crash, time.Time, error) {
+	type answer struct {
+		crashes []blame.Crash
+		at      time.Time
+	}
+	answers := make(chan answer, 1)
+	l.enqueue(func(now time.Time, _ *scheduler.Core) {
+		answers <- answer{l.attribution.tracker.Unexplained(now), now}
+	})
+	select {
+	case a := <-answers:
+		return a.crashes, a.at, nil
+	case <-ctx.Done():
+		return nil, time.Time{}, ctx.Err()
+	}
+}
+
+// RestoreCrashes records what an earlier scheduler knew of crashes.
+func (l *LocalScheduler) RestoreCrashes(crashes []blame.Crash) {
+	l.enqueue(func(now time.Time, _ *scheduler.Core) {
+		for i := range crashes {
+			l.attribution.tracker.RecordCrash(now, &crashes[i])
+		}
+	})
+}
+
 // recordAnswers records that endpoints answer requests that are under suspicion.
 func (l *LocalScheduler) recordAnswers(now time.Time, host string, answers []blame.Answer) {
 	for _, a := range answers {
