e2e: a soak of the order of streams, texts and configurations

TestSoakOrder plays what TestSoakRoutes leaves out: endpoints of two software versions that are replaced and crash while streams run, callers that take streams up again at any host, writes that the store does 1 to 6 s late, and a quota that some jobs exceed. Each event names the run that sent it (Replica.NameRuns), so that each change of run is judged by the Last-Event-Id that it was asked with, in streams and in the texts of items. Positions, totals and configurations may not go back.

--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -38,8 +39,10 @@
 	loopback string
 	// controls are the control addresses of the first hosts.
 	controls []string
-	engines  []*standin.Replica
-	plain    []*standin.Replica
+	// quota is that of the route for batch jobs; zero means routedQuota.
+	quota   int
+	engines []*standin.Replica
+	plain   []*standin.Replica
 }
 
 const routedHost = "ficu95.example"
@@ -128,7 +131,7 @@
 
 // configure publishes a version, with further routes.
 func (f *routedFleet) configure(version int, routes string) {
-	f.store.Put(platform.TopicOperator.Name, platform.KeyConfiguration, fmt.Appendf(nil, routedConfiguration, version, routedQuota, routes))
+	f.store.Put(platform.TopicOperator.Name, platform.KeyConfiguration, fmt.Appendf(nil, routedConfiguration, version, cmp.Or(f.quota, routedQuota), routes))
 }
 
 func (f *routedFleet) newGateway(name, store string) *gateway {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -36,6 +36,9 @@
 	until        time.Time
 	storeLinks   []*soakProxy
 	replicaLinks []*soakProxy
+	// faults are all that may happen, and isOutput tells whether a text is the output of an item.
+	faults   []soakFault
+	isOutput func(item, text string) bool
 	// inHand are the gateways, and storeInHand the store, that a fault has in hand.
 	inHand      locks
 	storeInHand sync.Mutex
@@ -78,9 +81,18 @@
 	return n
 }
 
+// soakLength returns how long faults come.
+func soakLength(t *testing.T) time.Duration {
+	if text := os.Getenv("SOAK_SECONDS"); text != "" {
+		return time.Duration(soakNumber(t, text)) * time.Second
+	}
+	return soakTime
+}
+
 func newSoak(t *testing.T) *soak {
 	t.Helper()
-	s := &soak{routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{})}, version: 1, inHand: make(locks, soakGateways)}
+	s := &soak{routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{})}, version: 1, inHand: make(locks, soakGateways),
+		faults: soakFaults(), isOutput: func(item, text string) bool { return text == wholeOutput(item, soakEvents) }}
 	store := s.serveStore()
 	for i := range 3 {
 		r := s.replica(fmt.Sprintf("engine-%d", i), "engines", soakEvents)
@@ -129,11 +141,7 @@
 
 // run plays a seed and checks what the callers saw.
 func (s *soak) run(seed uint64) {
-	length := soakTime
-	if text := os.Getenv("SOAK_SECONDS"); text != "" {
-		length = time.Duration(soakNumber(s.t, text)) * time.Second
-	}
-	s.until = time.Now().Add(length)
+	s.until = time.Now().Add(soakLength(s.t))
 	var duties sync.WaitGroup
 	stream := uint64(0)
 	begin := func(n int, duty func(name string, r *rand.Rand)) {
--- a/e2e/soakcallers_test.go
+++ b/e2e/soakcallers_test.go
@@ -121,7 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, result := range shown.Results {
-		done := result.State == "done" && result.Output == wholeOutput(result.ID, soakEvents)
+		done := result.State == "done" && s.isOutput(result.ID, result.Output)
 		dead := result.State == "dead" && runs[result.ID] >= soakJobAttempts
 		if !done && !dead {
 			s.t.Errorf("job %s at %s: position %d after %d runs: %+v", j.id, g.name, i, runs[result.ID], result)
--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -33,10 +33,9 @@
 
 // play runs one series of faults until the time is over.
 func (s *soak) play(r *rand.Rand) {
-	faults := soakFaults()
 	for !s.over() {
 		d := time.Duration(r.Int64N(int64(soakFaultTime)))
-		faults[r.IntN(len(faults))](s, r, d)
+		s.faults[r.IntN(len(s.faults))](s, r, d)
 		time.Sleep(time.Duration(r.Int64N(int64(soakPauseTime))))
 	}
 }
--- /dev/null
+++ b/e2e/soakorder_test.go
@@ -0,0 +1,317 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/standin"
+)
+
+const (
+	// orderEngines is the number of endpoints of the order soak that serve at a time.
+	orderEngines = 8
+	// orderQuota is a quota that some jobs exceed.
+	orderQuota = 8000
+	// orderTries is how often a caller takes a stream up, at most.
+	orderTries = 4
+	// orderPatience is how long it tries.
+	orderPatience = 5 * time.Second
+	// maxMixedStreams is how many streams may hold events of two software versions.
+	maxMixedStreams = 2
+)
+
+// orderSoak is a soak whose endpoints are of two software versions, and are replaced and crash while
+// callers take streams up again. Each event names the run that sent it.
+type orderSoak struct {
+	*soak
+	versions map[string]string
+	replicas map[string]*standin.Replica
+	// mixed and whole count the streams and items by what their events tell, resumed those that
+	// went on after a break.
+	mixed          []string
+	whole, resumed int
+}
+
+// runEvent is an event as a caller got it.
+type runEvent struct {
+	number  int
+	replica string
+	run     int
+}
+
+// runEventPattern is the data of an event: its request and number, replica and run.
+var runEventPattern = regexp.MustCompile(`^(.+)\.(\d+)@(.+)#(\d+)$`)
+
+// TestSoakOrder takes streams up again at any host while hosts are killed, shut down and frozen,
+// endpoints of two software versions are replaced, crash and break off, and the store fails and
+// does writes seconds late: no event may be missing or come twice, each run that goes on was asked
+// to, at the version that began, and no position, total or configuration may go back. SOAK_SEEDS
+// plays so many fresh seeds, SOAK_SEED one.
+func TestSoakOrder(t *testing.T) {
+	for _, seed := range soakSeeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newOrderSoak(t).run(seed) })
+	}
+}
+
+func newOrderSoak(t *testing.T) *orderSoak {
+	t.Helper()
+	o := &orderSoak{
+		soak: &soak{
+			routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{}), quota: orderQuota},
+			version:     1, inHand: make(locks, soakGateways),
+		},
+		versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
+	}
+	o.isOutput = func(item, text string) bool { return o.checkText(item, text) }
+	o.faults = []soakFault{
+		soakKill, soakKill, soakTerminate, soakFreeze, soakReload, soakStoreOutage, soakStoreSlow, soakTrim, soakStoreLink, soakConfigure,
+		orderLate, orderLate, o.replace, o.replace, o.replace, o.crash, o.breakOff, o.breakOff,
+	}
+	store := o.serveStore()
+	for i := range orderEngines {
+		o.engines = append(o.engines, o.engine(fmt.Sprintf("engine-%d", i), versionOf(i)))
+	}
+	o.plain = append(o.plain, o.replica("plain-0", "plain", 0))
+	soakConfigure(o.soak, nil, 0)
+	for i := range soakGateways {
+		link := newSoakProxy(t, store)
+		o.storeLinks = append(o.storeLinks, link)
+		o.gateways = append(o.gateways, o.newGateway(fmt.Sprintf("host-%d", i), link.address()))
+	}
+	o.awaitReady(o.gateways...)
+	return o
+}
+
+// engine starts an endpoint of a software version. o.mu must not be held.
+func (o *orderSoak) engine(id, version string) *standin.Replica {
+	r, err := standin.StartReplica(id, soakEvents)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	o.t.Cleanup(r.Close)
+	r.Pace, r.NameRuns = 40*time.Millisecond, true
+	o.mu.Lock()
+	o.versions[id], o.replicas[id] = version, r
+	o.mu.Unlock()
+	o.store.Put(platform.TopicEndpoints.Name, id, fmt.Appendf(nil,
+		`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":"ready","born":%d}`,
+		r.Address(), version, time.Now().UnixMilli()))
+	return r
+}
+
+// exchange puts another endpoint in the place of one and returns the old one.
+func (o *orderSoak) exchange(r *rand.Rand, version func(old string) string) *standin.Replica {
+	i := r.IntN(orderEngines)
+	o.mu.Lock()
+	old := o.engines[i]
+	next := version(o.versions[old.ID])
+	o.mu.Unlock()
+	e := o.engine(fmt.Sprintf("engine-%d.%x", i, r.Uint32()), next)
+	o.mu.Lock()
+	o.engines[i] = e
+	o.mu.Unlock()
+	return old
+}
+
+// replace has an endpoint leave, which finishes what it has, for one of any version.
+func (o *orderSoak) replace(_ *soak, r *rand.Rand, d time.Duration) {
+	old := o.exchange(r, func(string) string { return versionOf(r.IntN(2)) })
+	o.store.Put(platform.TopicEndpoints.Name, old.ID, nil)
+	time.Sleep(d)
+	old.Close()
+}
+
+// crash ends an endpoint, whose record stays for a time.
+func (o *orderSoak) crash(_ *soak, r *rand.Rand, d time.Duration) {
+	old := o.exchange(r, func(version string) string { return version })
+	old.Close()
+	time.Sleep(d)
+	o.store.Put(platform.TopicEndpoints.Name, old.ID, nil)
+}
+
+// breakOff has an endpoint break streams off, fall silent or refuse.
+func (o *orderSoak) breakOff(_ *soak, r *rand.Rand, d time.Duration) {
+	o.mu.Lock()
+	e := o.engines[r.IntN(orderEngines)]
+	o.mu.Unlock()
+	e.SetFaults([]standin.ReplicaFaults{
+		{CutAfter: 1 + r.IntN(19)}, {SilentAfter: 1 + r.IntN(19)}, {EndInsideAfter: 1 + r.IntN(19)}, {CutAtHead: true}, {NotRun: true}, {ResetBefore: true},
+	}[r.IntN(6)])
+	time.Sleep(d)
+	e.SetFaults(standin.ReplicaFaults{})
+}
+
+// orderLate has the store do writes without an answer, one to six seconds late.
+func orderLate(s *soak, r *rand.Rand, d time.Duration) {
+	s.storeFault(d, standin.StoreFaults{LoseAnswers: 1 + r.IntN(6), LateMillis: 1000 + r.Int64N(5000)})
+}
+
+// run plays a seed and checks what the callers saw.
+func (o *orderSoak) run(seed uint64) {
+	o.until = time.Now().Add(soakLength(o.t))
+	var duties sync.WaitGroup
+	stream := uint64(0)
+	begin := func(n int, duty func(name string, r *rand.Rand)) {
+		for range n {
+			stream++
+			name, r := fmt.Sprintf("c%d", stream), rand.New(rand.NewPCG(seed, stream))
+			duties.Go(func() { duty(name, r) })
+		}
+	}
+	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
+	begin(16, o.streams)
+	begin(2, o.submit)
+	begin(2, func(_ string, r *rand.Rand) { o.poll(r) })
+	for _, g := range o.gateways {
+		begin(1, func(name string, _ *rand.Rand) { o.watchConfiguration(name, g) })
+	}
+	duties.Wait()
+	o.heal()
+	o.awaitReady(o.gateways...)
+	o.checkJobs()
+	o.checkRoute()
+	if len(o.mixed) > maxMixedStreams {
+		o.t.Errorf("%d streams hold events of two software versions: %s", len(o.mixed), strings.Join(o.mixed, "; "))
+	}
+	if o.whole == 0 || o.resumed == 0 {
+		o.t.Errorf("%d streams and items were whole, %d went on after a break", o.whole, o.resumed)
+	}
+	o.t.Logf("%d streams and items were whole, %d went on after a break, %d mixed", o.whole, o.resumed, len(o.mixed))
+}
+
+// streams opens streams, and takes those that break off up again at any host.
+func (o *orderSoak) streams(name string, r *rand.Rand) {
+	for n := 0; !o.over(); n++ {
+		first, tries, began := "", 0, time.Now()
+		var events []runEvent
+		ended := false
+		for !ended && tries < orderTries && time.Since(began) < orderPatience {
+			id := fmt.Sprintf("%s-%d-%d", name, n, tries)
+			tries++
+			header := map[string]string{"X-Deadline-Ms": strconv.FormatInt((orderPatience - time.Since(began)).Milliseconds(), 10)}
+			if len(events) > 0 {
+				header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(len(events)), first
+			}
+			answer := o.gateways[r.IntN(len(o.gateways))].sendWith(http.MethodPost, "/stream/x", id, []byte("prompt"), header)
+			got := wholeEvents(o.t, id, string(answer.body))
+			if answer.status != http.StatusOK {
+				got = nil
+				time.Sleep(50 * time.Millisecond)
+			}
+			if len(events) == 0 && len(got) > 0 {
+				first = id
+			}
+			events = append(events, got...)
+			ended = answer.err == nil && answer.status == http.StatusOK
+		}
+		o.checkEvents("stream "+first, events, ended)
+	}
+}
+
+// wholeEvents returns the whole events of a body, which belong to a request.
+func wholeEvents(t *testing.T, request, body string) (out []runEvent) {
+	blocks := strings.Split(body, "\n\n")
+	for _, block := range blocks[:len(blocks)-1] {
+		id, data, found := strings.Cut(strings.TrimPrefix(block, "id: "), "\ndata: ")
+		e, of, ok := parseRunEvent(data)
+		if !found || !ok || of != request || strconv.Itoa(e.number) != id {
+			t.Errorf("stream %s holds %q", request, block)
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func parseRunEvent(data string) (e runEvent, request string, ok bool) {
+	m := runEventPattern.FindStringSubmatch(data)
+	if m == nil {
+		return e, "", false
+	}
+	e.number, _ = strconv.Atoi(m[2])
+	e.replica = m[3]
+	e.run, _ = strconv.Atoi(m[4])
+	return e, m[1], true
+}
+
+// checkText checks the text of an item, and reports whether it is whole.
+func (o *orderSoak) checkText(item, text string) bool {
+	var events []runEvent
+	for line := range strings.SplitSeq(text, "\n") {
+		e, of, ok := parseRunEvent(line)
+		if !ok || of != item {
+			return false
+		}
+		events = append(events, e)
+	}
+	return o.checkEventsLocked("item "+item, events, true)
+}
+
+func (o *orderSoak) checkEvents(what string, events []runEvent, ended bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checkEventsLocked(what, events, ended)
+}
+
+// checkEventsLocked checks the order of events: none is missing or comes twice, a run goes on behind
+// the event that it was asked with, and what ended is whole. o.mu must be held.
+func (o *orderSoak) checkEventsLocked(what string, events []runEvent, ended bool) bool {
+	right := !ended || len(events) == soakEvents
+	mixed, resumed := "", false
+	for i, e := range events {
+		run := o.replicas[e.replica].Runs()[e.run]
+		begins := i == 0 || events[i-1].replica != e.replica || events[i-1].run != e.run
+		right = right && e.number == i+1 && (!begins || run.After == i)
+		resumed = resumed || begins && i > 0
+		if i > 0 && o.versions[e.replica] != o.versions[events[0].replica] {
+			mixed = fmt.Sprintf("%s, event %d of %s at %s, which began at %s of %s", what, e.number, o.versions[e.replica],
+				e.replica, events[0].replica, o.versions[events[0].replica])
+		}
+	}
+	if !right {
+		o.t.Errorf("%s (ended %t): %v", what, ended, events)
+	}
+	if mixed != "" {
+		o.mixed = append(o.mixed, mixed)
+	}
+	if ended && right {
+		o.whole++
+	}
+	if resumed {
+		o.resumed++
+	}
+	return right
+}
+
+// watchConfiguration asks a host for the newest route and for the one before, and checks that no
+// incarnation serves an older configuration again.
+func (o *orderSoak) watchConfiguration(name string, g *gateway) {
+	newest := make(map[*process]int)
+	for n := 0; !o.over(); n++ {
+		time.Sleep(50 * time.Millisecond)
+		o.mu.Lock()
+		process, version := g.process, o.version
+		o.mu.Unlock()
+		if g.statusAt(soakRoute(version), fmt.Sprintf("%s-%d", name, n)) == http.StatusOK {
+			newest[process] = max(newest[process], version)
+		}
+		seen := newest[process]
+		if seen < 3 || g.statusAt(soakRoute(seen-1), fmt.Sprintf("%s-%d-old", name, n)) != http.StatusOK {
+			continue
+		}
+		o.mu.Lock()
+		same := g.process == process
+		o.mu.Unlock()
+		if same {
+			o.t.Errorf("%s served the route of version %d again after that of %d", g.name, seen-1, seen)
+		}
+	}
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -25,6 +25,8 @@
 	Events int
 	// Pace is the time between two events.
 	Pace time.Duration
+	// NameRuns has the data of each event name the run that sent it.
+	NameRuns bool
 
 	listener net.Listener
 
@@ -312,7 +314,7 @@
 	}
 	sent := 0
 	for n := r.afterOf(run) + 1; n <= r.Events || f.Endless || f.CommentsAfter > 0; n++ {
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, EventData(id, n))
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, r.eventData(id, n, run))
 		if f.Comments {
 			event = Comment + event
 		}
@@ -364,6 +366,14 @@
 	return false
 }
 
+// eventData returns the data of an event of a run.
+func (r *Replica) eventData(id string, event, run int) string {
+	if r.NameRuns {
+		return fmt.Sprintf("%s@%s#%d", EventData(id, event), r.ID, run)
+	}
+	return EventData(id, event)
+}
+
 func (r *Replica) begin(c net.Conn, req *http.Request, body string) int {
 	after, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if err != nil {
