sse: an event of many lines is joined in linear time

One event of 1 MB in many short lines, as a faulty endpoint may send, kept a host busy for 6 s and took 23 GB of allocations: each line that was joined copied all before it. The lines are appended now; the first copy keeps the block that is passed on as it was.

--- a/sse/block.go
+++ b/sse/block.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -125,7 +126,7 @@
 // stream, but for example an error that an endpoint wrote into it.
 func parseEvents(events []Event, b []byte) ([]Event, error) {
 	var event Event
-	hasField, hasOther := false, false
+	hasField, hasOther, joined := false, false, false
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
@@ -137,7 +138,7 @@
 			if hasField {
 				events = append(events, event)
 			}
-			event, hasField, hasOther = Event{}, false, false
+			event, hasField, hasOther, joined = Event{}, false, false, false
 			continue
 		}
 		name, value, found := bytes.Cut(line, []byte(":"))
@@ -146,6 +147,10 @@
 		case "id":
 			event.ID, hasField = string(value), true
 		case "data":
+			if event.Data != nil && !joined {
+				// The data may alias b: what is appended must not overwrite it.
+				event.Data, joined = slices.Clip(event.Data), true
+			}
 			event.Data, hasField = joinLines(event.Data, value), true
 		case "retry":
 		case "":
@@ -174,8 +179,5 @@
 	if data == nil {
 		return line
 	}
-	joined := make([]byte, 0, len(data)+1+len(line))
-	joined = append(joined, data...)
-	joined = append(joined, '\n')
-	return append(joined, line...)
+	return append(append(data, '\n'), line...)
 }
