node: heads of responses are bounded on the OpenAI path

The daemon with the OpenAI interface let net/http read 10 MB of a head from each endpoint or host that sends one without end. Both kinds of calls go through one transport, which bounds heads to 64 KB now, as the routes do.

TestHeadWithoutEndIsGivenUp failed before: 14,131,848 bytes were read.

--- a/node/tls.go
+++ b/node/tls.go
@@ -10,6 +10,9 @@
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
+// maxResponseHeadBytes bounds the head of a response, in bytes.
+const maxResponseHeadBytes = 64 << 10
+
 func (n *Node) tlsOptions() tlsfiles.Options {
 	return tlsfiles.Options{Interval: n.settings.TLS.Reload, Now: time.Now, Logger: n.logger}
 }
@@ -39,6 +42,8 @@
 		DialContext:         dial,
 		MaxIdleConnsPerHost: connectionsPer,
 		IdleConnTimeout:     time.Minute,
+		// Bounds what an endpoint that sends a head without end takes of the host's memory.
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 	if n.settings.TLS.Authority == "" {
 		return base
