gateway: notes on crashes fit the store whatever keys callers choose

The keys of a request at a crash are parts of its prompt, whose length and number its caller chooses: a note on a crash could exceed what the store takes, and would have been tried again twice a second. TestCrashNotesAreBounded; found by reading the diff.

blame: crashes about a request's are counted only where there are moments enough, as before.

--- a/blame/tracker.go
+++ b/blame/tracker.go
@@ -329,9 +329,12 @@
 	if t.surprise(crashes) >= needed {
 		return true
 	}
+	seen := len(moments(crashes))
+	if seen < enoughMoments {
+		return false
+	}
 	others := t.others(crashes)
-	return len(moments(crashes)) >= enoughMoments+others ||
-		len(moments(crashes)) >= enoughMoments && others <= len(crashes)/nearlyAll
+	return seen >= enoughMoments+others || others <= len(crashes)/nearlyAll
 }
 
 // others returns how many crashes of the same services there were besides, about when such a request
--- a/gateway/crashnotes.go
+++ b/gateway/crashnotes.go
@@ -23,6 +23,9 @@
 	// maxCrashNoteAge is the age up to which the writer's clock is trusted: clocks differ, and
 	// what is older was deleted.
 	maxCrashNoteAge = 2 * time.Minute
+	// maxCrashNoteBytes bounds the keys and attempts of a note, so that all notes fit one append:
+	// callers choose how many parts a prompt has.
+	maxCrashNoteBytes = 8 << 10
 )
 
 // crashNote is the value of the record of an endpoint's crash.
@@ -173,11 +176,21 @@
 	n.written = wanted
 }
 
-// notesOf returns the notes on crashes whose ages refer to a time, encoded, by key.
+// notesOf returns the notes on crashes whose ages refer to a time, encoded, by key. Runs beyond the
+// bound of a note are left out.
 func notesOf(at time.Time, crashes []blame.Crash) map[string]string {
 	notes := make(map[string]crashNote)
+	size := make(map[string]int)
 	for i := range crashes {
 		c := &crashes[i]
+		bytes := len(c.Attempt)
+		for _, key := range c.Keys {
+			bytes += len(key)
+		}
+		if size[c.Endpoint]+bytes > maxCrashNoteBytes {
+			continue
+		}
+		size[c.Endpoint] += bytes
 		note, found := notes[c.Endpoint]
 		if !found {
 			note = crashNote{
--- a/gateway/crashnotes_test.go
+++ b/gateway/crashnotes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +125,32 @@
 	expect("another host schedules", 0, 4)
 }
 
+// TestCrashNotesAreBounded has requests with long keys at the crashes, as callers choose them: what is
+// written must fit the store, and the runs that fit are kept.
+func TestCrashNotesAreBounded(t *testing.T) {
+	long := blame.PartKey(strings.Repeat("x", 3000))
+	var crashes []blame.Crash
+	for e := range 64 {
+		for run := range 8 {
+			crashes = append(crashes, blame.Crash{
+				Endpoint: fmt.Sprint("e", e), Service: "s", Attempt: fmt.Sprint(run), Keys: []blame.Key{long, blame.Key(fmt.Sprint("request:", run))},
+			})
+		}
+	}
+	// An append takes 2 MiB.
+	const maxTotal = 1 << 20
+	total, notes := 0, notesOf(time.Now(), crashes)
+	for _, value := range notes {
+		total += len(value)
+		if !strings.Contains(value, "request:0") {
+			t.Error("a note without the first run")
+		}
+	}
+	if len(notes) != 64 || total > maxTotal {
+		t.Errorf("%d notes of %d bytes", len(notes), total)
+	}
+}
+
 // countingAppends is a store that counts appends.
 type countingAppends struct {
 	*platform.Store
