--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -139,18 +139,24 @@
 
 func (s *soak) over() bool { return time.Now().After(s.until) }
 
-// run plays a seed and checks what the callers saw.
-func (s *soak) run(seed uint64) {
+// begin starts the time of a soak. It returns a function that starts duties, of which each has a name
+// and random numbers of its own, and the group of all.
+func (s *soak) begin(seed uint64) (*sync.WaitGroup, func(n int, duty func(name string, r *rand.Rand))) {
 	s.until = time.Now().Add(soakLength(s.t))
 	var duties sync.WaitGroup
 	stream := uint64(0)
-	begin := func(n int, duty func(name string, r *rand.Rand)) {
+	return &duties, func(n int, duty func(name string, r *rand.Rand)) {
 		for range n {
 			stream++
 			name, r := fmt.Sprintf("c%d", stream), rand.New(rand.NewPCG(seed, stream))
 			duties.Go(func() { duty(name, r) })
 		}
 	}
+}
+
+// run plays a seed and checks what the callers saw.
+func (s *soak) run(seed uint64) {
+	duties, begin := s.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { s.play(r) })
 	begin(8, s.call)
 	begin(2, s.submit)
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -7,7 +7,6 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -156,16 +155,7 @@
 
 // run plays a seed and checks what the callers saw.
 func (o *orderSoak) run(seed uint64) {
-	o.until = time.Now().Add(soakLength(o.t))
-	var duties sync.WaitGroup
-	stream := uint64(0)
-	begin := func(n int, duty func(name string, r *rand.Rand)) {
-		for range n {
-			stream++
-			name, r := fmt.Sprintf("c%d", stream), rand.New(rand.NewPCG(seed, stream))
-			duties.Go(func() { duty(name, r) })
-		}
-	}
+	duties, begin := o.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
 	begin(16, o.streams)
 	begin(2, o.submit)
