--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 # seed is in the name of its test: SOAK_SEED=n runs it again.
 SOAK_SEEDS ?= 50
 soak-routes:
-	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 2h -run 'TestSoakRoutes|TestEveryWholeRequestIsAnswered' ./e2e
+	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 2h -run 'TestSoakRoutes|TestSoakOrder|TestEveryWholeRequestIsAnswered' ./e2e
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run: make format"; exit 1; }
