--- a/blame/tracker.go
+++ b/blame/tracker.go
@@ -1,8 +1,6 @@
 package blame
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -41,9 +39,6 @@
 	// maxCrashesKept and maxRunsPerCrash bound the memory.
 	maxCrashesKept  = 512
 	maxRunsPerCrash = 64
-	// maxCrashesTold and maxRunsTold bound what another scheduler is told.
-	maxCrashesTold = 64
-	maxRunsTold    = 8
 	// maxSuspects bounds the suspects that are announced.
 	maxSuspects = 256
 )
@@ -123,49 +118,6 @@
 	}
 }
 
-// Unexplained returns the reports of the newest crashes that no conviction accounts for, for a
-// scheduler that takes over. Keys that were answered since are left out, and so are the runs beyond
-// a bound, first those of requests that are not suspects.
-func (t *Tracker) Unexplained(now time.Time) []Crash {
-	t.expire(now)
-	var ids []string
-	for id, c := range t.crashes {
-		if !c.explained && len(c.runs) > 0 {
-			ids = append(ids, id)
-		}
-	}
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Or(t.crashes[b].at.Compare(t.crashes[a].at), cmp.Compare(a, b))
-	})
-	var out []Crash
-	for _, id := range ids[:min(len(ids), maxCrashesTold)] {
-		c := t.crashes[id]
-		attempts := slices.SortedFunc(maps.Keys(c.runs), func(a, b string) int {
-			return cmp.Or(t.suspectsAmong(c.runs[b])-t.suspectsAmong(c.runs[a]), cmp.Compare(a, b))
-		})
-		for _, attempt := range attempts[:min(len(attempts), maxRunsTold)] {
-			keys := slices.DeleteFunc(slices.Clone(c.runs[attempt]), func(k Key) bool { return !c.at.After(t.answered[k]) })
-			if len(keys) > 0 {
-				out = append(out, Crash{
-					Endpoint: id, Service: c.service, Endpoints: c.endpoints, Attempt: attempt, Keys: keys, Age: now.Sub(c.at),
-				})
-			}
-		}
-	}
-	return out
-}
-
-// suspectsAmong returns how many keys are under suspicion.
-func (t *Tracker) suspectsAmong(keys []Key) int {
-	n := 0
-	for _, k := range keys {
-		if !t.suspectSince[k].IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
 // Simultaneous returns how many endpoints other than the given one crashed at about the
 // same time.
 func (t *Tracker) Simultaneous(endpoint string) int {
