e2e: the soak of the order counts the runs of endpoints that were replaced, without a race

Cause: soak.runs read the list of endpoints without the lock while exchange wrote it. The same line left the runs of replaced endpoints out, so the check that a refused job never ran did not see them, and a dead item could be judged by too few runs. Ruled out: a race in the product (both stacks are the test's).

Replaced endpoints are kept and counted now. A stand-in's fields are set before it accepts: its port may be one that hosts still know from an endpoint that closed.

--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -108,12 +108,11 @@
 
 func (f *routedFleet) replica(id, service string, events int) *standin.Replica {
 	f.t.Helper()
-	r, err := standin.StartReplica(id, events)
+	r, err := standin.StartReplica(id, events, func(r *standin.Replica) { r.Pace = 5 * time.Millisecond })
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(r.Close)
-	r.Pace = 5 * time.Millisecond
 	f.list(r, service, "ready")
 	return r
 }
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -47,6 +48,8 @@
 	version int
 	calls   []soakCall
 	jobs    []*soakJob
+	// replaced are the endpoints that others took the place of.
+	replaced []*standin.Replica
 }
 
 // TestSoakRoutes serves all kinds of work while hosts are killed, shut down and
@@ -169,10 +172,14 @@
 	s.checkRoute()
 }
 
-// runs counts by request how often endpoints worked on it.
+// runs counts by request how often endpoints worked on it, those that were replaced too. s.mu must
+// not be held.
 func (s *soak) runs() map[string]int {
+	s.mu.Lock()
+	replicas := slices.Concat(s.engines, s.plain, s.replaced)
+	s.mu.Unlock()
 	out := make(map[string]int)
-	for _, r := range append(append([]*standin.Replica(nil), s.engines...), s.plain...) {
+	for _, r := range replicas {
 		for _, run := range r.Runs() {
 			out[run.Request]++
 		}
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -91,12 +91,11 @@
 
 // engine starts an endpoint of a software version. o.mu must not be held.
 func (o *orderSoak) engine(id, version string) *standin.Replica {
-	r, err := standin.StartReplica(id, soakEvents)
+	r, err := standin.StartReplica(id, soakEvents, func(r *standin.Replica) { r.Pace, r.NameRuns = 40*time.Millisecond, true })
 	if err != nil {
 		o.t.Fatal(err)
 	}
 	o.t.Cleanup(r.Close)
-	r.Pace, r.NameRuns = 40*time.Millisecond, true
 	o.mu.Lock()
 	o.versions[id], o.replicas[id] = version, r
 	o.mu.Unlock()
@@ -116,6 +115,7 @@
 	e := o.engine(fmt.Sprintf("engine-%d.%x", i, r.Uint32()), next)
 	o.mu.Lock()
 	o.engines[i] = e
+	o.replaced = append(o.replaced, old)
 	o.mu.Unlock()
 	return old
 }
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -76,13 +76,17 @@
 	return fmt.Sprintf("%s.%d", request, event)
 }
 
-// StartReplica starts a Replica on a loopback port.
-func StartReplica(id string, events int) (*Replica, error) {
+// StartReplica starts a Replica on a loopback port. Its fields are set by options, before the
+// first request can reach it: a port may be one that hosts still know from another replica.
+func StartReplica(id string, events int, options ...func(*Replica)) (*Replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	r := &Replica{ID: id, Events: events, Pace: time.Millisecond, listener: l, conns: make(map[net.Conn]bool), refused: make(map[string]bool)}
+	for _, set := range options {
+		set(r)
+	}
 	go r.accept()
 	return r, nil
 }
