engine, httpjson: an answer to a health check without end takes 256 KB and no longer 64 MB

What callers saw: on the OpenAI interface a faulty endpoint that answers its health check (GET /load) or its state without end takes the memory of every host that asks it, and the requests of other clients end with the host. Cause: httpjson.Client read up to 64 MB of any answer, and the body of a refusal went whole into the error and the log. Each endpoint is asked at its own time, so the bound was 64 MB for each of them at once.

Endpoints' control answers are bounded to 256 KB (a load report takes 100 bytes, a state 100 for each artifact), an answer beyond a client's limit is ErrTooLong with the bound, and an error keeps 4 KB of the body. Answers of other hosts keep their 64 MB: they are our own processes.

--- a/engine/httpengine.go
+++ b/engine/httpengine.go
@@ -19,6 +19,10 @@
 // ReasonLeaving is the reason of an endpoint that is leaving.
 const ReasonLeaving = "leaving"
 
+// maxControlBytes bounds an answer that is no stream: a load report takes 100 bytes, a state 100 for
+// each artifact. All endpoints of a fleet are asked at a time, so it is far below what a host has.
+const maxControlBytes = 256 << 10
+
 // HTTPEngine is an Engine reached over HTTP.
 type HTTPEngine struct {
 	base   string
@@ -28,7 +32,7 @@
 
 // NewHTTPEngine returns an Engine that calls the endpoint at base.
 func NewHTTPEngine(base string, client *http.Client) *HTTPEngine {
-	return &HTTPEngine{base: base, client: client, calls: httpjson.NewClient(base, client)}
+	return &HTTPEngine{base: base, client: client, calls: httpjson.NewClient(base, client).WithMaxResponseBytes(maxControlBytes)}
 }
 
 // Start implements Engine.
--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -11,14 +11,21 @@
 	"github.com/pkg/errors"
 )
 
-// MaxResponseBytes bounds the body of an answer that a Client reads.
-const MaxResponseBytes = 64 << 20
+const (
+	// MaxResponseBytes bounds the body of an answer that a Client reads, unless it has a
+	// limit of its own.
+	MaxResponseBytes = 64 << 20
+	// maxErrorBytes is how much of the body of an answer of status 400 or more is kept.
+	maxErrorBytes = 4 << 10
+)
 
 // Client sends JSON requests to one base URL.
 type Client struct {
 	base   string
 	client *http.Client
 	secret string
+	// maxBytes bounds the body of an answer.
+	maxBytes int64
 }
 
 // NewClient returns a Client for the service at base. A nil client means
@@ -27,16 +34,26 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return &Client{base: strings.TrimRight(base, "/"), client: client}
+	return &Client{base: strings.TrimRight(base, "/"), client: client, maxBytes: MaxResponseBytes}
 }
 
 // WithSecret returns a copy of c that sends secret as its bearer token.
 func (c *Client) WithSecret(secret string) *Client {
-	return &Client{base: c.base, client: c.client, secret: secret}
+	out := *c
+	out.secret = secret
+	return &out
+}
+
+// WithMaxResponseBytes returns a copy of c that takes no larger body than so many bytes.
+func (c *Client) WithMaxResponseBytes(most int64) *Client {
+	out := *c
+	out.maxBytes = most
+	return &out
 }
 
 // Do sends in as a JSON body, unless it is nil, and decodes the answer into
-// out, unless that is nil. An answer of status 400 or more is a *StatusError.
+// out, unless that is nil. An answer of status 400 or more is a *StatusError, which holds the
+// first 4 KB of its body. A body over the limit is ErrTooLong.
 func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
 	req, err := c.newRequest(ctx, method, path, in)
 	if err != nil {
@@ -47,12 +64,19 @@
 		return errors.Wrap(err, "call "+path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes))
+	if resp.StatusCode >= http.StatusBadRequest {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		if err != nil {
+			return errors.Wrap(err, "read answer of "+path)
+		}
+		return &StatusError{Status: resp.StatusCode, Body: strings.TrimSpace(string(body))}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBytes+1))
 	if err != nil {
 		return errors.Wrap(err, "read answer of "+path)
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		return &StatusError{Status: resp.StatusCode, Body: strings.TrimSpace(string(body))}
+	if int64(len(body)) > c.maxBytes {
+		return errors.Wrapf(ErrTooLong, "answer of %s exceeds %d bytes", path, c.maxBytes)
 	}
 	if out == nil {
 		return nil
--- a/httpjson/httpjson_test.go
+++ b/httpjson/httpjson_test.go
@@ -7,6 +7,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/pkg/errors"
 )
 
 type message struct {
@@ -75,3 +78,48 @@
 		t.Errorf("a server that is gone: %v", err)
 	}
 }
+
+// TestClientAnswersWithoutEnd guards against a caller that keeps an answer without end in memory: the
+// client must give up at its limit, and keep little of the body of a refusal.
+func TestClientAnswersWithoutEnd(t *testing.T) {
+	const limit = 1 << 10
+	for _, status := range []int{http.StatusOK, http.StatusBadGateway} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(status)
+			for r.Context().Err() == nil {
+				if _, err := w.Write(bytes.Repeat([]byte(" "), 1<<15)); err != nil {
+					return
+				}
+			}
+		}))
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		var out message
+		err := NewClient(server.URL, nil).WithMaxResponseBytes(limit).Do(ctx, http.MethodGet, "/", nil, &out)
+		cancel()
+		server.Close()
+		switch status {
+		case http.StatusOK:
+			if !errors.Is(err, ErrTooLong) || !strings.Contains(err.Error(), "1024 bytes") {
+				t.Errorf("status %d: error %v", status, err)
+			}
+		default:
+			if StatusOf(err) != status {
+				t.Errorf("status %d: error %v", status, err)
+			}
+		}
+	}
+}
+
+// TestClientLimit takes an answer that is as long as the limit allows, and none that is longer.
+func TestClientLimit(t *testing.T) {
+	body := `{"text":"x"}`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+	defer server.Close()
+	for limit, ok := range map[int64]bool{int64(len(body)): true, int64(len(body)) - 1: false} {
+		var out message
+		err := NewClient(server.URL, nil).WithMaxResponseBytes(limit).Do(context.Background(), http.MethodGet, "/", nil, &out)
+		if (err == nil) != ok || ok && out.Text != "x" {
+			t.Errorf("limit %d: %+v, error %v", limit, out, err)
+		}
+	}
+}
--- a/httpjson/status.go
+++ b/httpjson/status.go
@@ -6,6 +6,9 @@
 	"github.com/pkg/errors"
 )
 
+// ErrTooLong means that the body of an answer exceeded the limit.
+var ErrTooLong = errors.New("answer is too long")
+
 // StatusError is an answer with an HTTP status of 400 or more.
 type StatusError struct {
 	Status int
--- a/standin/rawhttp/endless.go
+++ b/standin/rawhttp/endless.go
@@ -25,6 +25,13 @@
 	most     int
 	form     atomic.Pointer[EndlessForm]
 	sent     atomic.Int64
+	// behind answers requests of other paths, if it is set.
+	behind atomic.Pointer[soundEndpoint]
+}
+
+// soundEndpoint is an address and the beginning of the paths that it doesn't answer.
+type soundEndpoint struct {
+	address, except string
 }
 
 // endlessBlock is the least that is written at a time, in bytes.
@@ -60,6 +67,12 @@
 // SetForm changes the form of the answers to come.
 func (e *Endless) SetForm(form EndlessForm) { e.form.Store(&form) }
 
+// PassOthers has another address answer the requests whose paths don't begin with a prefix, on a
+// connection for each.
+func (e *Endless) PassOthers(address, except string) {
+	e.behind.Store(&soundEndpoint{address: address, except: except})
+}
+
 // Sent returns how many bytes were repeated.
 func (e *Endless) Sent() int64 { return e.sent.Load() }
 
@@ -69,6 +82,10 @@
 	if err != nil {
 		return
 	}
+	if s := e.behind.Load(); s != nil && !strings.HasPrefix(req.URL.Path, s.except) {
+		s.answer(c, req)
+		return
+	}
 	form := e.form.Load()
 	begin := form.Begin
 	if strings.Contains(begin, "%") {
@@ -86,3 +103,18 @@
 		}
 	}
 }
+
+// answer passes a request on, and its answer back as it comes.
+func (s *soundEndpoint) answer(c net.Conn, req *http.Request) {
+	up, err := net.Dial("tcp", s.address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = up.Close() }()
+	req.Close = true
+	if err := req.Write(up); err != nil {
+		return
+	}
+	// A connection that ends early is the caller's to notice.
+	_, _ = io.Copy(c, up)
+}
