entry: answers of plain services that are read whole share a host's memory

What callers saw: keyed calls of a plain service (OpenAI interface) whose endpoint sends a body without end take up to 8 MB each, several times that while the buffer grows; 16 calls at a time took a host to 190 MB of 164, and 4,096 may run. Cause: callPlain read each answer whole with a bound of its own and none for all.

Answers that are being read hold at most 16 MB together, in blocks that are used again, beyond the first 64 KB of each. When that is used up, one answer at a time is read to its end and the others wait for it until their deadline: none waits for another that waits.

Tried and dropped: 24 MB in growing buffers (209 MB: the copies outran the collector). A sound answer, at any size, is read beside memory that others hold (TestAnswersAreReadBesideFullMemory); one that is cut off is none (TestAnswerThatIsCutOffIsNone).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	metrics  *metrics
 	shutdown *shutdown
 	slots    chan struct{}
+	answers  *answerReader
 }
 
 // New returns an Entry; add its Services to a supervisor to run it.
@@ -33,6 +34,7 @@
 		outage:   newOutage(),
 		slots:    make(chan struct{}, maxConcurrent),
 		shutdown: newShutdown(),
+		answers:  newAnswerReader(),
 	}
 	if e.requests == nil {
 		e.requests = opts.Keeper
--- a/entry/keyedplain.go
+++ b/entry/keyedplain.go
@@ -46,10 +46,7 @@
 		return failed(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainBytes+1))
-	if err == nil && len(body) > maxPlainBytes {
-		err = errors.New("the answer exceeds the size limit")
-	}
+	body, err := e.answers.read(ctx, resp.Body)
 	if err != nil {
 		return failed(&dispatch.Error{
 			Cause:    errors.Wrap(dispatch.ErrInterrupted, err.Error()),
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -29,6 +29,10 @@
 	maxRecordedBytes = 512 << 10
 	// maxPlainBytes bounds the answer of a keyed call of a plain service.
 	maxPlainBytes = 8 << 20
+	// sharedAnswerBytes bounds what such answers that are being read hold at a time, beyond the
+	// first block of each.
+	sharedAnswerBytes = 16 << 20
+	answerBlockBytes  = 64 << 10
 	// maxRunTime bounds a run that goes on without its caller.
 	maxRunTime = 15 * time.Minute
 	// lookUpTimeout bounds the search for a recorded answer.
