--- a/forward/ending.go
+++ b/forward/ending.go
@@ -63,13 +63,16 @@
 }
 
 // interrupted returns the ending of a request whose response ended early with err. The
-// contexts are that of the client's request and that with its deadline.
+// contexts are that of the client's request and that with its deadline, which ends with the
+// host's time too: the endpoint's connection is closed by that, and err says no more than that.
 func interrupted(client, request context.Context, err error, otherwise ending) ending {
 	switch {
 	case client.Err() != nil || disconnect.CauseIn(client) != disconnect.None:
 		return disconnected(client)
 	case errors.Is(request.Err(), context.DeadlineExceeded):
 		return deadlinePassed
+	case request.Err() != nil:
+		return otherwise
 	case errors.Is(err, upstream.ErrTruncated):
 		return endpointCut
 	default:
--- a/forward/ending_test.go
+++ b/forward/ending_test.go
@@ -145,6 +145,8 @@
 	defer cancel()
 	left, leave := context.WithCancel(open)
 	leave()
+	ended, end := context.WithCancel(open)
+	end()
 	cut := errors.Wrap(upstream.ErrTruncated, "read")
 	for _, c := range []struct {
 		client, request context.Context
@@ -155,6 +157,8 @@
 		{open, passed, cut, deadlinePassed},
 		{left, left, cut, ending(disconnect.ClientClosed)},
 		{open, open, nil, streamNotResumed},
+		// The host ended the request, and closed the connection to the endpoint by that.
+		{open, ended, cut, streamNotResumed},
 	} {
 		if got := interrupted(c.client, c.request, c.err, streamNotResumed); got != c.want {
 			t.Errorf("%q, want %q", got, c.want)
