batch: a rejected append leaves the outcome of an unanswered one unknown

What callers may see: a submission is refused as not run (503), and the job runs. Cause, found by reading: appendRecord returned ErrNotWritten as soon as the store rejected an attempt (a status of 4xx, or 507 when it is full), though an earlier attempt had no answer and may be in the ledger or appear there.

The rejection ends the attempts as before, and the outcome is unknown if any attempt may have been written; callers get 504 for that. The test failed before for both orders with an unanswered attempt.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -391,18 +391,17 @@
 		appendContext, cancel := retry.attemptContext(ctx)
 		offset, err := l.opts.Store.Append(appendContext, platform.TopicJobs, [][]byte{record.encode(attempt)})
 		cancel()
-		switch {
-		case err == nil:
+		if err == nil {
 			return offset, record.attemptKey(attempt), nil
-		case errors.Is(err, platform.ErrRejected):
-			return -1, "", errors.Wrap(ErrNotWritten, err.Error())
 		}
+		// A rejection says nothing of the attempts before.
+		rejected := errors.Is(err, platform.ErrRejected)
 		mayExist = mayExist || mayBeWritten(err)
-		if retry.wait(ctx, readBack) {
+		if !rejected && retry.wait(ctx, readBack) {
 			continue
 		}
 		switch {
-		case ctx.Err() == nil:
+		case !rejected && ctx.Err() == nil:
 			return -1, "", nil
 		case mayExist:
 			return -1, "", errors.Wrap(ErrOutcomeUnknown, err.Error())
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/jobs"
 	"github.com/peridotmount/peridotmount/platform"
@@ -128,3 +129,35 @@
 		t.Errorf("%d records under %d keys, want 2 and 2", len(store.records), len(keys))
 	}
 }
+
+// scriptedStore answers each append with the next error of a list.
+type scriptedStore struct {
+	unavailableStore
+	errs []error
+}
+
+func (s *scriptedStore) Append(context.Context, platform.Topic, [][]byte) (int64, error) {
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return 0, err
+}
+
+// TestRejectedAppendAfterAnUnansweredOne guards against a job that is refused as not run, and runs: a
+// store that rejects an append says nothing of an earlier one that it didn't answer.
+func TestRejectedAppendAfterAnUnansweredOne(t *testing.T) {
+	for _, c := range []struct {
+		errs []error
+		want error
+	}{
+		{[]error{platform.ErrRejected}, ErrNotWritten},
+		{[]error{platform.ErrThrottled, platform.ErrRejected}, ErrNotWritten},
+		{[]error{platform.ErrUnavailable, platform.ErrRejected}, ErrOutcomeUnknown},
+		{[]error{platform.ErrUnavailable, platform.ErrThrottled, platform.ErrRejected}, ErrOutcomeUnknown},
+	} {
+		store := &scriptedStore{errs: c.errs}
+		l := NewLedger(Options{Writer: "w", Store: store, Logger: log.NewNopLogger(), Configuration: testConfiguration})
+		if err := l.Write(context.Background(), "cancel", &jobs.Record{Job: "j", Cancel: &jobs.Cancel{}}); !errors.Is(err, c.want) {
+			t.Errorf("after %v: %v, want %v", c.errs, err, c.want)
+		}
+	}
+}
