forward: a hedge begins once the attempts beside it know their endpoints

What callers saw: 502 for an idempotent request though another endpoint would have served it (KNOWN-RED, TestResponseCutBesideAHedge: "runs [e0 e0]"). Cause: a hedge avoids the endpoints known as it begins. Where the first attempt still waited for its placement there was none, the hedge went to the same endpoint, and one failure ended both. It waited in the same queue, too, so it gained nothing there.

The hedge is put off by its delay until all attempts in flight have an endpoint. TestHedgeKnowsTheEndpointOfTheFirstAttempt failed before (the second placement avoided [], the request was not served).

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -289,6 +290,26 @@
 	}
 }
 
+// TestHedgeKnowsTheEndpointOfTheFirstAttempt guards against a hedge that goes to the endpoint of the
+// attempt beside it, so that one failure ends both: the first attempt waits for its placement for longer
+// than a hedge is delayed.
+func TestHedgeKnowsTheEndpointOfTheFirstAttempt(t *testing.T) {
+	kind := idempotent
+	kind.Objective = 100 * time.Millisecond
+	b := newTestbed(t, kind, 2, 0)
+	b.forwarder.hedges.tokens = hedgeBurst
+	b.replicas[0].SetFaults(standin.ReplicaFaults{Silent: true})
+	b.placer.delay = 2 * kind.Objective
+	if id, a := b.send(context.Background(), "", nil); a.body != "answer to "+id {
+		t.Errorf("%+v", a)
+	}
+	b.placer.mu.Lock()
+	defer b.placer.mu.Unlock()
+	if len(b.placer.requests) != 2 || !slices.Equal(b.placer.requests[1].Avoid, []string{b.placer.endpoints[0].ID}) {
+		t.Errorf("%d placements, the last one avoids %v", len(b.placer.requests), b.placer.requests[len(b.placer.requests)-1].Avoid)
+	}
+}
+
 // TestEndpointStopsWhenTheClientDisconnects closes the client's connection in the middle of
 // a stream. The placement must be released, and the endpoint must stop working.
 func TestEndpointStopsWhenTheClientDisconnects(t *testing.T) {
--- a/forward/hedge.go
+++ b/forward/hedge.go
@@ -53,9 +53,10 @@
 		return f.exchange(ctx, req)
 	}
 	f.hedges.deposit()
-	r := &hedgedExchange{f: f, req: req, results: make(chan attemptResult, max(2, req.route.MaxAttempts))}
+	r := &hedgedExchange{f: f, req: req, before: req.countAttempted(), results: make(chan attemptResult, max(2, req.route.MaxAttempts))}
 	r.start(ctx)
-	hedge := time.NewTimer(time.Duration(hedgeDelayFraction * float64(req.route.Objective)))
+	delay := time.Duration(hedgeDelayFraction * float64(req.route.Objective))
+	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
 	for {
 		select {
@@ -71,6 +72,10 @@
 				return result.reply, result.err
 			}
 		case <-hedge.C:
+			if !r.placed() {
+				hedge.Reset(delay)
+				continue
+			}
 			if req.canHedge() && f.hedges.withdraw() {
 				f.metrics.hedges.Inc()
 				r.start(ctx)
@@ -84,6 +89,8 @@
 	f       *Forwarder
 	req     *request
 	results chan attemptResult
+	// before is the number of attempts that the request had before.
+	before int
 	// inFlight is the number of attempts in flight.
 	inFlight int
 	// cancels holds the functions that cancel the attempts, in order of their start.
@@ -109,6 +116,12 @@
 	}()
 }
 
+// placed reports whether all attempts know their endpoints. A hedge avoids only those that are known
+// as it begins, and one that waits for a placement beside the first would wait no shorter.
+func (r *hedgedExchange) placed() bool {
+	return r.req.countAttempted() >= r.before+len(r.cancels)
+}
+
 // cancelOthers cancels all attempts but the winner, and waits until they have ended,
 // because no attempt may outlive its request. Cancelled attempts end at once.
 func (r *hedgedExchange) cancelOthers(winner int) {
--- a/forward/request.go
+++ b/forward/request.go
@@ -105,6 +105,13 @@
 	return limits
 }
 
+// countAttempted returns the number of attempts that were given an endpoint.
+func (r *request) countAttempted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.attempted)
+}
+
 // countPlacing adds to the number of attempts that wait for a placement.
 func (r *request) countPlacing(n int) {
 	r.mu.Lock()
