--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -1,9 +1,11 @@
 package e2e
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -49,8 +51,8 @@
 // runEventPattern is the data of an event: its request and number, replica and run.
 var runEventPattern = regexp.MustCompile(`^(.+)\.(\d+)@(.+)#(\d+)$`)
 
-// TestSoakOrder takes streams up again at any host while hosts are killed, shut down and frozen,
-// endpoints of two software versions are replaced, crash and break off, and the store fails and
+// TestSoakOrder takes streams up again at any host while hosts are killed, shut down, frozen and lost
+// for others at new addresses, endpoints of two software versions are replaced, crash and break off, and the store fails and
 // does writes seconds late: no event may be missing or come twice, each run that goes on was asked
 // to, at the version that began, and no position, total or configuration may go back. SOAK_SEEDS
 // plays so many fresh seeds, SOAK_SEED one.
@@ -72,7 +74,7 @@
 	o.isOutput = func(item, text string) bool { return o.checkText(item, text) }
 	o.faults = []soakFault{
 		soakKill, soakKill, soakTerminate, soakFreeze, soakReload, soakStoreOutage, soakStoreSlow, soakTrim, soakStoreLink, soakConfigure,
-		orderLate, orderLate, o.replace, o.replace, o.replace, o.crash, o.breakOff, o.breakOff,
+		orderLate, orderLate, orderMove, orderMove, o.replace, o.replace, o.replace, o.crash, o.breakOff, o.breakOff,
 	}
 	store := o.serveStore()
 	for i := range orderEngines {
@@ -153,6 +155,34 @@
 	s.storeFault(d, standin.StoreFaults{LoseAnswers: 1 + r.IntN(6), LateMillis: 1000 + r.Int64N(5000)})
 }
 
+// movedSettings are the lines of a host's settings that change as another host takes its place.
+var movedSettings = regexp.MustCompile(`(?m)^(name|peers) = .*$`)
+
+// orderMove loses a host for good; another one comes, whose name and address the others don't know.
+// Callers find it where the old one was.
+func orderMove(s *soak, r *rand.Rand, d time.Duration) {
+	s.withGateway(r, func(g *gateway) {
+		g.kill()
+		time.Sleep(d)
+		text, err := os.ReadFile(g.file)
+		if err != nil {
+			s.t.Error(err)
+			return
+		}
+		text = movedSettings.ReplaceAllFunc(text, func(line []byte) []byte {
+			if bytes.HasPrefix(line, []byte("name")) {
+				return fmt.Appendf(nil, "name = %s.%x", g.name, r.Uint32())
+			}
+			return fmt.Appendf(nil, "peers = %s", freeAddressAt(s.t, listenersOnly))
+		})
+		if err := os.WriteFile(g.file, text, 0o600); err != nil {
+			s.t.Error(err)
+			return
+		}
+		s.again(g)
+	})
+}
+
 // run plays a seed and checks what the callers saw.
 func (o *orderSoak) run(seed uint64) {
 	duties, begin := o.begin(seed)
