--- a/standin/replica.go
+++ b/standin/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -21,6 +22,8 @@
 type Replica struct {
 	// ID is the instance that requests may expect.
 	ID string
+	// Name is what NameRuns calls the replica; empty is its ID, which others may have had before.
+	Name string
 	// Events is how many events a stream has; zero answers with one body.
 	Events int
 	// Pace is the time between two events.
@@ -35,6 +38,7 @@
 	runs   []ReplicaRun
 	seen   int
 	conns  map[net.Conn]bool
+	closed bool
 	// pausedUntil is when a replica that is silent goes on.
 	pausedUntil time.Time
 	// refused holds the requests that were turned away by RefuseFirst, refusal the last
@@ -79,7 +83,12 @@
 // StartReplica starts a Replica on a loopback port. Its fields are set by options, before the
 // first request can reach it: a port may be one that hosts still know from another replica.
 func StartReplica(id string, events int, options ...func(*Replica)) (*Replica, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartReplicaAt("127.0.0.1:0", id, events, options...)
+}
+
+// StartReplicaAt starts a Replica at an address, which another may have had before.
+func StartReplicaAt(address, id string, events int, options ...func(*Replica)) (*Replica, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -98,7 +107,7 @@
 
 // Close ends the replica and its connections.
 func (r *Replica) Close() {
-	_ = r.listener.Close()
+	r.StopListening()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
@@ -158,7 +167,12 @@
 		r.mu.Lock()
 		r.seen++
 		r.conns[c] = true
+		closed := r.closed
 		r.mu.Unlock()
+		if closed {
+			_ = c.Close()
+			return
+		}
 		go r.serve(c)
 	}
 }
@@ -373,7 +387,7 @@
 // eventData returns the data of an event of a run.
 func (r *Replica) eventData(id string, event, run int) string {
 	if r.NameRuns {
-		return fmt.Sprintf("%s@%s#%d", EventData(id, event), r.ID, run)
+		return fmt.Sprintf("%s@%s#%d", EventData(id, event), cmp.Or(r.Name, r.ID), run)
 	}
 	return EventData(id, event)
 }
