e2e: the soak of the order plays life cycles of endpoints and hosts

Endpoints come in addition and drain or crash, start again at their address under the same or another id, version and time of start (their end a FIN, a reset, or dark), write records late and stale ones behind the new, freeze and go on, and are crashed by requests. Hosts freeze for 3 to 7 s, several are killed or frozen together with the one that schedules, all lose power at one moment, and once more at the end, after which the jobs are read again. A text that was read may not change, next_token is where the results end. The version checked is that of the incarnation that sent an event.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // process is one command that a test started.
@@ -19,6 +20,8 @@
 	cmd  *exec.Cmd
 	log  *os.File
 	done chan struct{}
+	// began is when it was started.
+	began time.Time
 }
 
 // start runs a built command until the test ends; its log is printed if the
@@ -29,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{name: name, log: log, done: make(chan struct{})}
+	p := &process{name: name, log: log, done: make(chan struct{}), began: time.Now()}
 	p.cmd = exec.Command(filepath.Join(folderOf(command), command), args...)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
--- a/e2e/soakcallers_test.go
+++ b/e2e/soakcallers_test.go
@@ -113,8 +113,8 @@
 		return 0
 	}
 	var shown lot
-	if err := json.Unmarshal(answer.body, &shown); err != nil || shown.Total != j.items {
-		s.t.Errorf("job %s at %s: %d of %d items, error %v", j.id, g.name, shown.Total, j.items, err)
+	if err := json.Unmarshal(answer.body, &shown); err != nil || shown.Total != j.items || shown.Next != len(shown.Results) {
+		s.t.Errorf("job %s at %s: %d of %d items, next %d behind %d results, error %v", j.id, g.name, shown.Total, j.items, shown.Next, len(shown.Results), err)
 		return 0
 	}
 	runs := s.runs()
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/standin"
 )
 
@@ -21,6 +20,8 @@
 	orderEngines = 8
 	// orderQuota is a quota that some jobs exceed.
 	orderQuota = 8000
+	// orderPace is the time between two events.
+	orderPace = 40 * time.Millisecond
 	// orderTries is how often a caller takes a stream up, at most.
 	orderTries = 4
 	// orderPatience is how long it tries.
@@ -33,6 +34,8 @@
 // callers take streams up again. Each event names the run that sent it.
 type orderSoak struct {
 	*soak
+	life life
+	// versions and replicas are by the name that events have.
 	versions map[string]string
 	replicas map[string]*standin.Replica
 	// mixed and whole count the streams and items by what their events tell, resumed those that
@@ -69,7 +72,7 @@
 			routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{}), quota: orderQuota},
 			version:     1, inHand: make(locks, soakGateways),
 		},
-		versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
+		life: newLife(), versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
 	}
 	o.isOutput = func(item, text string) bool { return o.checkText(item, text) }
 	o.faults = []soakFault{
@@ -78,7 +81,7 @@
 	}
 	store := o.serveStore()
 	for i := range orderEngines {
-		o.engines = append(o.engines, o.engine(fmt.Sprintf("engine-%d", i), versionOf(i)))
+		o.engines = append(o.engines, o.engine(rand.New(rand.NewPCG(0, uint64(i))), fmt.Sprintf("engine-%d", i), versionOf(i)))
 	}
 	o.plain = append(o.plain, o.replica("plain-0", "plain", 0))
 	soakConfigure(o.soak, nil, 0)
@@ -92,19 +95,15 @@
 }
 
 // engine starts an endpoint of a software version. o.mu must not be held.
-func (o *orderSoak) engine(id, version string) *standin.Replica {
-	r, err := standin.StartReplica(id, soakEvents, func(r *standin.Replica) { r.Pace, r.NameRuns = 40*time.Millisecond, true })
-	if err != nil {
-		o.t.Fatal(err)
+func (o *orderSoak) engine(r *rand.Rand, id, version string) *standin.Replica {
+	e := o.incarnate("127.0.0.1:0", id, version, r)
+	if e == nil {
+		o.t.FailNow()
 	}
-	o.t.Cleanup(r.Close)
 	o.mu.Lock()
-	o.versions[id], o.replicas[id] = version, r
-	o.mu.Unlock()
-	o.store.Put(platform.TopicEndpoints.Name, id, fmt.Appendf(nil,
-		`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":"ready","born":%d}`,
-		r.Address(), version, time.Now().UnixMilli()))
-	return r
+	defer o.mu.Unlock()
+	o.listNew(e)
+	return e
 }
 
 // exchange puts another endpoint in the place of one and returns the old one.
@@ -112,9 +111,9 @@
 	i := r.IntN(orderEngines)
 	o.mu.Lock()
 	old := o.engines[i]
-	next := version(o.versions[old.ID])
+	next := version(o.versions[old.RunName()])
 	o.mu.Unlock()
-	e := o.engine(fmt.Sprintf("engine-%d.%x", i, r.Uint32()), next)
+	e := o.engine(r, fmt.Sprintf("engine-%d.%x", i, r.Uint32()), next)
 	o.mu.Lock()
 	o.engines[i] = e
 	o.replaced = append(o.replaced, old)
@@ -125,7 +124,7 @@
 // replace has an endpoint leave, which finishes what it has, for one of any version.
 func (o *orderSoak) replace(_ *soak, r *rand.Rand, d time.Duration) {
 	old := o.exchange(r, func(string) string { return versionOf(r.IntN(2)) })
-	o.store.Put(platform.TopicEndpoints.Name, old.ID, nil)
+	o.unlist(old)
 	time.Sleep(d)
 	old.Close()
 }
@@ -135,7 +134,7 @@
 	old := o.exchange(r, func(version string) string { return version })
 	old.Close()
 	time.Sleep(d)
-	o.store.Put(platform.TopicEndpoints.Name, old.ID, nil)
+	o.unlist(old)
 }
 
 // breakOff has an endpoint break streams off, fall silent or refuse.
@@ -187,6 +186,8 @@
 func (o *orderSoak) run(seed uint64) {
 	duties, begin := o.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
+	begin(lifeSeries, o.playLife)
+	begin(1, o.beat)
 	begin(16, o.streams)
 	begin(2, o.submit)
 	begin(2, func(_ string, r *rand.Rand) { o.poll(r) })
@@ -197,6 +198,9 @@
 	o.heal()
 	o.awaitReady(o.gateways...)
 	o.checkJobs()
+	o.loseAll(o.soak, nil, 0)
+	o.awaitReady(o.gateways...)
+	o.checkJobs()
 	o.checkRoute()
 	if len(o.mixed) > maxMixedStreams {
 		o.t.Errorf("%d streams hold events of two software versions: %s", len(o.mixed), strings.Join(o.mixed, "; "))
@@ -204,7 +208,7 @@
 	if o.whole == 0 || o.resumed == 0 {
 		o.t.Errorf("%d streams and items were whole, %d went on after a break", o.whole, o.resumed)
 	}
-	o.t.Logf("%d streams and items were whole, %d went on after a break, %d mixed", o.whole, o.resumed, len(o.mixed))
+	o.t.Logf("%d streams and items were whole, %d went on after a break, %d mixed: %s", o.whole, o.resumed, len(o.mixed), strings.Join(o.mixed, "; "))
 }
 
 // streams opens streams, and takes those that break off up again at any host.
@@ -220,7 +224,7 @@
 			if len(events) > 0 {
 				header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(len(events)), first
 			}
-			answer := o.gateways[r.IntN(len(o.gateways))].sendWith(http.MethodPost, "/stream/x", id, []byte("prompt"), header)
+			answer := o.gateways[r.IntN(len(o.gateways))].sendWith(http.MethodPost, "/stream/x", id, fmt.Appendf(nil, "prompt %s %d", name, n), header)
 			got := wholeEvents(o.t, id, string(answer.body))
 			if answer.status != http.StatusOK {
 				got = nil
@@ -272,7 +276,7 @@
 		}
 		events = append(events, e)
 	}
-	return o.checkEventsLocked("item "+item, events, true)
+	return o.sameText(item, text) && o.checkEventsLocked("item "+item, events, true)
 }
 
 func (o *orderSoak) checkEvents(what string, events []runEvent, ended bool) {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -387,7 +386,7 @@
 // eventData returns the data of an event of a run.
 func (r *Replica) eventData(id string, event, run int) string {
 	if r.NameRuns {
-		return fmt.Sprintf("%s@%s#%d", EventData(id, event), cmp.Or(r.Name, r.ID), run)
+		return fmt.Sprintf("%s@%s#%d", EventData(id, event), r.RunName(), run)
 	}
 	return EventData(id, event)
 }
--- a/standin/replicalife.go
+++ b/standin/replicalife.go
@@ -1,6 +1,9 @@
 package standin
 
-import "net"
+import (
+	"cmp"
+	"net"
+)
 
 // StopListening closes the replica's listener. What it has accepted goes on.
 func (r *Replica) StopListening() {
@@ -29,3 +32,8 @@
 	defer r.mu.Unlock()
 	return r.closed
 }
+
+// RunName returns what NameRuns calls the replica.
+func (r *Replica) RunName() string {
+	return cmp.Or(r.Name, r.ID)
+}
