upstream: the end of a connection ends an open response only if the endpoint is alive

What callers saw: streams that ended as complete before their last event, items done with a part of their output, and bodies cut short with a 200, whenever an endpoint crashed that answers without length and chunks.

Cause: the kernel of a process that ends closes its connections regularly, so that a crash between two events looks like the end of a response that ends with its connection. The class: an end that the peer's kernel can make is taken for one that the peer made.

In package upstream, so that it holds for streams, items, plain bodies and calls for stranded hosts. Cost: one connection for each such response.

Left: an endpoint that listens again within the moment in which its response ends.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -17,7 +17,7 @@
 	// Length is the length of the body in bytes, or -1 if the endpoint did not state it.
 	Length int64
 	// Open is set if the body has neither a length nor chunks, so that the connection's end is
-	// its end: one of an endpoint that stops regularly can't be told from it.
+	// its end. It is taken for that only if the endpoint is alive then.
 	Open bool
 	// Via is the name of the host that made the call for this one, or "".
 	Via string
@@ -27,6 +27,8 @@
 	body     io.ReadCloser
 	// closeAfter is set if the connection can't be used after the response.
 	closeAfter bool
+	// probe returns nil if the endpoint is alive.
+	probe func() error
 	// complete is set once the body was read to its end.
 	complete bool
 	// closed is set by the first Close, kept is the result of that call.
@@ -34,8 +36,9 @@
 	kept   bool
 }
 
-func newResponse(x *exchange, resp *http.Response) *Response {
+func newResponse(x *exchange, resp *http.Response, probe func() error) *Response {
 	return &Response{
+		probe:      probe,
 		Status:     resp.StatusCode,
 		Header:     resp.Header,
 		Length:     resp.ContentLength,
@@ -61,6 +64,9 @@
 // ErrTruncated or ErrPathLost if the body ends early.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF {
+		err = r.confirmEnd()
+	}
 	if err == io.EOF {
 		r.complete = true
 		return n, io.EOF
@@ -74,6 +80,19 @@
 	return n, nil
 }
 
+// confirmEnd returns io.EOF if the end of the body shows that it is complete. The kernel of a
+// process that has crashed closes its connections like the process itself, which is the end of an
+// open body; but nothing listens any more.
+func (r *Response) confirmEnd() error {
+	if !r.Open || r.probe == nil || r.complete {
+		return io.EOF
+	}
+	if err := r.probe(); err != nil {
+		return errors.Wrap(err, "endpoint is not alive at the end of its response")
+	}
+	return io.EOF
+}
+
 // Close ends the call and reports whether its connection was returned to the pool. It
 // is returned only after a complete response with no further bytes behind it, and only
 // after a success: the endpoint may repeat a failure while it runs the same request again.
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -55,7 +55,7 @@
 		return nil, x.fail(ctx, err)
 	}
 	x.report(ctx, nil)
-	return newResponse(x, resp), nil
+	return newResponse(x, resp, func() error { return p.Probe(ctx, key, address) }), nil
 }
 
 func newRequest(call *Call) (*http.Request, error) {
