upstream, gateway: a connection shows which incarnation of an endpoint it leads to

What callers saw: streams that went on at another software version, in one response and at their clients' next attempt, after an endpoint had started again under its old id with another version.

Cause: a version is that of the record that a host has read. X-Expect-Instance names the id alone, so an endpoint that started again before its new record was read (up to a second, or for all of an outage of the store) took what went on, and what began there was noted with its old version. The class: a belief about one incarnation is used for the next one.

Now a connection to an engine begins with GET /report, whose born has to be that of the record: always for requests that go on, for others if several versions may serve or a connection to that endpoint has failed or ended too early since. If it differs nothing is sent, and the request is placed elsewhere. An open response is complete only if that same process is alive at its end. Idle connections are closed if the record names another incarnation.

--- a/batch/options.go
+++ b/batch/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
@@ -61,6 +62,8 @@
 	// OnLeaving is called with each endpoint that announces in a response that it is
 	// leaving.
 	OnLeaving func(endpoint.Incarnation)
+	// Check returns the check for a call to an endpoint with a header; nil makes none.
+	Check func(e *endpoint.Endpoint, h http.Header) *upstream.Check
 	// OnLimit is called with the rate limit, in requests per second, that an endpoint names
 	// in the answer to a request sent at the given time; zero if it names none.
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
--- a/batch/run.go
+++ b/batch/run.go
@@ -181,6 +181,7 @@
 		Header:     header,
 		Body:       x.item.Body,
 		Matches:    platform.Answers(x.item.ID),
+		Check:      x.check(header),
 		OnResponse: platform.Heads(platform.Leaving(x.endpoint, opts.OnLeaving), platform.Limit(x.endpoint, x.item.ID, clock.Now(), opts.OnLimit)),
 	})
 	switch {
@@ -218,6 +219,14 @@
 	}
 }
 
+// check returns the check for the call, or nil.
+func (x *itemRun) check(h http.Header) *upstream.Check {
+	if x.ledger.opts.Check == nil {
+		return nil
+	}
+	return x.ledger.opts.Check(x.endpoint, h)
+}
+
 // readEvents reads the event stream of the item to its end.
 func (x *itemRun) readEvents(ctx context.Context, response *upstream.Response) {
 	events := sse.NewSplitter(response)
--- a/detour/options.go
+++ b/detour/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/upstream"
 )
 
 // Options configures a Sender, its Links and the Server of the same host.
@@ -26,6 +27,8 @@
 	// OnResponse returns a function that is called with the head of each response that an
 	// endpoint gives this host to the call of another one; sent is by package clock.
 	OnResponse func(e *endpoint.Endpoint, request string, sent time.Time) func(status int, header http.Header)
+	// Check returns the check for a call to an endpoint with a header; nil makes none.
+	Check func(e *endpoint.Endpoint, h http.Header) *upstream.Check
 	// OnStranded is called when the host becomes stranded, and when it no longer is. It must
 	// not block.
 	OnStranded func(stranded bool)
--- a/detour/server.go
+++ b/detour/server.go
@@ -99,6 +99,10 @@
 		s.refuse(w, head.Request, unsent, err.Error())
 		return
 	}
+	var check *upstream.Check
+	if opts.Check != nil {
+		check = opts.Check(e, header)
+	}
 	resp, err := opts.Pool.Send(r.Context(), e.ID, e.Address, &upstream.Call{
 		Request:    head.Request,
 		Method:     head.Method,
@@ -107,6 +111,7 @@
 		Header:     header,
 		Body:       body,
 		Matches:    platform.Answers(head.Request),
+		Check:      check,
 		OnResponse: opts.OnResponse(e, head.Request, clock.Now()),
 	})
 	if err != nil {
--- a/e2e/restartedendpoint_test.go
+++ b/e2e/restartedendpoint_test.go
@@ -11,11 +11,11 @@
 )
 
 // startVersioned starts an engine at an address, under an id that another may have had, without a
-// record. Events name it by name.
-func (f *routedFleet) startVersioned(address, id, name string) *standin.Replica {
+// record. Events name it by name, and its report says when it was born.
+func (f *routedFleet) startVersioned(address, id, name string, born int64) *standin.Replica {
 	f.t.Helper()
 	r, err := standin.StartReplicaAt(address, id, 20, func(r *standin.Replica) {
-		r.Name, r.NameRuns, r.Pace = name, true, 50*time.Millisecond
+		r.Name, r.NameRuns, r.Pace, r.Born = name, true, 50*time.Millisecond, born
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -32,9 +32,9 @@
 	for _, r := range f.engines {
 		f.store.Put(platform.TopicEndpoints.Name, r.ID, nil)
 	}
-	old := f.startVersioned("127.0.0.1:0", "same", "same-v1")
+	old := f.startVersioned("127.0.0.1:0", "same", "same-v1", 1)
 	versions := map[string]string{"same-v1": "v1", "same-v2": "v2", "other": "v1", "third": "v2"}
-	other, third := f.startVersioned("127.0.0.1:0", "other", "other"), f.startVersioned("127.0.0.1:0", "third", "third")
+	other, third := f.startVersioned("127.0.0.1:0", "other", "other", 1), f.startVersioned("127.0.0.1:0", "third", "third", 1)
 	f.listVersion(old, "v1")
 	f.listVersion(other, "v1")
 	f.listVersion(third, "v2")
@@ -52,7 +52,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	old.Close()
-	f.startVersioned(old.Address(), "same", "same-v2").SetFaults(standin.ReplicaFaults{CutAfter: 5})
+	f.startVersioned(old.Address(), "same", "same-v2", 2).SetFaults(standin.ReplicaFaults{CutAfter: 5})
 	time.Sleep(200 * time.Millisecond)
 	for i := range 12 {
 		send(12 + i)
--- a/forward/options.go
+++ b/forward/options.go
@@ -27,6 +27,8 @@
 	// OnBegun is called with the request that brought the first event of a stream, and the
 	// software version of its endpoint.
 	OnBegun func(request, version string)
+	// Check returns the check for a call to an endpoint with a header; nil makes none.
+	Check func(e *endpoint.Endpoint, h http.Header) *upstream.Check
 	// OnLimit is called with the rate limit, in requests per second, that an endpoint names
 	// in the answer to a request sent at the given time; zero if it names none.
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
--- a/forward/try.go
+++ b/forward/try.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
@@ -96,6 +98,7 @@
 		Header:     header,
 		Body:       req.body,
 		Matches:    platform.Answers(req.ID),
+		Check:      f.check(e, header),
 		OnResponse: platform.Heads(platform.Leaving(e, f.opts.OnLeaving), platform.Limit(e, req.ID, clock.Now(), f.opts.OnLimit)),
 	})
 	if err != nil {
@@ -110,6 +113,14 @@
 	return f.classify(req, a), nil
 }
 
+// check returns the check for a call to an endpoint, or nil.
+func (f *Forwarder) check(e *endpoint.Endpoint, h http.Header) *upstream.Check {
+	if f.opts.Check == nil {
+		return nil
+	}
+	return f.opts.Check(e, h)
+}
+
 // tokensPerEvent returns the number of tokens in each event of a service.
 func (f *Forwarder) tokensPerEvent(service string) int {
 	if c := f.opts.Configuration.Current(); c != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -249,6 +249,7 @@
 		Hosts:        g.directory.Hosts,
 		Endpoint:     func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
 		OnResponse:   g.observeResponse,
+		Check:        g.check,
 		OnStranded:   g.stranded,
 		Draining:     g.ready.Draining,
 		MaxCalls:     int64(calls),
@@ -266,6 +267,19 @@
 	return platform.Heads(platform.Leaving(e, g.endpointLeaves), platform.Limit(e, request, sent, g.limits.Answered))
 }
 
+// check returns the check for a call to an engine with a header: what goes on has to reach the
+// version that began it, and what begins may have to go on, so the version has to be that of the
+// record.
+func (g *Gateway) check(e *endpoint.Endpoint, h http.Header) *upstream.Check {
+	c := g.configuration.Current()
+	if c == nil || c.Services[e.Service] == nil || c.Services[e.Service].Engine == nil {
+		return nil
+	}
+	check := platform.ProcessCheck(e)
+	check.OnlyIfSuspect = !platform.GoesOn(h) && g.origins.Single(e.Service)
+	return check
+}
+
 // stranded handles that the host lost its links to all endpoints, or has them again.
 func (g *Gateway) stranded(stranded bool) {
 	g.registrar.SetStranded(stranded)
@@ -329,6 +343,7 @@
 		Endpoint:             func(id string) *endpoint.Endpoint { return g.endpoints.View().Endpoint(id) },
 		OnLeaving:            g.endpointLeaves,
 		OnLimit:              g.limits.Answered,
+		Check:                g.check,
 		HasRateLimit:         func(e *endpoint.Endpoint) bool { return g.limits.Rate(e) > 0 },
 		StatusRetention:      g.settings.JobStatus,
 		CacheBytes:           int(float64(g.settings.Memory) * cacheShare),
@@ -356,6 +371,7 @@
 		Started:    g.starting.gate,
 		OnLeaving:  g.endpointLeaves,
 		OnLimit:    g.limits.Answered,
+		Check:      g.check,
 		OnBegun:    g.origins.Begun,
 		Jobs:       batch.NewAPI(g.ledger),
 		RepeatsJob: g.ledger.Repeats,
@@ -380,7 +396,7 @@
 
 func (g *Gateway) endpointsChanged(view *endpoint.View, changes []endpoint.Change) {
 	for i := range changes {
-		if c := &changes[i]; c.After != nil && c.After.State == endpoint.Draining {
+		if c := &changes[i]; c.After != nil && (c.After.State == endpoint.Draining || c.Before != nil && !c.Before.Started.Equal(c.After.Started)) {
 			g.pool.CloseIdle(c.After.ID)
 		}
 		if changes[i].After == nil {
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -40,6 +40,14 @@
 	return o.history.Only(now, service)
 }
 
+// Single reports whether a service has had a single version for as long as streams can go on.
+func (o *origins) Single(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, single := o.history.Only(clock.Now(), service)
+	return single
+}
+
 // Observe records the endpoints that are listed.
 func (o *origins) Observe(endpoints []endpoint.Endpoint) {
 	o.mu.Lock()
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -23,6 +23,8 @@
 	ID string
 	// Name is what NameRuns calls the replica; empty is its ID, which others may have had before.
 	Name string
+	// Born is the Unix millisecond of its start, as it reports it; zero reports none.
+	Born int64
 	// Events is how many events a stream has; zero answers with one body.
 	Events int
 	// Pace is the time between two events.
@@ -191,6 +193,10 @@
 			return
 		}
 		r.awaitResumed()
+		if req.URL.Path == "/report" {
+			r.report(c)
+			continue
+		}
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
--- a/standin/replicalife.go
+++ b/standin/replicalife.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 )
 
@@ -37,3 +38,12 @@
 func (r *Replica) RunName() string {
 	return cmp.Or(r.Name, r.ID)
 }
+
+// report answers the question which process this is.
+func (r *Replica) report(c net.Conn) {
+	status, body := "200 OK", fmt.Sprintf(`{"state":"ready","born":%d}`, r.Born)
+	if r.Born == 0 {
+		status, body = "404 Not Found", ""
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -27,8 +27,9 @@
 	body     io.ReadCloser
 	// closeAfter is set if the connection can't be used after the response.
 	closeAfter bool
-	// probe returns nil if the endpoint is alive.
-	probe func() error
+	// probe returns nil if the endpoint is alive, suspect notes that it may not be.
+	probe   func() error
+	suspect func()
 	// complete is set once the body was read to its end.
 	complete bool
 	// closed is set by the first Close, kept is the result of that call.
@@ -36,9 +37,10 @@
 	kept   bool
 }
 
-func newResponse(x *exchange, resp *http.Response, probe func() error) *Response {
+func newResponse(x *exchange, resp *http.Response, probe func() error, suspect func()) *Response {
 	return &Response{
 		probe:      probe,
+		suspect:    suspect,
 		Status:     resp.StatusCode,
 		Header:     resp.Header,
 		Length:     resp.ContentLength,
@@ -75,6 +77,9 @@
 		return n, err
 	}
 	if err != nil {
+		if r.suspect != nil {
+			r.suspect()
+		}
 		return n, errors.Wrap(ErrTruncated, err.Error())
 	}
 	return n, nil
--- /dev/null
+++ b/upstream/check.go
@@ -0,0 +1,113 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Check is a call that shows which process a new connection leads to, before anything else is
+// sent on it. A process may have ended, and another one may have its address and its name.
+type Check struct {
+	// Process identifies the process that is meant.
+	Process string
+	// Target and Host are those of the call, a GET.
+	Target, Host string
+	// Passes returns nil if the response comes from the process that is meant.
+	Passes func(status int, body []byte) error
+	// OnlyIfSuspect leaves the check out unless a connection to the endpoint has failed, or
+	// ended too early, since a check passed.
+	OnlyIfSuspect bool
+}
+
+// aliveTimeout bounds the question whether a process is alive.
+const aliveTimeout = 500 * time.Millisecond
+
+// maxCheckBytes bounds the body of the response to a check, in bytes.
+const maxCheckBytes = 256 << 10
+
+// errOtherProcess means that the process that is meant has ended.
+var errOtherProcess = errors.New("another process has the endpoint's address")
+
+// needsCheck reports whether a connection to an endpoint has to pass a check.
+func (p *Pool) needsCheck(key string, c *Check) bool {
+	if c == nil {
+		return false
+	}
+	if !c.OnlyIfSuspect {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspects[key]
+}
+
+// suspect notes that a connection to an endpoint failed or ended, as those to a process that ends
+// do. An attempt that the caller gave up says nothing.
+func (p *Pool) suspect(ctx context.Context, key string) {
+	if ctx.Err() != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspects[key] = true
+}
+
+// alive returns nil if the process that sent a response is alive: the one of a check, or any.
+func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
+	if c == nil {
+		return p.Probe(ctx, key, address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	began := time.Now()
+	dialed, err := p.dial(ctx, address)
+	if err != nil {
+		p.report(ctx, key, began, err)
+		return err
+	}
+	conn := newConnection(key, dialed)
+	conn.began = began
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer func() { _ = conn.Close() }()
+	x := &exchange{pool: p, conn: conn}
+	return x.check(ctx, c)
+}
+
+// check makes the check of a connection on which nothing was sent yet.
+func (x *exchange) check(ctx context.Context, c *Check) error {
+	req, err := newRequest(&Call{Method: http.MethodGet, Target: c.Target, Host: c.Host, Header: make(http.Header)})
+	if err != nil {
+		return err
+	}
+	if err := req.Write(x.conn); err != nil {
+		return errors.Wrap(err, "send check")
+	}
+	resp, err := x.readHead(req)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	x.conn.responses++
+	x.conn.limit.remaining = maxCheckBytes
+	body, err := io.ReadAll(resp.Body)
+	x.conn.limit.remaining = unbounded
+	if err != nil {
+		return errors.Wrap(x.checkLimit(err), "check")
+	}
+	x.pool.report(ctx, x.conn.key, x.conn.began, nil)
+	if err := c.Passes(resp.StatusCode, body); err != nil {
+		return errors.Wrap(errOtherProcess, err.Error())
+	}
+	if resp.Close || IsOpen(resp) {
+		return errors.New("the endpoint closes the connection after the check")
+	}
+	x.conn.process = c.Process
+	x.conn.sent.Store(0)
+	x.pool.mu.Lock()
+	delete(x.pool.suspects, x.conn.key)
+	x.pool.mu.Unlock()
+	return nil
+}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -24,6 +24,8 @@
 	sent atomic.Int64
 	// began is when the attempt to open the connection began.
 	began time.Time
+	// process is that of the Check that the connection has passed.
+	process string
 	// responses counts the final responses that were read.
 	responses int
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -22,6 +22,8 @@
 	mu sync.Mutex
 	// idle holds the idle connections by endpoint, the most recently used one last.
 	idle map[string][]*connection
+	// suspects are the endpoints to which a connection failed or ended since a check passed.
+	suspects map[string]bool
 }
 
 // NewPool returns a Pool.
@@ -32,6 +34,8 @@
 		dialer:  sockopt.Dialer(o.DialTimeout),
 		metrics: newMetrics(o.Registerer),
 		idle:    make(map[string][]*connection),
+
+		suspects: make(map[string]bool),
 	}
 }
 
@@ -54,11 +58,13 @@
 	return len(p.idle[key]) > 0
 }
 
-// CloseIdle closes the idle connections to an endpoint that was removed or is leaving.
+// CloseIdle closes the idle connections to an endpoint that was removed, is leaving, or has started
+// again.
 func (p *Pool) CloseIdle(key string) {
 	p.mu.Lock()
 	conns := p.idle[key]
 	delete(p.idle, key)
+	delete(p.suspects, key)
 	p.mu.Unlock()
 	closeAll(conns)
 }
@@ -108,12 +114,16 @@
 	}
 }
 
-// acquire returns a usable idle connection, or dials a new one. Requests without an id
-// always get a new one.
-func (p *Pool) acquire(ctx context.Context, key, address, request string) (*connection, error) {
-	if request != "" {
+// acquire returns a usable idle connection, or dials a new one. Calls without an id
+// always get a new one, and those with a check one that has passed it, or a new one.
+func (p *Pool) acquire(ctx context.Context, key, address string, call *Call) (*connection, error) {
+	if call.Request != "" {
 		for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
-			if time.Now().Before(c.idleUntil) && c.usable() {
+			young, usable := time.Now().Before(c.idleUntil), c.usable()
+			if young && !usable {
+				p.suspect(ctx, key)
+			}
+			if young && usable && (!p.needsCheck(key, call.Check) || c.process == call.Check.Process) {
 				return c, nil
 			}
 			_ = c.Close()
@@ -123,6 +133,7 @@
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		p.report(ctx, key, began, err)
+		p.suspect(ctx, key)
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	c := newConnection(key, conn)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -30,7 +30,7 @@
 // which the caller must close. When ctx ends, the connection is closed, which makes the
 // endpoint abort the request. Errors are ErrNotSent and ErrNoResponse.
 func (p *Pool) Send(ctx context.Context, key, address string, call *Call) (*Response, error) {
-	conn, err := p.acquire(ctx, key, address, call.Request)
+	conn, err := p.acquire(ctx, key, address, call)
 	if err != nil {
 		return nil, err
 	}
@@ -42,6 +42,13 @@
 		x.closeConn()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	if p.needsCheck(key, call.Check) && conn.process != call.Check.Process {
+		if err := x.check(ctx, call.Check); err != nil {
+			p.suspect(ctx, key)
+			x.closeConn()
+			return nil, errors.Wrap(ErrNotSent, err.Error())
+		}
+	}
 	if len(call.Body) <= maxInlineBody {
 		x.write(req)
 		if x.writeErr != nil {
@@ -55,7 +62,7 @@
 		return nil, x.fail(ctx, err)
 	}
 	x.report(ctx, nil)
-	return newResponse(x, resp, func() error { return p.Probe(ctx, key, address) }), nil
+	return newResponse(x, resp, func() error { return p.alive(ctx, key, address, call.Check) }, func() { p.suspect(ctx, key) }), nil
 }
 
 func newRequest(call *Call) (*http.Request, error) {
@@ -175,6 +182,7 @@
 // any byte of the request was sent.
 func (x *exchange) fail(ctx context.Context, err error) error {
 	x.report(ctx, err)
+	x.pool.suspect(ctx, x.conn.key)
 	x.closeConn()
 	// A write that is in progress ends now, and counts what it has sent.
 	<-x.written
