--- a/e2e/soaklife_test.go
+++ b/e2e/soaklife_test.go
@@ -31,7 +31,7 @@
 // lifeFaults are what may happen to endpoints and hosts over their lives.
 func (o *orderSoak) lifeFaults() []soakFault {
 	return []soakFault{
-		o.scaleOut, o.scaleOut, o.restart, o.restart, o.restart, o.crashByRequest, o.pauseEngines, o.freezeLong, o.freezeLong,
+		o.scaleOut, o.scaleOut, o.restart, o.restart, o.restart, o.crashByRequest, o.pauseEngines, o.unframe, o.freezeLong, o.freezeLong,
 		o.strikeHosts, o.strikeHosts, o.loseAll,
 	}
 }
@@ -170,6 +170,21 @@
 	time.Sleep(d)
 }
 
+// unframe has endpoints answer without a length and chunks, and one of them crash meanwhile.
+func (o *orderSoak) unframe(s *soak, r *rand.Rand, d time.Duration) {
+	o.mu.Lock()
+	engines := slices.Clone(o.engines)
+	o.mu.Unlock()
+	for _, e := range engines {
+		e.SetFaults(standin.ReplicaFaults{Unframed: true})
+	}
+	time.Sleep(d / 2)
+	o.restart(s, r, d/2)
+	for _, e := range engines {
+		e.SetFaults(standin.ReplicaFaults{})
+	}
+}
+
 // freezeLong freezes a host for longer than the others wait for it.
 func (o *orderSoak) freezeLong(s *soak, r *rand.Rand, _ time.Duration) {
 	s.withGateway(r, func(g *gateway) {
--- a/e2e/soakrecords_test.go
+++ b/e2e/soakrecords_test.go
@@ -17,6 +17,8 @@
 	records map[*standin.Replica]*lifeRecord
 	// restarting are those in whose place another starts, or has started.
 	restarting map[*standin.Replica]bool
+	// written are the newest records in the store, by id, but for seq.
+	written map[string]string
 	// texts are those that were read, by item.
 	texts map[string]string
 }
@@ -31,24 +33,29 @@
 }
 
 func newLife() life {
-	return life{records: make(map[*standin.Replica]*lifeRecord), restarting: make(map[*standin.Replica]bool), texts: make(map[string]string)}
+	return life{records: make(map[*standin.Replica]*lifeRecord), restarting: make(map[*standin.Replica]bool), written: make(map[string]string), texts: make(map[string]string)}
 }
 
-// value returns the record's next value.
-func (l *lifeRecord) value(address string) []byte {
+// write writes an endpoint's record, which changes if more than seq does. o.mu must be held.
+func (o *orderSoak) write(e *standin.Replica, l *lifeRecord) {
 	l.seq++
-	return fmt.Appendf(nil, `{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":%q,"born":%d,"seq":%d}`,
-		address, l.version, l.state, l.born, l.seq)
+	value := fmt.Sprintf(`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":%q,"born":%d`,
+		e.Address(), l.version, l.state, l.born)
+	if o.life.written[l.id] == value {
+		return
+	}
+	o.life.written[l.id] = value
+	o.store.Put(platform.TopicEndpoints.Name, l.id, fmt.Appendf(nil, `%s,"seq":%d}`, value, l.seq))
 }
 
-// beat has the endpoints write their records again, as they do each second.
+// beat has the endpoints write their records again.
 func (o *orderSoak) beat(_ string, _ *rand.Rand) {
 	for !o.over() {
 		time.Sleep(lifeBeat)
 		o.mu.Lock()
 		for r, record := range o.life.records {
 			if record.listed && !r.Closed() {
-				o.store.Put(platform.TopicEndpoints.Name, record.id, record.value(r.Address()))
+				o.write(r, record)
 			}
 		}
 		o.mu.Unlock()
@@ -59,7 +66,7 @@
 func (o *orderSoak) listNew(e *standin.Replica) {
 	if record := o.life.records[e]; record != nil {
 		record.listed = true
-		o.store.Put(platform.TopicEndpoints.Name, record.id, record.value(e.Address()))
+		o.write(e, record)
 	}
 }
 
@@ -73,6 +80,7 @@
 			return
 		}
 	}
+	delete(o.life.written, e.ID)
 	o.store.Put(platform.TopicEndpoints.Name, e.ID, nil)
 }
 
@@ -85,7 +93,7 @@
 	// The end of the incarnation before may take a moment.
 	for range 50 {
 		e, err = standin.StartReplicaAt(address, id, soakEvents, func(e *standin.Replica) {
-			e.Name, e.Pace, e.NameRuns = name, orderPace, true
+			e.Name, e.Pace, e.NameRuns, e.Born = name, orderPace, true, bornAt(e.Address(), r).UnixMilli()
 		})
 		if err == nil {
 			break
@@ -100,7 +108,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.versions[name], o.replicas[name] = version, e
-	o.life.records[e] = &lifeRecord{id: id, version: version, state: "ready", born: bornAt(e.Address(), r).UnixMilli()}
+	o.life.records[e] = &lifeRecord{id: id, version: version, state: "ready", born: e.Born}
 	return e
 }
 
@@ -142,7 +150,7 @@
 	o.mu.Lock()
 	o.listNew(e)
 	if record := o.life.records[old]; next.stale && record != nil {
-		o.store.Put(platform.TopicEndpoints.Name, record.id, record.value(old.Address()))
+		o.write(old, record)
 	}
 	o.mu.Unlock()
 	o.unlist(old)
