detour: a host makes calls for another only with the same record of the endpoint

A stranded host names the incarnation that its call has to reach. A host that has read the record of another one would pass its own check, at another software version: it now refuses as one that has not read the record, and the next is asked.

--- a/detour/message.go
+++ b/detour/message.go
@@ -12,6 +12,8 @@
 	Host   []byte `json:"host"`
 	// Header is as HTTP/1 has it.
 	Header []byte `json:"header"`
+	// Process is that of the upstream.Check that the call has to pass, or "".
+	Process string `json:"process,omitempty"`
 	// Bytes is the length of the body that follows.
 	Bytes int `json:"bytes"`
 }
@@ -42,7 +44,7 @@
 
 const (
 	// busy, stranded, leaving and unlisted hosts did not try: they have no room, reach no
-	// endpoint themselves, shut down, or have not read the endpoint's record.
+	// endpoint themselves, shut down, or have not read the endpoint's record that the host that asks has.
 	busy     outcome = "busy"
 	stranded outcome = "stranded"
 	leaving  outcome = "leaving"
--- a/detour/server.go
+++ b/detour/server.go
@@ -87,11 +87,29 @@
 		s.refuse(w, head.Request, unlisted, "the host has not read the endpoint's record")
 		return
 	}
-	s.call(w, r, e, head, body)
+	check := s.check(e, head)
+	if head.Process != "" && (check == nil || check.Process != head.Process) {
+		s.refuse(w, head.Request, unlisted, "the host has read another record of the endpoint")
+		return
+	}
+	s.call(w, r, e, head, body, check)
+}
+
+// check returns the check that a call has to pass, or nil.
+func (s *Server) check(e *endpoint.Endpoint, head *callHead) *upstream.Check {
+	header, err := decodeHeader(head.Header)
+	if err != nil || s.sender.opts.Check == nil {
+		return nil
+	}
+	check := s.sender.opts.Check(e, header)
+	if check != nil && head.Process != "" {
+		check.OnlyIfSuspect = false
+	}
+	return check
 }
 
 // call makes a call to an endpoint and passes its response on.
-func (s *Server) call(w http.ResponseWriter, r *http.Request, e *endpoint.Endpoint, head *callHead, body []byte) {
+func (s *Server) call(w http.ResponseWriter, r *http.Request, e *endpoint.Endpoint, head *callHead, body []byte, check *upstream.Check) {
 	began := time.Now()
 	opts := &s.sender.opts
 	header, err := decodeHeader(head.Header)
@@ -99,10 +117,6 @@
 		s.refuse(w, head.Request, unsent, err.Error())
 		return
 	}
-	var check *upstream.Check
-	if opts.Check != nil {
-		check = opts.Check(e, header)
-	}
 	resp, err := opts.Pool.Send(r.Context(), e.ID, e.Address, &upstream.Call{
 		Request:    head.Request,
 		Method:     head.Method,
--- a/detour/wire.go
+++ b/detour/wire.go
@@ -21,7 +21,12 @@
 
 // newCallRequest returns the request that has a host make a call.
 func newCallRequest(ctx context.Context, host *peers.Host, id string, call *upstream.Call) (*http.Request, error) {
+	process := ""
+	if c := call.Check; c != nil && !c.OnlyIfSuspect {
+		process = c.Process
+	}
 	head, err := json.Marshal(callHead{
+		Process:  process,
 		Endpoint: id, Request: call.Request, Method: call.Method, Target: []byte(call.Target), Host: []byte(call.Host),
 		Header: encodeHeader(call.Header), Bytes: len(call.Body),
 	})
