--- a/origin/table.go
+++ b/origin/table.go
@@ -61,18 +61,25 @@
 
 // Merge adds streams of which another host told.
 func (t *Table) Merge(now time.Time, streams Streams) {
-	streams.each(func(id uint64, version string) { t.put(now, id, entry{version: version}) })
+	for version, ids := range streams {
+		for len(ids) >= idBytes {
+			t.put(now, binary.LittleEndian.Uint64(ids), entry{version: version})
+			ids = ids[idBytes:]
+		}
+	}
 }
 
 // Own returns the streams of which this host received the first event.
 func (t *Table) Own(now time.Time) Streams {
 	t.rotate(now)
 	out := make(Streams)
-	t.each(func(id uint64, e entry) {
-		if e.own {
-			out.add(e.version, id)
+	for _, generation := range []map[uint64]entry{t.current, t.previous} {
+		for id, e := range generation {
+			if e.own {
+				out.add(e.version, id)
+			}
 		}
-	})
+	}
 	return out
 }
 
@@ -80,20 +87,12 @@
 func (t *Table) All(now time.Time) Streams {
 	t.rotate(now)
 	out := make(Streams)
-	t.each(func(id uint64, e entry) { out.add(e.version, id) })
-	return out
-}
-
-// each calls f with each stream, once.
-func (t *Table) each(f func(id uint64, e entry)) {
-	for id, e := range t.current {
-		f(id, e)
-	}
-	for id, e := range t.previous {
-		if _, newer := t.current[id]; !newer {
-			f(id, e)
+	for _, generation := range []map[uint64]entry{t.current, t.previous} {
+		for id, e := range generation {
+			out.add(e.version, id)
 		}
 	}
+	return out
 }
 
 func (t *Table) put(now time.Time, id uint64, e entry) {
@@ -137,16 +136,6 @@
 	s[version] = binary.LittleEndian.AppendUint64(s[version], id)
 }
 
-// each calls f with each stream.
-func (s Streams) each(f func(id uint64, version string)) {
-	for version, ids := range s {
-		for len(ids) >= idBytes {
-			f(binary.LittleEndian.Uint64(ids), version)
-			ids = ids[idBytes:]
-		}
-	}
-}
-
 // Batches splits the streams into parts of at most n each.
 func (s Streams) Batches(n int) []Streams {
 	var out []Streams
--- a/slots/origins.go
+++ b/slots/origins.go
@@ -42,14 +42,14 @@
 type replication struct {
 	known Origins
 	// unsent are the streams that began since the last replication.
-	unsent origin.Unsent
+	unsent origin.Streams
 	// standbys are the sessions of the hosts that were sent all streams.
 	standbys map[string]*hostSession
 	next     time.Time
 }
 
 func newReplication(known Origins) *replication {
-	return &replication{known: known, unsent: make(origin.Unsent), standbys: make(map[string]*hostSession)}
+	return &replication{known: known, unsent: make(origin.Streams), standbys: make(map[string]*hostSession)}
 }
 
 // record records that a stream was assigned to an endpoint of a version.
@@ -61,7 +61,9 @@
 // merge adds the streams that a host began.
 func (r *replication) merge(streams origin.Streams) {
 	r.known.Merge(streams)
-	r.unsent.Merge(streams)
+	for version, ids := range streams {
+		r.unsent[version] = append(r.unsent[version], ids...)
+	}
 }
 
 // due reports whether streams are to be replicated.
@@ -78,7 +80,7 @@
 func (l *LocalScheduler) replicateStreams() {
 	r := l.origins
 	unsent := r.unsent
-	r.unsent = make(origin.Unsent)
+	r.unsent = make(origin.Streams)
 	if r.known.Certain() {
 		clear(r.standbys)
 		return
