--- a/batch/run.go
+++ b/batch/run.go
@@ -82,6 +82,8 @@
 	// lastSnapshot is the time of the last snapshot of the item's progress for a
 	// checkpoint.
 	lastSnapshot time.Time
+	// open is set if the response has neither a length nor chunks.
+	open bool
 	// outputTooLarge is true if the endpoint sent more than maxOutputBytes.
 	outputTooLarge bool
 }
@@ -220,6 +222,7 @@
 
 // readEvents reads the event stream of the item to its end.
 func (x *itemRun) readEvents(ctx context.Context, response *upstream.Response) {
+	x.open = response.Open
 	events := sse.NewSplitter(response)
 	for {
 		block, err := events.Next()
@@ -407,6 +410,6 @@
 		request = x.item.ID
 	}
 	_ = level.Info(x.ledger.opts.Logger).Log("event", "item_run", "job", x.ref.Job, "item", x.ref.Item, "request", request,
-		"endpoint", id, "version", version, "outcome", outcome, "reason", reason, "resumed_at", x.priorEvents, "events", x.events,
+		"endpoint", id, "version", version, "outcome", outcome, "reason", reason, "resumed_at", x.priorEvents, "events", x.events, "open", x.open,
 		"after_ms", time.Since(x.startTime).Milliseconds())
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -79,6 +79,7 @@
 // full, and ends the request.
 func (f *Forwarder) writeReply(ctx context.Context, w http.ResponseWriter, req *request, r *reply) {
 	writeHead(w, r.response)
+	req.open = r.response.Open
 	req.phase = passingResponse
 	_, err := w.Write(r.body)
 	if err == nil && !r.complete {
--- a/forward/request.go
+++ b/forward/request.go
@@ -49,6 +49,9 @@
 	replacement Placement
 	// incomplete is set if an attempt may have run, but gave no complete response.
 	incomplete bool
+	// open is set if the response passed on, or the last part of a stream, has neither a length nor
+	// chunks.
+	open bool
 	// firstByte is when the first response of an endpoint that ran the request arrived.
 	firstByte time.Time
 	// placementWait is the time that the request waited for placements, over all attempts.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -86,6 +86,7 @@
 	} else {
 		s.f.metrics.resumed.Inc()
 	}
+	s.req.open = a.response.Open
 	err := s.copyEvents(a)
 	if err == nil {
 		s.f.metrics.attempts.WithLabelValues(string(OutcomeAnswered)).Inc()
