upstream: the end of a connection is no end of a response whose endpoint is gone

Callers saw: a stream ended as complete before its last event, and an item was done with a part of its text, as the process of their endpoint ended in the middle of a response without length or chunks.

Cause: an open body was taken for complete at io.EOF. Bodies with a length or chunks are not concerned.

Ruled out: going on behind every open stream to see that nothing follows, which costs a second run of each. What remains: an endpoint that listens again at its address before its end is read, and one that breaks an open response off and lives on.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -17,7 +17,7 @@
 	// Length is the length of the body in bytes, or -1 if the endpoint did not state it.
 	Length int64
 	// Open is set if the body has neither a length nor chunks, so that the connection's end is
-	// its end: one of an endpoint that stops regularly can't be told from it.
+	// its end.
 	Open bool
 	// Via is the name of the host that made the call for this one, or "".
 	Via string
@@ -27,8 +27,11 @@
 	body     io.ReadCloser
 	// closeAfter is set if the connection can't be used after the response.
 	closeAfter bool
-	// complete is set once the body was read to its end.
-	complete bool
+	// confirmEnd returns an error if the end of the connection can't be the end of an open
+	// body. It may be nil.
+	confirmEnd func() error
+	// ended is the error with which the body ended, nil before that.
+	ended error
 	// closed is set by the first Close, kept is the result of that call.
 	closed bool
 	kept   bool
@@ -51,6 +54,12 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// ConfirmEnd has confirm called once the connection of an open body has ended. If it returns an
+// error, the body ended early. It must be called before the first Read.
+func (r *Response) ConfirmEnd(confirm func() error) {
+	r.confirmEnd = confirm
+}
+
 // NewRelayedResponse returns a response that another host, named via, passes on. Its body ends
 // with an error if it is not complete.
 func NewRelayedResponse(via string, status int, header http.Header, length int64, body io.ReadCloser) *Response {
@@ -60,18 +69,33 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body, and
 // ErrTruncated or ErrPathLost if the body ends early.
 func (r *Response) Read(p []byte) (int, error) {
+	if r.ended != nil {
+		return 0, r.ended
+	}
 	n, err := r.body.Read(p)
-	if err == io.EOF {
-		r.complete = true
-		return n, io.EOF
+	switch {
+	case err == nil:
+		return n, nil
+	case err == io.EOF:
+		r.ended = r.checkEnd()
+	case errors.Is(err, ErrPathLost):
+		r.ended = err
+	default:
+		r.ended = errors.Wrap(ErrTruncated, err.Error())
 	}
-	if errors.Is(err, ErrPathLost) {
-		return n, err
+	return n, r.ended
+}
+
+// checkEnd returns io.EOF if the body is complete where it ended, and ErrTruncated if not. A
+// process that dies has its connections closed as those of a complete open body.
+func (r *Response) checkEnd() error {
+	if !r.Open || r.confirmEnd == nil {
+		return io.EOF
 	}
-	if err != nil {
-		return n, errors.Wrap(ErrTruncated, err.Error())
+	if err := r.confirmEnd(); err != nil {
+		return errors.Wrapf(ErrTruncated, "its endpoint, which stated no length, is gone: %v", err)
 	}
-	return n, nil
+	return io.EOF
 }
 
 // Close ends the call and reports whether its connection was returned to the pool. It
@@ -89,7 +113,7 @@
 		return false
 	}
 	// If the context has ended, the connection is closed or being closed already.
-	r.kept = x.detachContext() && r.complete && r.Status < http.StatusMultipleChoices && !r.closeAfter && x.requestWritten() && x.conn.reader.Buffered() == 0
+	r.kept = x.detachContext() && r.ended == io.EOF && r.Status < http.StatusMultipleChoices && !r.closeAfter && x.requestWritten() && x.conn.reader.Buffered() == 0
 	idle := idleTime(r.Header)
 	if !r.kept || idle <= 0 || !x.pool.putIdle(x.conn, idle) {
 		r.kept = false
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -55,7 +55,9 @@
 		return nil, x.fail(ctx, err)
 	}
 	x.report(ctx, nil)
-	return newResponse(x, resp), nil
+	out := newResponse(x, resp)
+	out.ConfirmEnd(func() error { return p.Probe(ctx, key, address) })
+	return out, nil
 }
 
 func newRequest(call *Call) (*http.Request, error) {
