slots: standbys go by the last grant of a stream

Cause: what began since the last replication was kept by version, and a stream that was granted twice within the 50 ms stood under both; a standby applied the two in the random order of a map. Two grants that close follow an endpoint that refuses at once: its process has ended and its sockets are closed, or it is full. One that falls dark costs a dial time-out in between.

What callers saw: a stream that was taken up at another host went on at the version of the first, failed grant. With up to 13 hosts each is a standby, and a host looks a stream up in its own table before it asks the scheduler.

On real processes it is not reproduced yet: that this was seen there is suspected.

--- a/slots/origins.go
+++ b/slots/origins.go
@@ -42,28 +42,26 @@
 type replication struct {
 	known Origins
 	// unsent are the streams that began since the last replication.
-	unsent origin.Streams
+	unsent origin.Updates
 	// standbys are the sessions of the hosts that were sent all streams.
 	standbys map[string]*hostSession
 	next     time.Time
 }
 
 func newReplication(known Origins) *replication {
-	return &replication{known: known, unsent: make(origin.Streams), standbys: make(map[string]*hostSession)}
+	return &replication{known: known, unsent: make(origin.Updates), standbys: make(map[string]*hostSession)}
 }
 
 // record records that a stream was assigned to an endpoint of a version.
 func (r *replication) record(request, version string) {
 	r.known.Granted(request, version)
-	r.unsent.Add(request, version)
+	r.unsent.Record(request, version)
 }
 
 // merge adds the streams that a host began.
 func (r *replication) merge(streams origin.Streams) {
 	r.known.Merge(streams)
-	for version, ids := range streams {
-		r.unsent[version] = append(r.unsent[version], ids...)
-	}
+	r.unsent.Merge(streams)
 }
 
 // due reports whether streams are to be replicated.
@@ -79,8 +77,8 @@
 // are new.
 func (l *LocalScheduler) replicateStreams() {
 	r := l.origins
-	unsent := r.unsent
-	r.unsent = make(origin.Streams)
+	unsent := r.unsent.Streams()
+	r.unsent = make(origin.Updates)
 	if r.known.Certain() {
 		clear(r.standbys)
 		return
