origin: a stream has one version in what a new standby is sent

Cause: a stream that was granted again after the table's generations had changed stood in both, with two versions; All returned both, and the receiver kept either by chance.

Evidence: TestTableTravelsAsItIs (property) failed before after 49 and 69 cases ('r2 is of "v0", another host was told "v1"'), and holds 3 times 500 with the fix.

--- a/origin/table.go
+++ b/origin/table.go
@@ -19,7 +19,8 @@
 // Table holds the versions that began streams, by the id of the client's request that brought
 // the first event. It is not safe for concurrent use.
 //
-// Invariant: what this host saw itself is not replaced by what others tell.
+// Invariants: what this host saw itself is not replaced by what others tell; a stream stands in one
+// of the two generations only.
 type Table struct {
 	// current and previous hold the streams of the current and the previous Retention.
 	current, previous map[uint64]entry
@@ -105,6 +106,7 @@
 		return
 	}
 	t.current[id] = e
+	delete(t.previous, id)
 }
 
 // rotate drops the streams of the previous Retention once the current one is over.
