slots, forward: a grant that was not used is not who began a stream

Cause: a scheduler takes what it grants for begun. For a stream whose endpoint is silent another slot is requested while the attempt goes on (forward/replace.go). If the endpoint then sends the first event, or the slot is at an endpoint that was tried, the slot is returned, and the scheduler and its standbys keep its version. Now the host tells who began a stream of which it requested a second slot, and its word outweighs grants, also later ones.

What callers saw: a stream that began after a silence of a second, and was taken up at another host, went on at the version of the slot that was not used.

Evidence: TestUnusedGrantsDoNotMoveAStream; with the report of the host taken out, as before, 4 of 4 streams are known wrongly at both hosts ('r1 was begun by v1, which is known to the scheduler: false, to the next: false'). TestUnusedReplacementIsTold checks that the host reports it.

--- a/forward/options.go
+++ b/forward/options.go
@@ -25,8 +25,9 @@
 	// leaving.
 	OnLeaving func(endpoint.Incarnation)
 	// OnBegun is called with the request that brought the first event of a stream, and the
-	// software version of its endpoint.
-	OnBegun func(request, version string)
+	// software version of its endpoint. A stream is contested if another placement was
+	// requested before its first event, which may have been granted and not used.
+	OnBegun func(request, version string, contested bool)
 	// OnLimit is called with the rate limit, in requests per second, that an endpoint names
 	// in the answer to a request sent at the given time; zero if it names none.
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,7 +162,7 @@
 			return errors.Wrap(errClientWrite, err.Error())
 		}
 		if len(block.Events) > 0 && s.req.setVersion(a.placement.Endpoint().Version) {
-			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version)
+			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version, s.req.isContested())
 		}
 		s.eventOrder = order
 		a.countEvents(len(block.Events))
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/standin"
@@ -77,3 +78,24 @@
 		t.Errorf("a client that names no begin resumes %q, want its own request %s", resumes[2], id)
 	}
 }
+
+// TestUnusedReplacementIsTold begins a stream at an endpoint that was silent for so long that
+// another placement was requested, which is not used: the stream is contested. One that begins at
+// once is not.
+func TestUnusedReplacementIsTold(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, resumable, 1, 4)
+	b.ignoreReleases()
+	b.placer.mayRepeat = true
+	prompt, _ := b.send(context.Background(), "", map[string]string{"X-Deadline-Ms": "5000"})
+	b.replicas[0].Pause(2 * time.Second)
+	silent, a := b.send(context.Background(), "", map[string]string{"X-Deadline-Ms": "5000"})
+	if !a.complete || len(b.runs(silent)) != 1 {
+		t.Fatalf("response %+v after %d runs", a, len(b.runs(silent)))
+	}
+	b.begunMu.Lock()
+	defer b.begunMu.Unlock()
+	if b.contested[prompt] || !b.contested[silent] {
+		t.Errorf("contested: %v, want %s only", b.contested, silent)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -356,7 +356,7 @@
 		Started:    g.starting.gate,
 		OnLeaving:  g.endpointLeaves,
 		OnLimit:    g.limits.Answered,
-		OnBegun:    g.origins.Begun,
+		OnBegun:    g.streamBegun,
 		Jobs:       batch.NewAPI(g.ledger),
 		RepeatsJob: g.ledger.Repeats,
 		Shutdown:   g.ready.shutdown.Load,
@@ -366,6 +366,14 @@
 	})
 }
 
+// streamBegun handles the first event of a stream.
+func (g *Gateway) streamBegun(request, version string, contested bool) {
+	g.origins.Begun(request, version)
+	if contested {
+		g.client.ReportBegun(request, version)
+	}
+}
+
 // endpointLeaves handles an endpoint that says in an answer that it leaves.
 func (g *Gateway) endpointLeaves(i endpoint.Incarnation) {
 	if g.endpoints.Leaves(i, endpoint.ReasonAnswer) {
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -69,10 +69,15 @@
 }
 
 // Granted implements slots.Origins.
-func (o *origins) Granted(request, version string) {
+func (o *origins) Granted(request, version string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Record(clock.Now(), request, version, false)
+	now := clock.Now()
+	o.table.Record(now, request, version, false)
+	if began, known := o.table.Lookup(now, request); known {
+		return began
+	}
+	return version
 }
 
 // Own implements slots.Origins.
@@ -96,6 +101,13 @@
 	o.table.Merge(clock.Now(), streams)
 }
 
+// MergeBegun implements slots.Origins.
+func (o *origins) MergeBegun(streams origin.Streams) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.MergeBegun(clock.Now(), streams)
+}
+
 // Certain implements slots.Origins.
 func (o *origins) Certain() bool {
 	o.mu.Lock()
--- a/origin/table.go
+++ b/origin/table.go
@@ -19,7 +19,8 @@
 // Table holds the versions that began streams, by the id of the client's request that brought
 // the first event. It is not safe for concurrent use.
 //
-// Invariants: what this host saw itself is not replaced by what others tell; a stream stands in one
+// Invariants: the word of the host that received a stream's first event is not replaced by a grant,
+// and what this host saw itself by nothing that others tell; a stream stands in one
 // of the two generations only.
 type Table struct {
 	// current and previous hold the streams of the current and the previous Retention.
@@ -30,19 +31,34 @@
 // entry is the version that began a stream.
 type entry struct {
 	version string
-	// own is set if this host received the first event.
-	own bool
+	source  source
 }
 
+// source tells how a version is known, the most reliable last.
+type source int
+
+const (
+	// granted means that a slot at the version was granted, or that a scheduler told so.
+	granted source = iota
+	// told means that the host that received the first event told so.
+	told
+	// own means that this host received the first event.
+	own
+)
+
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{current: make(map[uint64]entry), previous: make(map[uint64]entry)}
 }
 
-// Record records that a stream was begun by a version: own if this host received its first
-// event, otherwise by the endpoint that was assigned to it.
-func (t *Table) Record(now time.Time, request, version string, own bool) {
-	t.put(now, xxhash.Sum64String(request), entry{version: version, own: own})
+// Record records that a stream was begun by a version: begunHere if this host received its
+// first event, otherwise by the endpoint that was assigned to it.
+func (t *Table) Record(now time.Time, request, version string, begunHere bool) {
+	e := entry{version: version, source: granted}
+	if begunHere {
+		e.source = own
+	}
+	t.put(now, xxhash.Sum64String(request), e)
 }
 
 // Lookup returns the version that began a stream, and whether it is known. A stream that is
@@ -60,11 +76,20 @@
 	return e.version, found
 }
 
-// Merge adds streams of which another host told.
+// Merge adds streams of which a scheduler told.
 func (t *Table) Merge(now time.Time, streams Streams) {
+	t.merge(now, streams, granted)
+}
+
+// MergeBegun adds streams of which the host told that received their first events.
+func (t *Table) MergeBegun(now time.Time, streams Streams) {
+	t.merge(now, streams, told)
+}
+
+func (t *Table) merge(now time.Time, streams Streams, s source) {
 	for version, ids := range streams {
 		for len(ids) >= idBytes {
-			t.put(now, binary.LittleEndian.Uint64(ids), entry{version: version})
+			t.put(now, binary.LittleEndian.Uint64(ids), entry{version: version, source: s})
 			ids = ids[idBytes:]
 		}
 	}
@@ -76,7 +101,7 @@
 	out := make(Streams)
 	for _, generation := range []map[uint64]entry{t.current, t.previous} {
 		for id, e := range generation {
-			if e.own {
+			if e.source == own {
 				out.add(e.version, id)
 			}
 		}
@@ -100,9 +125,9 @@
 	t.rotate(now)
 	old, found := t.current[id]
 	if !found {
-		old = t.previous[id]
+		old, found = t.previous[id]
 	}
-	if old.own && !e.own {
+	if found && old.source > e.source {
 		return
 	}
 	t.current[id] = e
--- a/slots/origins.go
+++ b/slots/origins.go
@@ -25,13 +25,16 @@
 	// Version returns the software version of a service that began the stream of a request,
 	// and whether that can be known.
 	Version(service, request string) (version string, known bool)
-	// Granted records that a stream was assigned to an endpoint of a version.
-	Granted(request, version string)
+	// Granted records that a stream was assigned to an endpoint of a version, and returns the
+	// version that began it: another one, if its host has told so.
+	Granted(request, version string) string
 	// Own returns the streams that this host began, All every stream known.
 	Own() origin.Streams
 	All() origin.Streams
-	// Merge adds streams of which another host told.
+	// Merge adds streams of which a scheduler told, MergeBegun those of which the host told that
+	// received their first events.
 	Merge(streams origin.Streams)
+	MergeBegun(streams origin.Streams)
 	// Certain reports whether the version of any stream is known without a record of it, as
 	// every service has had a single one for long.
 	Certain() bool
@@ -54,13 +57,12 @@
 
 // record records that a stream was assigned to an endpoint of a version.
 func (r *replication) record(request, version string) {
-	r.known.Granted(request, version)
-	r.unsent.Record(request, version)
+	r.unsent.Record(request, r.known.Granted(request, version))
 }
 
 // merge adds the streams that a host began.
 func (r *replication) merge(streams origin.Streams) {
-	r.known.Merge(streams)
+	r.known.MergeBegun(streams)
 	r.unsent.Merge(streams)
 }
 
@@ -121,7 +123,7 @@
 func (noOrigins) Version(string, string) (string, bool) { return "", true }
 
 // Granted implements Origins.
-func (noOrigins) Granted(string, string) {}
+func (noOrigins) Granted(_, version string) string { return version }
 
 // Own implements Origins.
 func (noOrigins) Own() origin.Streams { return nil }
@@ -132,5 +134,8 @@
 // Merge implements Origins.
 func (noOrigins) Merge(origin.Streams) {}
 
+// MergeBegun implements Origins.
+func (noOrigins) MergeBegun(origin.Streams) {}
+
 // Certain implements Origins.
 func (noOrigins) Certain() bool { return true }
--- a/slots/origins_test.go
+++ b/slots/origins_test.go
@@ -33,7 +33,17 @@
 	return o.table.Lookup(time.Now(), request)
 }
 
-func (o *knownOrigins) Granted(request, version string) { o.record(request, version, false) }
+func (o *knownOrigins) Granted(request, version string) string {
+	o.record(request, version, false)
+	began, _ := o.Version("s", request)
+	return began
+}
+
+func (o *knownOrigins) MergeBegun(s origin.Streams) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.MergeBegun(time.Now(), s)
+}
 
 func (o *knownOrigins) record(request, version string, own bool) {
 	o.mu.Lock()
--- a/slots/regrant_test.go
+++ b/slots/regrant_test.go
@@ -73,3 +73,40 @@
 		t.Errorf("%d of %d streams have the version of their first grant at the next host", wrong, rounds)
 	}
 }
+
+// TestUnusedGrantsDoNotMoveAStream has a stream granted at one version, begun there, and granted at
+// the other one for an attempt that is not made, before and after its first event: it goes on at
+// the version that began it, at the scheduler and at the hosts that may schedule next.
+func TestUnusedGrantsDoNotMoveAStream(t *testing.T) {
+	atFirst, atNext := newKnownOrigins(), newKnownOrigins()
+	firstDirectory, nextDirectory := newFakeDirectory(), newFakeDirectory()
+	_, firstLocal := runOriginHost(t, "first", atFirst, firstDirectory)
+	first := serveSessions(t, "first", firstLocal)
+	next, _ := runOriginHost(t, "next", atNext, nextDirectory)
+	order := []peers.Host{first, {Name: "next", Incarnation: "i"}}
+	firstDirectory.set(order...)
+	nextDirectory.set(order...)
+	eventually(t, "session", func() bool { return next.Scheduler() == "first" })
+
+	begins := make(map[string]string)
+	for i := range 4 {
+		request := fmt.Sprint("r", i)
+		used := map[string]string{"v1": "v2", "v2": "v1"}[grantTwice(t, next, request)]
+		next.ReportBegun(request, used)
+		begins[request] = used
+		if _, err := begin(t, next, request, ""); err != nil {
+			t.Fatal(err)
+		}
+		grantTwice(t, next, request)
+	}
+	if _, err := begin(t, next, "last", ""); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "replication", func() bool { return atNext.knows("last", "v1") || atNext.knows("last", "v2") })
+	for request, version := range begins {
+		if !atFirst.knows(request, version) || !atNext.knows(request, version) {
+			t.Errorf("%s was begun by %s, which is known to the scheduler: %t, to the next: %t",
+				request, version, atFirst.knows(request, version), atNext.knows(request, version))
+		}
+	}
+}
--- a/slots/reports.go
+++ b/slots/reports.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/origin"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/throttle"
 )
@@ -36,6 +37,18 @@
 	}
 }
 
+// ReportBegun reports to the scheduler which version began a stream. It is needed for streams whose
+// last grant may not be the one that was used: what a scheduler grants it takes for begun.
+func (c *Client) ReportBegun(request, version string) {
+	streams := make(origin.Streams)
+	streams.Add(request, version)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil {
+		c.link.send(HostMessage{Streams: streams})
+	}
+}
+
 // ReportLimits reports to the scheduler rate limits that endpoints named in answers to this
 // host. The scheduler passes them on to all hosts.
 func (c *Client) ReportLimits(notices []throttle.Notice) {
