gateway, batch: streams and items begin where host and scheduler agree on the version

Cause: the scheduler places by its own reading of an endpoint's version, the host records what it began under its own. If an endpoint starts again under its id with another version, one of the two reads that later, by seconds if its path to the store is cut. Only what goes on was compared, so that a stream or the checkpoint of an item was kept under a version that did not write it, and went on at that one.

What callers saw: events of two versions in a stream that is taken up, or in the text of an item.

The slot is returned as for an endpoint whose record was not read; an item's start says its version now.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -107,6 +107,10 @@
 	case prepared.Version != x.endpoint.Version:
 		x.endRun("unread", s.Endpoint+" was started again with another version", scheduler.Usage{Outcome: scheduler.Unread})
 		return
+	case s.Version != "" && s.Version != x.endpoint.Version:
+		// Older schedulers don't say it.
+		x.endRun("unread", "the scheduler has read version "+s.Version+" of "+s.Endpoint, scheduler.Usage{Outcome: scheduler.Unread})
+		return
 	}
 	if waited := time.Since(x.startTime); waited > startValidity && r.ledger.opts.HasRateLimit(x.endpoint) {
 		// Starts that were delayed together would exceed the limit together.
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+// TestItemNeedsAnAgreedVersion starts an item at an endpoint that the scheduler has read at another
+// version than this host: the item isn't sent, as its output would be kept under the wrong one.
+func TestItemNeedsAnAgreedVersion(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	l, replica := submitJob(ctx, t, standin.ReplicaFaults{CutAfter: 2})
+	l.opts.Endpoint = func(id string) *endpoint.Endpoint {
+		return &endpoint.Endpoint{ID: id, Service: "engine", Address: replica.Address(), State: endpoint.Ready, Version: "v1"}
+	}
+	for version, runs := range map[string]int{"v2": 0, "v1": 1} {
+		var uses recordingSlot
+		before := len(replica.Runs())
+		NewRunner(ctx, l).Run(ctx, &scheduler.Start{Ticket: "t", Endpoint: "engine-0", Item: scheduler.ItemRef{Job: "j"}, Version: version}, &uses)
+		if got := len(replica.Runs()) - before; got != runs || len(uses) != 1 || (uses[0].Outcome == scheduler.Unread) != (runs == 0) {
+			t.Errorf("started at %s: %d runs, slot released with %+v", version, got, uses)
+		}
+	}
+}
+
 // TestCommentsAreNoProgress runs an item at an engine that sends comments without end
 // after its first event. The run must end, so that its slot becomes free, and must keep
 // the first event so that the next run resumes after it.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -15,6 +15,7 @@
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/slots"
 )
@@ -216,11 +217,11 @@
 
 // usableGrant reports whether a request can be sent to the endpoint of a slot, of which this host
 // has read the given record, if any, and the scheduler the given version. If not, it returns how
-// the slot is returned.
+// the slot is returned. A stream has to know its version for certain, as it may be taken up again.
 func usableGrant(ask *forward.PlacementRequest, version string, e *endpoint.Endpoint) (scheduler.Outcome, bool) {
-	goesOn := ask.Resumes != "" || ask.Version != nil
+	streams := ask.Resumes != "" || ask.Version != nil || ask.Route != nil && ask.Route.Kind == route.Streaming
 	switch {
-	case e == nil, goesOn && e.Version != version:
+	case e == nil, streams && e.Version != version:
 		return scheduler.Unread, false
 	case e.State != endpoint.Ready:
 		return scheduler.Leaving, false
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
 
@@ -14,6 +15,7 @@
 	v1 := "v1"
 	begins := &forward.PlacementRequest{}
 	goesOn := &forward.PlacementRequest{Resumes: "r", Version: &v1}
+	stream := &forward.PlacementRequest{Route: &route.Route{Kind: route.Streaming}}
 	for name, c := range map[string]struct {
 		ask    *forward.PlacementRequest
 		e      *endpoint.Endpoint
@@ -23,6 +25,8 @@
 		"no record":                    {begins, nil, scheduler.Unread, false},
 		"ready":                        {begins, &endpoint.Endpoint{Version: "v2"}, "", true},
 		"draining":                     {begins, &endpoint.Endpoint{Version: "v1", State: endpoint.Draining}, scheduler.Leaving, false},
+		"a stream begins":              {stream, &endpoint.Endpoint{Version: "v1"}, "", true},
+		"begins at a disputed version": {stream, &endpoint.Endpoint{Version: "v2"}, scheduler.Unread, false},
 		"another version goes on":      {goesOn, &endpoint.Endpoint{Version: "v2"}, scheduler.Unread, false},
 		"the version goes on":          {goesOn, &endpoint.Endpoint{Version: "v1"}, "", true},
 		"the version goes on, leaving": {goesOn, &endpoint.Endpoint{Version: "v1", State: endpoint.Draining}, scheduler.Leaving, false},
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -103,7 +103,7 @@
 	t := &ticket{id: i.ticket, host: host.name, class: Batch, since: now, tokens: p.tokens, item: i}
 	s.countRequest(now)
 	c.occupy(now, s, t, i.Prefix)
-	c.emit(Start{Host: host.name, Ticket: t.id, Endpoint: s.ID, Item: i.Ref})
+	c.emit(Start{Host: host.name, Ticket: t.id, Endpoint: s.ID, Item: i.Ref, Version: s.Version})
 	return true
 }
 
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -42,6 +42,8 @@
 	Ticket   string  `json:"ticket"`
 	Endpoint string  `json:"endpoint"`
 	Item     ItemRef `json:"item"`
+	// Version is the software version of the endpoint, as the scheduler knows it.
+	Version string `json:"version,omitempty"`
 }
 
 // To implements Effect.
