gateway: the scheduler tells who began a stream that a host has no record of

Cause: a host that was asked to go on with a stream took the only version that it had read for the one that began it, and told the scheduler so. It may not have read the first endpoint of a new version, which the scheduler has and uses: for 0.3 s as a rule, for as long as its own path to the store is cut.

What callers saw: a stream that began at the first new endpoints and is taken up at such a host goes on at the old version.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -40,6 +40,14 @@
 	return o.history.Only(now, service)
 }
 
+// Recorded returns the version that began the stream of a request, if this host has a record of
+// it. Which versions serve, the scheduler knows better: it may have read more endpoints.
+func (o *origins) Recorded(request string) (version string, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Lookup(clock.Now(), request)
+}
+
 // Observe records the endpoints that are listed.
 func (o *origins) Observe(endpoints []endpoint.Endpoint) {
 	o.mu.Lock()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -198,7 +198,7 @@
 		waited := time.Since(begun)
 		a.Elapsed, a.Left = ask.Elapsed+waited, ask.Left-waited
 		if a.Resumes != "" && a.Version == nil {
-			if version, known := p.origins.Version(ask.Service, a.Resumes); known {
+			if version, known := p.origins.Recorded(a.Resumes); known {
 				a.Version = &version
 			}
 		}
