endpoint: a late record of an earlier run changes nothing

Cause: records of an endpoint were applied by their offsets alone. The store may carry out a write one to six seconds after its answer was lost, and so after the first record of the endpoint's next run under the same id: hosts then went back to the earlier run, with its software version, until the next heartbeat. Runs are told apart by their start. One that starts earlier by its clock than the one before is accepted when it is first seen, as its clock may have been set back, and one that keeps writing in any case.

What callers saw: what began meanwhile was kept under the wrong version, and went on there.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -21,12 +21,14 @@
 // removes it, or a complete listing doesn't contain it. While records may have lapsed in
 // an outage of the store, only the endpoint's own announcement counts. An incarnation that
 // has announced its shutdown in an answer never gets new work again, whatever its record
-// says.
+// says. A record of an earlier run than the one that writes changes nothing.
 type Table struct {
 	entries map[string]*entry
 	// leaving holds, by endpoint id, the incarnations that announced their shutdown in an
 	// answer. It is independent of entries, as records may lapse and be written again.
 	leaving map[string]leavingIncarnation
+	// runs holds, by endpoint id, its last runs. It is independent of entries, as records lapse.
+	runs map[string]*runs
 	// unreachableSince is when the store became unreachable, zero while it is reachable.
 	unreachableSince time.Time
 	// graceUntil is the end of the time after an outage in which missing entries are
@@ -79,7 +81,7 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{entries: make(map[string]*entry), leaving: make(map[string]leavingIncarnation)}
+	return &Table{entries: make(map[string]*entry), leaving: make(map[string]leavingIncarnation), runs: make(map[string]*runs)}
 }
 
 // AnnounceLeaving applies an announcement of an endpoint, in an answer, that it is shutting
@@ -122,13 +124,22 @@
 	return out
 }
 
-// Put applies an endpoint's record. Records up to the offset of the newest one applied
-// are ignored.
+// Put applies an endpoint's record. Records up to the offset of the newest one applied, and
+// late ones of earlier runs, are ignored.
 func (t *Table) Put(offset int64, e Endpoint) []Change {
 	old := t.entries[e.ID]
 	if old != nil && offset <= old.offset {
 		return nil
 	}
+	if t.runs[e.ID] == nil {
+		t.runs[e.ID] = &runs{}
+	}
+	if t.runs[e.ID].isLate(e.Started) {
+		if old != nil {
+			old.offset = offset
+		}
+		return nil
+	}
 	if t.announcedLeaving(&e) {
 		e.State = Draining
 	} else if t.leaving[e.ID].incarnation.Started.Before(e.Started) {
@@ -213,9 +224,14 @@
 	return out
 }
 
-// expireLeaving drops the leaving incarnations of endpoints without an entry that were
-// recorded at least leavingRetention ago.
+// expireLeaving drops the leaving incarnations and the runs of endpoints without an entry after
+// leavingRetention.
 func (t *Table) expireLeaving(now time.Time) {
+	for id, r := range t.runs {
+		if r.expired(now, t.entries[id] != nil) {
+			delete(t.runs, id)
+		}
+	}
 	for id, d := range t.leaving {
 		if t.entries[id] == nil && now.Sub(d.recordedAt) >= leavingRetention {
 			delete(t.leaving, id)
