--- a/jobs/replay_test.go
+++ b/jobs/replay_test.go
@@ -159,7 +159,7 @@
 			p := &j.progress[i]
 			fmt.Fprintf(&b, " item %d %t %v", i, p.ended, slices.Sorted(slices.Values(p.failedRuns)))
 			if p.partial != nil && !p.ended {
-				fmt.Fprintf(&b, " %d events", p.partial.Events)
+				fmt.Fprintf(&b, " %d events of %s", p.partial.Events, p.partial.Version)
 			}
 		}
 	}
@@ -191,7 +191,8 @@
 	case 0:
 		l.append("failure", &Record{Job: job.ID, Failure: &Failure{Item: item, Run: fmt.Sprint("run", l.seq)}})
 	case 1:
-		l.append("partial", &Record{Job: job.ID, Partial: &Partial{Item: item, Events: l.IntN(50)}})
+		events := l.IntN(50)
+		l.append("partial", &Record{Job: job.ID, Partial: &Partial{Item: item, Events: events, Version: fmt.Sprint("v", l.seq%2)}})
 	case 2:
 		l.append("cancel", &Record{Job: job.ID, Cancel: &Cancel{}})
 	default:
