upstream: an open response is not complete if its endpoint ended with it

What callers saw: a response with neither a length nor chunks that ended as complete behind one of its events, or inside its body, and a batch item recorded as done with a part of its output, after the endpoint's process had been killed.

Cause: the kernel closes the connections of a process that is killed with FIN, unless it holds unread bytes: the regular end of such a body. A reset was told from it, the end of the process not.

Evidence: TestEndpointThatDiesInAnOpenResponse of package forward before:

single_stream: "id: 1\ndata: b\n\nid: 2\ndata: c\n\n" looks complete resumable_stream: "id: 1\ndata: b\n\nid: 2\ndata: c\n\n" looks complete at_most_once: "the w" looks complete idempotent: "the w" looks complete

and TestItemWhoseEndpointDiesInAnOpenResponse of package batch: done with output "b" of "b", "c", "d". Both pass now.

Change: at the end of an open body the pool connects to the endpoint once more. If that fails, the body is truncated: a killed process loses its listener with its connections. The calls that a host makes for others have the same check.

Left: an endpoint that closes such a response early by itself and lives on can't be told from one that has finished; and one that ends right behind a whole open response loses it.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -17,7 +17,8 @@
 	// Length is the length of the body in bytes, or -1 if the endpoint did not state it.
 	Length int64
 	// Open is set if the body has neither a length nor chunks, so that the connection's end is
-	// its end: one of an endpoint that stops regularly can't be told from it.
+	// its end: one of an endpoint that stops regularly can't be told from it, unless the endpoint
+	// has ended too.
 	Open bool
 	// Via is the name of the host that made the call for this one, or "".
 	Via string
@@ -27,8 +28,9 @@
 	body     io.ReadCloser
 	// closeAfter is set if the connection can't be used after the response.
 	closeAfter bool
-	// complete is set once the body was read to its end.
+	// complete is set once the body was read to its end, died if its endpoint ended with it.
 	complete bool
+	died     error
 	// closed is set by the first Close, kept is the result of that call.
 	closed bool
 	kept   bool
@@ -61,6 +63,12 @@
 // ErrTruncated or ErrPathLost if the body ends early.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF && r.Open && r.exchange != nil && !r.complete && r.died == nil {
+		r.died = r.exchange.confirmAlive()
+	}
+	if r.died != nil {
+		return n, errors.Wrap(ErrTruncated, r.died.Error())
+	}
 	if err == io.EOF {
 		r.complete = true
 		return n, io.EOF
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -15,6 +16,9 @@
 type exchange struct {
 	pool *Pool
 	conn *connection
+	// ctx is that of the call, address that of the endpoint.
+	ctx     context.Context
+	address string
 	// first is set if no earlier call used the connection.
 	first bool
 	// detachContext detaches the connection from the call's context, whose end closes it.
@@ -35,7 +39,7 @@
 		return nil, err
 	}
 	conn.sent.Store(0)
-	x := &exchange{pool: p, conn: conn, first: conn.responses == 0, written: make(chan struct{})}
+	x := &exchange{pool: p, conn: conn, ctx: ctx, address: address, first: conn.responses == 0, written: make(chan struct{})}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	req, err := newRequest(call)
 	if err != nil {
@@ -191,6 +195,18 @@
 	}
 }
 
+// confirmAlive returns an error if the endpoint accepts no connection. The kernel ends the connections
+// of a process that is killed like those of one that closes them, but its listener too.
+func (x *exchange) confirmAlive() error {
+	began := time.Now()
+	conn, err := x.pool.dial(x.ctx, x.address)
+	if err != nil {
+		x.pool.report(x.ctx, x.conn.key, began, err)
+		return errors.Wrap(err, "the endpoint may have ended")
+	}
+	return errors.Wrap(conn.Close(), "close")
+}
+
 // closeConn closes the connection without returning it to the pool.
 func (x *exchange) closeConn() {
 	x.detachContext()
