sse: a stream goes on only behind numbered events

What callers saw: a batch item that was done without one of its events; a stream with its first events twice, or with events of a second run that did not follow the last one. The endpoint had sent events without a number among numbered ones, or none with a number, and its stream had broken off.

Cause: events without a number were not checked, but counted. An item asked for what is behind the number of its events, a stream behind its last number, of which it may have had none. The class of fault: a position is told by two counts that need not agree.

Evidence, before: TestItemGoesOnBehindItsLastNumber

"data: a\n\n": asked behind events [0 2], output "b\na\nd" "data\n\n": asked behind events [0 2], output "b\n\nd"

and TestStreamsAreJoinedOnlyBehindTheirLastEvent, 7 cases, of which

never_numbered: complete true, got "data: a\n\ndata: b\n\ndata: a\n\ndata: b\n\ndata: c\n\n"; asked behind ["" ""] without_numbers: complete true, got "id: 1 ... id: 3\ndata: x.3\n\ndata: a\n\ndata: b\n\n"; asked behind ["" "3"]

Both pass now.

Change: events of a stream have consecutive numbers or none of them has one; a stream without numbers is not resumed. Events with neither an id nor data are keep-alives, as comments are: they pass, and are no events of an item.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -17,7 +17,7 @@
 // endpoint, within the same response to the client.
 func (f *Forwarder) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
 	s := &streamer{f: f, ctx: ctx, w: w, req: req, eventOrder: sse.NewOrderChecker(req.LastEvent)}
-	for req.hasAttemptsLeft() && ctx.Err() == nil {
+	for req.hasAttemptsLeft() && !s.eventOrder.Unnumbered && ctx.Err() == nil {
 		a, err := f.sendAttempt(ctx, req, s.eventOrder.LastID)
 		if err != nil {
 			s.fail(err)
--- a/sse/block.go
+++ b/sse/block.go
@@ -120,8 +120,8 @@
 	return end
 }
 
-// parseEvents appends the events in b to events; their data may alias b. Comments and
-// reconnection times are skipped: endpoints send them as keep-alives. It returns ErrNoEvent
+// parseEvents appends the events in b to events; their data may alias b. Comments, reconnection
+// times and events with neither an id nor data are skipped: endpoints send them as keep-alives. It returns ErrNoEvent
 // if a line is no field, or an event has neither id nor data: such bytes are no part of the
 // stream, but for example an error that an endpoint wrote into it.
 func parseEvents(events []Event, b []byte) ([]Event, error) {
@@ -135,7 +135,7 @@
 			if hasOther && !hasField {
 				return nil, errors.WithStack(ErrNoEvent)
 			}
-			if hasField {
+			if event.ID != "" || len(event.Data) > 0 {
 				events = append(events, event)
 			}
 			event, hasField, hasOther, joined = Event{}, false, false, false
--- a/sse/order.go
+++ b/sse/order.go
@@ -9,11 +9,14 @@
 // ErrOrder is returned if an endpoint skipped or repeated an event.
 var ErrOrder = errors.New("event is out of order")
 
-// OrderChecker checks that events with numeric IDs are consecutive, including across
-// the resumption of a stream. Events without a numeric ID are not checked.
+// OrderChecker checks that the IDs of events are consecutive numbers, including across the
+// resumption of a stream, or that no event has a number.
 type OrderChecker struct {
-	// LastID is the ID of the newest event, which is sent when the stream is resumed.
+	// LastID is the ID of the newest numbered event, which is sent when the stream is resumed.
 	LastID string
+	// Unnumbered is set once there was an event without a number. The stream can't be resumed
+	// then: no endpoint can be told where.
+	Unnumbered bool
 	// number is LastID as a number, or -1 if there is none.
 	number int64
 }
@@ -25,25 +28,31 @@
 }
 
 // Check records the next events of the stream. It returns ErrOrder if they are not
-// consecutive.
+// consecutive, or only some of the stream's events have numbers.
 func (o *OrderChecker) Check(events []Event) error {
 	for i := range events {
 		id := events[i].ID
 		n := eventNumber(id)
-		if n < 0 {
-			continue
-		}
-		if o.number >= 0 && n != o.number+1 {
+		switch {
+		case n < 0 && o.number >= 0:
+			return errors.Wrapf(ErrOrder, "one without a number after %d", o.number)
+		case n < 0:
+			o.Unnumbered = true
+		case o.Unnumbered:
+			return errors.Wrapf(ErrOrder, "%d after one without a number", n)
+		case o.number >= 0 && n != o.number+1:
 			return errors.Wrapf(ErrOrder, "%d after %d", n, o.number)
+		default:
+			o.LastID, o.number = id, n
 		}
-		o.LastID, o.number = id, n
 	}
 	return nil
 }
 
+// eventNumber returns an ID as a number, or -1 if it is none.
 func eventNumber(id string) int64 {
 	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
+	if err != nil || n < 0 {
 		return -1
 	}
 	return n
