--- a/batch/run.go
+++ b/batch/run.go
@@ -296,9 +296,9 @@
 		// The output below the bound may be wrong too, so it is discarded.
 		x.ledger.progress.drop(x.ref)
 		x.events = 0
-	case errors.Is(err, errNoEvents):
-		// If the output is whole, no run that goes on from it has an event: the next one begins
-		// anew.
+	case errors.Is(err, errNoEvents), x.eventOrder.Unnumbered:
+		// If the output is whole, no run that goes on from it has an event; without numbers no
+		// endpoint can be told where to go on. The next one begins anew.
 		x.ledger.progress.put(x.ref, itemProgress{version: x.endpoint.Version, unusable: true})
 		x.events = 0
 	case x.events > x.priorEvents:
@@ -321,6 +321,9 @@
 
 // snapshotProgress keeps the item's progress in memory.
 func (x *itemRun) snapshotProgress() {
+	if x.eventOrder.Unnumbered {
+		return
+	}
 	x.ledger.progress.put(x.ref, itemProgress{
 		events: x.events, tokens: x.tokenCount(), output: x.output.String(), version: x.endpoint.Version,
 	})
