e2e: all hosts of a soak may run another build

OLD_BINARIES gives every other host an older build. To play today's soak on an earlier landing, or with a guard taken out of the daemon, all hosts have to run that build: OLD_HOSTS=all.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -47,10 +47,15 @@
 // daemonsStarted counts the daemons that this process has started.
 var daemonsStarted atomic.Int64
 
-// folderOf returns the folder of a command. OLD_BINARIES names that of an older build, from which every
-// other daemon comes: hosts are replaced one after the other, so both builds serve side by side.
+// folderOf returns the folder of a command. OLD_BINARIES names that of another build, from which every
+// other daemon comes: hosts are replaced one after the other, so both builds serve side by side. With
+// OLD_HOSTS=all all of them come from it.
 func folderOf(command string) string {
-	if old := os.Getenv("OLD_BINARIES"); old != "" && command == "peridotmountd" && daemonsStarted.Add(1)%2 == 0 {
+	old := os.Getenv("OLD_BINARIES")
+	if old == "" || command != "peridotmountd" {
+		return binaries
+	}
+	if os.Getenv("OLD_HOSTS") == "all" || daemonsStarted.Add(1)%2 == 0 {
 		return old
 	}
 	return binaries
