forward: a stream does not go on at a replacement of another version

What callers saw: a stream of events of two software versions within one response, complete.

Cause: a stream without its first event for a second gets a place at another endpoint, of any version, before its attempt is given up. The silent endpoint's first event may be read until its connection is closed; it was passed on, and the next attempt went on behind it at the place obtained before. The class of fault: a decision is carried out after what it was based on has changed.

Evidence: TestReplacementOfAnotherVersionIsNotUsed before:

asked [silent: other:1], complete true, "id: 1\ndata: b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n"

where "other" has version v2; it passes now, with [silent: same:1].

Change: the version is compared as the place is taken, by the goroutine that passes events on: nothing can begin the stream after that.

--- a/forward/replace.go
+++ b/forward/replace.go
@@ -79,12 +79,17 @@
 	return true
 }
 
-// takeReplacement returns the placement that replaces the last attempt, or nil.
+// takeReplacement returns the placement that replaces the last attempt, or nil. One at another version
+// than that which has begun the stream meanwhile is released.
 func (r *request) takeReplacement() Placement {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := r.replacement
+	p, version := r.replacement, r.version
 	r.replacement = nil
+	r.mu.Unlock()
+	if p != nil && version != nil && p.Endpoint().Version != *version {
+		p.Release(Usage{Outcome: OutcomeAbandoned})
+		return nil
+	}
 	return p
 }
 
