--- a/forward/stream.go
+++ b/forward/stream.go
@@ -84,8 +84,10 @@
 		s.headWritten = true
 		s.req.phase = passingResponse
 	} else {
+		s.eventOrder.Resume()
 		s.f.metrics.resumed.Inc()
 	}
+	s.req.open = a.response.Open
 	err := s.copyEvents(a)
 	if err == nil {
 		s.f.metrics.attempts.WithLabelValues(string(OutcomeAnswered)).Inc()
@@ -162,7 +164,7 @@
 			return errors.Wrap(errClientWrite, err.Error())
 		}
 		if len(block.Events) > 0 && s.req.setVersion(a.placement.Endpoint().Version) {
-			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version)
+			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version, s.req.isContested())
 		}
 		s.eventOrder = order
 		a.countEvents(len(block.Events))
