endpoint: a run whose clock was set back is believed when it shuts down

Cause: an announcement of a shutdown was taken for that of an earlier run if the run started earlier by the endpoint's own clock. A clock that is set back by more than the run before lasted makes the start of the next run under the same id the smaller number. The run that is listed is the present one.

What callers saw: requests were sent to an endpoint that leaves, until its record said so.

--- a/endpoint/leaving_test.go
+++ b/endpoint/leaving_test.go
@@ -44,6 +44,8 @@
 		{"an answer before the endpoint's first record", []func(*Table){answer(first), record(1, first)}, false},
 		{"its record lapses, an answer announces its shutdown, its record is written again", []func(*Table){record(1, first), removed(2), answer(first), record(3, first)}, false},
 		{"an answer before the first record, which is of a new incarnation", []func(*Table){answer(first), record(1, second)}, true},
+		{"it restarts, and its clock was set back", []func(*Table){record(1, second), answer(second), record(2, first)}, true},
+		{"that incarnation shuts down too", []func(*Table){record(1, second), answer(second), record(2, first), answer(first)}, false},
 		{"draining by its record only", []func(*Table){record(1, first), record(2, incarnationRecord(1, Draining))}, false},
 		{"draining by its record, then ready", []func(*Table){record(1, incarnationRecord(1, Draining)), record(2, first)}, true},
 		{"draining by record and answer, and an older record arrives late", []func(*Table){record(5, incarnationRecord(1, Draining)), answer(first), record(4, first)}, false},
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -89,10 +89,13 @@
 // the incarnation has no entry yet or any more, and ignored if the entry is of a later one.
 func (t *Table) AnnounceLeaving(now time.Time, i Incarnation, reason Reason) []Change {
 	old := t.entries[i.ID]
-	if d, found := t.leaving[i.ID]; found && !d.incarnation.Started.Before(i.Started) {
+	// By the records, not by the clocks of the two runs: the endpoint's may have been set back.
+	present := old != nil && old.endpoint.Started.Equal(i.Started)
+	d, found := t.leaving[i.ID]
+	switch {
+	case found && d.incarnation.Started.Equal(i.Started):
 		return nil
-	}
-	if old != nil && i.Started.Before(old.endpoint.Started) {
+	case !present && found && i.Started.Before(d.incarnation.Started), !present && old != nil && i.Started.Before(old.endpoint.Started):
 		return nil
 	}
 	t.leaving[i.ID] = leavingIncarnation{incarnation: i, recordedAt: now}
