peers: a heartbeat that the store carries out late takes no shutdown back

Cause: records of a host were applied by their offsets alone; its heartbeats are numbered, but nothing looked at the number.

What callers saw: nothing directly. A host that shuts down was taken for one that stays, and given batch items or elected, until its next record.

--- a/peers/table.go
+++ b/peers/table.go
@@ -31,13 +31,17 @@
 	return &Table{entries: make(map[string]*entry)}
 }
 
-// Put applies a host's record.
+// Put applies a host's record, unless it is older than the one that is held, or the store carried
+// it out after a later one of the same run.
 func (t *Table) Put(now time.Time, offset int64, h Host) {
 	old := t.entries[h.Name]
 	if old != nil && (offset < old.offset || offset == old.offset && old.host.Token != "") {
 		// The same record may come again with the token, which another host left out.
 		return
 	}
+	if old != nil && h.Incarnation == old.host.Incarnation && h.Beat < old.host.Beat {
+		return
+	}
 	t.entries[h.Name] = &entry{host: h, offset: offset, seen: now, lastRecord: now}
 }
 
--- a/peers/table_test.go
+++ b/peers/table_test.go
@@ -120,3 +120,24 @@
 		t.Errorf("hosts %v", got)
 	}
 }
+
+// TestLateHeartbeatIsPassedOver has the store carry out a heartbeat late, from before the host
+// announced its shutdown, and another run of the host begin.
+func TestLateHeartbeatIsPassedOver(t *testing.T) {
+	beat := func(incarnation string, n int64, leaving bool) Host {
+		h := host("a", 1)
+		h.Incarnation, h.Beat, h.Leaving = incarnation, n, leaving
+		return h
+	}
+	table := NewTable()
+	table.Put(start, 1, beat("first", 7, false))
+	table.Put(start, 2, beat("first", 9, true))
+	table.Put(start, 3, beat("first", 8, false))
+	if got := table.Hosts(); !got[0].Leaving {
+		t.Errorf("a late heartbeat takes the shutdown back: %+v", got)
+	}
+	table.Put(start, 4, beat("second", 1, false))
+	if got := table.Hosts(); got[0].Incarnation != "second" {
+		t.Errorf("the next run is passed over: %+v", got)
+	}
+}
