follow: an answer from before what was read confirms nothing

Cause: a read that ends before the offset that it was asked from was taken for 'nothing new', and the view for complete at that time. The store says that its reads are linearizable; if one falls behind, the view must not be confirmed by it.

What callers saw: none known; 'there is no such batch job' rests on that confirmation.

Evidence: TestStaleAnswerConfirmsNothing; before: 'refresh: <nil>, complete 1.55ms later'.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -184,6 +184,9 @@
 	if err != nil {
 		return err
 	}
+	if page.End < from {
+		return errors.Wrapf(platform.ErrUnavailable, "read from %d on: the answer ends at %d", from, page.End)
+	}
 	records, err := decode(page.Records)
 	if err != nil {
 		_ = level.Warn(f.opts.Logger).Log("event", "record_unreadable", "topic", f.opts.Topic.Name, "err", err)
