--- a/batch/run.go
+++ b/batch/run.go
@@ -82,6 +82,8 @@
 	// lastSnapshot is the time of the last snapshot of the item's progress for a
 	// checkpoint.
 	lastSnapshot time.Time
+	// open is set if the response has neither a length nor chunks.
+	open bool
 	// outputTooLarge is true if the endpoint sent more than maxOutputBytes.
 	outputTooLarge bool
 }
@@ -229,6 +231,7 @@
 
 // readEvents reads the event stream of the item to its end.
 func (x *itemRun) readEvents(ctx context.Context, response *upstream.Response) {
+	x.open = response.Open
 	events := sse.NewSplitter(response)
 	for {
 		block, err := events.Next()
@@ -302,9 +305,9 @@
 		// The output below the bound may be wrong too, so it is discarded.
 		x.ledger.progress.drop(x.ref)
 		x.events = 0
-	case errors.Is(err, errNoEvents):
-		// If the output is whole, no run that goes on from it has an event: the next one begins
-		// anew.
+	case errors.Is(err, errNoEvents), x.eventOrder.Unnumbered:
+		// If the output is whole, no run that goes on from it has an event; without numbers no
+		// endpoint can be told where to go on. The next one begins anew.
 		x.ledger.progress.put(x.ref, itemProgress{version: x.endpoint.Version, unusable: true})
 		x.events = 0
 	case x.events > x.priorEvents:
@@ -327,6 +330,9 @@
 
 // snapshotProgress keeps the item's progress in memory.
 func (x *itemRun) snapshotProgress() {
+	if x.eventOrder.Unnumbered {
+		return
+	}
 	x.ledger.progress.put(x.ref, itemProgress{
 		events: x.events, tokens: x.tokenCount(), output: x.output.String(), version: x.endpoint.Version,
 	})
@@ -416,6 +422,6 @@
 		request = x.item.ID
 	}
 	_ = level.Info(x.ledger.opts.Logger).Log("event", "item_run", "job", x.ref.Job, "item", x.ref.Item, "request", request,
-		"endpoint", id, "version", version, "outcome", outcome, "reason", reason, "resumed_at", x.priorEvents, "events", x.events,
+		"endpoint", id, "version", version, "outcome", outcome, "reason", reason, "resumed_at", x.priorEvents, "events", x.events, "open", x.open,
 		"after_ms", time.Since(x.startTime).Milliseconds())
 }
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -48,6 +48,14 @@
 	return single
 }
 
+// Recorded returns the version that began the stream of a request, if this host has a record of
+// it. Which versions serve, the scheduler knows better: it may have read more endpoints.
+func (o *origins) Recorded(request string) (version string, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Lookup(clock.Now(), request)
+}
+
 // Observe records the endpoints that are listed.
 func (o *origins) Observe(endpoints []endpoint.Endpoint) {
 	o.mu.Lock()
@@ -77,10 +85,15 @@
 }
 
 // Granted implements slots.Origins.
-func (o *origins) Granted(request, version string) {
+func (o *origins) Granted(request, version string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Record(clock.Now(), request, version, false)
+	now := clock.Now()
+	o.table.Record(now, request, version, false)
+	if began, known := o.table.Lookup(now, request); known {
+		return began
+	}
+	return version
 }
 
 // Own implements slots.Origins.
@@ -104,6 +117,13 @@
 	o.table.Merge(clock.Now(), streams)
 }
 
+// MergeBegun implements slots.Origins.
+func (o *origins) MergeBegun(streams origin.Streams) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.MergeBegun(clock.Now(), streams)
+}
+
 // Certain implements slots.Origins.
 func (o *origins) Certain() bool {
 	o.mu.Lock()
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -56,17 +56,24 @@
 	p.suspects[key] = true
 }
 
-// alive returns nil if the process that sent a response is alive: the one of a check, or any.
+// alive returns an error if the process that sent a response has ended: the one of a check, or any
+// at that address.
 func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
-	if c == nil {
-		return p.Probe(ctx, key, address)
+	if c != nil {
+		if err := p.checkOnce(ctx, key, address, c); err == nil || errors.Is(err, errOtherProcess) {
+			return err
+		}
 	}
+	return p.Probe(ctx, key, address)
+}
+
+// checkOnce makes a check on a connection of its own.
+func (p *Pool) checkOnce(ctx context.Context, key, address string, c *Check) error {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	began := time.Now()
 	dialed, err := p.dial(ctx, address)
 	if err != nil {
-		p.report(ctx, key, began, err)
 		return err
 	}
 	conn := newConnection(key, dialed)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -62,7 +62,10 @@
 		return nil, x.fail(ctx, err)
 	}
 	x.report(ctx, nil)
-	return newResponse(x, resp, func() error { return p.alive(ctx, key, address, call.Check) }, func() { p.suspect(ctx, key) }), nil
+	out := newResponse(x, resp)
+	out.ConfirmEnd(func() error { return p.alive(ctx, key, address, call.Check) })
+	out.suspect = func() { p.suspect(ctx, key) }
+	return out, nil
 }
 
 func newRequest(call *Call) (*http.Request, error) {
