upstream: an endpoint that takes no more connections is not gone

The check behind an open response took a reset for the end of its endpoint's process. An endpoint beyond its limit of connections resets too: a whole response was given up as a part. A second connection is refused only if nothing listens.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -86,6 +87,23 @@
 	return err
 }
 
+// confirmListening returns an error if the process of an endpoint has ended. An endpoint that has as
+// many connections as it takes resets a further one, and so does the kernel of a process that ends,
+// which then refuses the next.
+func (p *Pool) confirmListening(ctx context.Context, key, address string) error {
+	if p.Probe(ctx, key, address) == nil {
+		return nil
+	}
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		return errors.Wrap(conn.Close(), "close")
+	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		return nil
+	}
+	return err
+}
+
 // staysOpen returns nil if a connection on which nothing was sent does not end within
 // probeWait.
 func staysOpen(conn net.Conn) error {
