--- a/upstream/check.go
+++ b/upstream/check.go
@@ -64,7 +64,7 @@
 			return err
 		}
 	}
-	return p.Probe(ctx, key, address)
+	return p.confirmListening(ctx, key, address)
 }
 
 // checkOnce makes a check on a connection of its own.
