upstream: a process that closes the connection of its check still gets the call

Connection: close may stand in any response. A check that passed on a connection which is closed behind it refused the call, and the endpoint was left alone for a while; now the call goes out on a new connection. The check has tests of its own: TestCallReachesTheProcessThatIsMeant, TestEndedConnectionMakesAnEndpointSuspect.

--- a/upstream/check.go
+++ b/upstream/check.go
@@ -56,6 +56,41 @@
 	p.suspects[key] = true
 }
 
+// connect returns an exchange for a call, on a connection that has passed the call's check.
+func (p *Pool) connect(ctx context.Context, key, address string, call *Call) (*exchange, error) {
+	conn, err := p.acquire(ctx, key, address, call)
+	if err != nil {
+		return nil, err
+	}
+	x := p.newExchange(ctx, conn)
+	if !p.needsCheck(key, call.Check) || conn.process == call.Check.Process {
+		return x, nil
+	}
+	open, err := x.check(ctx, call.Check)
+	if err != nil {
+		p.suspect(ctx, key)
+		x.closeConn()
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	if open {
+		return x, nil
+	}
+	// The process is the one that is meant, and closes this connection only.
+	x.closeConn()
+	if conn, err = p.open(ctx, key, address); err != nil {
+		return nil, err
+	}
+	return p.newExchange(ctx, conn), nil
+}
+
+// newExchange returns an exchange on a connection, which is closed when ctx ends.
+func (p *Pool) newExchange(ctx context.Context, conn *connection) *exchange {
+	conn.sent.Store(0)
+	x := &exchange{pool: p, conn: conn, first: conn.responses == 0, written: make(chan struct{})}
+	x.detachContext = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return x
+}
+
 // alive returns an error if the process that sent a response has ended: the one of a check, or any
 // at that address.
 func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
@@ -81,40 +116,39 @@
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	defer func() { _ = conn.Close() }()
 	x := &exchange{pool: p, conn: conn}
-	return x.check(ctx, c)
+	_, err = x.check(ctx, c)
+	return err
 }
 
-// check makes the check of a connection on which nothing was sent yet.
-func (x *exchange) check(ctx context.Context, c *Check) error {
+// check makes the check of a connection on which nothing was sent yet. It reports whether the
+// connection can be used then.
+func (x *exchange) check(ctx context.Context, c *Check) (open bool, err error) {
 	req, err := newRequest(&Call{Method: http.MethodGet, Target: c.Target, Host: c.Host, Header: make(http.Header)})
 	if err != nil {
-		return err
+		return false, err
 	}
 	if err := req.Write(x.conn); err != nil {
-		return errors.Wrap(err, "send check")
+		return false, errors.Wrap(err, "send check")
 	}
 	resp, err := x.readHead(req)
 	if err != nil {
-		return errors.Wrap(err, "check")
+		return false, errors.Wrap(err, "check")
 	}
 	x.conn.responses++
 	x.conn.limit.remaining = maxCheckBytes
 	body, err := io.ReadAll(resp.Body)
 	x.conn.limit.remaining = unbounded
 	if err != nil {
-		return errors.Wrap(x.checkLimit(err), "check")
+		return false, errors.Wrap(x.checkLimit(err), "check")
 	}
 	x.pool.report(ctx, x.conn.key, x.conn.began, nil)
 	if err := c.Passes(resp.StatusCode, body); err != nil {
-		return errors.Wrap(errOtherProcess, err.Error())
-	}
-	if resp.Close || IsOpen(resp) {
-		return errors.New("the endpoint closes the connection after the check")
+		return false, errors.Wrap(errOtherProcess, err.Error())
 	}
 	x.conn.process = c.Process
 	x.conn.sent.Store(0)
 	x.pool.mu.Lock()
 	delete(x.pool.suspects, x.conn.key)
 	x.pool.mu.Unlock()
-	return nil
+	return !resp.Close && !IsOpen(resp), nil
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -147,6 +147,11 @@
 			_ = c.Close()
 		}
 	}
+	return p.open(ctx, key, address)
+}
+
+// open dials a new connection.
+func (p *Pool) open(ctx context.Context, key, address string) (*connection, error) {
 	began := time.Now()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -30,25 +30,15 @@
 // which the caller must close. When ctx ends, the connection is closed, which makes the
 // endpoint abort the request. Errors are ErrNotSent and ErrNoResponse.
 func (p *Pool) Send(ctx context.Context, key, address string, call *Call) (*Response, error) {
-	conn, err := p.acquire(ctx, key, address, call)
+	x, err := p.connect(ctx, key, address, call)
 	if err != nil {
 		return nil, err
 	}
-	conn.sent.Store(0)
-	x := &exchange{pool: p, conn: conn, first: conn.responses == 0, written: make(chan struct{})}
-	x.detachContext = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	req, err := newRequest(call)
 	if err != nil {
 		x.closeConn()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	if p.needsCheck(key, call.Check) && conn.process != call.Check.Process {
-		if err := x.check(ctx, call.Check); err != nil {
-			p.suspect(ctx, key)
-			x.closeConn()
-			return nil, errors.Wrap(ErrNotSent, err.Error())
-		}
-	}
 	if len(call.Body) <= maxInlineBody {
 		x.write(req)
 		if x.writeErr != nil {
