--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -205,6 +205,7 @@
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
 	begin(lifeSeries, o.playLife)
 	begin(1, o.beat)
+	begin(1, o.readOn)
 	begin(16, o.streams)
 	begin(2, o.submit)
 	begin(2, func(_ string, r *rand.Rand) { o.poll(r) })
--- a/e2e/soakrecords_test.go
+++ b/e2e/soakrecords_test.go
@@ -1,8 +1,11 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -157,3 +160,38 @@
 	time.Sleep(max(0, next.dark-next.late))
 	old.Reset()
 }
+
+// readOn reads jobs that were accepted from positions that were read before, or behind them.
+func (o *orderSoak) readOn(_ string, r *rand.Rand) {
+	for !o.over() {
+		time.Sleep(20 * time.Millisecond)
+		j := o.someJob(r)
+		if j == nil {
+			continue
+		}
+		o.mu.Lock()
+		before := slices.Clone(j.results)
+		o.mu.Unlock()
+		after := r.IntN(len(before) + 1)
+		g := o.gateways[r.IntN(len(o.gateways))]
+		answer := g.send(http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", j.id, after), "", nil)
+		if answer.err != nil || answer.status != http.StatusOK {
+			continue
+		}
+		var shown lot
+		if err := json.Unmarshal(answer.body, &shown); err != nil || shown.Total != j.items || shown.Next != after+len(shown.Results) {
+			o.t.Errorf("job %s at %s after %d: %d of %d items, next %d behind %d results, error %v",
+				j.id, g.name, after, shown.Total, j.items, shown.Next, len(shown.Results), err)
+		}
+		o.mu.Lock()
+		for i, result := range shown.Results {
+			if at := after + i; at < len(before) && before[at] != result.ID {
+				o.t.Errorf("job %s at %s: position %d is %s and was %s", j.id, g.name, at, result.ID, before[at])
+			}
+			if result.State == "done" && !o.checkText(result.ID, result.Output) {
+				o.t.Errorf("job %s at %s after %d: %+v", j.id, g.name, after, result)
+			}
+		}
+		o.mu.Unlock()
+	}
+}
