e2e: restarts of endpoints meet streams that go on, and crashes responses without framing

Now an endpoint starts again with the other version, its record late, while those of the version that it had break their streams off; and endpoints crash for sure while all answer without framing.

--- a/e2e/soaklife_test.go
+++ b/e2e/soaklife_test.go
@@ -31,7 +31,8 @@
 // lifeFaults are what may happen to endpoints and hosts over their lives.
 func (o *orderSoak) lifeFaults() []soakFault {
 	return []soakFault{
-		o.scaleOut, o.scaleOut, o.restart, o.restart, o.restart, o.crashByRequest, o.pauseEngines, o.unframe, o.freezeLong, o.freezeLong,
+		o.scaleOut, o.scaleOut, o.restart, o.restart, o.restartBeside, o.restartBeside, o.restartBeside, o.unframe, o.unframe,
+		o.crashByRequest, o.pauseEngines, o.freezeLong, o.freezeLong,
 		o.strikeHosts, o.strikeHosts, o.loseAll,
 	}
 }
@@ -87,13 +88,8 @@
 // restart ends an endpoint and starts another at its address, mostly under its id, of any version.
 func (o *orderSoak) restart(_ *soak, r *rand.Rand, d time.Duration) {
 	i := r.IntN(orderEngines)
-	o.mu.Lock()
-	old := o.engines[i]
-	taken := o.life.restarting[old]
-	o.life.restarting[old] = true
-	next := lifeRestart{id: old.ID, version: o.versions[old.RunName()], address: old.Address()}
-	o.mu.Unlock()
-	if taken {
+	old, next := o.take(i)
+	if old == nil {
 		return
 	}
 	switch r.IntN(6) {
@@ -124,6 +120,18 @@
 	o.startAgain(i, old, next, r)
 }
 
+// take returns an endpoint that is to start again, as it was, unless another fault has it.
+func (o *orderSoak) take(i int) (*standin.Replica, lifeRestart) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	old := o.engines[i]
+	if o.life.restarting[old] {
+		return nil, lifeRestart{}
+	}
+	o.life.restarting[old] = true
+	return old, lifeRestart{id: old.ID, version: o.versions[old.RunName()], address: old.Address()}
+}
+
 // crashByRequest sends requests that crash the endpoints which begin to run them, and starts these
 // again at their addresses.
 func (o *orderSoak) crashByRequest(_ *soak, r *rand.Rand, d time.Duration) {
@@ -170,21 +178,65 @@
 	time.Sleep(d)
 }
 
-// unframe has endpoints answer without a length and chunks, and one of them crash meanwhile.
-func (o *orderSoak) unframe(s *soak, r *rand.Rand, d time.Duration) {
+// unframe has endpoints answer without a length and chunks, and two of them crash meanwhile, whose
+// kernels close their connections.
+func (o *orderSoak) unframe(_ *soak, r *rand.Rand, d time.Duration) {
 	o.mu.Lock()
 	engines := slices.Clone(o.engines)
 	o.mu.Unlock()
 	for _, e := range engines {
 		e.SetFaults(standin.ReplicaFaults{Unframed: true})
 	}
-	time.Sleep(d / 2)
-	o.restart(s, r, d/2)
+	time.Sleep(d)
+	for range 2 {
+		i := r.IntN(orderEngines)
+		if old, next := o.take(i); old != nil {
+			old.Close()
+			time.Sleep(time.Duration(r.Int64N(int64(maxDown))))
+			o.startAgain(i, old, next, r)
+		}
+	}
 	for _, e := range engines {
 		e.SetFaults(standin.ReplicaFaults{})
 	}
 }
 
+// restartBeside has an endpoint start again with the other version while those of the version that
+// it had break their streams off, and writes its record late.
+func (o *orderSoak) restartBeside(_ *soak, r *rand.Rand, d time.Duration) {
+	i := r.IntN(orderEngines)
+	old, next := o.take(i)
+	if old == nil {
+		return
+	}
+	var beside []*standin.Replica
+	o.mu.Lock()
+	for _, e := range o.engines {
+		if e != old && o.versions[e.RunName()] == next.version {
+			beside = append(beside, e)
+		}
+	}
+	o.mu.Unlock()
+	for _, e := range beside {
+		e.SetFaults(standin.ReplicaFaults{CutAfter: 1 + r.IntN(soakEvents-1)})
+	}
+	time.Sleep(d / 2)
+	next.version = otherVersion(next.version)
+	next.late = time.Second + time.Duration(r.Int64N(int64(lifeSlack-time.Second)))
+	old.Close()
+	o.startAgain(i, old, next, r)
+	for _, e := range beside {
+		e.SetFaults(standin.ReplicaFaults{})
+	}
+}
+
+func otherVersion(version string) string {
+	if version == versionOf(0) {
+		return versionOf(1)
+	}
+	return versionOf(0)
+}
+
 // freezeLong freezes a host for longer than the others wait for it.
 func (o *orderSoak) freezeLong(s *soak, r *rand.Rand, _ time.Duration) {
 	s.withGateway(r, func(g *gateway) {
