forward: a test's cut is only made in the message that it was made for

Trace: at that load e0 had no event in time, so that e1 was asked first and from the beginning. The case is a message that goes on behind event 1; in the one that was sent, byte 116 (a head of 101 bytes and an event of 15) is the regular end behind event 1, which the endpoint itself made. Now an endpoint that is not asked as the case says resets the connection, so that no response of it may look complete: no less strict. The test passes with -race at load 30.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/standin"
@@ -166,6 +167,12 @@
 		time.Sleep(slowResponse)
 	}
 	after, _ := strconv.Atoi(req.Header.Get(cutLastEvent))
+	if role == roleCuts && after != b.kind.cutAfter {
+		// The attempt before had no event in time: the case's message is not what was asked for, and
+		// its cut may be a regular end of what was.
+		connend.Reset(c)
+		return false
+	}
 	form := rawhttp.FormNamed(cut.Form)
 	if role != roleCuts && role != roleSlowCuts {
 		form = rawhttp.FormNamed("chunks")
