slots: a host takes decisions of the scheduler that it uses only

Cause: when a host moves, it sends what waits to the next scheduler too, and a grant of the former one may still be under way or queued. It was accepted if it came first. The next scheduler granted the same request again, possibly at another version, and took that for what began the stream.

What callers saw: a stream that waited while its host moved, and was taken up at another host later, went on at the version of a grant that was not used; and items started by two schedulers.

Decisions are dropped unless they came by the present link; the former scheduler frees them with the session.

--- a/slots/client.go
+++ b/slots/client.go
@@ -75,7 +75,7 @@
 	opts           Options
 	localScheduler *LocalScheduler
 	metrics        *metrics
-	inbox          *ring.Ring[SchedulerMessage]
+	inbox          *ring.Ring[delivery]
 	wake           chan struct{}
 
 	mu           sync.Mutex
@@ -109,7 +109,7 @@
 		opts:           o,
 		localScheduler: local,
 		metrics:        m,
-		inbox:          ring.New[SchedulerMessage](inputCapacity),
+		inbox:          ring.New[delivery](inputCapacity),
 		wake:           make(chan struct{}, 1),
 		pending:        make(map[string]*pendingRequest),
 		held:           make(map[string]*heldSlot),
@@ -238,13 +238,10 @@
 }
 
 func (c *Client) newLocalLink() *localLink {
-	return &localLink{host: c.opts.Self.Name, localScheduler: c.localScheduler, deliver: c.deliver}
-}
-
-// deliver queues a message of a scheduler.
-func (c *Client) deliver(m SchedulerMessage) {
-	// Put blocks only while the ring is full, that is if this host can't keep up.
-	_ = c.inbox.Put(context.Background(), m)
+	box := &mailbox{client: c}
+	l := &localLink{host: c.opts.Self.Name, localScheduler: c.localScheduler, deliver: box.deliver}
+	box.of(l)
+	return l
 }
 
 // attach switches the host to a link. The slots that it uses and the requests that wait
@@ -323,24 +320,25 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-c.inbox.C():
-			c.handleMessage(ctx, &m)
+		case d := <-c.inbox.C():
+			c.handleMessage(ctx, d.from, &d.message)
 		}
 	}
 }
 
-func (c *Client) handleMessage(ctx context.Context, m *SchedulerMessage) {
+// handleMessage processes a message that came by a link. Decisions of a scheduler that the host has
+// left are dropped: they may come behind those of the next one.
+func (c *Client) handleMessage(ctx context.Context, from link, m *SchedulerMessage) {
 	if len(m.Limits) > 0 {
 		c.opts.Limits.Merge(m.Limits)
 		return
 	}
-	if len(m.Streams) > 0 {
-		c.opts.Origins.Merge(m.Streams)
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case m.decides() && from != c.link:
+	case len(m.Streams) > 0:
+		c.opts.Origins.Merge(m.Streams)
 	case m.Grant != nil:
 		c.handleGrant(m.Grant)
 	case m.Refuse != nil:
--- a/slots/convictions_test.go
+++ b/slots/convictions_test.go
@@ -111,7 +111,7 @@
 	scheduled := newConvictingScheduler(t, nil)
 	var other broadcasts
 	scheduled.Join(&scheduler.Hello{Host: "other"}, other.deliver)
-	link := &localLink{host: "host", localScheduler: scheduled, deliver: c.deliver}
+	link := &localLink{host: "host", localScheduler: scheduled, deliver: (&mailbox{client: c}).deliver}
 	c.attach(link)
 	awaitTrue(t, "conviction passed on", func() bool { return other.convicted() == "part:x;" })
 	for i := range 6 {
--- a/slots/election.go
+++ b/slots/election.go
@@ -162,7 +162,11 @@
 	var attempts sync.WaitGroup
 	for i := range hosts {
 		attempts.Go(func() {
-			links[i], failures[i] = openRemote(ctx, c.opts.HTTP, hosts[i], c.deliver, c.linkLost)
+			box := &mailbox{client: c}
+			links[i], failures[i] = openRemote(ctx, c.opts.HTTP, hosts[i], box.deliver, c.linkLost)
+			if links[i] != nil {
+				box.of(links[i])
+			}
 		})
 	}
 	attempts.Wait()
