upstream: a check concerns what goes on, and services of several versions

The check of kept work from an endpoint that had started again in place while the store was down, closed idle connections that had not passed it, and made an endpoint unusable whose reports end their connections (by reading). What begins at a service of a single version is no longer checked, other idle connections stay, and a call goes by a further connection where a report ends its own. TestCallReachesTheProcessThatIsMeant holds it; TestRoutesStreamMeetsARestartedEndpoint passes.

--- a/detour/server.go
+++ b/detour/server.go
@@ -101,11 +101,7 @@
 	if err != nil || s.sender.opts.Check == nil {
 		return nil
 	}
-	check := s.sender.opts.Check(e, header)
-	if check != nil && head.Process != "" {
-		check.OnlyIfSuspect = false
-	}
-	return check
+	return s.sender.opts.Check(e, header)
 }
 
 // call makes a call to an endpoint and passes its response on.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -275,9 +275,10 @@
 	if c == nil || c.Services[e.Service] == nil || c.Services[e.Service].Engine == nil {
 		return nil
 	}
-	check := platform.ProcessCheck(e)
-	check.OnlyIfSuspect = !platform.GoesOn(h) && g.origins.Single(e.Service)
-	return check
+	if !platform.GoesOn(h) && g.origins.Single(e.Service) {
+		return nil
+	}
+	return platform.ProcessCheck(e)
 }
 
 // stranded handles that the host lost its links to all endpoints, or has them again.
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -30,8 +30,6 @@
 	// confirmEnd returns an error if the end of the connection can't be the end of an open
 	// body. It may be nil.
 	confirmEnd func() error
-	// suspect notes that the endpoint may have ended. It may be nil.
-	suspect func()
 	// ended is the error with which the body ended, nil before that.
 	ended error
 	// closed is set by the first Close, kept is the result of that call.
@@ -85,9 +83,6 @@
 	default:
 		r.ended = errors.Wrap(ErrTruncated, err.Error())
 	}
-	if r.ended != io.EOF && r.suspect != nil {
-		r.suspect()
-	}
 	return n, r.ended
 }
 
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -18,9 +18,6 @@
 	Target, Host string
 	// Passes returns nil if the response comes from the process that is meant.
 	Passes func(status int, body []byte) error
-	// OnlyIfSuspect leaves the check out unless a connection to the endpoint has failed, or
-	// ended too early, since a check passed.
-	OnlyIfSuspect bool
 }
 
 // aliveTimeout bounds the question whether a process is alive.
@@ -29,33 +26,12 @@
 // maxCheckBytes bounds the body of the response to a check, in bytes.
 const maxCheckBytes = 256 << 10
 
+// errConnectionUsed means that a check has passed, and that the endpoint closes the connection.
+var errConnectionUsed = errors.New("the endpoint closes the connection after the check")
+
 // errOtherProcess means that the process that is meant has ended.
 var errOtherProcess = errors.New("another process has the endpoint's address")
 
-// needsCheck reports whether a connection to an endpoint has to pass a check.
-func (p *Pool) needsCheck(key string, c *Check) bool {
-	if c == nil {
-		return false
-	}
-	if !c.OnlyIfSuspect {
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.suspects[key]
-}
-
-// suspect notes that a connection to an endpoint failed or ended, as those to a process that ends
-// do. An attempt that the caller gave up says nothing.
-func (p *Pool) suspect(ctx context.Context, key string) {
-	if ctx.Err() != nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.suspects[key] = true
-}
-
 // alive returns an error if the process that sent a response has ended: the one of a check, or any
 // at that address.
 func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
@@ -81,7 +57,31 @@
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	defer func() { _ = conn.Close() }()
 	x := &exchange{pool: p, conn: conn}
-	return x.check(ctx, c)
+	if err := x.check(ctx, c); !errors.Is(err, errConnectionUsed) {
+		return err
+	}
+	return nil
+}
+
+// passCheck makes the check of a call unless the connection has passed it. A new connection takes the
+// place of one that the endpoint closes after it.
+func (x *exchange) passCheck(ctx context.Context, address string, c *Check) error {
+	if c == nil || x.conn.process == c.Process {
+		return nil
+	}
+	err := x.check(ctx, c)
+	if !errors.Is(err, errConnectionUsed) {
+		return err
+	}
+	_ = x.conn.Close()
+	conn, err := x.pool.open(ctx, x.conn.key, address)
+	if err != nil {
+		return err
+	}
+	conn.process = c.Process
+	x.conn, x.first = conn, true
+	x.detachContext = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return nil
 }
 
 // check makes the check of a connection on which nothing was sent yet.
@@ -108,13 +108,10 @@
 	if err := c.Passes(resp.StatusCode, body); err != nil {
 		return errors.Wrap(errOtherProcess, err.Error())
 	}
-	if resp.Close || IsOpen(resp) {
-		return errors.New("the endpoint closes the connection after the check")
-	}
 	x.conn.process = c.Process
 	x.conn.sent.Store(0)
-	x.pool.mu.Lock()
-	delete(x.pool.suspects, x.conn.key)
-	x.pool.mu.Unlock()
+	if resp.Close || IsOpen(resp) {
+		return errConnectionUsed
+	}
 	return nil
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,8 +24,6 @@
 	mu sync.Mutex
 	// idle holds the idle connections by endpoint, the most recently used one last.
 	idle map[string][]*connection
-	// suspects are the endpoints to which a connection failed or ended since a check passed.
-	suspects map[string]bool
 }
 
 // NewPool returns a Pool.
@@ -35,8 +34,6 @@
 		dialer:  sockopt.Dialer(o.DialTimeout),
 		metrics: newMetrics(o.Registerer),
 		idle:    make(map[string][]*connection),
-
-		suspects: make(map[string]bool),
 	}
 }
 
@@ -65,7 +62,6 @@
 	p.mu.Lock()
 	conns := p.idle[key]
 	delete(p.idle, key)
-	delete(p.suspects, key)
 	p.mu.Unlock()
 	closeAll(conns)
 }
@@ -136,22 +132,22 @@
 // always get a new one, and those with a check one that has passed it, or a new one.
 func (p *Pool) acquire(ctx context.Context, key, address string, call *Call) (*connection, error) {
 	if call.Request != "" {
-		for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
-			young, usable := time.Now().Before(c.idleUntil), c.usable()
-			if young && !usable {
-				p.suspect(ctx, key)
-			}
-			if young && usable && (!p.needsCheck(key, call.Check) || c.process == call.Check.Process) {
+		for c := p.popIdle(key, call.Check); c != nil; c = p.popIdle(key, call.Check) {
+			if time.Now().Before(c.idleUntil) && c.usable() {
 				return c, nil
 			}
 			_ = c.Close()
 		}
 	}
+	return p.open(ctx, key, address)
+}
+
+// open dials a new connection.
+func (p *Pool) open(ctx context.Context, key, address string) (*connection, error) {
 	began := time.Now()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		p.report(ctx, key, began, err)
-		p.suspect(ctx, key)
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	c := newConnection(key, conn)
@@ -170,19 +166,19 @@
 	return conn, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(key string) *connection {
+// popIdle removes and returns the most recently used idle connection that has passed a check, or nil.
+// A nil check is passed by all.
+func (p *Pool) popIdle(key string, check *Check) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
-	n := len(conns)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if check == nil || c.process == check.Process {
+			p.idle[key] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[n-1]
-	conns[n-1] = nil
-	p.idle[key] = conns[:n-1]
-	return c
+	return nil
 }
 
 // putIdle adds a connection to the idle ones and reports whether it did. It does not if the
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -42,12 +42,9 @@
 		x.closeConn()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	if p.needsCheck(key, call.Check) && conn.process != call.Check.Process {
-		if err := x.check(ctx, call.Check); err != nil {
-			p.suspect(ctx, key)
-			x.closeConn()
-			return nil, errors.Wrap(ErrNotSent, err.Error())
-		}
+	if err := x.passCheck(ctx, address, call.Check); err != nil {
+		x.closeConn()
+		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	if len(call.Body) <= maxInlineBody {
 		x.write(req)
@@ -64,7 +61,6 @@
 	x.report(ctx, nil)
 	out := newResponse(x, resp)
 	out.ConfirmEnd(func() error { return p.alive(ctx, key, address, call.Check) })
-	out.suspect = func() { p.suspect(ctx, key) }
 	return out, nil
 }
 
@@ -185,7 +181,6 @@
 // any byte of the request was sent.
 func (x *exchange) fail(ctx context.Context, err error) error {
 	x.report(ctx, err)
-	x.pool.suspect(ctx, x.conn.key)
 	x.closeConn()
 	// A write that is in progress ends now, and counts what it has sent.
 	<-x.written
