upstream: an endpoint that takes no more connections is not gone

The check behind an open response took a reset for the end of its endpoint's process. An endpoint beyond its limit of connections resets too: a whole response was given up as a part. A second connection is refused only if nothing listens.

--- a/upstream/crashed_test.go
+++ b/upstream/crashed_test.go
@@ -22,6 +22,17 @@
 		crash func(l net.Listener, c net.Conn)
 		whole bool
 	}{
+		"takes no more connections": {func(l net.Listener, c net.Conn) {
+			_ = c.Close()
+			for {
+				further, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_ = further.(*net.TCPConn).SetLinger(0)
+				_ = further.Close()
+			}
+		}, true},
 		"listens on":              {func(_ net.Listener, c net.Conn) { _ = c.Close() }, true},
 		"listener ends first":     {func(l net.Listener, c net.Conn) { _, _ = l.Close(), c.Close() }, false},
 		"listener ends last":      {func(l net.Listener, c net.Conn) { _, _ = c.Close(), l.Close() }, false},
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -86,6 +86,20 @@
 	return err
 }
 
+// confirmListening returns an error if the process of an endpoint has ended. An endpoint that has as
+// many connections as it takes resets a further one, and so does the kernel of a process that ends,
+// which then refuses the next.
+func (p *Pool) confirmListening(ctx context.Context, key, address string) error {
+	if p.Probe(ctx, key, address) == nil {
+		return nil
+	}
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(conn.Close(), "close")
+}
+
 // staysOpen returns nil if a connection on which nothing was sent does not end within
 // probeWait.
 func staysOpen(conn net.Conn) error {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -56,7 +56,7 @@
 	}
 	x.report(ctx, nil)
 	out := newResponse(x, resp)
-	out.ConfirmEnd(func() error { return p.Probe(ctx, key, address) })
+	out.ConfirmEnd(func() error { return p.confirmListening(ctx, key, address) })
 	return out, nil
 }
 
