--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -20,6 +20,8 @@
 	opts    Options
 	dialer  *net.Dialer
 	metrics *metrics
+	// probeWait is the constant of that name, except in tests.
+	probeWait time.Duration
 
 	mu sync.Mutex
 	// idle holds the idle connections by endpoint, the most recently used one last.
@@ -34,6 +36,8 @@
 		dialer:  sockopt.Dialer(o.DialTimeout),
 		metrics: newMetrics(o.Registerer),
 		idle:    make(map[string][]*connection),
+
+		probeWait: probeWait,
 	}
 }
 
@@ -83,7 +87,7 @@
 	conn, err := p.dial(ctx, address)
 	if err == nil {
 		defer func() { _ = conn.Close() }()
-		err = staysOpen(conn)
+		err = staysOpen(conn, p.probeWait)
 	}
 	p.report(ctx, key, began, err)
 	return err
@@ -97,19 +101,20 @@
 		return nil
 	}
 	conn, err := p.dial(ctx, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		return errors.Wrap(conn.Close(), "close")
-	}
-	if errors.Is(err, syscall.ECONNRESET) {
+	case errors.Is(err, syscall.ECONNRESET):
+		// It was made, and reset before this host was told.
 		return nil
+	default:
+		return err
 	}
-	return err
 }
 
-// staysOpen returns nil if a connection on which nothing was sent does not end within
-// probeWait.
-func staysOpen(conn net.Conn) error {
-	if err := conn.SetReadDeadline(time.Now().Add(probeWait)); err != nil {
+// staysOpen returns nil if a connection on which nothing was sent does not end within the given time.
+func staysOpen(conn net.Conn, wait time.Duration) error {
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
 	_, err := conn.Read(make([]byte, 1))
