--- a/e2e/endless_test.go
+++ b/e2e/endless_test.go
@@ -138,7 +138,7 @@
 	statuses := make(map[int]int)
 	if service == "endless-engines" {
 		if r := g.send(http.MethodPost, "/lots-in/"+name, name, job(name, 12)); r.status != http.StatusAccepted {
-			t.Errorf("job: status %d, error %v", r.status, r.err)
+			t.Errorf("job: status %d, error %v: %s", r.status, r.err, r.body)
 		}
 	}
 	for i := range endlessCalls {
