--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -198,7 +198,12 @@
 
 // sendWith sends a request with further headers.
 func (g *gateway) sendWith(method, path, id string, body []byte, header map[string]string) reply {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	return g.sendFor(patience, method, path, id, body, header)
+}
+
+// sendFor sends a request and leaves after a time, with what has arrived.
+func (g *gateway) sendFor(d time.Duration, method, path, id string, body []byte, header map[string]string) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, g.callers+path, bytes.NewReader(body))
 	if err != nil {
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -224,7 +224,8 @@
 	o.t.Logf("%d streams and items were whole, %d went on after a break, %d mixed", o.whole, o.resumed, len(o.mixed))
 }
 
-// streams opens streams, and takes those that break off up again at any host.
+// streams opens streams, leaves some in their middle, and takes those that break off up again at any
+// host.
 func (o *orderSoak) streams(name string, r *rand.Rand) {
 	for n := 0; !o.over(); n++ {
 		first, tries, began := "", 0, time.Now()
@@ -237,7 +238,11 @@
 			if len(events) > 0 {
 				header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(len(events)), first
 			}
-			answer := o.gateways[r.IntN(len(o.gateways))].sendWith(http.MethodPost, "/stream/x", id, []byte("prompt"), header)
+			wait := patience
+			if r.IntN(2) == 0 {
+				wait = time.Duration(100+r.IntN(600)) * time.Millisecond
+			}
+			answer := o.gateways[r.IntN(len(o.gateways))].sendFor(wait, http.MethodPost, "/stream/x", id, []byte("prompt"), header)
 			got := wholeEvents(o.t, id, string(answer.body))
 			if answer.status != http.StatusOK {
 				got = nil
