--- a/forward/options.go
+++ b/forward/options.go
@@ -28,6 +28,8 @@
 	// software version of its endpoint. A stream is contested if another placement was
 	// requested before its first event, which may have been granted and not used.
 	OnBegun func(request, version string, contested bool)
+	// Check returns the check for a call to an endpoint with a header; nil makes none.
+	Check func(e *endpoint.Endpoint, h http.Header) *upstream.Check
 	// OnLimit is called with the rate limit, in requests per second, that an endpoint names
 	// in the answer to a request sent at the given time; zero if it names none.
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -40,6 +40,14 @@
 	return o.history.Only(now, service)
 }
 
+// Single reports whether a service has had a single version for as long as streams can go on.
+func (o *origins) Single(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, single := o.history.Only(clock.Now(), service)
+	return single
+}
+
 // Recorded returns the version that began the stream of a request, if this host has a record of
 // it. Which versions serve, the scheduler knows better: it may have read more endpoints.
 func (o *origins) Recorded(request string) (version string, known bool) {
--- /dev/null
+++ b/upstream/check.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Check is a call that shows which process a new connection leads to, before anything else is
+// sent on it. A process may have ended, and another one may have its address and its name.
+type Check struct {
+	// Process identifies the process that is meant.
+	Process string
+	// Target and Host are those of the call, a GET.
+	Target, Host string
+	// Passes returns nil if the response comes from the process that is meant.
+	Passes func(status int, body []byte) error
+}
+
+// aliveTimeout bounds the question whether a process is alive.
+const aliveTimeout = 500 * time.Millisecond
+
+// maxCheckBytes bounds the body of the response to a check, in bytes.
+const maxCheckBytes = 256 << 10
+
+// errConnectionUsed means that a check has passed, and that the endpoint closes the connection.
+var errConnectionUsed = errors.New("the endpoint closes the connection after the check")
+
+// errOtherProcess means that the process that is meant has ended.
+var errOtherProcess = errors.New("another process has the endpoint's address")
+
+// alive returns an error if the process that sent a response has ended: the one of a check, or any
+// at that address.
+func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
+	if c != nil {
+		if err := p.checkOnce(ctx, key, address, c); err == nil || errors.Is(err, errOtherProcess) {
+			return err
+		}
+	}
+	return p.confirmListening(ctx, key, address)
+}
+
+// checkOnce makes a check on a connection of its own.
+func (p *Pool) checkOnce(ctx context.Context, key, address string, c *Check) error {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	began := time.Now()
+	dialed, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	conn := newConnection(key, dialed)
+	conn.began = began
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer func() { _ = conn.Close() }()
+	x := &exchange{pool: p, conn: conn}
+	if err := x.check(ctx, c); !errors.Is(err, errConnectionUsed) {
+		return err
+	}
+	return nil
+}
+
+// passCheck makes the check of a call unless the connection has passed it. A new connection takes the
+// place of one that the endpoint closes after it.
+func (x *exchange) passCheck(ctx context.Context, address string, c *Check) error {
+	if c == nil || x.conn.process == c.Process {
+		return nil
+	}
+	err := x.check(ctx, c)
+	if !errors.Is(err, errConnectionUsed) {
+		return err
+	}
+	_ = x.conn.Close()
+	conn, err := x.pool.open(ctx, x.conn.key, address)
+	if err != nil {
+		return err
+	}
+	conn.process = c.Process
+	x.conn, x.first = conn, true
+	x.detachContext = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return nil
+}
+
+// check makes the check of a connection on which nothing was sent yet.
+func (x *exchange) check(ctx context.Context, c *Check) error {
+	req, err := newRequest(&Call{Method: http.MethodGet, Target: c.Target, Host: c.Host, Header: make(http.Header)})
+	if err != nil {
+		return err
+	}
+	if err := req.Write(x.conn); err != nil {
+		return errors.Wrap(err, "send check")
+	}
+	resp, err := x.readHead(req)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	x.conn.responses++
+	x.conn.limit.remaining = maxCheckBytes
+	body, err := io.ReadAll(resp.Body)
+	x.conn.limit.remaining = unbounded
+	if err != nil {
+		return errors.Wrap(x.checkLimit(err), "check")
+	}
+	x.pool.report(ctx, x.conn.key, x.conn.began, nil)
+	if err := c.Passes(resp.StatusCode, body); err != nil {
+		return errors.Wrap(errOtherProcess, err.Error())
+	}
+	x.conn.process = c.Process
+	x.conn.sent.Store(0)
+	if resp.Close || IsOpen(resp) {
+		return errConnectionUsed
+	}
+	return nil
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,7 +56,8 @@
 	return len(p.idle[key]) > 0
 }
 
-// CloseIdle closes the idle connections to an endpoint that was removed or is leaving.
+// CloseIdle closes the idle connections to an endpoint that was removed, is leaving, or has started
+// again.
 func (p *Pool) CloseIdle(key string) {
 	p.mu.Lock()
 	conns := p.idle[key]
@@ -86,6 +89,23 @@
 	return err
 }
 
+// confirmListening returns an error if the process of an endpoint has ended. An endpoint that has as
+// many connections as it takes resets a further one, and so does the kernel of a process that ends,
+// which then refuses the next.
+func (p *Pool) confirmListening(ctx context.Context, key, address string) error {
+	if p.Probe(ctx, key, address) == nil {
+		return nil
+	}
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		return errors.Wrap(conn.Close(), "close")
+	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		return nil
+	}
+	return err
+}
+
 // staysOpen returns nil if a connection on which nothing was sent does not end within
 // probeWait.
 func staysOpen(conn net.Conn) error {
@@ -108,17 +128,22 @@
 	}
 }
 
-// acquire returns a usable idle connection, or dials a new one. Requests without an id
-// always get a new one.
-func (p *Pool) acquire(ctx context.Context, key, address, request string) (*connection, error) {
-	if request != "" {
-		for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
+// acquire returns a usable idle connection, or dials a new one. Calls without an id
+// always get a new one, and those with a check one that has passed it, or a new one.
+func (p *Pool) acquire(ctx context.Context, key, address string, call *Call) (*connection, error) {
+	if call.Request != "" {
+		for c := p.popIdle(key, call.Check); c != nil; c = p.popIdle(key, call.Check) {
 			if time.Now().Before(c.idleUntil) && c.usable() {
 				return c, nil
 			}
 			_ = c.Close()
 		}
 	}
+	return p.open(ctx, key, address)
+}
+
+// open dials a new connection.
+func (p *Pool) open(ctx context.Context, key, address string) (*connection, error) {
 	began := time.Now()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
@@ -141,19 +166,19 @@
 	return conn, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(key string) *connection {
+// popIdle removes and returns the most recently used idle connection that has passed a check, or nil.
+// A nil check is passed by all.
+func (p *Pool) popIdle(key string, check *Check) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
-	n := len(conns)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if check == nil || c.process == check.Process {
+			p.idle[key] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[n-1]
-	conns[n-1] = nil
-	p.idle[key] = conns[:n-1]
-	return c
+	return nil
 }
 
 // putIdle adds a connection to the idle ones and reports whether it did. It does not if the
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -30,7 +30,7 @@
 // which the caller must close. When ctx ends, the connection is closed, which makes the
 // endpoint abort the request. Errors are ErrNotSent and ErrNoResponse.
 func (p *Pool) Send(ctx context.Context, key, address string, call *Call) (*Response, error) {
-	conn, err := p.acquire(ctx, key, address, call.Request)
+	conn, err := p.acquire(ctx, key, address, call)
 	if err != nil {
 		return nil, err
 	}
@@ -42,6 +42,10 @@
 		x.closeConn()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	if err := x.passCheck(ctx, address, call.Check); err != nil {
+		x.closeConn()
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
 	if len(call.Body) <= maxInlineBody {
 		x.write(req)
 		if x.writeErr != nil {
@@ -55,7 +59,9 @@
 		return nil, x.fail(ctx, err)
 	}
 	x.report(ctx, nil)
-	return newResponse(x, resp), nil
+	out := newResponse(x, resp)
+	out.ConfirmEnd(func() error { return p.alive(ctx, key, address, call.Check) })
+	return out, nil
 }
 
 func newRequest(call *Call) (*http.Request, error) {
