origin: a version that others tell of, and that was not read, makes a host uncertain

Cause: a scheduler that was frozen, or is cut off from the store, takes the only version that it has read for the one that began a stream of which nobody told, also while other hosts tell it of streams that another version began. Now it knows of no single version until it has read that one, or for Retention.

What callers saw: by reading only; a stream that the former scheduler and its host lost (50 ms) would go on at the old version. It is refused, not run.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -114,14 +114,18 @@
 func (o *origins) Merge(streams origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Merge(clock.Now(), streams)
+	now := clock.Now()
+	o.table.Merge(now, streams)
+	o.history.Hear(now, streams)
 }
 
 // MergeBegun implements slots.Origins.
 func (o *origins) MergeBegun(streams origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.MergeBegun(clock.Now(), streams)
+	now := clock.Now()
+	o.table.MergeBegun(now, streams)
+	o.history.Hear(now, streams)
 }
 
 // Certain implements slots.Origins.
