gateway: streams begin also by grants of schedulers that say no version

Cause: the comparison of versions refused every grant of a build that does not send them, so that no stream would begin at hosts that use an older scheduler.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -219,9 +219,11 @@
 // has read the given record, if any, and the scheduler the given version. If not, it returns how
 // the slot is returned. A stream has to know its version for certain, as it may be taken up again.
 func usableGrant(ask *forward.PlacementRequest, version string, e *endpoint.Endpoint) (scheduler.Outcome, bool) {
-	streams := ask.Resumes != "" || ask.Version != nil || ask.Route != nil && ask.Route.Kind == route.Streaming
+	goesOn := ask.Resumes != "" || ask.Version != nil
+	// Older schedulers don't say the version.
+	begins := version != "" && ask.Route != nil && ask.Route.Kind == route.Streaming
 	switch {
-	case e == nil, streams && e.Version != version:
+	case e == nil, (goesOn || begins) && e.Version != version:
 		return scheduler.Unread, false
 	case e.State != endpoint.Ready:
 		return scheduler.Leaving, false
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -35,4 +35,7 @@
 			t.Errorf("%s: %q, %t", name, got, usable)
 		}
 	}
+	if got, usable := usableGrant(stream, "", &endpoint.Endpoint{Version: "v2"}); !usable {
+		t.Errorf("a scheduler that says no version: %q", got)
+	}
 }
