--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -55,6 +56,8 @@
 	endpoints []*endpoint.Endpoint
 	// mayRepeat has requests go to an endpoint that they are to avoid.
 	mayRepeat bool
+	// draws has the endpoints tried in an order that is drawn.
+	draws bool
 	// released receives the Usage of each placement that is released.
 	released chan Usage
 	// full makes requests wait until they end, delay for some time.
@@ -74,7 +77,11 @@
 		return nil, ctx.Err()
 	}
 	time.Sleep(p.delay)
-	for _, e := range p.endpoints {
+	endpoints := slices.Clone(p.endpoints)
+	if p.draws {
+		rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
+	}
+	for _, e := range endpoints {
 		if (p.mayRepeat || !slices.Contains(request.Avoid, e.ID)) && (request.Version == nil || *request.Version == e.Version) {
 			if placement := (&testPlacement{placer: p, endpoint: e, key: request.Request + " " + e.ID}); placement.hold() {
 				return placement, nil
