--- a/upstream/killed_test.go
+++ b/upstream/killed_test.go
@@ -59,6 +59,8 @@
 			t.Fatal(err)
 		}
 		p := NewPool(Options{DialTimeout: testTimeout})
+		// A process that ends beside load may take long between two of its sockets.
+		p.probeWait = testTimeout
 		resp, err := p.Send(context.Background(), "e", strings.TrimSpace(line), &Call{Request: "q", Method: http.MethodGet, Target: "/", Host: "h"})
 		if err != nil {
 			t.Fatal(err)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,8 @@
 	opts    Options
 	dialer  *net.Dialer
 	metrics *metrics
+	// probeWait is the constant of that name, except in tests.
+	probeWait time.Duration
 
 	mu sync.Mutex
 	// idle holds the idle connections by endpoint, the most recently used one last.
@@ -33,6 +36,8 @@
 		dialer:  sockopt.Dialer(o.DialTimeout),
 		metrics: newMetrics(o.Registerer),
 		idle:    make(map[string][]*connection),
+
+		probeWait: probeWait,
 	}
 }
 
@@ -55,7 +60,8 @@
 	return len(p.idle[key]) > 0
 }
 
-// CloseIdle closes the idle connections to an endpoint that was removed or is leaving.
+// CloseIdle closes the idle connections to an endpoint that was removed, is leaving, or has started
+// again.
 func (p *Pool) CloseIdle(key string) {
 	p.mu.Lock()
 	conns := p.idle[key]
@@ -81,7 +87,7 @@
 	conn, err := p.dial(ctx, address)
 	if err == nil {
 		defer func() { _ = conn.Close() }()
-		err = staysOpen(conn)
+		err = staysOpen(conn, p.probeWait)
 	}
 	p.report(ctx, key, began, err)
 	return err
@@ -106,10 +112,9 @@
 	}
 }
 
-// staysOpen returns nil if a connection on which nothing was sent does not end within
-// probeWait.
-func staysOpen(conn net.Conn) error {
-	if err := conn.SetReadDeadline(time.Now().Add(probeWait)); err != nil {
+// staysOpen returns nil if a connection on which nothing was sent does not end within the given time.
+func staysOpen(conn net.Conn, wait time.Duration) error {
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
 	_, err := conn.Read(make([]byte, 1))
@@ -128,17 +133,22 @@
 	}
 }
 
-// acquire returns a usable idle connection, or dials a new one. Requests without an id
-// always get a new one.
-func (p *Pool) acquire(ctx context.Context, key, address, request string) (*connection, error) {
-	if request != "" {
-		for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
+// acquire returns a usable idle connection, or dials a new one. Calls without an id
+// always get a new one, and those with a check one that has passed it, or a new one.
+func (p *Pool) acquire(ctx context.Context, key, address string, call *Call) (*connection, error) {
+	if call.Request != "" {
+		for c := p.popIdle(key, call.Check); c != nil; c = p.popIdle(key, call.Check) {
 			if time.Now().Before(c.idleUntil) && c.usable() {
 				return c, nil
 			}
 			_ = c.Close()
 		}
 	}
+	return p.open(ctx, key, address)
+}
+
+// open dials a new connection.
+func (p *Pool) open(ctx context.Context, key, address string) (*connection, error) {
 	began := time.Now()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
@@ -161,19 +171,19 @@
 	return conn, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(key string) *connection {
+// popIdle removes and returns the most recently used idle connection that has passed a check, or nil.
+// A nil check is passed by all.
+func (p *Pool) popIdle(key string, check *Check) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
-	n := len(conns)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if check == nil || c.process == check.Process {
+			p.idle[key] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[n-1]
-	conns[n-1] = nil
-	p.idle[key] = conns[:n-1]
-	return c
+	return nil
 }
 
 // putIdle adds a connection to the idle ones and reports whether it did. It does not if the
