standin, e2e: streams on connections that carried others before

The order soak's endpoints closed their connection after each stream, so no answer could meet the request of another. They leave it open now, and three at a time answer wrongly for 0.4 to 0.8 s on every stream: extra streams (of a foreign id, of the same id from event 1, from the former Last-Event-Id, the rest) at once, some ms later or as the next request arrives, in pieces; bytes behind the last chunk; lengths too short and too long; foreign answers; bytes that are no event; a number left out; ends without a length, between and inside events, by close and by reset. What was met is counted, and a kind that isn't met in a run of 10 s fails the soak.

--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -93,7 +93,7 @@
 
 // engine starts an endpoint of a software version. o.mu must not be held.
 func (o *orderSoak) engine(id, version string) *standin.Replica {
-	r, err := standin.StartReplica(id, soakEvents, func(r *standin.Replica) { r.Pace, r.NameRuns = 40*time.Millisecond, true })
+	r, err := standin.StartReplica(id, soakEvents, func(r *standin.Replica) { r.Pace, r.NameRuns, r.KeepStreams = 40*time.Millisecond, true, true })
 	if err != nil {
 		o.t.Fatal(err)
 	}
@@ -187,6 +187,7 @@
 func (o *orderSoak) run(seed uint64) {
 	duties, begin := o.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
+	begin(keptSeries, o.answerWrongly)
 	begin(16, o.streams)
 	begin(2, o.submit)
 	begin(2, func(_ string, r *rand.Rand) { o.poll(r) })
@@ -201,6 +202,7 @@
 	if len(o.mixed) > maxMixedStreams {
 		o.t.Errorf("%d streams hold events of two software versions: %s", len(o.mixed), strings.Join(o.mixed, "; "))
 	}
+	o.checkKept()
 	if o.whole == 0 || o.resumed == 0 {
 		o.t.Errorf("%d streams and items were whole, %d went on after a break", o.whole, o.resumed)
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -27,6 +27,8 @@
 	Pace time.Duration
 	// NameRuns has the data of each event name the run that sent it.
 	NameRuns bool
+	// KeepStreams leaves the connection of a stream open that has a length or chunks.
+	KeepStreams bool
 
 	listener net.Listener
 
@@ -41,6 +43,8 @@
 	// answer that turned one away.
 	refused map[string]bool
 	refusal string
+	// counts tells by name what connections and streams had.
+	counts map[string]int
 }
 
 // ReplicaRun is one request that a Replica began to work on.
@@ -83,7 +87,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	r := &Replica{ID: id, Events: events, Pace: time.Millisecond, listener: l, conns: make(map[net.Conn]bool), refused: make(map[string]bool)}
+	r := &Replica{ID: id, Events: events, Pace: time.Millisecond, listener: l, conns: make(map[net.Conn]bool), refused: make(map[string]bool), counts: make(map[string]int)}
 	for _, set := range options {
 		set(r)
 	}
@@ -172,18 +176,20 @@
 		r.mu.Unlock()
 	}()
 	reader := bufio.NewReader(c)
+	conn := &keptConn{Conn: c}
 	for kept := false; ; kept = true {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		r.awaitResumed()
+		r.sendLate(conn)
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
-		out := c
+		out := net.Conn(conn)
 		if lines := f.headerLines(); lines != "" {
-			out = &headerConn{Conn: c, lines: lines}
+			out = &headerConn{Conn: conn, lines: lines}
 		}
 		if f.EarlyNotRun {
 			// The answer leaves before the body is read.
@@ -295,21 +301,24 @@
 	id := req.Header.Get("X-Request-Id")
 	left, gone := context.WithCancel(context.Background())
 	defer gone()
-	go func() {
-		if _, err := reader.Peek(1); err != nil {
-			r.awaitResumed()
-			gone()
-		}
-	}()
+	stopWatching := watchCaller(c, reader, func() { r.awaitResumed(); gone() })
+	r.countStream(c)
 	announced, framing := "", "Transfer-Encoding: chunked\r\n"
-	if f.Announced {
+	switch {
+	case f.Announced:
 		announced = "Connection: close\r\n"
+	case r.KeepStreams:
+		announced = keptHeader
 	}
 	write := func(event string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event) }
 	if f.Unframed {
 		framing = ""
 		write = func(event string) { _, _ = io.WriteString(c, event) }
 	}
+	if f.hasLength() {
+		framing = fmt.Sprintf("Content-Length: %d\r\n", r.statedLength(id, run, f))
+		write = func(event string) { _, _ = io.WriteString(c, event) }
+	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\n%s%s\r\n",
 		id, StampOf(r.ID, id), announced, framing)
 	if f.CutAtHead {
@@ -318,7 +327,7 @@
 	}
 	sent := 0
 	for n := r.afterOf(run) + 1; n <= r.Events || f.Endless || f.CommentsAfter > 0; n++ {
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, r.eventData(id, n, run))
+		event := r.event(id, n, run)
 		if f.Comments {
 			event = Comment + event
 		}
@@ -333,13 +342,20 @@
 			r.end(run, "cut")
 			return r.abort(c)
 		}
+		if f.EndAfter > 0 && sent == f.EndAfter {
+			r.end(run, "cut")
+			return r.endEarly(c, f, "between events")
+		}
 		if f.EndInsideAfter > 0 && sent == f.EndInsideAfter {
 			write(event[:len(event)/2])
 			if !f.Unframed {
 				_, _ = io.WriteString(c, "0\r\n\r\n")
 			}
 			r.end(run, "cut")
-			return false
+			if f.Unframed || f.Reset {
+				return r.endEarly(c, f, "inside an event")
+			}
+			return r.finishStream(c, stopWatching, id, run, n, f)
 		}
 		if f.SilentAfter > 0 && sent == f.SilentAfter {
 			<-left.Done()
@@ -363,11 +379,11 @@
 			return false
 		}
 	}
-	if !f.Unframed {
+	if !f.Unframed && !f.hasLength() {
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}
 	r.end(run, "whole")
-	return false
+	return r.finishStream(c, stopWatching, id, run, r.Events, f)
 }
 
 // eventData returns the data of an event of a run.
@@ -437,11 +453,8 @@
 
 // abort resets a connection.
 func (r *Replica) abort(c net.Conn) bool {
-	if wrapped, ok := c.(*repeatingConn); ok {
-		c = wrapped.Conn
-	}
-	if wrapped, ok := c.(*headerConn); ok {
-		c = wrapped.Conn
+	if kept := keptConnOf(c); kept != nil {
+		c = kept.Conn
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/standin/replicafaults.go
+++ b/standin/replicafaults.go
@@ -34,6 +34,19 @@
 	// EndInsideAfter closes the connection of a stream without an error inside an event,
 	// after so many events.
 	EndInsideAfter int
+	// EndAfter closes the connection of a stream between two events, after so many; with
+	// Reset, it is reset there, and at EndInsideAfter.
+	EndAfter int
+	Reset    bool
+	// ExtraStream is sent behind a stream, at the time of ExtraAt.
+	ExtraStream ExtraStream
+	ExtraAt     ExtraTime
+	// Trailing is written behind the last chunk of a stream.
+	Trailing string
+	// ShortAfter states a length that ends inside an event of a stream, after so many events
+	// of it; all are sent. LongLength states one that isn't reached.
+	ShortAfter int
+	LongLength bool
 	// CutAfter, SilentAfter and SkipAfter break a stream off, fall silent or leave
 	// an event out after so many events.
 	CutAfter, SilentAfter, SkipAfter int
@@ -46,8 +59,8 @@
 	// many events, Endless events that are not asked for after the last one.
 	Comments, Endless bool
 	CommentsAfter     int
-	// Announced says in the head of a stream that the connection is closed after it. A
-	// Replica closes it in any case; unannounced, the next request may cross that.
+	// Announced says in the head of a stream that the connection is closed after it. Without
+	// KeepStreams it is closed in any case; unannounced, the next request may cross that.
 	Announced bool
 	// Leaving says in every answer that the replica leaves.
 	Leaving bool
@@ -61,6 +74,11 @@
 	KeepAlive string
 }
 
+// hasLength reports whether a stream states a length.
+func (f *ReplicaFaults) hasLength() bool {
+	return f.ShortAfter > 0 || f.LongLength
+}
+
 // refusal returns the answer that turns a request away.
 func (f *ReplicaFaults) refusal(req *http.Request) string {
 	status := f.Refusal.Status
