--- a/standin/replicafaults.go
+++ b/standin/replicafaults.go
@@ -48,7 +48,7 @@
 	ShortAfter int
 	LongLength bool
 	// CutAfter, SilentAfter and SkipAfter break a stream off, fall silent or leave
-	// an event out after so many events.
+	// an event out after so many events; the last one is never left out.
 	CutAfter, SilentAfter, SkipAfter int
 	// CutAtHead breaks a stream off before its first event.
 	CutAtHead bool
