--- a/standin/extrastream.go
+++ b/standin/extrastream.go
@@ -43,6 +43,8 @@
 	CountTrailing = "bytes behind the last chunk"
 	CountShort    = "lengths too short"
 	CountLong     = "lengths too long"
+	// CountOwn are extra streams that meet a request of their own id.
+	CountOwn = "late streams met the request again"
 	// CountExtra and CountEnd are followed by the kind and time, or the place and manner.
 	CountExtra = "extra stream "
 	CountEnd   = "end "
@@ -103,7 +105,10 @@
 		switch f.ExtraAt {
 		case ExtraLate:
 			kept := keptConnOf(c)
-			kept.late, kept.lateName = extra, name
+			kept.late, kept.lateName, kept.lateID = extra, name, ""
+			if f.ExtraStream != ExtraOther {
+				kept.lateID = id
+			}
 		case ExtraSoon:
 			time.Sleep(extraPause)
 			fallthrough
--- a/standin/keptconn.go
+++ b/standin/keptconn.go
@@ -11,8 +11,9 @@
 	net.Conn
 	// streams counts the streams that it carried.
 	streams int
-	// late is sent when the next request arrives; lateName is how it is counted.
-	late, lateName string
+	// late is sent when the next request arrives; lateName is how it is counted, lateID the
+	// request that it has the id of.
+	late, lateName, lateID string
 }
 
 // latePieces is the number of pieces in which late bytes are sent, piecePause the time
@@ -65,12 +66,15 @@
 }
 
 // sendLate sends the bytes that come as the next request arrives.
-func (r *Replica) sendLate(c *keptConn) {
+func (r *Replica) sendLate(c *keptConn, id string) {
 	late := []byte(c.late)
 	if len(late) == 0 {
 		return
 	}
 	r.count(c.lateName)
+	if c.lateID == id {
+		r.count(CountOwn)
+	}
 	c.late = ""
 	size := len(late)/latePieces + 1
 	for len(late) > 0 {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -183,7 +183,7 @@
 			return
 		}
 		r.awaitResumed()
-		r.sendLate(conn)
+		r.sendLate(conn, req.Header.Get("X-Request-Id"))
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
