--- a/e2e/soakkept_test.go
+++ b/e2e/soakkept_test.go
@@ -104,7 +104,7 @@
 		return
 	}
 	for _, kind := range []string{
-		standin.CountKept, standin.CountExtra, string(standin.ExtraLate), standin.CountTrailing, standin.CountShort, standin.CountLong, standin.CountEnd,
+		standin.CountKept, standin.CountOwn, standin.CountExtra, string(standin.ExtraLate), standin.CountTrailing, standin.CountShort, standin.CountLong, standin.CountEnd,
 	} {
 		met := 0
 		for name, n := range counts {
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -93,7 +93,9 @@
 
 // engine starts an endpoint of a software version. o.mu must not be held.
 func (o *orderSoak) engine(id, version string) *standin.Replica {
-	r, err := standin.StartReplica(id, soakEvents, func(r *standin.Replica) { r.Pace, r.NameRuns, r.KeepStreams = 40*time.Millisecond, true, true })
+	r, err := standin.StartReplica(id, soakEvents, func(r *standin.Replica) {
+		r.Pace, r.NameRuns, r.KeepStreams, r.RepeatRuns = 40*time.Millisecond, true, true, true
+	})
 	if err != nil {
 		o.t.Fatal(err)
 	}
@@ -206,7 +208,7 @@
 	if o.whole == 0 || o.resumed == 0 {
 		o.t.Errorf("%d streams and items were whole, %d went on after a break", o.whole, o.resumed)
 	}
-	o.t.Logf("%d streams and items were whole, %d went on after a break, %d mixed", o.whole, o.resumed, len(o.mixed))
+	o.t.Logf("%d streams and items were whole, %d went on after a break, mixed: %s", o.whole, o.resumed, strings.Join(o.mixed, "; "))
 }
 
 // streams opens streams, and takes those that break off up again at any host.
--- a/standin/extrastream.go
+++ b/standin/extrastream.go
@@ -11,7 +11,7 @@
 // ExtraStream is a stream that nobody asked for.
 type ExtraStream string
 
-// Kinds of extra streams. All but the first have the id of the request that was answered.
+// Kinds of extra streams. All but ExtraOther have the id of the request that was answered.
 const (
 	ExtraNone ExtraStream = ""
 	// ExtraOther answers a request that nobody sent.
@@ -43,6 +43,7 @@
 	CountTrailing = "bytes behind the last chunk"
 	CountShort    = "lengths too short"
 	CountLong     = "lengths too long"
+	CountEarlier  = "earlier runs of a request before its answer"
 	// CountOwn are extra streams that meet a request of their own id.
 	CountOwn = "late streams met the request again"
 	// CountExtra and CountEnd are followed by the kind and time, or the place and manner.
@@ -82,6 +83,20 @@
 	return ""
 }
 
+// earlierStream returns the last run of a request as an answer, or "" if there was none.
+func (r *Replica) earlierStream(id string) string {
+	r.mu.Lock()
+	run := len(r.runs) - 1
+	for run >= 0 && r.runs[run].Request != id {
+		run--
+	}
+	r.mu.Unlock()
+	if run < 0 {
+		return ""
+	}
+	return r.wholeStream(id, r.afterOf(run)+1, run)
+}
+
 // finishStream does what comes behind a stream that has ended, and reports whether its connection
 // goes on. next is the event behind the last that was sent.
 func (r *Replica) finishStream(c net.Conn, stopWatching func() bool, id string, run, next int, f *ReplicaFaults) bool {
--- a/standin/keptconn.go
+++ b/standin/keptconn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -65,8 +66,12 @@
 	}
 }
 
-// sendLate sends the bytes that come as the next request arrives.
-func (r *Replica) sendLate(c *keptConn, id string) {
+// sendLate sends what comes as the next request arrives.
+func (r *Replica) sendLate(c *keptConn, req *http.Request) {
+	id := req.Header.Get("X-Request-Id")
+	if r.RepeatRuns && c.streams > 0 && c.late == "" {
+		c.late, c.lateName, c.lateID = r.earlierStream(id), CountEarlier, id
+	}
 	late := []byte(c.late)
 	if len(late) == 0 {
 		return
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -29,6 +29,9 @@
 	NameRuns bool
 	// KeepStreams leaves the connection of a stream open that has a length or chunks.
 	KeepStreams bool
+	// RepeatRuns repeats, as a request arrives on a connection that carried a stream, the last
+	// run that the request had before, on any connection.
+	RepeatRuns bool
 
 	listener net.Listener
 
@@ -183,7 +186,7 @@
 			return
 		}
 		r.awaitResumed()
-		r.sendLate(conn, req.Header.Get("X-Request-Id"))
+		r.sendLate(conn, req)
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
@@ -303,24 +306,7 @@
 	defer gone()
 	stopWatching := watchCaller(c, reader, func() { r.awaitResumed(); gone() })
 	r.countStream(c)
-	announced, framing := "", "Transfer-Encoding: chunked\r\n"
-	switch {
-	case f.Announced:
-		announced = "Connection: close\r\n"
-	case r.KeepStreams:
-		announced = keptHeader
-	}
-	write := func(event string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event) }
-	if f.Unframed {
-		framing = ""
-		write = func(event string) { _, _ = io.WriteString(c, event) }
-	}
-	if f.hasLength() {
-		framing = fmt.Sprintf("Content-Length: %d\r\n", r.statedLength(id, run, f))
-		write = func(event string) { _, _ = io.WriteString(c, event) }
-	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\n%s%s\r\n",
-		id, StampOf(r.ID, id), announced, framing)
+	write := r.writeHead(c, id, run, f)
 	if f.CutAtHead {
 		r.end(run, "cut")
 		return r.abort(c)
