--- a/batch/run.go
+++ b/batch/run.go
@@ -183,6 +183,7 @@
 		Header:     header,
 		Body:       x.item.Body,
 		Matches:    platform.Answers(x.item.ID),
+		Check:      x.check(header),
 		OnResponse: platform.Heads(platform.Leaving(x.endpoint, opts.OnLeaving), platform.Limit(x.endpoint, x.item.ID, clock.Now(), opts.OnLimit)),
 	})
 	switch {
@@ -220,6 +221,14 @@
 	}
 }
 
+// check returns the check for the call, or nil.
+func (x *itemRun) check(h http.Header) *upstream.Check {
+	if x.ledger.opts.Check == nil {
+		return nil
+	}
+	return x.ledger.opts.Check(x.endpoint, h)
+}
+
 // readEvents reads the event stream of the item to its end.
 func (x *itemRun) readEvents(ctx context.Context, response *upstream.Response) {
 	x.open = response.Open
@@ -296,9 +305,9 @@
 		// The output below the bound may be wrong too, so it is discarded.
 		x.ledger.progress.drop(x.ref)
 		x.events = 0
-	case errors.Is(err, errNoEvents):
-		// If the output is whole, no run that goes on from it has an event: the next one begins
-		// anew.
+	case errors.Is(err, errNoEvents), x.eventOrder.Unnumbered:
+		// If the output is whole, no run that goes on from it has an event; without numbers no
+		// endpoint can be told where to go on. The next one begins anew.
 		x.ledger.progress.put(x.ref, itemProgress{version: x.endpoint.Version, unusable: true})
 		x.events = 0
 	case x.events > x.priorEvents:
@@ -321,6 +330,9 @@
 
 // snapshotProgress keeps the item's progress in memory.
 func (x *itemRun) snapshotProgress() {
+	if x.eventOrder.Unnumbered {
+		return
+	}
 	x.ledger.progress.put(x.ref, itemProgress{
 		events: x.events, tokens: x.tokenCount(), output: x.output.String(), version: x.endpoint.Version,
 	})
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // process is one command that a test started.
@@ -19,6 +20,8 @@
 	cmd  *exec.Cmd
 	log  *os.File
 	done chan struct{}
+	// began is when it was started.
+	began time.Time
 }
 
 // start runs a built command until the test ends; its log is printed if the
@@ -29,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{name: name, log: log, done: make(chan struct{})}
+	p := &process{name: name, log: log, done: make(chan struct{}), began: time.Now()}
 	p.cmd = exec.Command(filepath.Join(folderOf(command), command), args...)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
@@ -47,10 +50,15 @@
 // daemonsStarted counts the daemons that this process has started.
 var daemonsStarted atomic.Int64
 
-// folderOf returns the folder of a command. OLD_BINARIES names that of an older build, from which every
-// other daemon comes: hosts are replaced one after the other, so both builds serve side by side.
+// folderOf returns the folder of a command. OLD_BINARIES names that of another build, from which every
+// other daemon comes: hosts are replaced one after the other, so both builds serve side by side. With
+// OLD_HOSTS=all all of them come from it.
 func folderOf(command string) string {
-	if old := os.Getenv("OLD_BINARIES"); old != "" && command == "peridotmountd" && daemonsStarted.Add(1)%2 == 0 {
+	old := os.Getenv("OLD_BINARIES")
+	if old == "" || command != "peridotmountd" {
+		return binaries
+	}
+	if os.Getenv("OLD_HOSTS") == "all" || daemonsStarted.Add(1)%2 == 0 {
 		return old
 	}
 	return binaries
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -17,7 +17,7 @@
 // endpoint, within the same response to the client.
 func (f *Forwarder) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
 	s := &streamer{f: f, ctx: ctx, w: w, req: req, eventOrder: sse.NewOrderChecker(req.LastEvent)}
-	for req.hasAttemptsLeft() && ctx.Err() == nil {
+	for req.hasAttemptsLeft() && !s.eventOrder.Unnumbered && ctx.Err() == nil {
 		a, err := f.sendAttempt(ctx, req, s.eventOrder.LastID)
 		if err != nil {
 			s.fail(err)
@@ -84,6 +84,7 @@
 		s.headWritten = true
 		s.req.phase = passingResponse
 	} else {
+		s.eventOrder.Resume()
 		s.f.metrics.resumed.Inc()
 	}
 	s.req.open = a.response.Open
@@ -163,7 +164,7 @@
 			return errors.Wrap(errClientWrite, err.Error())
 		}
 		if len(block.Events) > 0 && s.req.setVersion(a.placement.Endpoint().Version) {
-			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version)
+			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version, s.req.isContested())
 		}
 		s.eventOrder = order
 		a.countEvents(len(block.Events))
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -55,6 +56,8 @@
 	endpoints []*endpoint.Endpoint
 	// mayRepeat has requests go to an endpoint that they are to avoid.
 	mayRepeat bool
+	// draws has the endpoints tried in an order that is drawn.
+	draws bool
 	// released receives the Usage of each placement that is released.
 	released chan Usage
 	// full makes requests wait until they end, delay for some time.
@@ -74,7 +77,11 @@
 		return nil, ctx.Err()
 	}
 	time.Sleep(p.delay)
-	for _, e := range p.endpoints {
+	endpoints := slices.Clone(p.endpoints)
+	if p.draws {
+		rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
+	}
+	for _, e := range endpoints {
 		if (p.mayRepeat || !slices.Contains(request.Avoid, e.ID)) && (request.Version == nil || *request.Version == e.Version) {
 			if placement := (&testPlacement{placer: p, endpoint: e, key: request.Request + " " + e.ID}); placement.hold() {
 				return placement, nil
@@ -135,6 +142,8 @@
 	// begunMu guards begunRequest and begunVersion, the arguments of the last OnBegun.
 	begunMu                    sync.Mutex
 	begunRequest, begunVersion string
+	// contested are the streams of which OnBegun said that they are contested.
+	contested map[string]bool
 	// logLines holds the log. It must not be read before the server is closed.
 	logLines bytes.Buffer
 }
@@ -146,7 +155,7 @@
 	config := &route.Configuration{Version: 1, Routes: []route.Route{r}, Limits: route.Limits{BodyBytes: 1 << 20}}
 	config.Index()
 	b := &testbed{t: t, config: &testConfiguration{current: config}, placer: &testPlacer{released: make(chan Usage, 64)},
-		leaving: make(chan endpoint.Incarnation, 64), started: startup.NewGate(), pool: upstream.NewPool(upstream.Options{DialTimeout: testTimeout})}
+		contested: make(map[string]bool), leaving: make(chan endpoint.Incarnation, 64), started: startup.NewGate(), pool: upstream.NewPool(upstream.Options{DialTimeout: testTimeout})}
 	b.started.Open()
 	for i := range replicas {
 		replica, err := standin.StartReplica(fmt.Sprintf("i-%d", i), events)
@@ -205,10 +214,13 @@
 	}()
 }
 
-func (b *testbed) recordBegun(request, version string) {
+func (b *testbed) recordBegun(request, version string, contested bool) {
 	b.begunMu.Lock()
 	defer b.begunMu.Unlock()
 	b.begunRequest, b.begunVersion = request, version
+	if contested {
+		b.contested[request] = true
+	}
 }
 
 // begunBy returns the stream that was last begun, and by which version.
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -40,6 +40,22 @@
 	return o.history.Only(now, service)
 }
 
+// Single reports whether a service has had a single version for as long as streams can go on.
+func (o *origins) Single(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, single := o.history.Only(clock.Now(), service)
+	return single
+}
+
+// Recorded returns the version that began the stream of a request, if this host has a record of
+// it. Which versions serve, the scheduler knows better: it may have read more endpoints.
+func (o *origins) Recorded(request string) (version string, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Lookup(clock.Now(), request)
+}
+
 // Observe records the endpoints that are listed.
 func (o *origins) Observe(endpoints []endpoint.Endpoint) {
 	o.mu.Lock()
@@ -69,10 +85,15 @@
 }
 
 // Granted implements slots.Origins.
-func (o *origins) Granted(request, version string) {
+func (o *origins) Granted(request, version string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Record(clock.Now(), request, version, false)
+	now := clock.Now()
+	o.table.Record(now, request, version, false)
+	if began, known := o.table.Lookup(now, request); known {
+		return began
+	}
+	return version
 }
 
 // Own implements slots.Origins.
@@ -93,7 +114,18 @@
 func (o *origins) Merge(streams origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Merge(clock.Now(), streams)
+	now := clock.Now()
+	o.table.Merge(now, streams)
+	o.history.Hear(now, streams)
+}
+
+// MergeBegun implements slots.Origins.
+func (o *origins) MergeBegun(streams origin.Streams) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := clock.Now()
+	o.table.MergeBegun(now, streams)
+	o.history.Hear(now, streams)
 }
 
 // Certain implements slots.Origins.
--- a/upstream/crashed_test.go
+++ b/upstream/crashed_test.go
@@ -22,6 +22,17 @@
 		crash func(l net.Listener, c net.Conn)
 		whole bool
 	}{
+		"takes no more connections": {func(l net.Listener, c net.Conn) {
+			_ = c.Close()
+			for {
+				further, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_ = further.(*net.TCPConn).SetLinger(0)
+				_ = further.Close()
+			}
+		}, true},
 		"listens on":              {func(_ net.Listener, c net.Conn) { _ = c.Close() }, true},
 		"listener ends first":     {func(l net.Listener, c net.Conn) { _, _ = l.Close(), c.Close() }, false},
 		"listener ends last":      {func(l net.Listener, c net.Conn) { _, _ = c.Close(), l.Close() }, false},
@@ -45,7 +56,12 @@
 			}()
 			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 			defer cancel()
-			body, _, err := sendCut(ctx, NewPool(Options{DialTimeout: testTimeout}), "e", l.Addr().String(), http.Header{})
+			pool := NewPool(Options{DialTimeout: testTimeout})
+			if !c.whole {
+				// However late the listener ends.
+				pool.probeWait = testTimeout
+			}
+			body, _, err := sendCut(ctx, pool, "e", l.Addr().String(), http.Header{})
 			if body != "the part" || (err == nil) != c.whole || err != nil && !errors.Is(err, ErrTruncated) {
 				t.Errorf("body %q, error %v", body, err)
 			}
