--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -203,6 +203,7 @@
 func (o *orderSoak) run(seed uint64) {
 	duties, begin := o.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
+	begin(keptSeries, o.answerWrongly)
 	begin(lifeSeries, o.playLife)
 	begin(1, o.beat)
 	begin(16, o.streams)
@@ -222,6 +223,7 @@
 	if len(o.mixed) > maxMixedStreams {
 		o.t.Errorf("%d streams and items hold events of two software versions", len(o.mixed))
 	}
+	o.checkKept()
 	if o.whole == 0 || o.resumed == 0 {
 		o.t.Errorf("%d streams and items were whole, %d went on after a break", o.whole, o.resumed)
 	}
