--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -206,6 +206,7 @@
 	begin(keptSeries, o.answerWrongly)
 	begin(lifeSeries, o.playLife)
 	begin(1, o.beat)
+	begin(1, o.readOn)
 	begin(16, o.streams)
 	begin(2, o.submit)
 	begin(2, func(_ string, r *rand.Rand) { o.poll(r) })
