gateway: the scheduler's record of a stream comes before what a host was told

Cause: a host went by its copy of the replicated records before it asked the scheduler. The copy is up to 50 ms old, holds the first of two grants until the next replication, and came in a random order from schedulers of builds before.

What callers saw: a stream that is taken up within 50 ms of its second grant went on at the version of the first. Now the order is: what this host saw itself, what the scheduler knows, what this host was told.

Evidence: TestRecordsOfAStreamThatDiffer; before: 'the host was told of the grant before: it goes on at v1, want v2'.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -48,6 +48,14 @@
 	return single
 }
 
+// BegunHere returns the version that began the stream of a request, if this host received its first
+// event.
+func (o *origins) BegunHere(request string) (version string, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.LookupOwn(clock.Now(), request)
+}
+
 // Recorded returns the version that began the stream of a request, if this host has a record of
 // it. Which versions serve, the scheduler knows better: it may have read more endpoints.
 func (o *origins) Recorded(request string) (version string, known bool) {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -198,7 +198,7 @@
 		waited := time.Since(begun)
 		a.Elapsed, a.Left = ask.Elapsed+waited, ask.Left-waited
 		if a.Resumes != "" && a.Version == nil {
-			if version, known := p.origins.Recorded(a.Resumes); known {
+			if version, known := p.origins.BegunHere(a.Resumes); known {
 				a.Version = &version
 			}
 		}
@@ -207,6 +207,11 @@
 		if err == nil || !errors.As(err, &refused) || refused.Reason != scheduler.ReasonUnknownVersion || waited >= maxVersionWait {
 			return lease, err
 		}
+		if version, known := p.origins.Recorded(a.Resumes); known && a.Version == nil {
+			// A former scheduler told this host, and not the present one.
+			a.Version = &version
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/gateway/resumedelsewhere_test.go
+++ b/gateway/resumedelsewhere_test.go
@@ -32,14 +32,10 @@
 	return o
 }
 
-// TestSchedulerTellsWhoBeganAStream has a stream taken up at a host that has not read the record of
-// the first endpoint of a new version yet, which the scheduler has. The stream began there.
-func TestSchedulerTellsWhoBeganAStream(t *testing.T) {
-	here, there := ofOneVersion("v1"), ofOneVersion("v1")
-	there.Observe([]endpoint.Endpoint{{ID: "old", Service: "s", Version: "v1"}, {ID: "new", Service: "s", Version: "v2"}})
-	streams := make(origin.Streams)
-	streams.Add("earlier", "v2")
-	there.Merge(streams)
+// takeUp has a stream taken up at a host that knows here, whose scheduler knows there, and returns the
+// version of the slot that it is granted.
+func takeUp(t *testing.T, here, there *origins) string {
+	t.Helper()
 	self := peers.Host{Name: "h", Incarnation: "i"}
 	client, local := slots.NewClient(slots.Options{
 		Self: self, Directory: oneHost{self}, Origins: there, RecordsReadUntil: clock.Now,
@@ -56,7 +52,53 @@
 	p := &placer{client: client, origins: here, logger: log.NewNopLogger()}
 	ask := &forward.PlacementRequest{Request: "later", Service: "s", Resumes: "earlier", Left: 10 * time.Second}
 	lease, err := p.acquire(ctx, ask, &scheduler.SlotRequest{Request: "later", Service: "s", Resumes: "earlier", Objective: 10 * time.Second}, time.Now())
-	if err != nil || lease.Version != "v2" {
-		t.Errorf("a stream that v2 began goes on at %+v, error %v", lease, err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease.Version
+}
+
+// TestSchedulerTellsWhoBeganAStream has a stream taken up at a host that has not read the record of
+// the first endpoint of a new version yet, which the scheduler has. The stream began there.
+func TestSchedulerTellsWhoBeganAStream(t *testing.T) {
+	here, there := ofOneVersion("v1"), ofOneVersion("v1")
+	there.Observe([]endpoint.Endpoint{{ID: "old", Service: "s", Version: "v1"}, {ID: "new", Service: "s", Version: "v2"}})
+	streams := make(origin.Streams)
+	streams.Add("earlier", "v2")
+	there.Merge(streams)
+	if version := takeUp(t, here, there); version != "v2" {
+		t.Errorf("a stream that v2 began goes on at %s", version)
+	}
+}
+
+// TestRecordsOfAStreamThatDiffer has a stream taken up of which a host was told, and its scheduler
+// knows better, knows nothing, or has not the word of the host that began it.
+func TestRecordsOfAStreamThatDiffer(t *testing.T) {
+	two := func() *origins {
+		o := newOrigins()
+		o.Observe([]endpoint.Endpoint{{ID: "old", Service: "s", Version: "v1"}, {ID: "new", Service: "s", Version: "v2"}})
+		return o
+	}
+	told := func(o *origins, version string) *origins {
+		streams := make(origin.Streams)
+		streams.Add("earlier", version)
+		o.Merge(streams)
+		return o
+	}
+	began := func(o *origins, version string) *origins {
+		o.Begun("earlier", version)
+		return o
+	}
+	for name, c := range map[string]struct {
+		here, there *origins
+		want        string
+	}{
+		"the host was told of the grant before": {told(two(), "v1"), told(two(), "v2"), "v2"},
+		"the scheduler knows nothing":           {told(two(), "v1"), two(), "v1"},
+		"the host began it":                     {began(two(), "v1"), told(two(), "v2"), "v1"},
+	} {
+		if version := takeUp(t, c.here, c.there); version != c.want {
+			t.Errorf("%s: it goes on at %s, want %s", name, version, c.want)
+		}
 	}
 }
--- a/origin/table.go
+++ b/origin/table.go
@@ -76,6 +76,17 @@
 	return e.version, found
 }
 
+// LookupOwn returns the version that began a stream of which this host received the first event.
+func (t *Table) LookupOwn(now time.Time, request string) (version string, known bool) {
+	t.rotate(now)
+	id := xxhash.Sum64String(request)
+	e, found := t.current[id]
+	if !found {
+		e, found = t.previous[id]
+	}
+	return e.version, found && e.source == own
+}
+
 // Merge adds streams of which a scheduler told.
 func (t *Table) Merge(now time.Time, streams Streams) {
 	t.merge(now, streams, granted)
