--- a/e2e/soaklife_test.go
+++ b/e2e/soaklife_test.go
@@ -26,6 +26,10 @@
 	maxDown = 500 * time.Millisecond
 	// crashCalls is how many requests are sent that crash endpoints.
 	crashCalls = 3
+	// crashEngines is how many endpoints may be crashed by them, unframedEngines how many answer
+	// without framing and crash, at a time.
+	crashEngines    = 4
+	unframedEngines = 3
 )
 
 // lifeFaults are what may happen to endpoints and hosts over their lives.
@@ -137,7 +141,11 @@
 func (o *orderSoak) crashByRequest(_ *soak, r *rand.Rand, d time.Duration) {
 	part := fmt.Sprintf("%08x", r.Uint32())
 	o.mu.Lock()
-	engines := slices.Clone(o.engines)
+	var engines []*standin.Replica
+	taken := r.Perm(orderEngines)[:crashEngines]
+	for _, i := range taken {
+		engines = append(engines, o.engines[i])
+	}
 	o.mu.Unlock()
 	for _, e := range engines {
 		e.SetFaults(standin.ReplicaFaults{CrashPart: part})
@@ -154,7 +162,8 @@
 	}
 	calls.Wait()
 	time.Sleep(d)
-	for i, e := range engines {
+	for n, e := range engines {
+		i := taken[n]
 		e.SetFaults(standin.ReplicaFaults{})
 		o.mu.Lock()
 		crashed := e.Closed() && !o.life.restarting[e] && o.engines[i] == e
@@ -178,27 +187,24 @@
 	time.Sleep(d)
 }
 
-// unframe has endpoints answer without a length and chunks, and two of them crash meanwhile, whose
-// kernels close their connections.
+// unframe has endpoints answer without a length and chunks, and crash meanwhile: their kernels close
+// their connections.
 func (o *orderSoak) unframe(_ *soak, r *rand.Rand, d time.Duration) {
-	o.mu.Lock()
-	engines := slices.Clone(o.engines)
-	o.mu.Unlock()
-	for _, e := range engines {
-		e.SetFaults(standin.ReplicaFaults{Unframed: true})
+	taken := r.Perm(orderEngines)[:unframedEngines]
+	olds, nexts := make([]*standin.Replica, unframedEngines), make([]lifeRestart, unframedEngines)
+	for n, i := range taken {
+		if olds[n], nexts[n] = o.take(i); olds[n] != nil {
+			olds[n].SetFaults(standin.ReplicaFaults{Unframed: true})
+		}
 	}
 	time.Sleep(d)
-	for range 2 {
-		i := r.IntN(orderEngines)
-		if old, next := o.take(i); old != nil {
-			old.Close()
+	for n, i := range taken {
+		if olds[n] != nil {
+			olds[n].Close()
 			time.Sleep(time.Duration(r.Int64N(int64(maxDown))))
-			o.startAgain(i, old, next, r)
+			o.startAgain(i, olds[n], nexts[n], r)
 		}
 	}
-	for _, e := range engines {
-		e.SetFaults(standin.ReplicaFaults{})
-	}
 }
 
 // restartBeside has an endpoint start again with the other version while those of the version that
