slots: what a scheduler told before its session ended counts

What callers saw (by reading and a test): streams of a scheduling host that died were refused as of an unknown version at the host that schedules next, or went on by an earlier, unused grant.

Cause: since messages of another link than the present one are dropped. A session that ends moves the host on a goroutine of its own, so that the last replication, received and not handled yet, was dropped.

Now the end of a session is queued behind its messages. Decisions of a scheduler that the host has left for another one are dropped as before.

Evidence: TestStreamsOfALostSchedulerAreKept failed before: 'the stream of the last replication is not known'.

--- a/slots/client.go
+++ b/slots/client.go
@@ -321,6 +321,10 @@
 		case <-ctx.Done():
 			return
 		case d := <-c.inbox.C():
+			if d.lost != nil {
+				d.lost()
+				continue
+			}
 			c.handleMessage(ctx, d.from, &d.message)
 		}
 	}
--- a/slots/election.go
+++ b/slots/election.go
@@ -163,7 +163,7 @@
 	for i := range hosts {
 		attempts.Go(func() {
 			box := &mailbox{client: c}
-			links[i], failures[i] = openRemote(ctx, c.opts.HTTP, hosts[i], box.deliver, c.linkLost)
+			links[i], failures[i] = openRemote(ctx, c.opts.HTTP, hosts[i], box.deliver, box.lost)
 			if links[i] != nil {
 				box.of(links[i])
 			}
--- a/slots/mailbox.go
+++ b/slots/mailbox.go
@@ -5,10 +5,12 @@
 	"sync/atomic"
 )
 
-// delivery is a message of a scheduler and the link that it came by.
+// delivery is a message of a scheduler and the link that it came by, or the end of a session.
 type delivery struct {
 	from    link
 	message SchedulerMessage
+	// lost is set behind the last message of a session that ended unexpectedly.
+	lost func()
 }
 
 // mailbox queues the messages of one link for its client.
@@ -31,6 +33,12 @@
 	_ = b.client.inbox.Put(context.Background(), d)
 }
 
+// lost queues the end of a session: what its scheduler told before counts, above all if the host
+// schedules next.
+func (b *mailbox) lost(l *remoteLink, end sessionEnd) {
+	_ = b.client.inbox.Put(context.Background(), delivery{from: l, lost: func() { b.client.linkLost(l, end) }})
+}
+
 // decides reports whether the message is a decision, which only the scheduler that a host uses may
 // make: what waited was sent to it again when the host moved.
 func (m *SchedulerMessage) decides() bool {
