upstream: a check that fails tells that there was no connection

What callers saw (by a test): a host whose connections are made and reset, as a cut network does, was not found to reach no endpoint while its calls began with a check, so no other host made them.

Cause: told OnConnection of checks that passed only, and told a checked connection again at its call.

Evidence: TestCheckThatFailsShowsNoConnection failed before: 'connection reset by peer: endpoint not reached, attempts to connect []', TestCheckedConnectionIsReportedOnce: 'attempts to connect [<nil> <nil>]'.

--- a/upstream/check.go
+++ b/upstream/check.go
@@ -56,7 +56,7 @@
 	conn.began = began
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	defer func() { _ = conn.Close() }()
-	x := &exchange{pool: p, conn: conn}
+	x := &exchange{pool: p, conn: conn, first: true}
 	if err := x.check(ctx, c); !errors.Is(err, errConnectionUsed) {
 		return err
 	}
@@ -71,6 +71,9 @@
 	}
 	err := x.check(ctx, c)
 	if !errors.Is(err, errConnectionUsed) {
+		if err != nil {
+			x.report(ctx, err)
+		}
 		return err
 	}
 	_ = x.conn.Close()
@@ -97,6 +100,8 @@
 	if err != nil {
 		return errors.Wrap(err, "check")
 	}
+	x.report(ctx, nil)
+	x.first = false
 	x.conn.responses++
 	x.conn.limit.remaining = maxCheckBytes
 	body, err := io.ReadAll(resp.Body)
@@ -104,7 +109,6 @@
 	if err != nil {
 		return errors.Wrap(x.checkLimit(err), "check")
 	}
-	x.pool.report(ctx, x.conn.key, x.conn.began, nil)
 	if err := c.Passes(resp.StatusCode, body); err != nil {
 		return errors.Wrap(errOtherProcess, err.Error())
 	}
