upstream, gateway: an open response ends with its own process, also of a single version

What callers saw (by tests): a response without length or chunks was taken for whole if another process had its endpoint's address at the end, as for a host that was frozen while the endpoint crashed and started again. And a host that knows of several versions, and reaches no endpoint, was refused by hosts that know of one.

Cause: services of a single version had no check at all, so the end was confirmed by any process that accepts connections; a host that makes a call for another took the lack of a check for another record.

Now the check of such a call is made at the end of an open response only, and a host that makes a call for another makes the check that the other asked for.

--- a/detour/process_test.go
+++ b/detour/process_test.go
@@ -42,3 +42,27 @@
 		t.Errorf("through %q, error %v", via, err)
 	}
 }
+
+// TestHelperChecksForAHostThatKnowsOfVersions has a host that has read a single version make a call for
+// one that knows of several.
+func TestHelperChecksForAHostThatKnowsOfVersions(t *testing.T) {
+	e := startTestEndpoint(t)
+	for _, knows := range []bool{true, false} {
+		hosts := startTestHosts(t, 2, e, func(i int, o *Options) {
+			o.Check = func(*endpoint.Endpoint, http.Header) *upstream.Check {
+				return &upstream.Check{Process: "p", Target: "/echo", Host: "h", AtEnd: true, Passes: func(int, []byte) error { return errors.New("another") }}
+			}
+		})
+		hosts[0].strand(t)
+		check := &upstream.Check{Process: "p", AtEnd: !knows}
+		resp, err := hosts[0].sender.Send(testContext(t), "e0", hosts[0].address(e), &upstream.Call{
+			Request: "r1", Method: http.MethodPost, Target: "/echo", Host: "h", Header: http.Header{"X-Request-Id": {"r1"}}, Check: check,
+		})
+		if err == nil {
+			resp.Close()
+		}
+		if knows != errors.Is(err, upstream.ErrNotSent) {
+			t.Errorf("a host that knows of several versions (%t): %v", knows, err)
+		}
+	}
+}
--- a/detour/server.go
+++ b/detour/server.go
@@ -88,9 +88,13 @@
 		return
 	}
 	check := s.check(e, head)
-	if head.Process != "" && (check == nil || check.Process != head.Process) {
-		s.refuse(w, head.Request, unlisted, "the host has read another record of the endpoint")
-		return
+	if head.Process != "" {
+		if check == nil || check.Process != head.Process {
+			s.refuse(w, head.Request, unlisted, "the host has read another record of the endpoint")
+			return
+		}
+		// The host that asks may know of versions that this one doesn't.
+		check.AtEnd = false
 	}
 	s.call(w, r, e, head, body, check)
 }
--- a/detour/wire.go
+++ b/detour/wire.go
@@ -22,7 +22,7 @@
 // newCallRequest returns the request that has a host make a call.
 func newCallRequest(ctx context.Context, host *peers.Host, id string, call *upstream.Call) (*http.Request, error) {
 	process := ""
-	if c := call.Check; c != nil {
+	if c := call.Check; c != nil && !c.AtEnd {
 		process = c.Process
 	}
 	head, err := json.Marshal(callHead{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -269,16 +269,15 @@
 
 // check returns the check for a call to an engine with a header: what goes on has to reach the
 // version that began it, and what begins may have to go on, so the version has to be that of the
-// record.
+// record. With a single version, only the end of an open response depends on the process.
 func (g *Gateway) check(e *endpoint.Endpoint, h http.Header) *upstream.Check {
 	c := g.configuration.Current()
 	if c == nil || c.Services[e.Service] == nil || c.Services[e.Service].Engine == nil {
 		return nil
 	}
-	if !platform.GoesOn(h) && g.origins.Single(e.Service) {
-		return nil
-	}
-	return platform.ProcessCheck(e)
+	check := platform.ProcessCheck(e)
+	check.AtEnd = !platform.GoesOn(h) && g.origins.Single(e.Service)
+	return check
 }
 
 // stranded handles that the host lost its links to all endpoints, or has them again.
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -17,7 +17,8 @@
 	// Matches tells to which request a response with this status and header belongs.
 	// Foreign responses are discarded. Nil accepts every response.
 	Matches func(status int, header http.Header) Ownership
-	// Check has to pass on the connection first; nil sends the call at once.
+	// Check has to pass on the connection first, unless it is for the end only; nil sends the call at
+	// once.
 	Check *Check
 	// OnResponse is called with the head of each final response on the connection,
 	// discarded ones included. It may be nil.
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -18,6 +18,17 @@
 	Target, Host string
 	// Passes returns nil if the response comes from the process that is meant.
 	Passes func(status int, body []byte) error
+	// AtEnd has it made only at the end of an open response, of which the process that sent it has to be
+	// alive.
+	AtEnd bool
+}
+
+// first returns the check that a call begins with, or nil.
+func (c *Check) first() *Check {
+	if c == nil || c.AtEnd {
+		return nil
+	}
+	return c
 }
 
 // aliveTimeout bounds the question whether a process is alive.
--- a/upstream/check_test.go
+++ b/upstream/check_test.go
@@ -33,18 +33,20 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	e := &reportingEndpoint{Listener: l, process: process, reportHeader: reportHeader}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c)
-		}
-	}()
+	go e.run()
 	return e
 }
 
+func (e *reportingEndpoint) run() {
+	for {
+		c, err := e.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(c)
+	}
+}
+
 func (e *reportingEndpoint) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	e.mu.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -137,7 +137,7 @@
 // always get a new one, and those with a check one that has passed it, or a new one.
 func (p *Pool) acquire(ctx context.Context, key, address string, call *Call) (*connection, error) {
 	if call.Request != "" {
-		for c := p.popIdle(key, call.Check); c != nil; c = p.popIdle(key, call.Check) {
+		for c := p.popIdle(key, call.Check.first()); c != nil; c = p.popIdle(key, call.Check.first()) {
 			if time.Now().Before(c.idleUntil) && c.usable() {
 				return c, nil
 			}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -42,7 +42,7 @@
 		x.closeConn()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	if err := x.passCheck(ctx, address, call.Check); err != nil {
+	if err := x.passCheck(ctx, address, call.Check.first()); err != nil {
 		x.closeConn()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
