detour: the end of an open response is confirmed for clients over own links too

What callers saw (by a test): on the OpenAI path a plain response without length or chunks of an endpoint whose process ended in its middle was passed on as whole.

Cause: net/http takes the end of the connection for the end of such a body. had it confirmed for calls that other hosts make only (HTTPPool). Streams have a last frame and need none.

Evidence: TestClientsOpenResponseOfACrashedEndpointIsNoWholeOne failed before: 'body "the part", error <nil>'.

--- a/detour/transport.go
+++ b/detour/transport.go
@@ -49,7 +49,12 @@
 		func() (*http.Response, error) {
 			silent := time.AfterFunc(suspectAfter, t.sender.links.Suspect)
 			defer silent.Stop()
-			return roundTrip(t.base, body.request(r))
+			resp, err := roundTrip(t.base, body.request(r))
+			if err != nil {
+				return nil, err
+			}
+			t.confirmEnd(r, id, resp)
+			return resp, nil
 		},
 		func() (*http.Response, error) { return t.indirect(r, id, body) })
 	if err != nil {
@@ -58,6 +63,18 @@
 	return resp, err
 }
 
+// confirmEnd has the end of a body that states none confirmed by its endpoint, which has to be alive.
+func (t *Transport) confirmEnd(r *http.Request, id string, resp *http.Response) {
+	if resp.ProtoMajor != 1 || !upstream.IsOpen(resp) || resp.Body == http.NoBody {
+		return
+	}
+	open := upstream.NewRelayedResponse("", resp.StatusCode, resp.Header, resp.ContentLength, resp.Body)
+	open.Open = true
+	address := (&url.URL{Scheme: r.URL.Scheme, Host: r.URL.Host}).String()
+	open.ConfirmEnd(func() error { return t.sender.opts.Pool.Probe(r.Context(), id, address) })
+	resp.Body = &responseBody{open}
+}
+
 // indirect has another host make a call.
 func (t *Transport) indirect(r *http.Request, id string, body *heldBody) (*http.Response, error) {
 	content, err := body.readAll()
