Revert "origin: a version that others tell of, and that was not read, makes a host uncertain"

The fresh reviewer showed by a test that hosts tell of streams for up to 40 s, so that a version that had left made each next scheduler uncertain for 20 s more: streams that were served are refused, and every new connection is checked.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -122,18 +122,14 @@
 func (o *origins) Merge(streams origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := clock.Now()
-	o.table.Merge(now, streams)
-	o.history.Hear(now, streams)
+	o.table.Merge(clock.Now(), streams)
 }
 
 // MergeBegun implements slots.Origins.
 func (o *origins) MergeBegun(streams origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := clock.Now()
-	o.table.MergeBegun(now, streams)
-	o.history.Hear(now, streams)
+	o.table.MergeBegun(clock.Now(), streams)
 }
 
 // Certain implements slots.Origins.
