upstream, forward, batch: an older record excludes its host, not the endpoint

What callers saw (by reading and a test): a host that reads no records, as when it is cut off from the store, had each endpoint that had started again since paused for all hosts with each of its attempts.

Cause: an attempt whose check finds another process was told to the scheduler as one that reached nobody. The record is the host's: it is now told as unread, which keeps work there from this host only.

--- a/batch/run.go
+++ b/batch/run.go
@@ -191,6 +191,9 @@
 	case errors.Is(err, upstream.ErrCutOff):
 		x.endRun("cut-off", err.Error(), scheduler.Usage{Outcome: scheduler.Abandoned, Delay: cutOffDelay, TokensDone: x.tokenCount()})
 		return
+	case errors.Is(err, upstream.ErrOtherProcess):
+		x.endRun("unread", err.Error(), scheduler.Usage{Outcome: scheduler.Unread})
+		return
 	case errors.Is(err, upstream.ErrNotSent):
 		x.abort(ctx, scheduler.Unreachable, err)
 		return
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -17,6 +17,9 @@
 	OutcomeMisdirected Outcome = "misdirected"
 	// OutcomeNotSent means that no byte of the request was sent.
 	OutcomeNotSent Outcome = "not-sent"
+	// OutcomeUnread means that the endpoint has started again since its record that this host has
+	// read, so that no byte of the request was sent.
+	OutcomeUnread Outcome = "unread"
 	// OutcomeCutOff means that this host reaches no endpoint and no other host helped, so that no
 	// byte of the request was sent.
 	OutcomeCutOff Outcome = "cut-off"
--- a/forward/try.go
+++ b/forward/try.go
@@ -135,6 +135,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrCutOff):
 		outcome = OutcomeCutOff
+	case errors.Is(err, upstream.ErrOtherProcess):
+		outcome = OutcomeUnread
 	case errors.Is(err, upstream.ErrNotSent):
 		outcome = OutcomeNotSent
 	case errors.Is(context.Cause(ctx), errHedgeLost):
@@ -146,7 +148,7 @@
 	case errors.Is(err, upstream.ErrPathLost):
 		outcome = OutcomePathLost
 	}
-	if outcome == OutcomeNotSent || outcome == OutcomeCutOff {
+	if errors.Is(err, upstream.ErrNotSent) {
 		req.countRefusal()
 	} else {
 		req.countRun(true)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -328,6 +328,8 @@
 		return scheduler.Misdirected
 	case forward.OutcomeNotSent:
 		return scheduler.Unreachable
+	case forward.OutcomeUnread:
+		return scheduler.Unread
 	case forward.OutcomeAbandoned, forward.OutcomeCutOff, forward.OutcomePathLost:
 		return scheduler.Abandoned
 	default:
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -39,3 +39,11 @@
 		t.Errorf("a scheduler that says no version: %q", got)
 	}
 }
+
+// TestOlderRecordExcludesThisHostOnly checks what the scheduler is told if an endpoint has started again
+// since its record that this host has read.
+func TestOlderRecordExcludesThisHostOnly(t *testing.T) {
+	if got := outcomeOf(forward.OutcomeUnread); got != scheduler.Unread {
+		t.Errorf("%q, want %q", got, scheduler.Unread)
+	}
+}
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -40,14 +40,11 @@
 // errConnectionUsed means that a check has passed, and that the endpoint closes the connection.
 var errConnectionUsed = errors.New("the endpoint closes the connection after the check")
 
-// errOtherProcess means that the process that is meant has ended.
-var errOtherProcess = errors.New("another process has the endpoint's address")
-
 // alive returns an error if the process that sent a response has ended: the one of a check, or any
 // at that address.
 func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
 	if c != nil {
-		if err := p.checkOnce(ctx, key, address, c); err == nil || errors.Is(err, errOtherProcess) {
+		if err := p.checkOnce(ctx, key, address, c); err == nil || errors.Is(err, ErrOtherProcess) {
 			return err
 		}
 	}
@@ -121,7 +118,7 @@
 		return errors.Wrap(x.checkLimit(err), "check")
 	}
 	if err := c.Passes(resp.StatusCode, body); err != nil {
-		return errors.Wrap(errOtherProcess, err.Error())
+		return errors.Wrap(ErrOtherProcess, err.Error())
 	}
 	x.conn.process = c.Process
 	x.conn.sent.Store(0)
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -9,6 +9,9 @@
 	// ErrCutOff means that this host reaches no endpoint, and that no other host makes the call
 	// for it. Nothing was sent; such an error is also ErrNotSent.
 	ErrCutOff = errors.Wrap(ErrNotSent, "this host reaches no endpoint, and no other host helps")
+	// ErrOtherProcess means that another process than that of a Check has the endpoint's address.
+	// Nothing was sent; such an error is also ErrNotSent.
+	ErrOtherProcess = errors.Wrap(ErrNotSent, "another process has the endpoint's address")
 	// ErrNoResponse means that the request was sent at least in part, and no response
 	// to it arrived. The request may have run.
 	ErrNoResponse = errors.New("no answer from the endpoint")
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -44,6 +44,9 @@
 	}
 	if err := x.passCheck(ctx, address, call.Check.first()); err != nil {
 		x.closeConn()
+		if errors.Is(err, ErrNotSent) {
+			return nil, err
+		}
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	if len(call.Body) <= maxInlineBody {
