e2e: each kind of wrong answer on kept connections is met before any comes again

Kinds are dealt from one deck, last until a request met them, and are dealt again if none did. Each must be met in 20 s; in any run kept connections, extra streams and early ends. Answers to others, numbers left out and bytes that are no event are counted too.

--- a/e2e/soakkept_test.go
+++ b/e2e/soakkept_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/peridotmount/peridotmount/standin"
@@ -13,10 +14,13 @@
 const (
 	// keptSeries is how many engines at a time answer wrongly on connections that stay open.
 	keptSeries = 3
-	// minWave is the shortest time for which an engine does so, on every answer.
+	// minWave is the shortest time for which an engine does so, on every answer; maxWave is the
+	// longest if no request meets it.
 	minWave = 400 * time.Millisecond
-	// keptCheckTime is the length from which each kind of fault must have been met.
-	keptCheckTime = 10 * time.Second
+	maxWave = 1200 * time.Millisecond
+	// keptCheckTime is the length from which each kind of fault must have been met, the commonest
+	// in any run.
+	keptCheckTime = 20 * time.Second
 )
 
 // keptWaves are kinds of wrong answers on connections that carry several, and of streams that end
@@ -70,23 +74,68 @@
 	return f
 }
 
-// answerWrongly has engines do one kind of fault after the other, each for a time on every answer.
-func (o *orderSoak) answerWrongly(_ string, r *rand.Rand) {
-	for !o.over() {
-		for _, kind := range r.Perm(len(keptWaves)) {
+// keptDeck deals the kinds of waves: all of them before any comes again.
+type keptDeck struct {
+	mu   sync.Mutex
+	r    *rand.Rand
+	left []int
+}
+
+func newKeptDeck(seed uint64) *keptDeck { return &keptDeck{r: rand.New(rand.NewPCG(seed, 0))} }
+
+// putBack has a kind that no request met dealt again next.
+func (d *keptDeck) putBack(kind int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.left = append([]int{kind}, d.left...)
+}
+
+func (d *keptDeck) deal() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.left) == 0 {
+		d.left = d.r.Perm(len(keptWaves))
+	}
+	kind := d.left[0]
+	d.left = d.left[1:]
+	return kind
+}
+
+// answerWrongly has engines do one kind of fault after the other, each for a time on every answer,
+// and until a request has met it.
+func (o *orderSoak) answerWrongly(deck *keptDeck) func(string, *rand.Rand) {
+	return func(_ string, r *rand.Rand) {
+		for !o.over() {
 			o.mu.Lock()
 			e := oneOf(r, o.engines)
 			o.mu.Unlock()
-			e.SetFaults(keptWaves[kind](r))
-			time.Sleep(minWave + time.Duration(r.Int64N(int64(minWave))))
+			kind := deck.deal()
+			wave := keptWaves[kind](r)
+			least := minWave + time.Duration(r.Int64N(int64(minWave)))
+			before, began := faultsMet(e), time.Now()
+			for e.SetFaults(wave); !o.over(); time.Sleep(minWave / 8) {
+				if lasted := time.Since(began); lasted > maxWave || lasted > least && faultsMet(e) > before {
+					break
+				}
+			}
 			e.SetFaults(standin.ReplicaFaults{})
-			if o.over() {
-				return
+			if faultsMet(e) == before {
+				deck.putBack(kind)
 			}
 		}
 	}
 }
 
+// faultsMet returns how many faults an engine's requests have met.
+func faultsMet(e *standin.Replica) (met int) {
+	for name, n := range e.Counts() {
+		if name != standin.CountKept && name != standin.CountOwn && name != standin.CountEarlier {
+			met += n
+		}
+	}
+	return met
+}
+
 // checkKept logs what the engines did on connections, and checks that each kind of it was met.
 func (o *orderSoak) checkKept() {
 	counts := make(map[string]int)
@@ -100,12 +149,12 @@
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		o.t.Logf("%d %s", counts[name], name)
 	}
-	if soakLength(o.t) < keptCheckTime {
-		return
+	kinds := []string{standin.CountKept, standin.CountExtra, standin.CountEnd}
+	if soakLength(o.t) >= keptCheckTime {
+		kinds = append(kinds, standin.CountOwn, string(standin.ExtraLate), standin.CountForeign, standin.CountSkipped, standin.CountInside,
+			standin.CountTrailing, standin.CountShort, standin.CountLong)
 	}
-	for _, kind := range []string{
-		standin.CountKept, standin.CountOwn, standin.CountExtra, string(standin.ExtraLate), standin.CountTrailing, standin.CountShort, standin.CountLong, standin.CountEnd,
-	} {
+	for _, kind := range kinds {
 		met := 0
 		for name, n := range counts {
 			if strings.Contains(name, kind) {
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -203,7 +203,7 @@
 func (o *orderSoak) run(seed uint64) {
 	duties, begin := o.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
-	begin(keptSeries, o.answerWrongly)
+	begin(keptSeries, o.answerWrongly(newKeptDeck(seed)))
 	begin(lifeSeries, o.playLife)
 	begin(1, o.beat)
 	begin(16, o.streams)
--- a/standin/extrastream.go
+++ b/standin/extrastream.go
@@ -40,6 +40,9 @@
 // Names of what a Replica counts.
 const (
 	CountKept     = "streams on a kept connection"
+	CountForeign  = "answers to requests that nobody sent"
+	CountSkipped  = "events left out"
+	CountInside   = "bytes that are no event"
 	CountTrailing = "bytes behind the last chunk"
 	CountShort    = "lengths too short"
 	CountLong     = "lengths too long"
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -266,6 +266,7 @@
 		return r.abort(c)
 	}
 	if f.Foreign {
+		r.count(CountForeign)
 		_, _ = io.WriteString(c, wholeAnswer(r.ID, "another", "not yours", ""))
 	}
 	if f.CrashPart != "" && holdsPart(req.Header.Get("X-Prompt-Prefix"), f.CrashPart) {
@@ -368,9 +369,11 @@
 			return false
 		}
 		if f.InsideAfter > 0 && sent == f.InsideAfter {
+			r.count(CountInside)
 			write(f.Inside)
 		}
 		if f.SkipAfter > 0 && sent == f.SkipAfter && n < r.Events {
+			r.count(CountSkipped)
 			sent++
 			continue
 		}
