--- a/detour/process_test.go
+++ b/detour/process_test.go
@@ -48,7 +48,7 @@
 func TestHelperChecksForAHostThatKnowsOfVersions(t *testing.T) {
 	e := startTestEndpoint(t)
 	for _, knows := range []bool{true, false} {
-		hosts := startTestHosts(t, 2, e, func(i int, o *Options) {
+		hosts := startTestHosts(t, 2, e, func(_ int, o *Options) {
 			o.Check = func(*endpoint.Endpoint, http.Header) *upstream.Check {
 				return &upstream.Check{Process: "p", Target: "/echo", Host: "h", AtEnd: true, Passes: func(int, []byte) error { return errors.New("another") }}
 			}
