forward: a caller that leaves during a check says nothing of the endpoint

What callers saw (by a test): an endpoint was paused for all hosts when a caller left before its stream's connection had passed its check.

Cause: a call whose check did not end was taken for one that reached no endpoint; unlike a dial, which ends by its own time limit, a check lasts as long as its call.

Evidence: TestCallerThatLeavesDuringACheckSaysNothingOfTheEndpoint failed before: 'outcome "not-sent", want "abandoned"'.

--- a/forward/try.go
+++ b/forward/try.go
@@ -137,7 +137,7 @@
 		outcome = OutcomeCutOff
 	case errors.Is(err, upstream.ErrOtherProcess):
 		outcome = OutcomeUnread
-	case errors.Is(err, upstream.ErrNotSent):
+	case errors.Is(err, upstream.ErrNotSent) && !f.clientLeft(req.http.Context()):
 		outcome = OutcomeNotSent
 	case errors.Is(context.Cause(ctx), errHedgeLost):
 		outcome = OutcomeHedgeLost
--- a/forward/unread_test.go
+++ b/forward/unread_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -30,3 +32,34 @@
 		t.Errorf("outcome %q, want %q", u.Outcome, OutcomeUnread)
 	}
 }
+
+// TestCallerThatLeavesDuringACheckSaysNothingOfTheEndpoint has a caller leave while the check of its
+// stream's connection is not answered.
+func TestCallerThatLeavesDuringACheckSaysNothingOfTheEndpoint(t *testing.T) {
+	b := newTestbed(t, route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 2}, 1, 6)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	b.placer.endpoints[0].Address = silent.Addr().String()
+	b.forwarder.opts.Check = func(*endpoint.Endpoint, http.Header) *upstream.Check {
+		return &upstream.Check{Process: "1", Target: "/report", Host: "h", Passes: func(int, []byte) error { return nil }}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		conn, err := silent.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Read(make([]byte, 1<<10))
+		cancel()
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	_, _ = b.send(ctx, "", nil)
+	if u := <-b.placer.released; u.Outcome != OutcomeAbandoned {
+		t.Errorf("outcome %q, want %q", u.Outcome, OutcomeAbandoned)
+	}
+}
