upstream, e2e: a kept connection of a test stays kept; given-up items have their name on the wire

The endpoint states 60 s now; the check is as it was. TestSoakRoutes and TestSoakOrder compared the state of a result with 'dead', where the wire says 'dead_letter' (PROTOCOL, platform/batchcalls.go), so that an item that was given up rightly would have failed them; the number of runs is checked as before.

--- a/e2e/soakcallers_test.go
+++ b/e2e/soakcallers_test.go
@@ -122,7 +122,7 @@
 	defer s.mu.Unlock()
 	for i, result := range shown.Results {
 		done := result.State == "done" && s.isOutput(result.ID, result.Output)
-		dead := result.State == "dead" && runs[result.ID] >= soakJobAttempts
+		dead := result.State == "dead_letter" && runs[result.ID] >= soakJobAttempts
 		if !done && !dead {
 			s.t.Errorf("job %s at %s: position %d after %d runs: %+v", j.id, g.name, i, runs[result.ID], result)
 		}
--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -34,7 +34,7 @@
 			return false
 		}
 		if cut == nil {
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n")
 			return true
 		}
 		if reused := req.Header.Get(reusedHeader) != ""; reused != (earlier == 1) {
