upstream: what goes on is sent on a connection of its own

Trace from the kept logs: host-0 had all 20 events and asked engine-1 for what is behind them, which was nothing; host-3 went on behind a checkpoint of 10 events at engine-1, on a connection that had carried other requests, and engine-1 sent its earlier, empty answer to the same item before the present one. The id was the right one, so that the empty answer was taken for the end.

Cause: the id identifies a request, not a run of it. A call that goes on now has a new connection, on which nothing earlier can arrive: streams, items, and calls for other hosts. Cost: a connection for each run that goes on.

--- a/batch/run.go
+++ b/batch/run.go
@@ -183,6 +183,7 @@
 		Header:     header,
 		Body:       x.item.Body,
 		Matches:    platform.Answers(x.item.ID),
+		Fresh:      x.events > 0,
 		Check:      x.check(header),
 		OnResponse: platform.Heads(platform.Leaving(x.endpoint, opts.OnLeaving), platform.Limit(x.endpoint, x.item.ID, clock.Now(), opts.OnLimit)),
 	})
--- a/detour/server.go
+++ b/detour/server.go
@@ -125,6 +125,7 @@
 		Header:     header,
 		Body:       body,
 		Matches:    platform.Answers(head.Request),
+		Fresh:      platform.GoesOn(header),
 		Check:      check,
 		OnResponse: opts.OnResponse(e, head.Request, clock.Now()),
 	})
--- a/forward/try.go
+++ b/forward/try.go
@@ -98,6 +98,7 @@
 		Header:     header,
 		Body:       req.body,
 		Matches:    platform.Answers(req.ID),
+		Fresh:      lastEvent != "",
 		Check:      f.check(e, header),
 		OnResponse: platform.Heads(platform.Leaving(e, f.opts.OnLeaving), platform.Limit(e, req.ID, clock.Now(), f.opts.OnLimit)),
 	})
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -17,6 +17,9 @@
 	// Matches tells to which request a response with this status and header belongs.
 	// Foreign responses are discarded. Nil accepts every response.
 	Matches func(status int, header http.Header) Ownership
+	// Fresh sends the call on a new connection. A response to an earlier call of the same request may
+	// still arrive on one that was used before, and has the same id.
+	Fresh bool
 	// Check has to pass on the connection first, unless it is for the end only; nil sends the call at
 	// once.
 	Check *Check
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -133,10 +133,10 @@
 	}
 }
 
-// acquire returns a usable idle connection, or dials a new one. Calls without an id
-// always get a new one, and those with a check one that has passed it, or a new one.
+// acquire returns a usable idle connection, or dials a new one. Calls without an id and
+// fresh ones always get a new one, and those with a check one that has passed it, or a new one.
 func (p *Pool) acquire(ctx context.Context, key, address string, call *Call) (*connection, error) {
-	if call.Request != "" {
+	if call.Request != "" && !call.Fresh {
 		for c := p.popIdle(key, call.Check.first()); c != nil; c = p.popIdle(key, call.Check.first()) {
 			if time.Now().Before(c.idleUntil) && c.usable() {
 				return c, nil
