upstream: an endpoint that refuses at the end of an open response has ended

Trace from the kept logs: engine-5 crashed while its answers had no framing and started again at its address within 58 ms; two hosts found another process there at the end of their streams ('started at, by its record at'), the third was refused, asked again by a bare connection, and met the new process.

Cause: after a check that failed for whatever reason, any process that listens was enough. One that refuses has ended; after a reset the process is asked for once more. TestOpenResponseBesideARestartIsNoWholeOne failed before ('body "the part", error <nil>').

--- a/upstream/check.go
+++ b/upstream/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,10 @@
 // aliveTimeout bounds the question whether a process is alive.
 const aliveTimeout = 500 * time.Millisecond
 
+// endChecks is how often the process is asked for at the end of an open response. A connection that is
+// reset may be that of a process that ends, or one beyond the endpoint's limit.
+const endChecks = 2
+
 // maxCheckBytes bounds the body of the response to a check, in bytes.
 const maxCheckBytes = 256 << 10
 
@@ -43,8 +48,12 @@
 // alive returns an error if the process that sent a response has ended: the one of a check, or any
 // at that address.
 func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
-	if c != nil {
-		if err := p.checkOnce(ctx, key, address, c); err == nil || errors.Is(err, ErrOtherProcess) {
+	for range endChecks {
+		if c == nil {
+			break
+		}
+		// One that refuses has ended, and the next may already listen at the next attempt.
+		if err := p.checkOnce(ctx, key, address, c); err == nil || errors.Is(err, ErrOtherProcess) || errors.Is(err, syscall.ECONNREFUSED) {
 			return err
 		}
 	}
