origin, slots, gateway: the log tells how the version of a stream is known

Where the version of a stream that is taken up was known, no line said by whom, from what and how old that was, so that a grant that nobody used, an old list of endpoints and a wrong first event looked the same. The line stream_version has the source, the host that told and the age.

No decision changes.

--- a/gateway/endpointnotes_test.go
+++ b/gateway/endpointnotes_test.go
@@ -162,8 +162,8 @@
 	certain.ask = askHost(single)
 	certain.origins.Observe(old)
 	certain.read(context.Background())
-	if version, known := certain.origins.Version("s", "r"); !known || version != "v2" {
-		t.Errorf("a host that was told of no other version: %q, known %t, want v2", version, known)
+	if b, known := certain.origins.Version("s", "r"); !known || b.Version != "v2" {
+		t.Errorf("a host that was told of no other version: %q, known %t, want v2", b.Version, known)
 	}
 
 	uncertain := newNotingHost(address)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -30,14 +30,15 @@
 
 // Version implements slots.Origins. A stream that is not known was begun by the one version
 // that serves, if there has been no other for long.
-func (o *origins) Version(service, request string) (version string, known bool) {
+func (o *origins) Version(service, request string) (b origin.Beginning, known bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := clock.Now()
-	if version, known = o.table.Lookup(now, request); known {
-		return version, true
+	if b, known = o.table.Lookup(now, request); known {
+		return b, true
 	}
-	return o.history.Only(now, service)
+	version, known := o.history.Only(now, service)
+	return origin.Beginning{Version: version, Source: origin.Only}, known
 }
 
 // Single reports whether a service has had a single version for as long as streams can go on.
@@ -48,17 +49,16 @@
 	return single
 }
 
-// BegunHere returns the version that began the stream of a request, if this host received its first
-// event.
-func (o *origins) BegunHere(request string) (version string, known bool) {
+// BegunHere returns the beginning of the stream of a request, if this host received its first event.
+func (o *origins) BegunHere(request string) (b origin.Beginning, known bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.table.LookupOwn(clock.Now(), request)
 }
 
-// Recorded returns the version that began the stream of a request, if this host has a record of
-// it. Which versions serve, the scheduler knows better: it may have read more endpoints.
-func (o *origins) Recorded(request string) (version string, known bool) {
+// Recorded returns the beginning of the stream of a request, if this host has a record of it.
+// Which versions serve, the scheduler knows better: it may have read more endpoints.
+func (o *origins) Recorded(request string) (b origin.Beginning, known bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.table.Lookup(clock.Now(), request)
@@ -98,8 +98,8 @@
 	defer o.mu.Unlock()
 	now := clock.Now()
 	o.table.Record(now, request, version, false)
-	if began, known := o.table.Lookup(now, request); known {
-		return began
+	if b, known := o.table.Lookup(now, request); known {
+		return b.Version
 	}
 	return version
 }
@@ -119,17 +119,17 @@
 }
 
 // Merge implements slots.Origins.
-func (o *origins) Merge(streams origin.Streams) {
+func (o *origins) Merge(from string, streams origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Merge(clock.Now(), streams)
+	o.table.Merge(clock.Now(), from, streams)
 }
 
 // MergeBegun implements slots.Origins.
-func (o *origins) MergeBegun(streams origin.Streams) {
+func (o *origins) MergeBegun(from string, streams origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.MergeBegun(clock.Now(), streams)
+	o.table.MergeBegun(clock.Now(), from, streams)
 }
 
 // Certain implements slots.Origins.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -15,6 +15,7 @@
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
+	"github.com/peridotmount/peridotmount/origin"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/slots"
@@ -147,7 +148,7 @@
 		if !known {
 			return nil, &forward.Rejection{Reason: string(scheduler.ReasonUnknownVersion), Inputs: "resumes " + ask.Resumes}
 		}
-		version = &began
+		version = &began.Version
 	}
 	var out []*endpoint.Endpoint
 	for _, e := range ready {
@@ -198,8 +199,8 @@
 		waited := time.Since(begun)
 		a.Elapsed, a.Left = ask.Elapsed+waited, ask.Left-waited
 		if a.Resumes != "" && a.Version == nil {
-			if version, known := p.origins.BegunHere(a.Resumes); known {
-				a.Version = &version
+			if b, known := p.origins.BegunHere(a.Resumes); known {
+				p.resumeAt(a, b)
 			}
 		}
 		lease, err := p.client.Acquire(ctx, *a)
@@ -207,9 +208,9 @@
 		if err == nil || !errors.As(err, &refused) || refused.Reason != scheduler.ReasonUnknownVersion || waited >= maxVersionWait {
 			return lease, err
 		}
-		if version, known := p.origins.Recorded(a.Resumes); known && a.Version == nil {
+		if b, known := p.origins.Recorded(a.Resumes); known && a.Version == nil {
 			// A former scheduler told this host, and not the present one.
-			a.Version = &version
+			p.resumeAt(a, b)
 			continue
 		}
 		select {
@@ -220,6 +221,13 @@
 	}
 }
 
+// resumeAt has a request go on at the version that began its stream, as this host knows it.
+func (p *placer) resumeAt(a *scheduler.SlotRequest, b origin.Beginning) {
+	_ = level.Info(p.logger).Log("event", "stream_version", "request", a.Request, "resumes", a.Resumes,
+		"version", b.Version, "source", b.Source, "from", b.From, "age_ms", b.Age.Milliseconds())
+	a.Version = &b.Version
+}
+
 // usableGrant reports whether a request can be sent to the endpoint of a slot, of which this host
 // has read the given record, if any, and the scheduler the given version. If not, it returns how
 // the slot is returned. A stream has to know its version for certain, as it may be taken up again.
--- /dev/null
+++ b/origin/beginning.go
@@ -0,0 +1,14 @@
+package origin
+
+import "time"
+
+// Beginning is what a host knows of the first event of a stream.
+type Beginning struct {
+	// Version is the software version that sent it.
+	Version string
+	Source  Source
+	// From is the host that told; empty if this one saw it itself.
+	From string
+	// Age is the time since this host learned of it.
+	Age time.Duration
+}
--- a/origin/table.go
+++ b/origin/table.go
@@ -12,7 +12,7 @@
 	// Retention is how long a stream's version is kept at least after it began. Callers take
 	// streams up again within their deadlines, which are shorter.
 	Retention = 20 * time.Second
-	// maxEntries bounds the streams of a Retention, of which each takes about 50 bytes.
+	// maxEntries bounds the streams of a Retention, of which each takes about 100 bytes.
 	maxEntries = 1 << 17
 )
 
@@ -31,21 +31,13 @@
 // entry is the version that began a stream.
 type entry struct {
 	version string
-	source  source
+	source  Source
+	// from is the host that told; empty if this one saw it itself.
+	from string
+	// at is when it was told or seen, by the clock of the calls.
+	at time.Time
 }
 
-// source tells how a version is known, the most reliable last.
-type source int
-
-const (
-	// granted means that a slot at the version was granted, or that a scheduler told so.
-	granted source = iota
-	// told means that the host that received the first event told so.
-	told
-	// own means that this host received the first event.
-	own
-)
-
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{current: make(map[uint64]entry), previous: make(map[uint64]entry)}
@@ -54,53 +46,49 @@
 // Record records that a stream was begun by a version: begunHere if this host received its
 // first event, otherwise by the endpoint that was assigned to it.
 func (t *Table) Record(now time.Time, request, version string, begunHere bool) {
-	e := entry{version: version, source: granted}
+	e := entry{version: version, source: Granted, at: now}
 	if begunHere {
-		e.source = own
+		e.source = Own
 	}
 	t.put(now, xxhash.Sum64String(request), e)
 }
 
-// Lookup returns the version that began a stream, and whether it is known. A stream that is
-// asked for is kept for another Retention.
-func (t *Table) Lookup(now time.Time, request string) (version string, known bool) {
+// Lookup returns what is known of the beginning of a stream, and whether its version is. A
+// stream that is asked for is kept for another Retention.
+func (t *Table) Lookup(now time.Time, request string) (b Beginning, known bool) {
 	t.rotate(now)
 	id := xxhash.Sum64String(request)
-	if e, found := t.current[id]; found {
-		return e.version, true
-	}
-	e, found := t.previous[id]
-	if found {
+	e, found := t.current[id]
+	if !found {
+		if e, found = t.previous[id]; !found {
+			return Beginning{}, false
+		}
 		t.put(now, id, e)
 	}
-	return e.version, found
+	return Beginning{Version: e.version, Source: e.source, From: e.from, Age: now.Sub(e.at)}, true
 }
 
-// LookupOwn returns the version that began a stream of which this host received the first event.
-func (t *Table) LookupOwn(now time.Time, request string) (version string, known bool) {
-	t.rotate(now)
-	id := xxhash.Sum64String(request)
-	e, found := t.current[id]
-	if !found {
-		e, found = t.previous[id]
-	}
-	return e.version, found && e.source == own
+// LookupOwn returns the beginning of a stream of which this host received the first event.
+func (t *Table) LookupOwn(now time.Time, request string) (b Beginning, known bool) {
+	b, known = t.Lookup(now, request)
+	return b, known && b.Source == Own
 }
 
 // Merge adds streams of which a scheduler told.
-func (t *Table) Merge(now time.Time, streams Streams) {
-	t.merge(now, streams, granted)
+func (t *Table) Merge(now time.Time, from string, streams Streams) {
+	t.merge(now, streams, entry{source: Granted, from: from, at: now})
 }
 
 // MergeBegun adds streams of which the host told that received their first events.
-func (t *Table) MergeBegun(now time.Time, streams Streams) {
-	t.merge(now, streams, told)
+func (t *Table) MergeBegun(now time.Time, from string, streams Streams) {
+	t.merge(now, streams, entry{source: Told, from: from, at: now})
 }
 
-func (t *Table) merge(now time.Time, streams Streams, s source) {
+func (t *Table) merge(now time.Time, streams Streams, e entry) {
 	for version, ids := range streams {
+		e.version = version
 		for len(ids) >= idBytes {
-			t.put(now, binary.LittleEndian.Uint64(ids), entry{version: version, source: s})
+			t.put(now, binary.LittleEndian.Uint64(ids), e)
 			ids = ids[idBytes:]
 		}
 	}
@@ -112,7 +100,7 @@
 	out := make(Streams)
 	for _, generation := range []map[uint64]entry{t.current, t.previous} {
 		for id, e := range generation {
-			if e.source == own {
+			if e.source == Own {
 				out.add(e.version, id)
 			}
 		}
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -12,8 +12,8 @@
 
 func expect(t *testing.T, what string, table *Table, now time.Time, request, version string) {
 	t.Helper()
-	if got, known := table.Lookup(now, request); got != version || known != (version != "") {
-		t.Errorf("%s: %s was begun by %q (known: %t), want %q", what, request, got, known, version)
+	if got, known := table.Lookup(now, request); got.Version != version || known != (version != "") {
+		t.Errorf("%s: %s was begun by %q (known: %t), want %q", what, request, got.Version, known, version)
 	}
 }
 
@@ -44,7 +44,7 @@
 	table.Record(start, "r", "v2", true)
 	late := make(Streams)
 	late.Add("r", "v1")
-	table.Merge(start, late)
+	table.Merge(start, "scheduler", late)
 	expect(t, "told late", table, start, "r", "v2")
 }
 
@@ -56,7 +56,7 @@
 	}
 	batches := from.All(start).Batches(4)
 	for _, b := range batches {
-		to.Merge(start, b)
+		to.Merge(start, "scheduler", b)
 	}
 	for i := range 25 {
 		expect(t, "told", to, start, fmt.Sprint("r", i), fmt.Sprint("v", i%2))
--- a/origin/travel_test.go
+++ b/origin/travel_test.go
@@ -25,13 +25,13 @@
 		}
 		to := NewTable()
 		for _, batch := range from.All(now).Batches(2) {
-			to.Merge(now, batch)
+			to.Merge(now, "from", batch)
 		}
 		for i := range streams {
 			request := fmt.Sprint("r", i)
 			want, known := from.Lookup(now, request)
-			if got, told := to.Lookup(now, request); got != want || told != known {
-				return fmt.Sprintf("%s is of %q (known: %t), another host was told %q (%t)", request, want, known, got, told)
+			if got, told := to.Lookup(now, request); got.Version != want.Version || told != known {
+				return fmt.Sprintf("%s is of %q (known: %t), another host was told %q (%t)", request, want.Version, known, got.Version, told)
 			}
 		}
 		return ""
--- a/slots/client.go
+++ b/slots/client.go
@@ -342,7 +342,7 @@
 	switch {
 	case m.decides() && from != c.link:
 	case len(m.Streams) > 0:
-		c.opts.Origins.Merge(m.Streams)
+		c.opts.Origins.Merge(from.scheduler(), m.Streams)
 	case m.Grant != nil:
 		c.handleGrant(m.Grant)
 	case m.Refuse != nil:
--- a/slots/convictions.go
+++ b/slots/convictions.go
@@ -114,12 +114,14 @@
 		return
 	}
 	if request.Resumes != "" && request.Version == nil {
-		version, known := l.origins.known.Version(request.Service, request.Resumes)
+		b, known := l.origins.known.Version(request.Service, request.Resumes)
 		if !known {
 			c.RefuseUnknownVersion(now, host, request)
 			return
 		}
-		request.Version = &version
+		_ = level.Info(l.logger).Log("event", "stream_version", "peer", host, "request", request.Request, "resumes", request.Resumes,
+			"version", b.Version, "source", b.Source, "from", b.From, "age_ms", b.Age.Milliseconds())
+		request.Version = &b.Version
 	}
 	c.Acquire(now, host, *request)
 }
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -350,7 +350,7 @@
 		l.handleLimits(host, m.Limits)
 	case len(m.Streams) > 0:
 		streams := m.Streams
-		l.enqueue(func(time.Time, *scheduler.Core) { l.origins.merge(streams) })
+		l.enqueue(func(time.Time, *scheduler.Core) { l.origins.merge(host, streams) })
 	case m.Stranded != nil:
 		stranded := *m.Stranded
 		l.enqueue(func(now time.Time, c *scheduler.Core) { l.setStranded(now, host, stranded, c) })
--- a/slots/origins.go
+++ b/slots/origins.go
@@ -22,9 +22,9 @@
 
 // Origins tells which software version began a stream. It is safe for concurrent use.
 type Origins interface {
-	// Version returns the software version of a service that began the stream of a request,
-	// and whether that can be known.
-	Version(service, request string) (version string, known bool)
+	// Version returns what is known of the beginning of the stream of a request, at a service,
+	// and whether its version can be known.
+	Version(service, request string) (b origin.Beginning, known bool)
 	// Granted records that a stream was assigned to an endpoint of a version, and returns the
 	// version that began it: another one, if its host has told so.
 	Granted(request, version string) string
@@ -33,8 +33,8 @@
 	All() origin.Streams
 	// Merge adds streams of which a scheduler told, MergeBegun those of which the host told that
 	// received their first events.
-	Merge(streams origin.Streams)
-	MergeBegun(streams origin.Streams)
+	Merge(scheduler string, streams origin.Streams)
+	MergeBegun(host string, streams origin.Streams)
 	// Certain reports whether the version of any stream is known without a record of it, as
 	// every service has had a single one for long.
 	Certain() bool
@@ -61,8 +61,8 @@
 }
 
 // merge adds the streams that a host began.
-func (r *replication) merge(streams origin.Streams) {
-	r.known.MergeBegun(streams)
+func (r *replication) merge(host string, streams origin.Streams) {
+	r.known.MergeBegun(host, streams)
 	r.unsent.Merge(streams)
 }
 
@@ -120,7 +120,7 @@
 type noOrigins struct{}
 
 // Version implements Origins.
-func (noOrigins) Version(string, string) (string, bool) { return "", true }
+func (noOrigins) Version(string, string) (origin.Beginning, bool) { return origin.Beginning{}, true }
 
 // Granted implements Origins.
 func (noOrigins) Granted(_, version string) string { return version }
@@ -132,10 +132,10 @@
 func (noOrigins) All() origin.Streams { return nil }
 
 // Merge implements Origins.
-func (noOrigins) Merge(origin.Streams) {}
+func (noOrigins) Merge(string, origin.Streams) {}
 
 // MergeBegun implements Origins.
-func (noOrigins) MergeBegun(origin.Streams) {}
+func (noOrigins) MergeBegun(string, origin.Streams) {}
 
 // Certain implements Origins.
 func (noOrigins) Certain() bool { return true }
--- a/slots/origins_test.go
+++ b/slots/origins_test.go
@@ -27,7 +27,7 @@
 	return &knownOrigins{table: origin.NewTable()}
 }
 
-func (o *knownOrigins) Version(_, request string) (string, bool) {
+func (o *knownOrigins) Version(_, request string) (origin.Beginning, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.table.Lookup(time.Now(), request)
@@ -35,14 +35,14 @@
 
 func (o *knownOrigins) Granted(request, version string) string {
 	o.record(request, version, false)
-	began, _ := o.Version("s", request)
-	return began
+	b, _ := o.Version("s", request)
+	return b.Version
 }
 
-func (o *knownOrigins) MergeBegun(s origin.Streams) {
+func (o *knownOrigins) MergeBegun(host string, s origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.MergeBegun(time.Now(), s)
+	o.table.MergeBegun(time.Now(), host, s)
 }
 
 func (o *knownOrigins) record(request, version string, own bool) {
@@ -63,17 +63,17 @@
 	return o.table.All(time.Now())
 }
 
-func (o *knownOrigins) Merge(s origin.Streams) {
+func (o *knownOrigins) Merge(from string, s origin.Streams) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Merge(time.Now(), s)
+	o.table.Merge(time.Now(), from, s)
 }
 
 func (o *knownOrigins) Certain() bool { return false }
 
 func (o *knownOrigins) knows(request, version string) bool {
 	got, known := o.Version("s", request)
-	return known && got == version
+	return known && got.Version == version
 }
 
 // originOptions are the options of a host that knows the streams o.
@@ -92,7 +92,13 @@
 // runOriginHost runs the client and the scheduler of a host, with an engine of each version.
 func runOriginHost(t *testing.T, name string, o *knownOrigins, directory Directory) (*Client, *LocalScheduler) {
 	t.Helper()
-	c, local := NewClient(originOptions(name, o, directory))
+	return runOriginHostWith(t, originOptions(name, o, directory))
+}
+
+// runOriginHostWith runs the client and the scheduler of a host with options of its own.
+func runOriginHostWith(t *testing.T, o Options) (*Client, *LocalScheduler) {
+	t.Helper()
+	c, local := NewClient(o)
 	local.SetEndpoints([]scheduler.Endpoint{
 		{ID: "old", Service: "s", Slots: 40, Version: "v1"}, {ID: "new", Service: "s", Slots: 40, Version: "v2"},
 	})
