origin, slots: a stream is known by its first event, never by a grant

What callers saw: streams that they took up again at a host that had stood still went on at another software version than the one that began them (ORDER).

Cause: the scheduler recorded the version of each grant before it was delivered, and took that for the beginning of the stream. A scheduler that is frozen and goes on grants what lies in its sockets, though its hosts have left for another one and the streams began there. It then answers with its own grant, without doubt, until it is told. Its standbys keep the same. The class: what is intended is kept as what happened.

Change: an entry stems from a first event that a host received. The host tells its scheduler each, before the client gets the event; before, only those of contested streams. As all entries are true now, a host that joins a scheduler tells it all that it knows, and not only what it received itself: otherwise a scheduler that goes on would not know of streams whose host ended while another one scheduled. What nobody told is unknown, and refused as not run, as before. Replication says that its streams are first events; standbys ignore that of older builds, which holds grants.

Tests changed: TestStandbysKnowTheLastGrantOfAStream asked that standbys know the last grant; it asks now that grants are known to none, and first events to all (TestStandbysKnowWhereAStreamOfTwoGrantsBegan). TestOwnEventsOutweighGrants and TestUnusedReplacementIsTold ask the same of what is told instead of grants, the latter for each stream instead of contested ones. Where tests took an acquired slot for a beginning, they report the beginning too.

--- a/forward/options.go
+++ b/forward/options.go
@@ -24,10 +24,10 @@
 	// OnLeaving is called with each endpoint that announces in a response that it is
 	// leaving.
 	OnLeaving func(endpoint.Incarnation)
-	// OnBegun is called with the request that brought the first event of a stream, and the
-	// software version of its endpoint. A stream is contested if another placement was
-	// requested before its first event, which may have been granted and not used.
-	OnBegun func(request, version string, contested bool)
+	// OnBegun is called with the request that brings the first event of a stream, and the
+	// software version of its endpoint, before the client gets the event: it may take the stream
+	// up at another host as soon as it has it.
+	OnBegun func(request, version string)
 	// Check returns the check for a call to an endpoint with a header; nil makes none.
 	Check func(e *endpoint.Endpoint, h http.Header) *upstream.Check
 	// OnLimit is called with the rate limit, in requests per second, that an endpoint names
--- a/forward/replace.go
+++ b/forward/replace.go
@@ -36,8 +36,6 @@
 // offerReplacement obtains a placement at an endpoint at which the request was not attempted, and
 // reports whether the attempt in flight was given up for it.
 func (f *Forwarder) offerReplacement(overdue context.Context, req *request, w *pace.Watch) bool {
-	// Before the version is read: the first event may arrive meanwhile.
-	req.setContested()
 	ask := req.placementRequest(time.Now())
 	placement, err := f.opts.Placer.Place(overdue, ask)
 	if err != nil {
--- a/forward/request.go
+++ b/forward/request.go
@@ -44,8 +44,6 @@
 	// version is the software version that began the stream; nil before its first event, and
 	// if it was begun elsewhere, before the first placement.
 	version *string
-	// contested is set once a placement is requested beside an attempt in flight.
-	contested bool
 	// replacement is the placement for the next attempt, obtained while the last one was
 	// overdue.
 	replacement Placement
@@ -227,20 +225,6 @@
 	return true
 }
 
-// setContested records that a placement is requested beside an attempt in flight.
-func (r *request) setContested() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.contested = true
-}
-
-// isContested reports whether a placement was requested beside an attempt in flight.
-func (r *request) isContested() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.contested
-}
-
 // promptParts returns the ids of the parts of the prompt.
 func (r *request) promptParts() []string {
 	var out []string
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -160,12 +160,12 @@
 		if err := order.Check(block.Events); err != nil {
 			return err
 		}
+		if len(block.Events) > 0 && s.req.setVersion(a.placement.Endpoint().Version) {
+			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version)
+		}
 		if _, err := s.w.Write(block.Bytes); err != nil {
 			return errors.Wrap(errClientWrite, err.Error())
 		}
-		if len(block.Events) > 0 && s.req.setVersion(a.placement.Endpoint().Version) {
-			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version, s.req.isContested())
-		}
 		s.eventOrder = order
 		a.countEvents(len(block.Events))
 		if err := flusher.Flush(); err != nil {
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -142,8 +142,10 @@
 	// begunMu guards begunRequest and begunVersion, the arguments of the last OnBegun.
 	begunMu                    sync.Mutex
 	begunRequest, begunVersion string
-	// contested are the streams of which OnBegun said that they are contested.
-	contested map[string]bool
+	// begunVersions are the versions of all streams of which OnBegun told; onBegun is called by it, if
+	// a test sets it before the first request.
+	begunVersions map[string]string
+	onBegun       func()
 	// logLines holds the log. It must not be read before the server is closed.
 	logLines bytes.Buffer
 }
@@ -155,7 +157,7 @@
 	config := &route.Configuration{Version: 1, Routes: []route.Route{r}, Limits: route.Limits{BodyBytes: 1 << 20}}
 	config.Index()
 	b := &testbed{t: t, config: &testConfiguration{current: config}, placer: &testPlacer{released: make(chan Usage, 64)},
-		contested: make(map[string]bool), leaving: make(chan endpoint.Incarnation, 64), started: startup.NewGate(), pool: upstream.NewPool(upstream.Options{DialTimeout: testTimeout})}
+		begunVersions: make(map[string]string), leaving: make(chan endpoint.Incarnation, 64), started: startup.NewGate(), pool: upstream.NewPool(upstream.Options{DialTimeout: testTimeout})}
 	b.started.Open()
 	for i := range replicas {
 		replica, err := standin.StartReplica(fmt.Sprintf("i-%d", i), events)
@@ -214,12 +216,13 @@
 	}()
 }
 
-func (b *testbed) recordBegun(request, version string, contested bool) {
+func (b *testbed) recordBegun(request, version string) {
 	b.begunMu.Lock()
 	defer b.begunMu.Unlock()
 	b.begunRequest, b.begunVersion = request, version
-	if contested {
-		b.contested[request] = true
+	b.begunVersions[request] = version
+	if b.onBegun != nil {
+		b.onBegun()
 	}
 }
 
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,13 +81,14 @@
 	}
 }
 
-// TestUnusedReplacementIsTold begins a stream at an endpoint that was silent for so long that
-// another placement was requested, which is not used: the stream is contested. One that begins at
-// once is not.
-func TestUnusedReplacementIsTold(t *testing.T) {
+// TestBeginningOfAnUnreplacedStreamIsTold begins a stream at once, and one at an endpoint that was silent
+// for so long that another placement was requested, which is not used. Of both is told at which version
+// they began.
+func TestBeginningOfAnUnreplacedStreamIsTold(t *testing.T) {
 	t.Parallel()
 	b := newTestbed(t, resumable, 1, 4)
 	b.ignoreReleases()
+	b.placer.endpoints[0].Version = "v1"
 	b.placer.mayRepeat = true
 	prompt, _ := b.send(context.Background(), "", map[string]string{"X-Deadline-Ms": "5000"})
 	b.replicas[0].Pause(2 * time.Second)
@@ -95,7 +98,42 @@
 	}
 	b.begunMu.Lock()
 	defer b.begunMu.Unlock()
-	if b.contested[prompt] || !b.contested[silent] {
-		t.Errorf("contested: %v, want %s only", b.contested, silent)
+	if b.begunVersions[prompt] != "v1" || b.begunVersions[silent] != "v1" {
+		t.Errorf("begun: %v, want %s and %s at v1", b.begunVersions, prompt, silent)
+	}
+}
+
+// countingWriter counts the bytes of a response.
+type countingWriter struct {
+	http.ResponseWriter
+	written *atomic.Int64
+}
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	w.written.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets an http.ResponseController reach the response.
+func (w countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestBeginningIsToldBeforeItsEvent begins a stream: nothing of its first event is written when its
+// beginning is told, as the client may take it up at another host as soon as it has the event.
+func TestBeginningIsToldBeforeItsEvent(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, resumable, 1, 4)
+	b.ignoreReleases()
+	var written, before atomic.Int64
+	handler := b.server.Config.Handler
+	b.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(countingWriter{ResponseWriter: w, written: &written}, r)
+	})
+	b.onBegun = func() { before.Store(written.Load()) }
+	id, a := b.send(context.Background(), "", nil)
+	if request, _ := b.begunBy(); request != id || !a.complete || written.Load() == 0 {
+		t.Fatalf("response %+v of %d bytes, %q was told: the run did not reach what it tests", a, written.Load(), request)
+	}
+	if n := before.Load(); n != 0 {
+		t.Errorf("%d bytes were written before the beginning was told", n)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -383,11 +383,9 @@
 }
 
 // streamBegun handles the first event of a stream.
-func (g *Gateway) streamBegun(request, version string, contested bool) {
+func (g *Gateway) streamBegun(request, version string) {
 	g.origins.Begun(request, version)
-	if contested {
-		g.client.ReportBegun(request, version)
-	}
+	g.client.ReportBegun(request, version)
 }
 
 // endpointLeaves handles an endpoint that says in an answer that it leaves.
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -25,7 +25,7 @@
 func (o *origins) Begun(request, version string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Record(clock.Now(), request, version, true)
+	o.table.Record(clock.Now(), request, version)
 }
 
 // Version implements slots.Origins. A stream that is not known was begun by the one version
@@ -92,25 +92,6 @@
 	return o.history.Several(clock.Now())
 }
 
-// Granted implements slots.Origins.
-func (o *origins) Granted(request, version string) string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := clock.Now()
-	o.table.Record(now, request, version, false)
-	if b, known := o.table.Lookup(now, request); known {
-		return b.Version
-	}
-	return version
-}
-
-// Own implements slots.Origins.
-func (o *origins) Own() origin.Streams {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.table.Own(clock.Now())
-}
-
 // All implements slots.Origins.
 func (o *origins) All() origin.Streams {
 	o.mu.Lock()
@@ -119,17 +100,10 @@
 }
 
 // Merge implements slots.Origins.
-func (o *origins) Merge(from string, streams origin.Streams) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.table.Merge(clock.Now(), from, streams)
-}
-
-// MergeBegun implements slots.Origins.
-func (o *origins) MergeBegun(from string, streams origin.Streams) {
+func (o *origins) Merge(from string, streams origin.Streams) origin.Streams {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.MergeBegun(clock.Now(), from, streams)
+	return o.table.Merge(clock.Now(), from, streams)
 }
 
 // Certain implements slots.Origins.
--- a/origin/source.go
+++ b/origin/source.go
@@ -6,9 +6,7 @@
 const (
 	// Only means that nothing is known of the stream, and that its service had one version.
 	Only Source = iota
-	// Granted means that a slot at the version was granted, or that a scheduler told so.
-	Granted
-	// Told means that the host that received the first event told so.
+	// Told means that another host told, which received the first event or was told itself.
 	Told
 	// Own means that this host received the first event.
 	Own
@@ -16,5 +14,5 @@
 
 // String returns the source's name in logs.
 func (s Source) String() string {
-	return [...]string{"only-version", "granted", "told", "own"}[s]
+	return [...]string{"only-version", "told", "own"}[s]
 }
--- a/origin/table.go
+++ b/origin/table.go
@@ -19,9 +19,9 @@
 // Table holds the versions that began streams, by the id of the client's request that brought
 // the first event. It is not safe for concurrent use.
 //
-// Invariants: the word of the host that received a stream's first event is not replaced by a grant,
-// and what this host saw itself by nothing that others tell; a stream stands in one
-// of the two generations only.
+// Invariants: an entry stems from a first event that a host received, never from what was to
+// happen; what this host saw itself is replaced by nothing that others tell; a stream stands in
+// one of the two generations only.
 type Table struct {
 	// current and previous hold the streams of the current and the previous Retention.
 	current, previous map[uint64]entry
@@ -43,14 +43,10 @@
 	return &Table{current: make(map[uint64]entry), previous: make(map[uint64]entry)}
 }
 
-// Record records that a stream was begun by a version: begunHere if this host received its
-// first event, otherwise by the endpoint that was assigned to it.
-func (t *Table) Record(now time.Time, request, version string, begunHere bool) {
-	e := entry{version: version, source: Granted, at: now}
-	if begunHere {
-		e.source = Own
-	}
-	t.put(now, xxhash.Sum64String(request), e)
+// Record records that this host received the first event of a stream, from an endpoint of a
+// version.
+func (t *Table) Record(now time.Time, request, version string) {
+	t.put(now, xxhash.Sum64String(request), entry{version: version, source: Own, at: now})
 }
 
 // Lookup returns what is known of the beginning of a stream, and whether its version is. A
@@ -74,38 +70,19 @@
 	return b, known && b.Source == Own
 }
 
-// Merge adds streams of which a scheduler told.
-func (t *Table) Merge(now time.Time, from string, streams Streams) {
-	t.merge(now, streams, entry{source: Granted, from: from, at: now})
-}
-
-// MergeBegun adds streams of which the host told that received their first events.
-func (t *Table) MergeBegun(now time.Time, from string, streams Streams) {
-	t.merge(now, streams, entry{source: Told, from: from, at: now})
-}
-
-func (t *Table) merge(now time.Time, streams Streams, e entry) {
+// Merge adds streams of which another host told, and returns those that were not known.
+func (t *Table) Merge(now time.Time, from string, streams Streams) Streams {
+	added := make(Streams)
 	for version, ids := range streams {
-		e.version = version
 		for len(ids) >= idBytes {
-			t.put(now, binary.LittleEndian.Uint64(ids), e)
-			ids = ids[idBytes:]
-		}
-	}
-}
-
-// Own returns the streams of which this host received the first event.
-func (t *Table) Own(now time.Time) Streams {
-	t.rotate(now)
-	out := make(Streams)
-	for _, generation := range []map[uint64]entry{t.current, t.previous} {
-		for id, e := range generation {
-			if e.source == Own {
-				out.add(e.version, id)
+			id := binary.LittleEndian.Uint64(ids)
+			if t.put(now, id, entry{version: version, source: Told, from: from, at: now}) {
+				added.add(version, id)
 			}
+			ids = ids[idBytes:]
 		}
 	}
-	return out
+	return added
 }
 
 // All returns all streams.
@@ -120,17 +97,19 @@
 	return out
 }
 
-func (t *Table) put(now time.Time, id uint64, e entry) {
+// put adds an entry, unless a more reliable one is known, and reports whether none was.
+func (t *Table) put(now time.Time, id uint64, e entry) (added bool) {
 	t.rotate(now)
 	old, found := t.current[id]
 	if !found {
 		old, found = t.previous[id]
 	}
 	if found && old.source > e.source {
-		return
+		return false
 	}
 	t.current[id] = e
 	delete(t.previous, id)
+	return !found
 }
 
 // rotate drops the streams of the previous Retention once the current one is over.
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -22,7 +22,7 @@
 func TestStreamsAreKeptForRetention(t *testing.T) {
 	table := NewTable()
 	for i := range 60 {
-		table.Record(start.Add(time.Duration(i)*time.Second), fmt.Sprint("r", i), "v1", false)
+		table.Record(start.Add(time.Duration(i)*time.Second), fmt.Sprint("r", i), "v1")
 	}
 	now := start.Add(59 * time.Second)
 	expect(t, "young", table, now, "r59", "v1")
@@ -34,17 +34,20 @@
 	}
 }
 
-// TestOwnEventsOutweighGrants records a stream that was granted twice: its first attempt brought
-// no event, and the notice of the first grant comes last.
-func TestOwnEventsOutweighGrants(t *testing.T) {
+// TestOwnEventsOutweighWhatIsTold is told of a stream before and after its first event arrives here.
+func TestOwnEventsOutweighWhatIsTold(t *testing.T) {
 	table := NewTable()
-	table.Record(start, "r", "v1", false)
-	table.Record(start, "r", "v2", false)
-	expect(t, "granted again", table, start, "r", "v2")
-	table.Record(start, "r", "v2", true)
-	late := make(Streams)
-	late.Add("r", "v1")
-	table.Merge(start, "scheduler", late)
+	told := make(Streams)
+	told.Add("r", "v1")
+	if added := table.Merge(start, "other", told); len(added["v1"]) != idBytes {
+		t.Errorf("added: %v", added)
+	}
+	expect(t, "told", table, start, "r", "v1")
+	table.Record(start, "r", "v2")
+	expect(t, "own", table, start, "r", "v2")
+	if added := table.Merge(start, "other", told); len(added) != 0 {
+		t.Errorf("a stream that is known was added: %v", added)
+	}
 	expect(t, "told late", table, start, "r", "v2")
 }
 
@@ -52,7 +55,7 @@
 func TestStreamsTravel(t *testing.T) {
 	from, to := NewTable(), NewTable()
 	for i := range 25 {
-		from.Record(start, fmt.Sprint("r", i), fmt.Sprint("v", i%2), i < 5)
+		from.Record(start, fmt.Sprint("r", i), fmt.Sprint("v", i%2))
 	}
 	batches := from.All(start).Batches(4)
 	for _, b := range batches {
@@ -61,8 +64,13 @@
 	for i := range 25 {
 		expect(t, "told", to, start, fmt.Sprint("r", i), fmt.Sprint("v", i%2))
 	}
-	if own := from.Own(start); len(own["v0"])+len(own["v1"]) != 5*idBytes || len(to.Own(start)) != 0 {
-		t.Errorf("own streams: %v, and %v after they travelled", own, to.Own(start))
+	for _, request := range []string{"r0", "r24"} {
+		if b, known := from.LookupOwn(start, request); !known || b.Source != Own || b.From != "" {
+			t.Errorf("%s: %+v (known: %t), want one of the host's own", request, b, known)
+		}
+		if b, known := to.LookupOwn(start, request); known || b.Source != Told || b.From != "scheduler" {
+			t.Errorf("%s, after it travelled: %+v (own: %t)", request, b, known)
+		}
 	}
 	if want := 7; len(batches) != want {
 		t.Errorf("%d batches, want %d", len(batches), want)
@@ -73,7 +81,7 @@
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable()
 	for i := range 3 * maxEntries {
-		table.Record(start, fmt.Sprint("r", i), "v1", true)
+		table.Record(start, fmt.Sprint("r", i), "v1")
 	}
 	if n := len(table.current) + len(table.previous); n > 2*maxEntries {
 		t.Errorf("%d streams are kept", n)
--- a/origin/travel_test.go
+++ b/origin/travel_test.go
@@ -21,7 +21,14 @@
 		from, now := NewTable(), start
 		for _, step := range steps {
 			now = now.Add(time.Duration(step%7) * time.Second)
-			from.Record(now, fmt.Sprint("r", step%streams), fmt.Sprint("v", step/streams%2), step/12%3 == 0)
+			request, version := fmt.Sprint("r", step%streams), fmt.Sprint("v", step/streams%2)
+			if step/12%3 == 0 {
+				from.Record(now, request, version)
+				continue
+			}
+			told := make(Streams)
+			told.Add(request, version)
+			from.Merge(now, "other", told)
 		}
 		to := NewTable()
 		for _, batch := range from.All(now).Batches(2) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -153,7 +153,7 @@
 		return
 	}
 	if t := c.tickets[request.Ticket]; t != nil {
-		c.emit(Grant{Host: host, Ticket: request.Ticket, Endpoint: t.endpoint.ID, Request: request.Request, Version: t.endpoint.Version})
+		c.emit(Grant{Host: host, Ticket: request.Ticket, Endpoint: t.endpoint.ID, Version: t.endpoint.Version})
 		return
 	}
 	v := c.service(request.Service)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -81,7 +81,7 @@
 	s.countRequest(now)
 	c.occupy(now, s, &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens}, w.Prefix)
 	c.emit(Grant{
-		Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed, Request: w.Request, Version: s.Version,
+		Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed, Version: s.Version,
 	})
 	return true
 }
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -17,8 +17,6 @@
 	Waited time.Duration `json:"waited"`
 	// Version is the software version of the endpoint, as the scheduler knows it.
 	Version string `json:"version,omitempty"`
-	// Request is the client's request id.
-	Request string `json:"-"`
 }
 
 // Refuse rejects a SlotRequest.
--- a/slots/bench_test.go
+++ b/slots/bench_test.go
@@ -18,12 +18,12 @@
 	unsent := make(origin.Streams)
 	for i := range b.N {
 		request := fmt.Sprintf("%016x", i)
-		from.Record(now, request, "v1.1", false)
+		from.Record(now, request, "v1.1")
 		unsent.Add(request, "v1.1")
 		if i%batch != batch-1 {
 			continue
 		}
-		line, err := json.Marshal(SchedulerMessage{Streams: unsent})
+		line, err := json.Marshal(SchedulerMessage{Streams: unsent, FirstEvents: true})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/slots/client.go
+++ b/slots/client.go
@@ -274,8 +274,12 @@
 	if leaving := c.opts.LeavingEndpoints(); len(leaving) > 0 {
 		l.send(HostMessage{EndpointsLeaving: leaving})
 	}
-	for _, batch := range c.opts.Origins.Own().Batches(maxStreamsPerMessage) {
-		l.send(HostMessage{Streams: batch})
+	if l.scheduler() != c.opts.Self.Name {
+		// Not only what this host received itself: it may have been told by a scheduler that
+		// has ended, or have scheduled while the present one stood still.
+		for _, batch := range c.opts.Origins.All().Batches(maxStreamsPerMessage) {
+			l.send(HostMessage{Streams: batch})
+		}
 	}
 	if notices := c.opts.Limits.Notices(); len(notices) > 0 {
 		l.send(HostMessage{Limits: notices})
@@ -342,7 +346,9 @@
 	switch {
 	case m.decides() && from != c.link:
 	case len(m.Streams) > 0:
-		c.opts.Origins.Merge(from.scheduler(), m.Streams)
+		if m.FirstEvents {
+			c.opts.Origins.Merge(from.scheduler(), m.Streams)
+		}
 	case m.Grant != nil:
 		c.handleGrant(m.Grant)
 	case m.Refuse != nil:
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -97,7 +97,7 @@
 		leavingEndpoints:   o.LeavingEndpoints,
 		addLeavingEndpoint: o.AddLeavingEndpoint,
 		limits:             o.Limits,
-		origins:            newReplication(o.Origins),
+		origins:            newReplication(o.Self.Name, o.Origins),
 		logger:             o.Logger,
 		metrics:            m,
 		commands:           ring.New[command](inputCapacity),
@@ -172,9 +172,6 @@
 func (l *LocalScheduler) sendEffects() {
 	for _, e := range l.core.Effects() {
 		l.metrics.observe(e)
-		if g, ok := e.(scheduler.Grant); ok && g.Request != "" {
-			l.origins.record(g.Request, g.Version)
-		}
 		l.mu.Lock()
 		s := l.sessions[e.To()]
 		l.mu.Unlock()
--- a/slots/lostlink_test.go
+++ b/slots/lostlink_test.go
@@ -23,7 +23,7 @@
 	c.attach(l)
 	streams := make(origin.Streams)
 	streams.Add("r", "v2")
-	l.deliver(SchedulerMessage{Streams: streams})
+	l.deliver(SchedulerMessage{Streams: streams, FirstEvents: true})
 	l.onLost(l, sessionEnd{reason: "killed", cause: closed, lastSeen: clock.Now()})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/slots/message.go
+++ b/slots/message.go
@@ -30,7 +30,7 @@
 	EndpointsLeaving []endpoint.Incarnation `json:"endpoints_leaving,omitempty"`
 	// Limits are rate limits that endpoints named in answers to the host.
 	Limits []throttle.Notice `json:"limits,omitempty"`
-	// Streams are streams that the host began.
+	// Streams are streams whose first events the host received, or that it was told of.
 	Streams origin.Streams `json:"streams,omitempty"`
 	// Offers are the items of a job that the host has accepted.
 	Offers []scheduler.Offer `json:"offers,omitempty"`
@@ -49,6 +49,9 @@
 	Limits []throttle.Notice `json:"limits,omitempty"`
 	// Streams are streams that began, for hosts that may schedule next.
 	Streams origin.Streams `json:"streams,omitempty"`
+	// FirstEvents tells that a host received the first event of each of Streams. Older builds
+	// don't say so: theirs may be grants that were not used.
+	FirstEvents bool `json:"first_events,omitempty"`
 	// Departing is the name of the scheduler if its host shuts down. A remoteLink delivers it as the
 	// incarnationKey of the host that it was opened with.
 	Departing string `json:"departing,omitempty"`
--- a/slots/origins.go
+++ b/slots/origins.go
@@ -25,16 +25,10 @@
 	// Version returns what is known of the beginning of the stream of a request, at a service,
 	// and whether its version can be known.
 	Version(service, request string) (b origin.Beginning, known bool)
-	// Granted records that a stream was assigned to an endpoint of a version, and returns the
-	// version that began it: another one, if its host has told so.
-	Granted(request, version string) string
-	// Own returns the streams that this host began, All every stream known.
-	Own() origin.Streams
+	// All returns every stream whose first event this host received, or another one that told it.
 	All() origin.Streams
-	// Merge adds streams of which a scheduler told, MergeBegun those of which the host told that
-	// received their first events.
-	Merge(scheduler string, streams origin.Streams)
-	MergeBegun(host string, streams origin.Streams)
+	// Merge adds streams of which another host told, and returns those that were not known.
+	Merge(host string, streams origin.Streams) origin.Streams
 	// Certain reports whether the version of any stream is known without a record of it, as
 	// every service has had a single one for long.
 	Certain() bool
@@ -43,26 +37,25 @@
 // replication sends the versions of streams to the hosts that may schedule next, unless they are
 // certain. Only the goroutine of LocalScheduler.Serve uses it.
 type replication struct {
+	// self is the name of this host.
+	self  string
 	known Origins
-	// unsent are the streams that began since the last replication.
+	// unsent are the streams of which this host learned since the last replication.
 	unsent origin.Updates
 	// standbys are the sessions of the hosts that were sent all streams.
 	standbys map[string]*hostSession
 	next     time.Time
 }
 
-func newReplication(known Origins) *replication {
-	return &replication{known: known, unsent: make(origin.Updates), standbys: make(map[string]*hostSession)}
+func newReplication(self string, known Origins) *replication {
+	return &replication{self: self, known: known, unsent: make(origin.Updates), standbys: make(map[string]*hostSession)}
 }
 
-// record records that a stream was assigned to an endpoint of a version.
-func (r *replication) record(request, version string) {
-	r.unsent.Record(request, r.known.Granted(request, version))
-}
-
-// merge adds the streams that a host began.
+// merge adds the streams that a host knows.
 func (r *replication) merge(host string, streams origin.Streams) {
-	r.known.MergeBegun(host, streams)
+	if host != r.self {
+		streams = r.known.Merge(host, streams)
+	}
 	r.unsent.Merge(streams)
 }
 
@@ -97,7 +90,7 @@
 			_ = level.Info(l.logger).Log("event", "streams_replicated", "peer", name, "batches", len(all))
 		}
 		for _, batch := range batches {
-			s.deliver(SchedulerMessage{Streams: batch})
+			s.deliver(SchedulerMessage{Streams: batch, FirstEvents: true})
 		}
 	}
 	r.standbys = standbys
@@ -122,20 +115,11 @@
 // Version implements Origins.
 func (noOrigins) Version(string, string) (origin.Beginning, bool) { return origin.Beginning{}, true }
 
-// Granted implements Origins.
-func (noOrigins) Granted(_, version string) string { return version }
-
-// Own implements Origins.
-func (noOrigins) Own() origin.Streams { return nil }
-
 // All implements Origins.
 func (noOrigins) All() origin.Streams { return nil }
 
 // Merge implements Origins.
-func (noOrigins) Merge(string, origin.Streams) {}
-
-// MergeBegun implements Origins.
-func (noOrigins) MergeBegun(string, origin.Streams) {}
+func (noOrigins) Merge(string, origin.Streams) origin.Streams { return nil }
 
 // Certain implements Origins.
 func (noOrigins) Certain() bool { return true }
--- a/slots/origins_test.go
+++ b/slots/origins_test.go
@@ -33,28 +33,10 @@
 	return o.table.Lookup(time.Now(), request)
 }
 
-func (o *knownOrigins) Granted(request, version string) string {
-	o.record(request, version, false)
-	b, _ := o.Version("s", request)
-	return b.Version
-}
-
-func (o *knownOrigins) MergeBegun(host string, s origin.Streams) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.table.MergeBegun(time.Now(), host, s)
-}
-
-func (o *knownOrigins) record(request, version string, own bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.table.Record(time.Now(), request, version, own)
-}
-
-func (o *knownOrigins) Own() origin.Streams {
+func (o *knownOrigins) record(request, version string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.table.Own(time.Now())
+	o.table.Record(time.Now(), request, version)
 }
 
 func (o *knownOrigins) All() origin.Streams {
@@ -63,10 +45,10 @@
 	return o.table.All(time.Now())
 }
 
-func (o *knownOrigins) Merge(from string, s origin.Streams) {
+func (o *knownOrigins) Merge(from string, s origin.Streams) origin.Streams {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Merge(time.Now(), from, s)
+	return o.table.Merge(time.Now(), from, s)
 }
 
 func (o *knownOrigins) Certain() bool { return false }
@@ -107,7 +89,7 @@
 	return c, local
 }
 
-// begin begins a stream and returns the version that it was granted at.
+// begin has a stream granted and returns the version of its slot.
 func begin(t *testing.T, c *Client, request, resumes string) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -151,6 +133,7 @@
 			t.Fatal(err)
 		}
 		versions[request] = version
+		third.ReportBegun(request, version)
 	}
 	eventually(t, "the next scheduler knows them", func() bool {
 		for request, version := range versions {
@@ -161,7 +144,7 @@
 		return true
 	})
 	// The scheduler and all that its hosts knew themselves is gone.
-	atThird.record("own", "v1", true)
+	atThird.record("own", "v1")
 	order = order[1:]
 	nextDirectory.set(order...)
 	thirdDirectory.set(order...)
--- a/slots/regrant_test.go
+++ b/slots/regrant_test.go
@@ -32,9 +32,9 @@
 	return second.Version
 }
 
-// TestStandbysKnowTheLastGrantOfAStream grants streams twice between two replications: the hosts
-// that may schedule next go by the second grant, at which the streams began.
-func TestStandbysKnowTheLastGrantOfAStream(t *testing.T) {
+// TestStandbysKnowWhereAStreamOfTwoGrantsBegan grants streams twice between two replications: the hosts
+// that may schedule next know nothing by the grants, and the second version once the streams began there.
+func TestStandbysKnowWhereAStreamOfTwoGrantsBegan(t *testing.T) {
 	const rounds = 30
 	atFirst, atNext := newKnownOrigins(), newKnownOrigins()
 	firstDirectory, nextDirectory := newFakeDirectory(), newFakeDirectory()
@@ -57,12 +57,21 @@
 	for round := range rounds {
 		request := fmt.Sprint("r", round)
 		versions[request] = grantTwice(t, client, request)
+	}
+	begun := func(request, version string) {
+		atFirst.record(request, version)
+		client.ReportBegun(request, version)
 		replicated(request)
 	}
-	if _, err := begin(t, client, "last", ""); err != nil {
-		t.Fatal(err)
+	begun("last grant", "v1")
+	for request := range versions {
+		if b, known := atNext.Version("s", request); known {
+			t.Errorf("%s is known by its grants: %+v", request, b)
+		}
+	}
+	for request, version := range versions {
+		begun(request, version)
 	}
-	replicated("last")
 	wrong := 0
 	for request, version := range versions {
 		if !atNext.knows(request, version) {
@@ -70,7 +79,7 @@
 		}
 	}
 	if wrong > 0 {
-		t.Errorf("%d of %d streams have the version of their first grant at the next host", wrong, rounds)
+		t.Errorf("%d of %d streams have another version than that of their first event at the next host", wrong, rounds)
 	}
 }
 
@@ -99,10 +108,8 @@
 		}
 		grantTwice(t, next, request)
 	}
-	if _, err := begin(t, next, "last", ""); err != nil {
-		t.Fatal(err)
-	}
-	eventually(t, "replication", func() bool { return atNext.knows("last", "v1") || atNext.knows("last", "v2") })
+	next.ReportBegun("last", "v1")
+	eventually(t, "replication", func() bool { return atFirst.knows("last", "v1") && atNext.knows("last", "v1") })
 	for request, version := range begins {
 		if !atFirst.knows(request, version) || !atNext.knows(request, version) {
 			t.Errorf("%s was begun by %s, which is known to the scheduler: %t, to the next: %t",
--- a/slots/reports.go
+++ b/slots/reports.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// ReportBegun reports to the scheduler which version began a stream. It is needed for streams whose
-// last grant may not be the one that was used: what a scheduler grants it takes for begun.
+// ReportBegun reports to the scheduler that this host received the first event of a stream, from an
+// endpoint of a version.
 func (c *Client) ReportBegun(request, version string) {
 	streams := make(origin.Streams)
 	streams.Add(request, version)
