origin, gateway: an old list of endpoints tells no version

What callers would see: a stream that began at a new version and is taken up at a host that stood still, or was cut off from the store, while the first endpoint of that version came, goes on at the old one (ORDER).

Cause: for a stream of which nothing is known, the one version of the service answered, however old the list of endpoints was. A version that was listed at the last look counted as seen then, though it may have left just before the present one; one that came and left within one page of records, or in records that were trimmed, was not seen at all.

Change: the one version answers only if the list was read since the stream was asked for; until then it is not known, and asked again as with other unknown streams. First events are told and replicated while a single version serves too, so that streams go on in an outage of the store as before: it is known who began them.

TestVersionBetweenTwoLooksIsNotMissed is of the new code.

Tests changed: where they asked whether a host is certain of all services, they ask for the one service that they have.

--- a/gateway/endpointnotes_test.go
+++ b/gateway/endpointnotes_test.go
@@ -25,7 +25,7 @@
 	l.changed = func() {}
 	l.report = func([]throttle.Notice) {}
 	return &endpointNotes{
-		store: platform.NewStore(address, platform.StoreOptions{}), limits: l, origins: newOrigins(),
+		store: platform.NewStore(address, platform.StoreOptions{}), limits: l, origins: newOrigins(clock.Now),
 		schedules: func() bool { return true }, logger: log.NewNopLogger(),
 		ask: func(context.Context) (map[string]platform.KeyedRecord, error) { return nil, picture.ErrNobody },
 	}
@@ -95,11 +95,11 @@
 
 	next := newNotingHost(address)
 	next.origins.Observe(serving("v2"))
-	if _, known := next.origins.Version("s", "r"); known {
+	if _, known := next.origins.Version("s", "r", time.Time{}); known {
 		t.Error("the next host knows who began a stream before it has read the notes")
 	}
 	next.runNotes(t, "the next host reads", func() bool { return next.limits.Rate(&limited) == 2.5 })
-	if _, known := next.origins.Version("s", "r"); known || next.origins.Certain() {
+	if _, known := next.origins.Version("s", "r", time.Time{}); known || next.origins.Single("s") {
 		t.Error("the next host takes the version that it sees for the only one")
 	}
 	next.limits.Answered(limited.Incarnation(), 0, clock.Now())
@@ -111,7 +111,7 @@
 	alone.runNotes(t, "the note on versions is deleted", func() bool { return notes(t, address) == 0 })
 	late := newNotingHost(address)
 	late.origins.Observe(serving("v2"))
-	late.runNotes(t, "a host that finds no notes is certain", func() bool { return late.origins.Certain() })
+	late.runNotes(t, "a host that finds no notes is certain", func() bool { return late.origins.Single("s") })
 }
 
 // TestHostAddedInAnOutageGuessesNoVersion guards against streams that go on at another software
@@ -130,7 +130,7 @@
 	alone.origins.Observe(old)
 	for range 2 {
 		alone.read(context.Background())
-		if version, known := alone.origins.Version("s", "r"); known || alone.origins.Certain() {
+		if version, known := alone.origins.Version("s", "r", time.Time{}); known || alone.origins.Single("s") {
 			t.Errorf("a host that nobody told of other versions takes %q for the one that began a stream", version)
 		}
 	}
@@ -148,7 +148,7 @@
 	told.ask = askHost(left)
 	told.origins.Observe(old)
 	told.read(context.Background())
-	if version, known := told.origins.Version("s", "r"); known {
+	if version, known := told.origins.Version("s", "r", time.Time{}); known {
 		t.Errorf("a host that was told of two versions takes %q for the one that began a stream", version)
 	}
 	if rate := told.limits.Rate(&limited); rate != 2.5 {
@@ -162,7 +162,7 @@
 	certain.ask = askHost(single)
 	certain.origins.Observe(old)
 	certain.read(context.Background())
-	if b, known := certain.origins.Version("s", "r"); !known || b.Version != "v2" {
+	if b, known := certain.origins.Version("s", "r", time.Time{}); !known || b.Version != "v2" {
 		t.Errorf("a host that was told of no other version: %q, known %t, want v2", b.Version, known)
 	}
 
@@ -170,7 +170,7 @@
 	uncertain.ask = askHost(alone)
 	uncertain.origins.Observe(old)
 	uncertain.read(context.Background())
-	if _, known := uncertain.origins.Version("s", "r"); known {
+	if _, known := uncertain.origins.Version("s", "r", time.Time{}); known {
 		t.Error("a host that asked one that does not know takes that for knowledge")
 	}
 }
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -65,6 +65,10 @@
 	defer e.mu.Unlock()
 	listed := make(map[string]bool, len(records))
 	var changes []endpoint.Change
+	if e.listed.Load() {
+		// The records since the last read were trimmed.
+		e.origins.Miss()
+	}
 	for i := range records {
 		listed[records[i].Key] = !records[i].Deletes()
 		changes = append(changes, e.apply(now, &records[i])...)
@@ -115,6 +119,7 @@
 		_ = level.Warn(e.logger).Log("event", "endpoint_unreadable", "endpoint", r.Key, "offset", r.Offset, "err", err)
 		return e.table.Remove(now, r.Offset, r.Key)
 	}
+	e.origins.ObserveRecord(&decoded)
 	return e.table.Put(r.Offset, decoded)
 }
 
--- a/gateway/endpointsfound_test.go
+++ b/gateway/endpointsfound_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/platform"
 )
@@ -25,7 +26,7 @@
 }
 
 func newReturningEndpoints(writes []time.Duration) *returningEndpoints {
-	e := newEndpoints(log.NewNopLogger(), prometheus.NewRegistry(), newOrigins(), func(*endpoint.View, []endpoint.Change) {})
+	e := newEndpoints(log.NewNopLogger(), prometheus.NewRegistry(), newOrigins(clock.Now), func(*endpoint.View, []endpoint.Change) {})
 	return &returningEndpoints{endpoints: e, start: time.Unix(1000, 0), writes: writes}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,7 +189,7 @@
 		DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: headerBytes,
 	}})
 	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
-	g.origins = newOrigins()
+	g.origins = newOrigins(func() time.Time { return g.endpointFeed.Complete() })
 	g.endpoints = newEndpoints(g.logger, g.registry, g.origins, g.endpointsChanged)
 	g.limits = newLimits(g.logger, g.registry)
 	g.limits.known = func(id string) bool { return g.endpoints.View().Endpoint(id) != nil }
--- a/gateway/oddendpoints_test.go
+++ b/gateway/oddendpoints_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/platform"
@@ -68,7 +69,7 @@
 
 	var logged lockedBuffer
 	logger := log.NewJSONLogger(&logged)
-	e := newEndpoints(logger, prometheus.NewRegistry(), newOrigins(), func(*endpoint.View, []endpoint.Change) {})
+	e := newEndpoints(logger, prometheus.NewRegistry(), newOrigins(clock.Now), func(*endpoint.View, []endpoint.Change) {})
 	e.started = &starting{configuration: &configuration{}, endpoints: e}
 	f := follow.New(follow.Options{
 		Store: platform.NewStore(server.Listener.Addr().String(), platform.StoreOptions{}), Topic: platform.TopicEndpoints,
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
@@ -11,13 +12,16 @@
 // origins holds which software version began a stream, as far as this host knows. Its methods
 // are safe for concurrent use.
 type origins struct {
+	// readUntil returns the time, by package clock, up to which all records of endpoints were read.
+	readUntil func() time.Time
+
 	mu      sync.Mutex
 	table   *origin.Table
 	history *origin.History
 }
 
-func newOrigins() *origins {
-	return &origins{table: origin.NewTable(), history: origin.NewHistory()}
+func newOrigins(readUntil func() time.Time) *origins {
+	return &origins{readUntil: readUntil, table: origin.NewTable(), history: origin.NewHistory()}
 }
 
 // Begun records that this host received the first event of a stream, from an endpoint of a
@@ -28,15 +32,22 @@
 	o.table.Record(clock.Now(), request, version)
 }
 
-// Version implements slots.Origins. A stream that is not known was begun by the one version
-// that serves, if there has been no other for long.
-func (o *origins) Version(service, request string) (b origin.Beginning, known bool) {
+// Version implements slots.Origins. A stream that is not known was begun by the one version that
+// serves, if there has been no other for long, and the list of endpoints was read since the stream
+// was asked for: a host that stood still, or was cut off from the store, may not have read of the
+// version that began it.
+func (o *origins) Version(service, request string, asked time.Time) (b origin.Beginning, known bool) {
+	// Before the lock: the follower calls Observe with its own lock held.
+	readUntil := o.readUntil()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := clock.Now()
 	if b, known = o.table.Lookup(now, request); known {
 		return b, true
 	}
+	if readUntil.Before(asked) {
+		return origin.Beginning{}, false
+	}
 	version, known := o.history.Only(now, service)
 	return origin.Beginning{Version: version, Source: origin.Only}, known
 }
@@ -71,6 +82,20 @@
 	o.history.Observe(clock.Now(), endpoints)
 }
 
+// ObserveRecord records an endpoint of which a record was read, in case it is gone before the next list.
+func (o *origins) ObserveRecord(e *endpoint.Endpoint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.ObserveRecord(clock.Now(), e)
+}
+
+// Miss records that endpoints may have come and gone without a record that was read.
+func (o *origins) Miss() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.Miss(clock.Now())
+}
+
 // AddNoted records which services have several versions, as others knew before this host started.
 func (o *origins) AddNoted(services map[string]bool) {
 	o.mu.Lock()
@@ -105,10 +130,3 @@
 	defer o.mu.Unlock()
 	return o.table.Merge(clock.Now(), from, streams)
 }
-
-// Certain implements slots.Origins.
-func (o *origins) Certain() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.history.Certain(clock.Now())
-}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -12,6 +12,7 @@
 
 	"github.com/peridotmount/peridotmount/balance"
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
@@ -99,11 +100,12 @@
 // balanced places a request to a plain service, now or as soon as the rate limits of its
 // endpoints admit it. A request that would wait for most of its objective is refused at once.
 func (p *placer) balanced(ctx context.Context, ask *forward.PlacementRequest) (forward.Placement, error) {
-	now := time.Now()
-	ready, err := p.ofVersion(ask, p.endpoints.View().Ready(ask.Service))
+	version, err := p.versionOf(ctx, ask)
 	if err != nil {
 		return nil, err
 	}
+	now := time.Now()
+	ready := ofVersion(version, p.endpoints.View().Ready(ask.Service))
 	choose := func(open []*endpoint.Endpoint) *endpoint.Endpoint {
 		e := p.balancer.Choose(now, open, func(id string) bool { return slices.Contains(ask.Avoid, id) })
 		if e == nil {
@@ -136,27 +138,40 @@
 	return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
 }
 
-// ofVersion returns the endpoints that can go on with the stream of a request: all, if it
-// begins one.
-func (p *placer) ofVersion(ask *forward.PlacementRequest, ready []*endpoint.Endpoint) ([]*endpoint.Endpoint, error) {
-	version := ask.Version
-	if version == nil {
-		if ask.Resumes == "" {
-			return ready, nil
+// versionOf returns the version at which a request to a plain service has to go on, nil if any will
+// do. It waits for a while until that is known.
+func (p *placer) versionOf(ctx context.Context, ask *forward.PlacementRequest) (*string, error) {
+	if ask.Version != nil || ask.Resumes == "" {
+		return ask.Version, nil
+	}
+	asked := clock.Now().Add(-ask.Elapsed)
+	for begun := time.Now(); ; {
+		if b, known := p.origins.Version(ask.Service, ask.Resumes, asked); known {
+			return &b.Version, nil
 		}
-		began, known := p.origins.Version(ask.Service, ask.Resumes)
-		if !known {
+		if time.Since(begun) >= maxVersionWait {
 			return nil, &forward.Rejection{Reason: string(scheduler.ReasonUnknownVersion), Inputs: "resumes " + ask.Resumes}
 		}
-		version = &began.Version
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(versionRetry):
+		}
+	}
+}
+
+// ofVersion returns the endpoints of a version, all if it is nil.
+func ofVersion(version *string, endpoints []*endpoint.Endpoint) []*endpoint.Endpoint {
+	if version == nil {
+		return endpoints
 	}
 	var out []*endpoint.Endpoint
-	for _, e := range ready {
+	for _, e := range endpoints {
 		if e.Version == *version {
 			out = append(out, e)
 		}
 	}
-	return out, nil
+	return out
 }
 
 // slot asks the scheduler, until it names an endpoint that this host knows.
--- a/gateway/resumedelsewhere_test.go
+++ b/gateway/resumedelsewhere_test.go
@@ -26,7 +26,7 @@
 
 // ofOneVersion returns what a host knows that has read endpoints of a single version for long.
 func ofOneVersion(version string) *origins {
-	o := newOrigins()
+	o := newOrigins(clock.Now)
 	o.AddNoted(map[string]bool{})
 	o.Observe([]endpoint.Endpoint{{ID: "old", Service: "s", Version: version}})
 	return o
@@ -75,7 +75,7 @@
 // knows better, knows nothing, or has not the word of the host that began it.
 func TestRecordsOfAStreamThatDiffer(t *testing.T) {
 	two := func() *origins {
-		o := newOrigins()
+		o := newOrigins(clock.Now)
 		o.Observe([]endpoint.Endpoint{{ID: "old", Service: "s", Version: "v1"}, {ID: "new", Service: "s", Version: "v2"}})
 		return o
 	}
--- a/origin/history.go
+++ b/origin/history.go
@@ -9,6 +9,9 @@
 
 // History tracks which software versions of each service serve. It is not safe for concurrent
 // use.
+//
+// Invariant: a version that was listed within Retention is in lastSeen, or the service counts as
+// watched only since the gap in which it may have been missed.
 type History struct {
 	services map[string]*serviceHistory
 	// noted are the services that had several versions, as others knew that were there before
@@ -20,9 +23,11 @@
 type serviceHistory struct {
 	// since is when the first endpoint was seen.
 	since time.Time
-	// lastSeen is when each version was last listed. A version stays for Retention, as its
-	// endpoints finish their streams after they have left the list.
+	// lastSeen is until when each version may have been listed. A version stays for Retention, as
+	// its endpoints finish their streams after they have left the list.
 	lastSeen map[string]time.Time
+	// listed are the versions that were listed when this host last looked, or since.
+	listed map[string]bool
 }
 
 // NewHistory returns an empty History.
@@ -32,24 +37,43 @@
 
 // Observe records the endpoints that are listed now.
 func (h *History) Observe(now time.Time, endpoints []endpoint.Endpoint) {
-	for i := range endpoints {
-		e := &endpoints[i]
-		s := h.services[e.Service]
-		if s == nil {
-			s = &serviceHistory{since: now, lastSeen: make(map[string]time.Time)}
-			h.services[e.Service] = s
-		}
-		s.lastSeen[e.Version] = now
-	}
 	for _, s := range h.services {
 		for version, at := range s.lastSeen {
-			if now.Sub(at) > Retention {
+			switch {
+			case s.listed[version]:
+				// The last look may be long ago, and the version may have left just now.
+				s.lastSeen[version] = now
+			case now.Sub(at) > Retention:
 				delete(s.lastSeen, version)
 			}
 		}
+		clear(s.listed)
+	}
+	for i := range endpoints {
+		h.ObserveRecord(now, &endpoints[i])
 	}
 }
 
+// ObserveRecord records an endpoint that was listed since the last call of Observe.
+func (h *History) ObserveRecord(now time.Time, e *endpoint.Endpoint) {
+	s := h.services[e.Service]
+	if s == nil {
+		s = &serviceHistory{since: now, lastSeen: make(map[string]time.Time), listed: make(map[string]bool)}
+		h.services[e.Service] = s
+	}
+	s.lastSeen[e.Version] = now
+	s.listed[e.Version] = true
+}
+
+// Miss records that endpoints may have come and gone since the last call of Observe. What was known of
+// several versions then no longer tells whether there were others.
+func (h *History) Miss(now time.Time) {
+	for _, s := range h.services {
+		s.since = now
+	}
+	h.noted = nil
+}
+
 // AddNoted records which services have several versions, as others knew before this host started.
 func (h *History) AddNoted(services map[string]bool) {
 	if h.noted == nil {
@@ -101,14 +125,3 @@
 	}
 	return "", false
 }
-
-// Certain reports whether the version of any stream is known without a record of it, as Only
-// returns one for every service.
-func (h *History) Certain(now time.Time) bool {
-	for service := range h.services {
-		if _, known := h.Only(now, service); !known {
-			return false
-		}
-	}
-	return true
-}
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -142,18 +142,63 @@
 func TestLeftVersionIsForgotten(t *testing.T) {
 	h := NewHistory()
 	h.Observe(start, endpoints(start, "v1", "v2"))
-	if h.Certain(start) {
-		t.Error("two versions serve, and any stream's is known")
+	if got, known := h.Only(start, "s"); known {
+		t.Errorf("two versions serve, and %s is the only one", got)
 	}
 	now := start.Add(Retention + 10*time.Second)
 	h.Observe(start.Add(Retention), endpoints(start, "v1", "v2"))
 	h.Observe(now, endpoints(start, "v2"))
-	if h.Certain(now) {
-		t.Error("the version that left is forgotten at once")
+	if got, known := h.Only(now, "s"); known {
+		t.Errorf("the version that left is forgotten at once, and %s is the only one", got)
 	}
 	now = start.Add(3 * Retention)
 	h.Observe(now, endpoints(start, "v2"))
-	if got, _ := h.Only(now, "s"); !h.Certain(now) || got != "v2" {
-		t.Errorf("certain: %t, only version %q, want v2", h.Certain(now), got)
+	if got, known := h.Only(now, "s"); !known || got != "v2" {
+		t.Errorf("only version %q (known: %t), want v2", got, known)
+	}
+}
+
+// TestVersionThatLeftWhileAHostStoodStillIsNotForgotten has a host look at the endpoints after a time that is
+// longer than Retention, in which one of two versions left: its streams may be a moment old.
+func TestVersionThatLeftWhileAHostStoodStillIsNotForgotten(t *testing.T) {
+	h := NewHistory()
+	h.Observe(start, endpoints(start, "v1", "v2"))
+	for i := range 3 {
+		h.Observe(start.Add(time.Duration(i)*time.Second), endpoints(start, "v1", "v2"))
+	}
+	now := start.Add(3 * Retention)
+	h.Observe(now, endpoints(start, "v2"))
+	if got, known := h.Only(now, "s"); known {
+		t.Errorf("%s is the only version", got)
+	}
+	now = now.Add(Retention + time.Second)
+	h.Observe(now, endpoints(start, "v2"))
+	if got, known := h.Only(now, "s"); !known || got != "v2" {
+		t.Errorf("later: only version %q (known: %t), want v2", got, known)
+	}
+}
+
+// TestVersionBetweenTwoLooksIsNotMissed has a version come and leave between two looks, in records that were
+// read, and in some that were not.
+func TestVersionBetweenTwoLooksIsNotMissed(t *testing.T) {
+	for name, between := range map[string]func(h *History, now time.Time){
+		"read":   func(h *History, now time.Time) { h.ObserveRecord(now, &endpoints(now, "v2")[0]) },
+		"missed": func(h *History, now time.Time) { h.Miss(now) },
+	} {
+		h := NewHistory()
+		h.AddNoted(map[string]bool{})
+		h.Observe(start, endpoints(start, "v1"))
+		now := start.Add(2 * Retention)
+		h.Observe(now, endpoints(start, "v1"))
+		between(h, now)
+		h.Observe(now, endpoints(start, "v1"))
+		if got, known := h.Only(now, "s"); known {
+			t.Errorf("%s: %s is the only version", name, got)
+		}
+		now = now.Add(Retention + time.Second)
+		h.Observe(now, endpoints(start, "v1"))
+		if got, known := h.Only(now, "s"); !known || got != "v1" {
+			t.Errorf("%s, later: only version %q (known: %t), want v1", name, got, known)
+		}
 	}
 }
--- a/slots/convictions.go
+++ b/slots/convictions.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
 
@@ -114,7 +115,7 @@
 		return
 	}
 	if request.Resumes != "" && request.Version == nil {
-		b, known := l.origins.known.Version(request.Service, request.Resumes)
+		b, known := l.origins.known.Version(request.Service, request.Resumes, clock.Now().Add(-request.Elapsed))
 		if !known {
 			c.RefuseUnknownVersion(now, host, request)
 			return
--- a/slots/origins.go
+++ b/slots/origins.go
@@ -23,19 +23,18 @@
 // Origins tells which software version began a stream. It is safe for concurrent use.
 type Origins interface {
 	// Version returns what is known of the beginning of the stream of a request, at a service,
-	// and whether its version can be known.
-	Version(service, request string) (b origin.Beginning, known bool)
+	// and whether its version can be known. The stream was asked for at the given time, by package
+	// clock.
+	Version(service, request string, asked time.Time) (b origin.Beginning, known bool)
 	// All returns every stream whose first event this host received, or another one that told it.
 	All() origin.Streams
 	// Merge adds streams of which another host told, and returns those that were not known.
 	Merge(host string, streams origin.Streams) origin.Streams
-	// Certain reports whether the version of any stream is known without a record of it, as
-	// every service has had a single one for long.
-	Certain() bool
 }
 
-// replication sends the versions of streams to the hosts that may schedule next, unless they are
-// certain. Only the goroutine of LocalScheduler.Serve uses it.
+// replication sends the versions of streams to the hosts that may schedule next, while a single
+// version serves too: the first endpoint of another one may come at any time. Only the goroutine of
+// LocalScheduler.Serve uses it.
 type replication struct {
 	// self is the name of this host.
 	self  string
@@ -74,10 +73,6 @@
 	r := l.origins
 	unsent := r.unsent.Streams()
 	r.unsent = make(origin.Updates)
-	if r.known.Certain() {
-		clear(r.standbys)
-		return
-	}
 	standbys := l.standbys(l.hosts.Hosts())
 	var all []origin.Streams
 	for name, s := range standbys {
@@ -113,13 +108,12 @@
 type noOrigins struct{}
 
 // Version implements Origins.
-func (noOrigins) Version(string, string) (origin.Beginning, bool) { return origin.Beginning{}, true }
+func (noOrigins) Version(string, string, time.Time) (origin.Beginning, bool) {
+	return origin.Beginning{}, true
+}
 
 // All implements Origins.
 func (noOrigins) All() origin.Streams { return nil }
 
 // Merge implements Origins.
 func (noOrigins) Merge(string, origin.Streams) origin.Streams { return nil }
-
-// Certain implements Origins.
-func (noOrigins) Certain() bool { return true }
--- a/slots/origins_test.go
+++ b/slots/origins_test.go
@@ -27,7 +27,7 @@
 	return &knownOrigins{table: origin.NewTable()}
 }
 
-func (o *knownOrigins) Version(_, request string) (origin.Beginning, bool) {
+func (o *knownOrigins) Version(_, request string, _ time.Time) (origin.Beginning, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.table.Lookup(time.Now(), request)
@@ -51,10 +51,8 @@
 	return o.table.Merge(time.Now(), from, s)
 }
 
-func (o *knownOrigins) Certain() bool { return false }
-
 func (o *knownOrigins) knows(request, version string) bool {
-	got, known := o.Version("s", request)
+	got, known := o.Version("s", request, time.Now())
 	return known && got.Version == version
 }
 
--- a/slots/regrant_test.go
+++ b/slots/regrant_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -49,7 +50,7 @@
 	replicated := func(request string) {
 		t.Helper()
 		eventually(t, "replication", func() bool {
-			_, known := atNext.Version("s", request)
+			_, known := atNext.Version("s", request, time.Now())
 			return known
 		})
 	}
@@ -65,7 +66,7 @@
 	}
 	begun("last grant", "v1")
 	for request := range versions {
-		if b, known := atNext.Version("s", request); known {
+		if b, known := atNext.Version("s", request, time.Now()); known {
 			t.Errorf("%s is known by its grants: %+v", request, b)
 		}
 	}
--- a/slots/standstill_test.go
+++ b/slots/standstill_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -83,7 +84,7 @@
 	began.Add("began", "v1")
 	c.handleMessage(t.Context(), scheduler, &SchedulerMessage{Streams: granted})
 	c.handleMessage(t.Context(), scheduler, &SchedulerMessage{Streams: began, FirstEvents: true})
-	if b, isKnown := known.Version("s", "granted"); isKnown {
+	if b, isKnown := known.Version("s", "granted", time.Now()); isKnown {
 		t.Errorf("a grant is known as a beginning: %+v", b)
 	}
 	if !known.knows("began", "v1") {
