slots: new endpoints never wait for room in the scheduler's queue

What callers would see: a host that schedules stops to decide for good, while its heartbeats go on, so that no host leaves it. Found by review, not seen in a run of the daemons.

Cause: SetEndpoints put a command into the scheduler's bounded queue and waited for room, with the locks of the follower and of the table of endpoints held. The goroutine that works the queue off takes these locks: since to see until when the list was read (a stream that is taken up), and since long to broadcast the endpoints that leave (a conviction). With a full queue, as after a standstill, each waited for the other.

Change: the newest endpoints are stored, and the goroutine is woken.

--- a/slots/duty.go
+++ b/slots/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -42,6 +43,10 @@
 	logger   log.Logger
 	metrics  *metrics
 	commands *ring.Ring[command]
+	// newEndpoints are those of the last call of SetEndpoints, nil once Serve has taken them;
+	// endpointsSet wakes it.
+	newEndpoints atomic.Pointer[[]scheduler.Endpoint]
+	endpointsSet chan struct{}
 	// convictions are those that this host knows.
 	convictions *blame.List
 	attribution attribution
@@ -101,6 +106,7 @@
 		logger:             o.Logger,
 		metrics:            m,
 		commands:           ring.New[command](inputCapacity),
+		endpointsSet:       make(chan struct{}, 1),
 		convictions:        o.Convictions,
 		attribution:        attribution{tracker: blame.NewTracker()},
 		sessions:           make(map[string]*hostSession),
@@ -131,8 +137,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-l.endpointsSet:
+			now = time.Now()
+			l.drainCommands(now)
 		case cmd := <-l.commands.C():
 			now = time.Now()
+			l.takeEndpoints(now)
 			cmd(now, l.core)
 			l.drainCommands(now)
 		case now = <-tick.C:
@@ -158,6 +168,7 @@
 
 // drainCommands executes all queued commands, so that their effects are sent together.
 func (l *LocalScheduler) drainCommands(now time.Time) {
+	l.takeEndpoints(now)
 	for {
 		select {
 		case cmd := <-l.commands.C():
@@ -375,9 +386,21 @@
 	return out
 }
 
-// SetEndpoints replaces the endpoints that take new work.
+// SetEndpoints replaces the endpoints that take new work. It never blocks: it is called with locks held
+// that Serve needs to execute commands, so that a full queue of these would never be worked off.
 func (l *LocalScheduler) SetEndpoints(endpoints []scheduler.Endpoint) {
-	l.enqueue(func(now time.Time, c *scheduler.Core) { c.SetEndpoints(now, endpoints) })
+	l.newEndpoints.Store(&endpoints)
+	select {
+	case l.endpointsSet <- struct{}{}:
+	default:
+	}
+}
+
+// takeEndpoints hands the endpoints that were set last to the core.
+func (l *LocalScheduler) takeEndpoints(now time.Time) {
+	if endpoints := l.newEndpoints.Swap(nil); endpoints != nil {
+		l.core.SetEndpoints(now, *endpoints)
+	}
 }
 
 // AddItem queues a batch item to be run.
