origin, gateway: a missed version does not undo what others told of versions

What callers would see: streams of a version that left go on at the one that is left (ORDER), at a host that starts in an outage, or after the host that schedules has listed the endpoints again.

Cause: a new listing made the host forget that others had told of several versions, so that empty notes, read later, made it certain; and the host that schedules then deleted the note from the store. Older: a host that had been cut off told others that there was no further version.

Change: that versions may have been missed is a state of its own, for 20 s; while it lasts no note on versions is deleted, and no other host is told that there are none. Nor does a host tell so whose list was not read within 5 s.

--- a/gateway/endpointnotes.go
+++ b/gateway/endpointnotes.go
@@ -165,10 +165,17 @@
 			records = append(records, platform.EncodeKeyed(key, []byte(value)))
 		}
 	}
-	for key := range n.written {
-		if _, found := wanted[key]; !found {
-			records = append(records, platform.EncodeKeyed(key, nil))
+	missed := n.origins.Missed()
+	for key, value := range n.written {
+		if _, found := wanted[key]; found {
+			continue
+		}
+		if missed && strings.HasPrefix(key, versionsNote) {
+			// Of the versions that the note tells of, some may have been missed.
+			wanted[key] = value
+			continue
 		}
+		records = append(records, platform.EncodeKeyed(key, nil))
 	}
 	if len(records) == 0 {
 		return
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -9,6 +9,10 @@
 	"github.com/peridotmount/peridotmount/origin"
 )
 
+// maxToldListAge is how old the list of endpoints may be by which a host tells others that a service has
+// no further version: some reads of a large deployment.
+const maxToldListAge = 5 * time.Second
+
 // origins holds which software version began a stream, as far as this host knows. Its methods
 // are safe for concurrent use.
 type origins struct {
@@ -103,11 +107,22 @@
 	o.history.AddNoted(services)
 }
 
-// Informed reports whether Several names all services that have several versions.
+// Informed reports whether Several names all services that have several versions. A host that was cut
+// off from the store may have missed some.
 func (o *origins) Informed() bool {
+	readUntil := o.readUntil()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := clock.Now()
+	return now.Sub(readUntil) <= maxToldListAge && o.history.Informed(now)
+}
+
+// Missed reports whether streams may go on of endpoints that came and went without a record that was
+// read.
+func (o *origins) Missed() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.history.Informed(clock.Now())
+	return o.history.Missed(clock.Now())
 }
 
 // Several returns the services that have several versions.
--- a/origin/history.go
+++ b/origin/history.go
@@ -10,13 +10,14 @@
 // History tracks which software versions of each service serve. It is not safe for concurrent
 // use.
 //
-// Invariant: a version that was listed within Retention is in lastSeen, or the service counts as
-// watched only since the gap in which it may have been missed.
+// Invariant: a version that was listed within Retention is in lastSeen, or Only knows none.
 type History struct {
 	services map[string]*serviceHistory
 	// noted are the services that had several versions, as others knew that were there before
 	// this host; nil until one has told, which is not the same as that there were none.
 	noted map[string]bool
+	// missedAt is when endpoints may last have come and gone unseen; zero if never.
+	missedAt time.Time
 }
 
 // serviceHistory is the history of one service.
@@ -65,13 +66,14 @@
 	s.listed[e.Version] = true
 }
 
-// Miss records that endpoints may have come and gone since the last call of Observe. What was known of
-// several versions then no longer tells whether there were others.
+// Miss records that endpoints may have come and gone since the last call of Observe.
 func (h *History) Miss(now time.Time) {
-	for _, s := range h.services {
-		s.since = now
-	}
-	h.noted = nil
+	h.missedAt = now
+}
+
+// Missed reports whether streams may go on of endpoints that came and went unseen.
+func (h *History) Missed(now time.Time) bool {
+	return !h.missedAt.IsZero() && now.Sub(h.missedAt) < Retention
 }
 
 // AddNoted records which services have several versions, as others knew before this host started.
@@ -97,6 +99,9 @@
 // Informed reports whether Several names all such services: others have told what they knew before
 // this host started, or it has watched for long enough itself.
 func (h *History) Informed(now time.Time) bool {
+	if h.Missed(now) {
+		return false
+	}
 	if h.noted != nil {
 		return true
 	}
@@ -110,11 +115,11 @@
 
 // Only returns the one version of a service that can have begun streams which still run or can
 // be taken up again. It reports false if there are several, or if this host can't know: it has
-// not watched the service for long, and nobody has told what was there before. The endpoints that
-// are left tell nothing of those that left.
+// not watched the service for long, and nobody has told what was there before, or has missed some.
+// The endpoints that are left tell nothing of those that left.
 func (h *History) Only(now time.Time, service string) (version string, known bool) {
 	s := h.services[service]
-	if s == nil || len(s.lastSeen) != 1 {
+	if s == nil || len(s.lastSeen) != 1 || h.Missed(now) {
 		return "", false
 	}
 	if now.Sub(s.since) < Retention && (h.noted == nil || h.noted[service]) {
