--- a/slots/duty.go
+++ b/slots/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -11,6 +12,7 @@
 	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/origin"
 	"github.com/peridotmount/peridotmount/ring"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
@@ -42,6 +44,10 @@
 	logger   log.Logger
 	metrics  *metrics
 	commands *ring.Ring[command]
+	// newEndpoints are those of the last call of SetEndpoints, nil once Serve has taken them;
+	// endpointsSet wakes it.
+	newEndpoints atomic.Pointer[[]scheduler.Endpoint]
+	endpointsSet chan struct{}
 	// convictions are those that this host knows.
 	convictions *blame.List
 	attribution attribution
@@ -101,6 +107,7 @@
 		logger:             o.Logger,
 		metrics:            m,
 		commands:           ring.New[command](inputCapacity),
+		endpointsSet:       make(chan struct{}, 1),
 		convictions:        o.Convictions,
 		attribution:        attribution{tracker: blame.NewTracker()},
 		sessions:           make(map[string]*hostSession),
@@ -131,8 +138,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-l.endpointsSet:
+			now = time.Now()
+			l.drainCommands(now)
 		case cmd := <-l.commands.C():
 			now = time.Now()
+			l.takeEndpoints(now)
 			cmd(now, l.core)
 			l.drainCommands(now)
 		case now = <-tick.C:
@@ -158,6 +169,7 @@
 
 // drainCommands executes all queued commands, so that their effects are sent together.
 func (l *LocalScheduler) drainCommands(now time.Time) {
+	l.takeEndpoints(now)
 	for {
 		select {
 		case cmd := <-l.commands.C():
@@ -346,8 +358,8 @@
 	case len(m.Limits) > 0:
 		l.handleLimits(host, m.Limits)
 	case len(m.Streams) > 0:
-		streams := m.Streams
-		l.enqueue(func(time.Time, *scheduler.Core) { l.origins.merge(host, streams) })
+		told := origin.Batch{Age: m.StreamsAge, Streams: m.Streams}
+		l.enqueue(func(time.Time, *scheduler.Core) { l.origins.merge(host, told) })
 	case m.Stranded != nil:
 		stranded := *m.Stranded
 		l.enqueue(func(now time.Time, c *scheduler.Core) { l.setStranded(now, host, stranded, c) })
@@ -375,9 +387,21 @@
 	return out
 }
 
-// SetEndpoints replaces the endpoints that take new work.
+// SetEndpoints replaces the endpoints that take new work. It never blocks: it is called with locks held
+// that Serve needs to execute commands, so that a full queue of these would never be worked off.
 func (l *LocalScheduler) SetEndpoints(endpoints []scheduler.Endpoint) {
-	l.enqueue(func(now time.Time, c *scheduler.Core) { c.SetEndpoints(now, endpoints) })
+	l.newEndpoints.Store(&endpoints)
+	select {
+	case l.endpointsSet <- struct{}{}:
+	default:
+	}
+}
+
+// takeEndpoints hands the endpoints that were set last to the core.
+func (l *LocalScheduler) takeEndpoints(now time.Time) {
+	if endpoints := l.newEndpoints.Swap(nil); endpoints != nil {
+		l.core.SetEndpoints(now, *endpoints)
+	}
 }
 
 // AddItem queues a batch item to be run.
