throttle: limits are kept by run, and the records tell which run is present

Cause: the table kept one answer for each id, that of the run with the latest start by the endpoint's clock.

Ruled out: ordering the runs by the time of their answers alone. Answers of a run that has ended arrive late, at a host that stood still by seconds, and entries of the OpenAI path and notes in the store have no true age, so any order by time brings back the former run at times.

Which run is present is what the host's records say, whose order is that of the log (endpoint.runs); limits of other runs are not applied. Only before a record was read do answers tell: the later one, and the starts for two within five seconds, as before. Notes in the store are of the run in force.

That the gateway tells its table of each record has no test of its own.

--- a/endpointlimit/limiter.go
+++ b/endpointlimit/limiter.go
@@ -116,7 +116,7 @@
 		}
 		for _, n := range notices {
 			if l.table.Merge(now, n) {
-				l.log(n.Endpoint, "told")
+				l.log(n.Endpoint, n.Rate, "told")
 			}
 		}
 	}
@@ -148,18 +148,19 @@
 	defer l.mu.Unlock()
 	changed := false
 	if named {
+		perSecond = max(perSecond, throttle.MinRate)
 		changed = l.table.Name(clock.Now(), i, perSecond)
 	} else {
 		changed = l.table.End(sent, i)
 	}
 	if changed {
-		l.named[h.Name] = throttle.Notice{Endpoint: i, Rate: l.table.Rate(i)}
-		l.log(i, "answer")
+		l.named[h.Name] = throttle.Notice{Endpoint: i, Rate: perSecond}
+		l.log(i, perSecond, "answer")
 	}
 }
 
-func (l *Limiter) log(i endpoint.Incarnation, heard string) {
-	_ = level.Info(l.opts.Logger).Log("event", "endpoint_limit", "endpoint", i.ID, "per_second", l.table.Rate(i), "heard", heard)
+func (l *Limiter) log(i endpoint.Incarnation, perSecond float64, heard string) {
+	_ = level.Info(l.opts.Logger).Log("event", "endpoint_limit", "endpoint", i.ID, "per_second", perSecond, "heard", heard)
 }
 
 // take counts a call to an endpoint and reports whether it may be sent. Calls that end work are
@@ -180,8 +181,10 @@
 	return 0, true
 }
 
-// pacer returns the pacer of an endpoint, or nil if it has no limit. The caller holds mu.
+// pacer returns the pacer of an endpoint of the present view, or nil if it has no limit. The caller
+// holds mu.
 func (l *Limiter) pacer(now time.Time, h *platform.Host) *throttle.Pacer {
+	l.table.Begin(incarnation(h))
 	limit := l.table.Rate(incarnation(h))
 	if limit == 0 {
 		delete(l.pacers, h.Name)
--- a/endpointlimit/limiter_test.go
+++ b/endpointlimit/limiter_test.go
@@ -1,6 +1,7 @@
 package endpointlimit
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -12,9 +13,11 @@
 	"github.com/go-kit/log"
 
 	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/gossip"
 	"github.com/peridotmount/peridotmount/membership"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/throttle"
 )
 
 // limitedEndpoint is an endpoint that names a limit in its answers.
@@ -155,3 +158,29 @@
 		}
 	}
 }
+
+// TestLimitOfTheRunInTheView has a host be told late of the limit of a run before, which by its clock
+// started later than the run in the view: the present run's limit holds.
+func TestLimitOfTheRunInTheView(t *testing.T) {
+	e := newLimitedEndpoint(t, "2")
+	host := newTestHosts(e, "a")[0]
+	host.send(t, e, http.MethodPost)
+	former := endpoint.Incarnation{ID: "e", Started: time.UnixMilli(2).UTC()}
+	data, err := json.Marshal([]throttle.Notice{{Endpoint: former, Rate: 1000}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	host.store.Merge(gossip.Entry{
+		Kind: KindLimits, Key: "endpoints", Origin: "b", Scope: gossip.ScopeGlobal, Version: gossip.Version{Incarnation: 1, Counter: 1}, Data: data,
+	})
+	host.exchange()
+	refused := 0
+	for range 50 {
+		if host.send(t, e, http.MethodPost) == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Error("the limit of the present run is forgotten")
+	}
+}
--- a/gateway/endpointnotes.go
+++ b/gateway/endpointnotes.go
@@ -189,7 +189,7 @@
 		out[versionsNote+service] = "several"
 	}
 	for _, limit := range n.limits.Notices() {
-		if limit.Rate == 0 || !n.limits.known(limit.Endpoint.ID) {
+		if !n.limits.inForce(&limit) {
 			continue
 		}
 		limit.Age = 0
--- a/gateway/endpointnotes_test.go
+++ b/gateway/endpointnotes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -174,3 +175,22 @@
 		t.Error("a host that asked one that does not know takes that for knowledge")
 	}
 }
+
+// TestLimitsOfSeveralRunsMakeOneNote has a host hear of limits of two runs of an endpoint, the earlier
+// of which started later by its clock: the present run's is the one in force, and the one noted.
+func TestLimitsOfSeveralRunsMakeOneNote(t *testing.T) {
+	host := newNotingHost("http://127.0.0.1:1")
+	present := endpoint.Endpoint{ID: "limited", Service: "s", Started: time.UnixMilli(7)}
+	former := present
+	former.Started = present.Started.Add(time.Hour)
+	host.limits.Answered(present.Incarnation(), 2.5, clock.Now())
+	host.limits.Merge([]throttle.Notice{{Endpoint: former.Incarnation(), Rate: 7}})
+	host.limits.Begin(present.Incarnation())
+	if now, before := host.limits.Rate(&present), host.limits.Rate(&former); now != 2.5 || before != 0 {
+		t.Errorf("limits %g and %g of the former run, want 2.5 and 0", now, before)
+	}
+	var noted throttle.Notice
+	if err := json.Unmarshal([]byte(host.wanted()[limitNote+present.ID]), &noted); err != nil || noted.Rate != 2.5 {
+		t.Errorf("the note names %g, error %v", noted.Rate, err)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -405,7 +405,9 @@
 		if c := &changes[i]; c.After != nil && (c.After.State == endpoint.Draining || c.Before != nil && !c.Before.Started.Equal(c.After.Started)) {
 			g.pool.CloseIdle(c.After.ID)
 		}
-		if changes[i].After == nil {
+		if changes[i].After != nil {
+			g.limits.Begin(changes[i].After.Incarnation())
+		} else {
 			g.pool.CloseIdle(changes[i].Before.ID)
 			g.balancer.Forget(changes[i].Before.ID)
 			g.pacers.forget(changes[i].Before.ID)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -44,6 +44,13 @@
 	return l
 }
 
+// Begin records which run of an endpoint its record is of.
+func (l *limits) Begin(i endpoint.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Begin(i)
+}
+
 // Answered records what an answer to this host said, to a request sent at the given time: a
 // limit in requests per second, or zero.
 func (l *limits) Answered(i endpoint.Incarnation, perSecond float64, sent time.Time) {
@@ -53,7 +60,7 @@
 	notice := throttle.Notice{Endpoint: i}
 	if perSecond > 0 {
 		changed = l.table.Name(now, i, perSecond)
-		notice.Rate = l.table.Rate(i)
+		notice.Rate = max(perSecond, throttle.MinRate)
 	} else {
 		changed = l.table.End(sent, i)
 		notice.Age = now.Sub(sent)
@@ -72,10 +79,9 @@
 	for _, n := range notices {
 		l.mu.Lock()
 		changed := l.table.Merge(now, n)
-		rate := l.table.Rate(n.Endpoint)
 		l.mu.Unlock()
 		if changed {
-			l.announce(n.Endpoint, rate, "told")
+			l.announce(n.Endpoint, n.Rate, "told")
 			out = append(out, n)
 		}
 	}
@@ -103,6 +109,13 @@
 	return l.table.Rate(e.Incarnation())
 }
 
+// inForce reports whether a notice is of the present run of a known endpoint.
+func (l *limits) inForce(n *throttle.Notice) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known(n.Endpoint.ID) && l.table.Rate(n.Endpoint) > 0
+}
+
 // String names the service to its supervisor.
 func (l *limits) String() string {
 	return "rate limits of endpoints"
--- a/throttle/notice.go
+++ b/throttle/notice.go
@@ -1,6 +1,7 @@
 package throttle
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -8,9 +9,11 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 )
 
-// SortNotices sorts notices by endpoint.
+// SortNotices sorts notices by endpoint and run.
 func SortNotices(notices []Notice) {
-	slices.SortFunc(notices, func(a, b Notice) int { return strings.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	slices.SortFunc(notices, func(a, b Notice) int {
+		return cmp.Or(strings.Compare(a.Endpoint.ID, b.Endpoint.ID), a.Endpoint.Started.Compare(b.Endpoint.Started))
+	})
 }
 
 // Notice is what an answer of an endpoint said of the endpoint's rate limit, as hosts tell
--- a/throttle/table.go
+++ b/throttle/table.go
@@ -1,8 +1,6 @@
 package throttle
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/peridotmount/peridotmount/endpoint"
@@ -17,48 +15,48 @@
 	// be sent for its answer to end the limit. It covers the latency of notices between
 	// hosts, by which they seem younger than they are.
 	endMargin = 250 * time.Millisecond
-	// retention is how long the limit of an endpoint that is no longer known is kept. It is
-	// longer than any outage of the store in which its record could lapse.
+	// retention is how long the limit of an endpoint that is no longer known, or of a run that is
+	// not the present one, is kept. It is longer than any outage of the store in which a record
+	// could lapse.
 	retention = 10 * time.Minute
 )
 
 // Table holds what a host knows of the rate limits of endpoints. It is not safe for
 // concurrent use.
 //
-// Invariants: of two answers the later one counts; an answer without a limit counts only if
-// its request was sent endMargin after the last answer that named one; a limit ends with its
-// incarnation, and otherwise only by an answer.
+// Invariants: of two answers of one run the later one counts; an answer without a limit counts
+// only if its request was sent endMargin after the last answer that named one; a limit ends with
+// its incarnation, and otherwise only by an answer. Which incarnation is the present one is told
+// by the endpoint's records, and before these are read by the answers: clocks of endpoints may be
+// set back between two runs.
 type Table struct {
-	entries map[string]*entry
-}
-
-// entry is the last answer of an endpoint that counts.
-type entry struct {
-	incarnation endpoint.Incarnation
-	// rate is zero if the answer named no limit.
-	rate float64
-	// at is when the answer arrived, or when its request was sent if it named no limit.
-	at time.Time
+	endpoints map[string]*runs
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{entries: make(map[string]*entry)}
+	return &Table{endpoints: make(map[string]*runs)}
+}
+
+// Begin records that by the records of an endpoint, i is its present run.
+func (t *Table) Begin(i endpoint.Incarnation) {
+	t.of(i.ID).present = i.Started
 }
 
 // Name records that an answer named a limit, in requests per second, and reports whether the
 // limit has changed.
 func (t *Table) Name(now time.Time, i endpoint.Incarnation, rate float64) bool {
-	return t.put(i, max(rate, MinRate), now)
+	return t.of(i.ID).put(i, max(rate, MinRate), now)
 }
 
 // End records that the answer to a request sent at the given time named no limit, and
 // reports whether this ended one.
 func (t *Table) End(sent time.Time, i endpoint.Incarnation) bool {
-	if t.Rate(i) == 0 {
+	r := t.endpoints[i.ID]
+	if r == nil || r.limit(i.Started) == 0 {
 		return false
 	}
-	return t.put(i, 0, sent)
+	return r.put(i, 0, sent)
 }
 
 // Merge applies the notice of another host and reports whether it changed a limit.
@@ -67,52 +65,48 @@
 	if rate > 0 {
 		rate = max(rate, MinRate)
 	}
-	return t.put(n.Endpoint, rate, now.Add(-n.Age))
+	return t.of(n.Endpoint.ID).put(n.Endpoint, rate, now.Add(-n.Age))
 }
 
-// put applies an answer and reports whether it changed a limit.
-func (t *Table) put(i endpoint.Incarnation, rate float64, at time.Time) bool {
-	e := t.entries[i.ID]
-	switch {
-	case e == nil || e.incarnation.Started.Before(i.Started):
-		t.entries[i.ID] = &entry{incarnation: i, rate: rate, at: at}
-		return rate > 0
-	case !e.incarnation.Started.Equal(i.Started) || !at.After(e.at):
-		return false
-	case e.rate > 0 && rate == 0 && at.Sub(e.at) < endMargin:
-		return false
+// of returns the runs of an endpoint.
+func (t *Table) of(id string) *runs {
+	r := t.endpoints[id]
+	if r == nil {
+		r = &runs{}
+		t.endpoints[id] = r
 	}
-	changed := e.rate != rate
-	e.rate, e.at = rate, at
-	return changed
+	return r
 }
 
-// Rate returns the limit of an endpoint in requests per second; zero if it has none.
+// Rate returns the limit of an endpoint in requests per second; zero if it has none, or if i is
+// not its present run.
 func (t *Table) Rate(i endpoint.Incarnation) float64 {
-	e := t.entries[i.ID]
-	if e == nil || !e.incarnation.Started.Equal(i.Started) {
+	r := t.endpoints[i.ID]
+	if r == nil || !r.isPresent(i.Started) {
 		return 0
 	}
-	return e.rate
+	return r.limit(i.Started)
 }
 
 // Notices returns everything in the table, sorted by endpoint.
 func (t *Table) Notices(now time.Time) []Notice {
-	out := make([]Notice, 0, len(t.entries))
-	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		e := t.entries[id]
-		out = append(out, Notice{Endpoint: e.incarnation, Rate: e.rate, Age: now.Sub(e.at)})
+	out := make([]Notice, 0, len(t.endpoints))
+	for _, r := range t.endpoints {
+		for _, e := range r.entries {
+			out = append(out, Notice{Endpoint: e.incarnation, Rate: e.rate, Age: now.Sub(e.at)})
+		}
 	}
+	SortNotices(out)
 	return out
 }
 
-// Expire drops the entries of unknown endpoints that are older than retention, and of ended
-// limits that no notice under way could contradict any more.
+// Expire drops the entries of unknown endpoints and former runs that are older than retention, and
+// of ended limits that no notice under way could contradict any more.
 func (t *Table) Expire(now time.Time, known func(id string) bool) {
-	for id, e := range t.entries {
-		age := now.Sub(e.at)
-		if (e.rate == 0 && age > endedRetention) || (age > retention && !known(id)) {
-			delete(t.entries, id)
+	for id, r := range t.endpoints {
+		r.expire(now, known(id))
+		if len(r.entries) == 0 && !known(id) {
+			delete(t.endpoints, id)
 		}
 	}
 }
--- a/throttle/table_test.go
+++ b/throttle/table_test.go
@@ -1,6 +1,8 @@
 package throttle
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,3 +110,64 @@
 		t.Errorf("the limit of the run that answers now is %g, want 3", rate)
 	}
 }
+
+// TestLimitOfARunThatRecordsTell has a host read the record of a run with the earlier clock beside
+// the answers of both runs, in each order, all within a moment: the limit of the present run holds,
+// and no other.
+func TestLimitOfARunThatRecordsTell(t *testing.T) {
+	former, present := incarnation(2), incarnation(1)
+	steps := map[string]func(*Table){
+		"former named": func(t *Table) { t.Name(at(1000), former, 5) },
+		"former told":  func(t *Table) { t.Merge(at(1300), Notice{Endpoint: former, Rate: 4}) },
+		"present told": func(t *Table) { t.Merge(at(1200), Notice{Endpoint: present, Rate: 3}) },
+		"record":       func(t *Table) { t.Begin(present) },
+	}
+	for _, order := range permutations(slices.Sorted(maps.Keys(steps))) {
+		table := NewTable()
+		for _, step := range order {
+			steps[step](table)
+		}
+		if got, other := table.Rate(present), table.Rate(former); got != 3 || other != 0 {
+			t.Errorf("%q: limits %g and %g of the former run, want 3 and 0", order, got, other)
+		}
+		next := NewTable()
+		for _, n := range table.Notices(at(2000)) {
+			next.Merge(at(2000), n)
+		}
+		next.Begin(present)
+		if got := next.Rate(present); got != 3 {
+			t.Errorf("%q: the next host knows the limit %g, want 3", order, got)
+		}
+	}
+}
+
+// permutations returns the orders of a list.
+func permutations(list []string) [][]string {
+	if len(list) == 0 {
+		return [][]string{nil}
+	}
+	var out [][]string
+	for i, first := range list {
+		rest := slices.Delete(slices.Clone(list), i, i+1)
+		for _, p := range permutations(rest) {
+			out = append(out, append([]string{first}, p...))
+		}
+	}
+	return out
+}
+
+// TestManyRunsAreBounded restarts an endpoint often: the table keeps the present run and few others.
+func TestManyRunsAreBounded(t *testing.T) {
+	table := NewTable()
+	table.Begin(incarnation(0))
+	for i := range 100 {
+		table.Name(at(i), incarnation(i), 2)
+	}
+	if n := len(table.Notices(at(100))); n > maxRuns || table.Rate(incarnation(0)) != 2 {
+		t.Errorf("%d runs are kept, the limit of the present one is %g", n, table.Rate(incarnation(0)))
+	}
+	table.Expire(start.Add(retention+time.Second), func(string) bool { return true })
+	if n := len(table.Notices(at(100))); n != 1 || table.Rate(incarnation(0)) != 2 {
+		t.Errorf("%d runs are left, the limit of the present one is %g", n, table.Rate(incarnation(0)))
+	}
+}
