--- a/e2e/runfleet_test.go
+++ b/e2e/runfleet_test.go
@@ -32,7 +32,8 @@
 // sent it, and keep the connections of their streams open.
 type runFleet struct {
 	*routedFleet
-	// versions are those of the engines, by name.
+	// mu guards the engines that are added later, and versions, by their names.
+	mu       sync.Mutex
 	versions map[string]string
 }
 
@@ -65,18 +66,22 @@
 	return f
 }
 
-// engine returns the engine of a name, or nil.
-func (f *runFleet) engine(name string) *standin.Replica {
+// engine returns the engine of a name and its version, or nil.
+func (f *runFleet) engine(name string) (*standin.Replica, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, r := range f.engines {
 		if r.RunName() == name {
-			return r
+			return r, f.versions[name]
 		}
 	}
-	return nil
+	return nil, ""
 }
 
 // runsOf returns the runs of a request at all engines.
 func (f *runFleet) runsOf(id string) (out []standin.ReplicaRun) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, r := range f.engines {
 		for _, run := range r.Runs() {
 			if run.Request == id {
@@ -94,8 +99,12 @@
 	if ended && len(events) != runEvents {
 		return fmt.Sprintf("complete after %d of %d events", len(events), runEvents)
 	}
+	first := ""
 	for i, e := range events {
-		r := f.engine(e.replica)
+		r, version := f.engine(e.replica)
+		if first == "" {
+			first = version
+		}
 		if r == nil || e.run >= len(r.Runs()) {
 			return fmt.Sprintf("event %d is of no run: %+v", i+1, e)
 		}
@@ -105,8 +114,8 @@
 			return fmt.Sprintf("event %d has the number %d", i+1, e.number)
 		case begins && after != i:
 			return fmt.Sprintf("a run goes on behind event %d and was asked behind %d", i, after)
-		case f.versions[e.replica] != f.versions[events[0].replica]:
-			return fmt.Sprintf("event %d is of %s, the first of %s", i+1, f.versions[e.replica], f.versions[events[0].replica])
+		case version != first:
+			return fmt.Sprintf("event %d is of %s, the first of %s", i+1, version, first)
 		}
 	}
 	return ""
@@ -227,7 +236,8 @@
 // anywhere.
 type lotReader struct {
 	*runFleet
-	mu sync.Mutex
+	// lotsMu guards what follows.
+	lotsMu sync.Mutex
 	// items are the sizes of the jobs, results what their positions held as they were read first.
 	items   map[string]int
 	results map[string][]string
@@ -246,15 +256,15 @@
 		at++
 		return g.sendFor(3*time.Second, http.MethodPost, "/lots-in/"+id, id, job(id, items), nil).status == http.StatusAccepted
 	})
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.lotsMu.Lock()
+	defer l.lotsMu.Unlock()
 	l.items[id] = items
 }
 
 // known returns the jobs that were accepted.
 func (l *lotReader) known() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.lotsMu.Lock()
+	defer l.lotsMu.Unlock()
 	out := make([]string, 0, len(l.items))
 	for id := range l.items {
 		out = append(out, id)
@@ -269,9 +279,9 @@
 		group.Go(func() {
 			for {
 				for _, id := range l.known() {
-					l.mu.Lock()
+					l.lotsMu.Lock()
 					behind := len(l.results[id])
-					l.mu.Unlock()
+					l.lotsMu.Unlock()
 					l.readAt(g, id, 0)
 					l.readAt(g, id, behind)
 				}
@@ -294,8 +304,8 @@
 	}
 	var shown lot
 	err := json.Unmarshal(answer.body, &shown)
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.lotsMu.Lock()
+	defer l.lotsMu.Unlock()
 	if answer.status != http.StatusOK || err != nil || shown.Total != l.items[id] || shown.Next != after+len(shown.Results) {
 		l.t.Errorf("job %s at %s after %d: status %d, error %v, total %d of %d, next %d behind %d results",
 			id, g.name, after, answer.status, err, shown.Total, l.items[id], shown.Next, len(shown.Results))
--- a/e2e/strandedfaults_test.go
+++ b/e2e/strandedfaults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -158,3 +159,37 @@
 		t.Errorf("status %d, %d events, the first after %s, all after %s", status, events, firstEvent, time.Since(begun))
 	}
 }
+
+// TestRoutesHelperThatStoodStillWithWorkOfAStrandedHost stops the host through which a call reached its
+// endpoint, and has it go on while the call is at another endpoint, or still waits for it: a stream that
+// may be resumed is whole, and no answer looks complete that is not.
+func TestRoutesHelperThatStoodStillWithWorkOfAStrandedHost(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []*callKind{singleCall, streamCall} {
+		for _, stopFor := range []time.Duration{600 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%s, %s", kind.name, stopFor), func(t *testing.T) {
+				t.Parallel()
+				f := newStrandedFleet(t)
+				f.slowEngines()
+				f.strand(cutHang, f.hosts[1])
+				ctx, cancel := context.WithTimeout(context.Background(), 2*strandedPatience)
+				defer cancel()
+				run, answer := f.callForRun(ctx, f.hosts[1], kind, "helped")
+				helper := f.sender(run)
+				if helper == f.hosts[1] {
+					t.Fatal("the host that is cut reached the endpoint itself")
+				}
+				// The stream is in its middle.
+				time.Sleep(500 * time.Millisecond)
+				helper.freeze()
+				time.Sleep(stopFor)
+				helper.thaw()
+				a := answer()
+				f.checkPromises([]*callAttempt{a})
+				if kind == streamCall && !a.served() {
+					t.Errorf("the stream did not go on: %s", a)
+				}
+			})
+		}
+	}
+}
