upstream, forward, detour: an open response that may have been stopped at its deadline is not whole

What callers saw: a stream that ended as complete in its middle (ORDER: it ends as complete before its last piece), where the time-out of its route is shorter than the caller waits.

Cause: the endpoint is told the time that is left, in whole milliseconds, and stops at it, up to a millisecond before the host's own deadline. Where its response has neither length nor chunks, it closes the connection as at a regular end and lives on, so that the question whether it is alive is answered with yes, and the end counted as that of the stream. On the host's own deadline it would have been broken off.

Change: a call knows the deadline that its endpoint was told; the end of an open body is not believed from 10 ms before it on, since endpoints count in milliseconds by a clock of their own. The same at a host that has another one make the call.

Whether the users' endpoints stop so is not known: their pages say that they stop work at the value that they receive, and not how.

--- a/detour/openend_test.go
+++ b/detour/openend_test.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/standin"
 	"github.com/peridotmount/peridotmount/upstream"
 )
 
@@ -51,3 +54,40 @@
 		})
 	}
 }
+
+// TestOpenResponseThroughAnotherHostAtItsDeadline guards against a response without length or chunks that is
+// taken for whole though its endpoint may have stopped at the deadline, with and without another host that
+// makes the call.
+func TestOpenResponseThroughAnotherHostAtItsDeadline(t *testing.T) {
+	for name, stranded := range map[string]bool{"own link": false, "another host": true} {
+		t.Run(name, func(t *testing.T) {
+			r, err := standin.StartReplica("e0", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(r.Close)
+			r.SetFaults(standin.ReplicaFaults{Unframed: true})
+			hosts := startTestHosts(t, 2, &testEndpoint{address: r.Address()}, func(int, *Options) {})
+			address := r.Address()
+			if stranded {
+				hosts[0].strand(t)
+				address = closedAddress
+			}
+			for id, left := range map[string]time.Duration{"none": 0, "long": testTimeout, "over": -time.Millisecond} {
+				call := &upstream.Call{Request: id, Method: http.MethodPost, Target: "/x", Host: "caller.example",
+					Header: http.Header{"X-Request-Id": {id}}, Matches: platform.Answers(id)}
+				if left != 0 {
+					call.Deadline = time.Now().Add(left)
+				}
+				resp, err := hosts[0].sender.Send(testContext(t), "e0", address, call)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadAll(resp); errors.Is(err, upstream.ErrTruncated) != (id == "over") || err != nil && id != "over" {
+					t.Errorf("deadline %s: error %v", id, err)
+				}
+				resp.Close()
+			}
+		})
+	}
+}
--- a/forward/try.go
+++ b/forward/try.go
@@ -83,7 +83,9 @@
 	a := &attempt{placement: placement, started: now}
 	var attemptCtx context.Context
 	attemptCtx, a.cancel = context.WithCancel(ctx)
-	header := platform.ForwardHeader(req.http.Header, req.timeLeft(now), e.ID)
+	// Endpoints are told whole milliseconds.
+	left := req.timeLeft(now).Truncate(time.Millisecond)
+	header := platform.ForwardHeader(req.http.Header, left, e.ID)
 	if lastEvent != "" {
 		platform.SetLastEvent(header, lastEvent)
 	}
@@ -99,6 +101,7 @@
 		Body:       req.body,
 		Matches:    platform.Answers(req.ID),
 		Fresh:      lastEvent != "",
+		Deadline:   now.Add(left),
 		Check:      f.check(e, header),
 		OnResponse: platform.Heads(platform.Leaving(e, f.opts.OnLeaving), platform.Limit(e, req.ID, clock.Now(), f.opts.OnLimit)),
 	})
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -31,6 +31,8 @@
 	Pace time.Duration
 	// NameRuns has the data of each event name the run that sent it.
 	NameRuns bool
+	// KeepDeadlines ends streams at the time that their requests state, in the middle if need be.
+	KeepDeadlines bool
 	// KeepStreams leaves the connection of a stream open that has a length or chunks.
 	KeepStreams bool
 	// RepeatRuns repeats, as a request arrives on a connection that carried a stream, the last
@@ -68,7 +70,7 @@
 	After int
 	// At is when it arrived.
 	At time.Time
-	// Ended tells how it ended: "whole", "cut", "crashed" or "left" by the caller.
+	// Ended tells how it ended: "whole", "cut", "crashed", "stopped" at its deadline or "left" by the caller.
 	Ended string
 }
 
@@ -331,7 +333,7 @@
 		r.end(run, "cut")
 		return r.abort(c)
 	}
-	sent := 0
+	sent, deadline := 0, r.deadlineOf(req)
 	for n := r.afterOf(run) + 1; n <= r.Events || f.Endless || f.CommentsAfter > 0; n++ {
 		event := r.event(id, n, run)
 		if f.Comments {
@@ -382,6 +384,9 @@
 		sent++
 		select {
 		case <-time.After(r.Pace):
+		case <-deadline:
+			r.end(run, "stopped")
+			return false
 		case <-left.Done():
 			r.end(run, "left")
 			return false
--- a/standin/replicalife.go
+++ b/standin/replicalife.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"fmt"
 	"net"
+	"net/http"
+	"strconv"
+	"time"
 )
 
 // StopListening closes the replica's listener. What it has accepted goes on.
@@ -47,3 +50,12 @@
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
+
+// deadlineOf returns the deadline of a request, or nil if it is not kept.
+func (r *Replica) deadlineOf(req *http.Request) <-chan time.Time {
+	left, err := strconv.Atoi(req.Header.Get("X-Deadline-Ms"))
+	if err != nil || !r.KeepDeadlines {
+		return nil
+	}
+	return time.After(time.Duration(left) * time.Millisecond)
+}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -87,13 +87,13 @@
 }
 
 // checkEnd returns io.EOF if the body is complete where it ended, and ErrTruncated if not. A
-// process that dies has its connections closed as those of a complete open body.
+// process that dies, or stops at a deadline, may close its connections as those of a complete open body.
 func (r *Response) checkEnd() error {
 	if !r.Open || r.confirmEnd == nil {
 		return io.EOF
 	}
 	if err := r.confirmEnd(); err != nil {
-		return errors.Wrapf(ErrTruncated, "its endpoint, which stated no length, is gone: %v", err)
+		return errors.Wrapf(ErrTruncated, "it has no length, and its end is not sure: %v", err)
 	}
 	return io.EOF
 }
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -1,6 +1,18 @@
 package upstream
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// stopMargin is how long before its deadline an endpoint may stop: it counts in milliseconds, by a clock
+// of its own.
+const stopMargin = 10 * time.Millisecond
+
+// errStopped means that a response may have been stopped at the deadline of its call.
+var errStopped = errors.New("the endpoint may have stopped at its deadline")
 
 // Call is one request to an endpoint.
 type Call struct {
@@ -20,6 +32,8 @@
 	// Fresh sends the call on a new connection. A response to an earlier call of the same request may
 	// still arrive on one that was used before, and has the same id.
 	Fresh bool
+	// Deadline is the time that the endpoint was told, at which it stops; zero if it was told none.
+	Deadline time.Time
 	// Check has to pass on the connection first, unless it is for the end only; nil sends the call at
 	// once.
 	Check *Check
@@ -34,3 +48,12 @@
 	}
 	return c.Matches(resp.StatusCode, resp.Header)
 }
+
+// ConfirmEnd returns an error if the end of an open body may be that of a call that its endpoint
+// stopped at the deadline: it closes the connection as at a regular end, and lives on.
+func (c *Call) ConfirmEnd() error {
+	if !c.Deadline.IsZero() && time.Until(c.Deadline) <= stopMargin {
+		return errStopped
+	}
+	return nil
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -63,7 +63,12 @@
 	}
 	x.report(ctx, nil)
 	out := newResponse(x, resp)
-	out.ConfirmEnd(func() error { return p.alive(ctx, key, address, call.Check) })
+	out.ConfirmEnd(func() error {
+		if err := call.ConfirmEnd(); err != nil {
+			return err
+		}
+		return p.alive(ctx, key, address, call.Check)
+	})
 	return out, nil
 }
 
