e2e: listeners of tests have addresses of their own

Tests looked for a free port by listening for a moment, and started a daemon at it later. Another test process, or a listener at any port of the same address, could take it meanwhile: "bind: address already in use", seen as "gave up waiting: host-1 ready" where soaks ran side by side.

Endpoints of the order soak, which start again at their addresses, have such ones too; before, the local port of any connection could take theirs while they were down.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -109,7 +109,7 @@
 
 func (f *fleet) standin(kind string, args ...string) (*process, string) {
 	f.t.Helper()
-	address := freeAddress(f.t)
+	address := ownAddress(f.t)
 	p := start(f.t, kind, "peridotmount-standin", append([]string{kind, "--listen", address}, args...)...)
 	awaitListening(f.t, address)
 	return p, "http://" + address
@@ -145,7 +145,7 @@
 func (f *fleet) addDaemon(name, extra string) *daemon {
 	f.t.Helper()
 	i := len(f.daemons)
-	callers, operators, peers := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	callers, operators, peers := ownAddress(f.t), ownAddress(f.t), ownAddress(f.t)
 	text := fmt.Sprintf(`[host]
 name = %s
 zone = %s
--- a/e2e/hostlink_test.go
+++ b/e2e/hostlink_test.go
@@ -57,10 +57,10 @@
 	silent atomic.Bool
 }
 
-// newHostLink returns a link that listens at an IP address.
-func newHostLink(t *testing.T, target, ip string, source net.IP) *hostLink {
+// newHostLink returns a link to an endpoint, which sees connections from an IP address.
+func newHostLink(t *testing.T, target string, source net.IP) *hostLink {
 	t.Helper()
-	p := &hostLink{t: t, target: target, source: source, address: freeAddressAt(t, ip),
+	p := &hostLink{t: t, target: target, source: source, address: ownAddress(t),
 		ended: make(chan struct{}), healed: make(chan struct{}), pairs: make(map[*linkPair]bool)}
 	close(p.healed)
 	p.listen()
--- a/e2e/hostlinkparts_test.go
+++ b/e2e/hostlinkparts_test.go
@@ -28,7 +28,7 @@
 			}
 			t.Cleanup(r.Close)
 			source := net.IPv4(127, 0, 1, 7)
-			p := newHostLink(t, r.Address(), listenersOnly, source)
+			p := newHostLink(t, r.Address(), source)
 			for round := range 2 {
 				kept, err := net.Dial("tcp", p.address)
 				if err != nil {
--- a/e2e/hostlinks_test.go
+++ b/e2e/hostlinks_test.go
@@ -101,7 +101,7 @@
 	defer l.mu.Unlock()
 	p := l.proxies[string(base)]
 	if p == nil {
-		p = newSoakProxyAt(l.t, strings.TrimPrefix(string(base), "http://"), listenersOnly+":0")
+		p = newSoakProxyAt(l.t, strings.TrimPrefix(string(base), "http://"), ownAddress(l.t))
 		l.proxies[string(base)] = p
 		l.apply(p)
 	}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -112,41 +110,3 @@
 
 func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
 func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
-
-// handedOut holds the addresses that freeAddress returned: the system may give
-// a port again as soon as its listener is closed.
-var handedOut sync.Map
-
-// freeAddress returns a loopback address that nothing listens on and that it
-// has not returned before.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	return freeAddressAt(t, "127.0.0.1")
-}
-
-// listenersOnly is a loopback address that no connection is made from, so that a
-// process that is started again finds its port as it left it.
-const listenersOnly = "127.0.0.2"
-
-func freeAddressAt(t *testing.T, ip string) string {
-	t.Helper()
-	for {
-		address := listenOnce(t, ip)
-		if _, taken := handedOut.LoadOrStore(address, true); !taken {
-			return address
-		}
-	}
-}
-
-func listenOnce(t *testing.T, ip string) string {
-	t.Helper()
-	// A process that is started meanwhile would hold the listener for a moment.
-	syscall.ForkLock.RLock()
-	defer syscall.ForkLock.RUnlock()
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -34,9 +34,6 @@
 	// storeAddress is where the store is served.
 	storeAddress string
 	gateways     []*gateway
-	// loopback is the IP address of the hosts' listeners, listenersOnly if it is empty: fleets
-	// that run side by side have one each.
-	loopback string
 	// controls are the control addresses of the first hosts.
 	controls []string
 	// quota is that of the route for batch jobs; zero means routedQuota.
@@ -135,14 +132,9 @@
 
 func (f *routedFleet) newGateway(name, store string) *gateway {
 	f.t.Helper()
-	loopback := f.loopback
-	if loopback == "" {
-		loopback = listenersOnly
-	}
-	callers, ready := freeAddressAt(f.t, loopback), freeAddressAt(f.t, loopback)
-	peers := freeAddressAt(f.t, loopback)
+	callers, ready, peers := ownAddress(f.t), ownAddress(f.t), ownAddress(f.t)
 	for len(f.controls) < 3 {
-		f.controls = append(f.controls, freeAddressAt(f.t, loopback))
+		f.controls = append(f.controls, ownAddress(f.t))
 	}
 	control := ""
 	if n := len(f.gateways); n < len(f.controls) {
--- a/e2e/soaklife_test.go
+++ b/e2e/soaklife_test.go
@@ -54,7 +54,7 @@
 // scaleOut adds endpoints of any version for a time, of which some crash and the others drain.
 func (o *orderSoak) scaleOut(_ *soak, r *rand.Rand, d time.Duration) {
 	for range 1 + r.IntN(3) {
-		e := o.incarnate("127.0.0.1:0", fmt.Sprintf("extra-%x", r.Uint32()), versionOf(r.IntN(2)), r)
+		e := o.incarnate(ownAddress(o.t), fmt.Sprintf("extra-%x", r.Uint32()), versionOf(r.IntN(2)), r)
 		if e == nil {
 			return
 		}
@@ -100,7 +100,7 @@
 	case 0, 1:
 		next.id = fmt.Sprintf("engine-%d.%x", i, r.Uint32())
 	case 2:
-		next.address = "127.0.0.1:0"
+		next.address = ownAddress(o.t)
 	}
 	if r.IntN(2) == 0 {
 		next.version = versionOf(r.IntN(2))
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -97,7 +97,7 @@
 
 // engine starts an endpoint of a software version. o.mu must not be held.
 func (o *orderSoak) engine(r *rand.Rand, id, version string) *standin.Replica {
-	e := o.incarnate("127.0.0.1:0", id, version, r)
+	e := o.incarnate(ownAddress(o.t), id, version, r)
 	if e == nil {
 		o.t.FailNow()
 	}
@@ -189,7 +189,7 @@
 			if bytes.HasPrefix(line, []byte("name")) {
 				return fmt.Appendf(nil, "name = %s.%x", g.name, r.Uint32())
 			}
-			return fmt.Appendf(nil, "peers = %s", freeAddressAt(s.t, listenersOnly))
+			return fmt.Appendf(nil, "peers = %s", ownAddress(s.t))
 		})
 		if err := os.WriteFile(g.file, text, 0o600); err != nil {
 			s.t.Error(err)
--- a/e2e/strandedfleet_test.go
+++ b/e2e/strandedfleet_test.go
@@ -76,17 +76,15 @@
 	strandedSlots  = make(chan struct{}, 3)
 )
 
-// loopbackOf returns a loopback address of a fleet: the first is for listeners, the others are
-// what endpoints see of its hosts.
-func loopbackOf(fleet, n byte) net.IP { return net.IPv4(127, 1, fleet, n) }
+// sourceOf returns the loopback address that endpoints see of a host of a fleet.
+func sourceOf(fleet byte, host int) net.IP { return net.IPv4(127, 1, fleet, byte(2+host)) }
 
 func newStrandedFleet(t *testing.T) *strandedFleet {
 	t.Helper()
 	strandedSlots <- struct{}{}
 	t.Cleanup(func() { <-strandedSlots })
 	number := byte(strandedFleets.Add(1))
-	f := &strandedFleet{number: number, routedFleet: &routedFleet{
-		t: t, store: standin.NewStore(standin.StoreFaults{}), loopback: loopbackOf(number, 1).String()}}
+	f := &strandedFleet{number: number, routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{})}}
 	for i := range 3 {
 		r := f.replica(fmt.Sprintf("engine-%d", i), "engines", strandedEvents)
 		r.SetFaults(standin.ReplicaFaults{Announced: true})
@@ -113,11 +111,11 @@
 // endpoints are at its links.
 func (f *strandedFleet) newHost(i int) *linkedHost {
 	f.t.Helper()
-	source := loopbackOf(f.number, byte(2+i))
+	source := sourceOf(f.number, i)
 	h := &linkedHost{source: source.String(), links: make(map[string]*hostLink)}
 	target := make(map[string]string)
 	for _, r := range f.endpoints() {
-		h.links[r.ID], target[r.ID] = newHostLink(f.t, r.Address(), f.loopback, source), r.Address()
+		h.links[r.ID], target[r.ID] = newHostLink(f.t, r.Address(), source), r.Address()
 	}
 	view := f.serve(f.store.View(func(topic, key string, value []byte) []byte {
 		if link := h.links[key]; link != nil && topic == platform.TopicEndpoints.Name {
