e2e: the order soak keeps the logs of each mixed stream

The logs of all hosts' processes now stay in TEST_LOGS whenever there is one, and each is printed with its caller's attempts: host, process, request id, status and times. A stream whose order is wrong is printed with them too.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -20,6 +20,8 @@
 	done chan struct{}
 	// began is when it was started.
 	began time.Time
+	// keepsLog has its log kept though the test passes.
+	keepsLog bool
 }
 
 // start runs a built command until the test ends; its log is printed if the
@@ -68,6 +70,9 @@
 		data, _ := os.ReadFile(p.log.Name())
 		t.Logf("log of %s:\n%s", p.name, tail(data))
 		p.keep(t, data)
+	} else if p.keepsLog {
+		data, _ := os.ReadFile(p.log.Name())
+		p.keep(t, data)
 	}
 	_ = p.log.Close()
 }
--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -34,6 +34,7 @@
 	// storeAddress is where the store is served.
 	storeAddress string
 	gateways     []*gateway
+	processes    hostProcesses
 	// controls are the control addresses of the first hosts.
 	controls []string
 	// quota is that of the route for batch jobs; zero means routedQuota.
@@ -159,14 +160,14 @@
 		f.t.Fatal(err)
 	}
 	g := &gateway{file: file, callers: "http://" + callers, ready: "http://" + ready + "/ready"}
-	g.process = start(f.t, name, "peridotmountd", "routes", "--settings", file)
+	g.process = f.processes.add(start(f.t, name, "peridotmountd", "routes", "--settings", file))
 	return g
 }
 
 // restart starts a gateway again after its process ended.
 func (f *routedFleet) restart(g *gateway) {
 	f.t.Helper()
-	g.process = start(f.t, g.name, "peridotmountd", "routes", "--settings", g.file)
+	g.process = f.processes.add(start(f.t, g.name, "peridotmountd", "routes", "--settings", g.file))
 }
 
 func (f *routedFleet) awaitReady(gateways ...*gateway) {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -125,7 +125,7 @@
 
 // spawn starts a gateway's process again.
 func (s *soak) spawn(g *gateway) *process {
-	return start(s.t, g.name, "peridotmountd", "routes", "--settings", g.file)
+	return s.processes.add(start(s.t, g.name, "peridotmountd", "routes", "--settings", g.file))
 }
 
 // awaitListeningGateway waits until a gateway answers, so that it handles signals.
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -39,10 +39,7 @@
 	// versions and replicas are by the name that events have.
 	versions map[string]string
 	replicas map[string]*standin.Replica
-	// mixed are the streams and items of two versions, with the first event that shows it; whole counts those
-	// that were whole, resumed those that went on after a break.
-	mixed          map[string]string
-	whole, resumed int
+	orderOutcomes
 }
 
 // runEvent is an event as a caller got it.
@@ -73,7 +70,7 @@
 			routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{}), quota: orderQuota},
 			version:     1, inHand: make(locks, soakGateways),
 		},
-		life: newLife(), mixed: make(map[string]string), versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
+		life: newLife(), orderOutcomes: orderOutcomes{mixed: make(map[string]*mixedStream)}, versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
 	}
 	o.isOutput = func(item, text string) bool { return o.checkText(item, text) }
 	o.faults = []soakFault{
@@ -201,6 +198,7 @@
 
 // run plays a seed and checks what the callers saw.
 func (o *orderSoak) run(seed uint64) {
+	defer o.report()
 	duties, begin := o.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
 	begin(keptSeries, o.answerWrongly(newKeptDeck(seed)))
@@ -228,7 +226,6 @@
 	if o.whole == 0 || o.resumed == 0 {
 		o.t.Errorf("%d streams and items were whole, %d went on after a break", o.whole, o.resumed)
 	}
-	o.t.Logf("%d streams and items were whole, %d went on after a break, mixed: %v", o.whole, o.resumed, o.mixed)
 }
 
 // streams opens streams, leaves some in their middle, and takes those that break off up again at any
@@ -237,6 +234,7 @@
 	for n := 0; !o.over(); n++ {
 		first, tries, began := "", 0, time.Now()
 		var events []runEvent
+		var attempts []streamAttempt
 		ended := false
 		for !ended && tries < orderTries && time.Since(began) < orderPatience {
 			id := fmt.Sprintf("%s-%d-%d", name, n, tries)
@@ -249,19 +247,18 @@
 			if r.IntN(2) == 0 {
 				wait = time.Duration(100+r.IntN(600)) * time.Millisecond
 			}
-			answer := o.gateways[r.IntN(len(o.gateways))].sendFor(wait, http.MethodPost, "/stream/x", id, fmt.Appendf(nil, "prompt %s %d", name, n), header)
-			got := wholeEvents(o.t, id, string(answer.body))
-			if answer.status != http.StatusOK {
-				got = nil
+			a := o.attempt(o.gateways[r.IntN(len(o.gateways))], wait, streamAttempt{request: id, after: len(events)},
+				fmt.Appendf(nil, "prompt %s %d", name, n), header)
+			if a.reply.status != http.StatusOK {
 				time.Sleep(50 * time.Millisecond)
 			}
-			if len(events) == 0 && len(got) > 0 {
+			if len(events) == 0 && len(a.events) > 0 {
 				first = id
 			}
-			events = append(events, got...)
-			ended = answer.err == nil && answer.status == http.StatusOK
+			attempts, events = append(attempts, a), append(events, a.events...)
+			ended = a.reply.err == nil && a.reply.status == http.StatusOK
 		}
-		o.checkEvents("stream "+first, events, ended)
+		o.checkEvents("stream "+first, events, ended, attempts)
 	}
 }
 
@@ -304,10 +301,15 @@
 	return o.sameText(item, text) && o.checkEventsLocked("item "+item, events, true)
 }
 
-func (o *orderSoak) checkEvents(what string, events []runEvent, ended bool) {
+func (o *orderSoak) checkEvents(what string, events []runEvent, ended bool, attempts []streamAttempt) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.checkEventsLocked(what, events, ended)
+	if !o.checkEventsLocked(what, events, ended) {
+		o.t.Errorf("attempts of %s: %s", what, &mixedStream{attempts: attempts})
+	}
+	if m := o.mixed[what]; m != nil {
+		m.attempts = attempts
+	}
 }
 
 // checkEventsLocked checks the order of events: none is missing or comes twice, a run goes on behind
@@ -329,7 +331,7 @@
 		o.t.Errorf("%s (ended %t): %v", what, ended, events)
 	}
 	if mixed != "" {
-		o.mixed[what] = mixed
+		o.mixed[what] = &mixedStream{shown: mixed}
 	}
 	if ended && right {
 		o.whole++
