e2e: the order soak counts refused take-ups and lost schedulers

A fix of ORDER that refuses more streams costs what callers get, and a scheduler that is given up without a fault is where wrong beliefs begin.

--- a/e2e/hostprocesses_test.go
+++ b/e2e/hostprocesses_test.go
@@ -1,6 +1,9 @@
 package e2e
 
-import "sync"
+import (
+	"os"
+	"sync"
+)
 
 // hostProcesses are the processes of hosts that a fleet started, those that ended too.
 type hostProcesses struct {
@@ -23,3 +26,18 @@
 		p.keepsLog = true
 	}
 }
+
+// counts counts what the logs tell so far.
+func (h *hostProcesses) counts() (*logCounts, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	counts := newLogCounts()
+	for _, p := range h.all {
+		log, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			return nil, err
+		}
+		counts.add(log)
+	}
+	return counts, nil
+}
