e2e: sizes and freezes in series of the order soak

SOAK_HOSTS and SOAK_ENDPOINTS set the size, with two callers for each endpoint as before, and SOAK_FREEZES=1 has six freezes in the list of faults beside one kill. The defaults play what they played: the same faults in the same order.

--- a/e2e/soaklife_test.go
+++ b/e2e/soaklife_test.go
@@ -91,7 +91,7 @@
 
 // restart ends an endpoint and starts another at its address, mostly under its id, of any version.
 func (o *orderSoak) restart(_ *soak, r *rand.Rand, d time.Duration) {
-	i := r.IntN(orderEngines)
+	i := r.IntN(o.size.endpoints)
 	old, next := o.take(i)
 	if old == nil {
 		return
@@ -142,7 +142,7 @@
 	part := fmt.Sprintf("%08x", r.Uint32())
 	o.mu.Lock()
 	var engines []*standin.Replica
-	taken := r.Perm(orderEngines)[:crashEngines]
+	taken := r.Perm(o.size.endpoints)[:crashEngines]
 	for _, i := range taken {
 		engines = append(engines, o.engines[i])
 	}
@@ -180,7 +180,7 @@
 	d += time.Second
 	for range 1 + r.IntN(3) {
 		o.mu.Lock()
-		e := o.engines[r.IntN(orderEngines)]
+		e := o.engines[r.IntN(o.size.endpoints)]
 		o.mu.Unlock()
 		e.Pause(d)
 	}
@@ -190,7 +190,7 @@
 // unframe has endpoints answer without a length and chunks, and crash meanwhile: their kernels close
 // their connections.
 func (o *orderSoak) unframe(_ *soak, r *rand.Rand, d time.Duration) {
-	taken := r.Perm(orderEngines)[:unframedEngines]
+	taken := r.Perm(o.size.endpoints)[:unframedEngines]
 	olds, nexts := make([]*standin.Replica, unframedEngines), make([]lifeRestart, unframedEngines)
 	for n, i := range taken {
 		if olds[n], nexts[n] = o.take(i); olds[n] != nil {
@@ -210,7 +210,7 @@
 // restartBeside has an endpoint start again with the other version while those of the version that
 // it had break their streams off, and writes its record late.
 func (o *orderSoak) restartBeside(_ *soak, r *rand.Rand, d time.Duration) {
-	i := r.IntN(orderEngines)
+	i := r.IntN(o.size.endpoints)
 	old, next := o.take(i)
 	if old == nil {
 		return
--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// orderEngines is the number of endpoints of the order soak that serve at a time.
+	// orderEngines is the number of endpoints of the order soak that serve at a time, unless SOAK_ENDPOINTS
+	// says another.
 	orderEngines = 8
 	// orderQuota is a quota that some jobs exceed.
 	orderQuota = 8000
@@ -35,6 +36,7 @@
 // callers take streams up again. Each event names the run that sent it.
 type orderSoak struct {
 	*soak
+	size soakSize
 	life life
 	// versions and replicas are by the name that events have.
 	versions map[string]string
@@ -56,7 +58,7 @@
 // for others at new addresses, endpoints of two software versions are replaced, crash and break off, and the store fails and
 // does writes seconds late: no event may be missing or come twice, each run that goes on was asked
 // to, at the version that began, and no position, total or configuration may go back. SOAK_SEEDS
-// plays so many fresh seeds, SOAK_SEED one.
+// plays so many fresh seeds, SOAK_SEED one; SOAK_HOSTS, SOAK_ENDPOINTS and SOAK_FREEZES change the fleet and its faults.
 func TestSoakOrder(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newOrderSoak(t).run(seed) })
@@ -65,25 +67,27 @@
 
 func newOrderSoak(t *testing.T) *orderSoak {
 	t.Helper()
+	size := newSoakSize(t)
 	o := &orderSoak{
+		size: size,
 		soak: &soak{
 			routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{}), quota: orderQuota},
-			version:     1, inHand: make(locks, soakGateways),
+			version:     1, inHand: make(locks, size.hosts),
 		},
 		life: newLife(), orderOutcomes: orderOutcomes{mixed: make(map[string]*mixedStream)}, versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
 	}
 	o.isOutput = func(item, text string) bool { return o.checkText(item, text) }
-	o.faults = []soakFault{
-		soakKill, soakKill, soakTerminate, soakFreeze, soakReload, soakStoreOutage, soakStoreSlow, soakTrim, soakStoreLink, soakConfigure,
+	o.faults = append(hostFaults(t),
+		soakReload, soakStoreOutage, soakStoreSlow, soakTrim, soakStoreLink, soakConfigure,
 		orderLate, orderLate, orderMove, orderMove, o.replace, o.replace, o.replace, o.crash, o.breakOff, o.breakOff, o.turnAway, o.turnAway,
-	}
+	)
 	store := o.serveStore()
-	for i := range orderEngines {
+	for i := range size.endpoints {
 		o.engines = append(o.engines, o.engine(rand.New(rand.NewPCG(0, uint64(i))), fmt.Sprintf("engine-%d", i), versionOf(i)))
 	}
 	o.plain = append(o.plain, o.replica("plain-0", "plain", 0))
 	soakConfigure(o.soak, nil, 0)
-	for i := range soakGateways {
+	for i := range size.hosts {
 		link := newSoakProxy(t, store)
 		o.storeLinks = append(o.storeLinks, link)
 		o.gateways = append(o.gateways, o.newGateway(fmt.Sprintf("host-%d", i), link.address()))
@@ -106,7 +110,7 @@
 
 // exchange puts another endpoint in the place of one and returns the old one.
 func (o *orderSoak) exchange(r *rand.Rand, version func(old string) string) *standin.Replica {
-	i := r.IntN(orderEngines)
+	i := r.IntN(o.size.endpoints)
 	o.mu.Lock()
 	old := o.engines[i]
 	next := version(o.versions[old.RunName()])
@@ -138,7 +142,7 @@
 // breakOff has an endpoint break streams off, fall silent or refuse.
 func (o *orderSoak) breakOff(_ *soak, r *rand.Rand, d time.Duration) {
 	o.mu.Lock()
-	e := o.engines[r.IntN(orderEngines)]
+	e := o.engines[r.IntN(o.size.endpoints)]
 	o.mu.Unlock()
 	e.SetFaults([]standin.ReplicaFaults{
 		{CutAfter: 1 + r.IntN(19)}, {SilentAfter: 1 + r.IntN(19)}, {EndInsideAfter: 1 + r.IntN(19)}, {CutAtHead: true}, {NotRun: true}, {ResetBefore: true},
@@ -153,7 +157,7 @@
 	refusing := slices.Clone(o.engines)
 	o.mu.Unlock()
 	r.Shuffle(len(refusing), func(i, j int) { refusing[i], refusing[j] = refusing[j], refusing[i] })
-	refusing = refusing[:orderEngines/2]
+	refusing = refusing[:o.size.endpoints/2]
 	for _, e := range refusing {
 		e.SetFaults(standin.ReplicaFaults{RefuseFirst: true})
 	}
@@ -205,7 +209,7 @@
 	begin(lifeSeries, o.playLife)
 	begin(1, o.beat)
 	begin(1, o.readOn)
-	begin(16, o.streams)
+	begin(o.size.callers(), o.streams)
 	begin(2, o.submit)
 	begin(2, func(_ string, r *rand.Rand) { o.poll(r) })
 	for _, g := range o.gateways {
@@ -228,6 +232,16 @@
 	}
 }
 
+// hostFaults are the commonest harm to hosts. SOAK_FREEZES=1 freezes them in series, and kills fewer: a process
+// that stands still keeps what it believes.
+func hostFaults(t *testing.T) []soakFault {
+	t.Helper()
+	if soakSetting(t, "SOAK_FREEZES", 0) == 1 {
+		return []soakFault{soakKill, soakTerminate, soakFreeze, soakFreeze, soakFreeze, soakFreeze, soakFreeze, soakFreeze}
+	}
+	return []soakFault{soakKill, soakKill, soakTerminate, soakFreeze}
+}
+
 // streams opens streams, leaves some in their middle, and takes those that break off up again at any
 // host.
 func (o *orderSoak) streams(name string, r *rand.Rand) {
