e2e: host links find endpoints at the addresses of their process

The links of one host replaced endpoints' addresses by a pattern of 127.0.0.1, which moved: the host was cut off from nothing (TestStoppedHelperLeavesNoCallerWithoutAnswer, "gave up waiting: the host finds that it reaches no endpoint"). With the change it passes.

--- a/e2e/hostlinks_test.go
+++ b/e2e/hostlinks_test.go
@@ -35,9 +35,9 @@
 	cutOff manner
 }
 
-// endpointURL matches the address of an endpoint in its record. Its replacement has the same
-// length, as the records of a page are framed.
-var endpointURL = regexp.MustCompile(`http://127\.0\.0\.1:\d+`)
+// endpointURL matches the address of an endpoint in its record. Its replacement, which is of ownIP too, has the
+// same length, as the records of a page are framed.
+var endpointURL = regexp.MustCompile(`http://` + regexp.QuoteMeta(ownIP) + `:\d+`)
 
 func newHostLinks(t *testing.T, storeURL string) *hostLinks {
 	t.Helper()
--- a/e2e/ownaddress_test.go
+++ b/e2e/ownaddress_test.go
@@ -11,7 +11,7 @@
 
 const (
 	// firstOwnPort and lastOwnPort bound the ports that ownAddress returns: below those that the system
-	// gives to connections.
+	// gives to connections, and all of five digits.
 	firstOwnPort = 10_000
 	lastOwnPort  = 30_000
 )
