--- a/e2e/soakorder_test.go
+++ b/e2e/soakorder_test.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// orderEngines is the number of endpoints of the order soak that serve at a time.
+	// orderEngines is the number of endpoints of the order soak that serve at a time, unless SOAK_ENDPOINTS
+	// says another.
 	orderEngines = 8
 	// orderQuota is a quota that some jobs exceed.
 	orderQuota = 8000
@@ -35,14 +36,12 @@
 // callers take streams up again. Each event names the run that sent it.
 type orderSoak struct {
 	*soak
+	size soakSize
 	life life
 	// versions and replicas are by the name that events have.
 	versions map[string]string
 	replicas map[string]*standin.Replica
-	// mixed are the streams and items of two versions, with the first event that shows it; whole counts those
-	// that were whole, resumed those that went on after a break.
-	mixed          map[string]string
-	whole, resumed int
+	orderOutcomes
 }
 
 // runEvent is an event as a caller got it.
@@ -59,7 +58,7 @@
 // for others at new addresses, endpoints of two software versions are replaced, crash and break off, and the store fails and
 // does writes seconds late: no event may be missing or come twice, each run that goes on was asked
 // to, at the version that began, and no position, total or configuration may go back. SOAK_SEEDS
-// plays so many fresh seeds, SOAK_SEED one.
+// plays so many fresh seeds, SOAK_SEED one; SOAK_HOSTS, SOAK_ENDPOINTS and SOAK_FREEZES change the fleet and its faults.
 func TestSoakOrder(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newOrderSoak(t).run(seed) })
@@ -68,25 +67,27 @@
 
 func newOrderSoak(t *testing.T) *orderSoak {
 	t.Helper()
+	size := newSoakSize(t)
 	o := &orderSoak{
+		size: size,
 		soak: &soak{
 			routedFleet: &routedFleet{t: t, store: standin.NewStore(standin.StoreFaults{}), quota: orderQuota},
-			version:     1, inHand: make(locks, soakGateways),
+			version:     1, inHand: make(locks, size.hosts),
 		},
-		life: newLife(), mixed: make(map[string]string), versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
+		life: newLife(), orderOutcomes: orderOutcomes{mixed: make(map[string]*mixedStream)}, versions: make(map[string]string), replicas: make(map[string]*standin.Replica),
 	}
 	o.isOutput = func(item, text string) bool { return o.checkText(item, text) }
-	o.faults = []soakFault{
-		soakKill, soakKill, soakTerminate, soakFreeze, soakReload, soakStoreOutage, soakStoreSlow, soakTrim, soakStoreLink, soakConfigure,
+	o.faults = append(hostFaults(t),
+		soakReload, soakStoreOutage, soakStoreSlow, soakTrim, soakStoreLink, soakConfigure,
 		orderLate, orderLate, orderMove, orderMove, o.replace, o.replace, o.replace, o.crash, o.breakOff, o.breakOff, o.turnAway, o.turnAway,
-	}
+	)
 	store := o.serveStore()
-	for i := range orderEngines {
+	for i := range size.endpoints {
 		o.engines = append(o.engines, o.engine(rand.New(rand.NewPCG(0, uint64(i))), fmt.Sprintf("engine-%d", i), versionOf(i)))
 	}
 	o.plain = append(o.plain, o.replica("plain-0", "plain", 0))
 	soakConfigure(o.soak, nil, 0)
-	for i := range soakGateways {
+	for i := range size.hosts {
 		link := newSoakProxy(t, store)
 		o.storeLinks = append(o.storeLinks, link)
 		o.gateways = append(o.gateways, o.newGateway(fmt.Sprintf("host-%d", i), link.address()))
@@ -97,7 +98,7 @@
 
 // engine starts an endpoint of a software version. o.mu must not be held.
 func (o *orderSoak) engine(r *rand.Rand, id, version string) *standin.Replica {
-	e := o.incarnate("127.0.0.1:0", id, version, r)
+	e := o.incarnate(ownAddress(o.t), id, version, r)
 	if e == nil {
 		o.t.FailNow()
 	}
@@ -109,7 +110,7 @@
 
 // exchange puts another endpoint in the place of one and returns the old one.
 func (o *orderSoak) exchange(r *rand.Rand, version func(old string) string) *standin.Replica {
-	i := r.IntN(orderEngines)
+	i := r.IntN(o.size.endpoints)
 	o.mu.Lock()
 	old := o.engines[i]
 	next := version(o.versions[old.RunName()])
@@ -141,7 +142,7 @@
 // breakOff has an endpoint break streams off, fall silent or refuse.
 func (o *orderSoak) breakOff(_ *soak, r *rand.Rand, d time.Duration) {
 	o.mu.Lock()
-	e := o.engines[r.IntN(orderEngines)]
+	e := o.engines[r.IntN(o.size.endpoints)]
 	o.mu.Unlock()
 	e.SetFaults([]standin.ReplicaFaults{
 		{CutAfter: 1 + r.IntN(19)}, {SilentAfter: 1 + r.IntN(19)}, {EndInsideAfter: 1 + r.IntN(19)}, {CutAtHead: true}, {NotRun: true}, {ResetBefore: true},
@@ -156,7 +157,7 @@
 	refusing := slices.Clone(o.engines)
 	o.mu.Unlock()
 	r.Shuffle(len(refusing), func(i, j int) { refusing[i], refusing[j] = refusing[j], refusing[i] })
-	refusing = refusing[:orderEngines/2]
+	refusing = refusing[:o.size.endpoints/2]
 	for _, e := range refusing {
 		e.SetFaults(standin.ReplicaFaults{RefuseFirst: true})
 	}
@@ -189,7 +190,7 @@
 			if bytes.HasPrefix(line, []byte("name")) {
 				return fmt.Appendf(nil, "name = %s.%x", g.name, r.Uint32())
 			}
-			return fmt.Appendf(nil, "peers = %s", freeAddressAt(s.t, listenersOnly))
+			return fmt.Appendf(nil, "peers = %s", ownAddress(s.t))
 		})
 		if err := os.WriteFile(g.file, text, 0o600); err != nil {
 			s.t.Error(err)
@@ -201,13 +202,14 @@
 
 // run plays a seed and checks what the callers saw.
 func (o *orderSoak) run(seed uint64) {
+	defer o.report()
 	duties, begin := o.begin(seed)
 	begin(soakSeries, func(_ string, r *rand.Rand) { o.play(r) })
 	begin(keptSeries, o.answerWrongly(newKeptDeck(seed)))
 	begin(lifeSeries, o.playLife)
 	begin(1, o.beat)
 	begin(1, o.readOn)
-	begin(16, o.streams)
+	begin(o.size.callers(), o.streams)
 	begin(2, o.submit)
 	begin(2, func(_ string, r *rand.Rand) { o.poll(r) })
 	for _, g := range o.gateways {
@@ -228,7 +230,16 @@
 	if o.whole == 0 || o.resumed == 0 {
 		o.t.Errorf("%d streams and items were whole, %d went on after a break", o.whole, o.resumed)
 	}
-	o.t.Logf("%d streams and items were whole, %d went on after a break, mixed: %v", o.whole, o.resumed, o.mixed)
+}
+
+// hostFaults are the commonest harm to hosts. SOAK_FREEZES=1 freezes them in series, and kills fewer: a process
+// that stands still keeps what it believes.
+func hostFaults(t *testing.T) []soakFault {
+	t.Helper()
+	if soakSetting(t, "SOAK_FREEZES", 0) == 1 {
+		return []soakFault{soakKill, soakTerminate, soakFreeze, soakFreeze, soakFreeze, soakFreeze, soakFreeze, soakFreeze}
+	}
+	return []soakFault{soakKill, soakKill, soakTerminate, soakFreeze}
 }
 
 // streams opens streams, leaves some in their middle, and takes those that break off up again at any
@@ -237,6 +248,7 @@
 	for n := 0; !o.over(); n++ {
 		first, tries, began := "", 0, time.Now()
 		var events []runEvent
+		var attempts []streamAttempt
 		ended := false
 		for !ended && tries < orderTries && time.Since(began) < orderPatience {
 			id := fmt.Sprintf("%s-%d-%d", name, n, tries)
@@ -249,19 +261,18 @@
 			if r.IntN(2) == 0 {
 				wait = time.Duration(100+r.IntN(600)) * time.Millisecond
 			}
-			answer := o.gateways[r.IntN(len(o.gateways))].sendFor(wait, http.MethodPost, "/stream/x", id, fmt.Appendf(nil, "prompt %s %d", name, n), header)
-			got := wholeEvents(o.t, id, string(answer.body))
-			if answer.status != http.StatusOK {
-				got = nil
+			a := o.attempt(o.gateways[r.IntN(len(o.gateways))], wait, streamAttempt{request: id, after: len(events)},
+				fmt.Appendf(nil, "prompt %s %d", name, n), header)
+			if a.reply.status != http.StatusOK {
 				time.Sleep(50 * time.Millisecond)
 			}
-			if len(events) == 0 && len(got) > 0 {
+			if len(events) == 0 && len(a.events) > 0 {
 				first = id
 			}
-			events = append(events, got...)
-			ended = answer.err == nil && answer.status == http.StatusOK
+			attempts, events = append(attempts, a), append(events, a.events...)
+			ended = a.reply.err == nil && a.reply.status == http.StatusOK
 		}
-		o.checkEvents("stream "+first, events, ended)
+		o.checkEvents("stream "+first, events, ended, attempts)
 	}
 }
 
@@ -304,10 +315,15 @@
 	return o.sameText(item, text) && o.checkEventsLocked("item "+item, events, true)
 }
 
-func (o *orderSoak) checkEvents(what string, events []runEvent, ended bool) {
+func (o *orderSoak) checkEvents(what string, events []runEvent, ended bool, attempts []streamAttempt) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.checkEventsLocked(what, events, ended)
+	if !o.checkEventsLocked(what, events, ended) {
+		o.t.Errorf("attempts of %s: %s", what, &mixedStream{attempts: attempts})
+	}
+	if m := o.mixed[what]; m != nil {
+		m.attempts = attempts
+	}
 }
 
 // checkEventsLocked checks the order of events: none is missing or comes twice, a run goes on behind
@@ -329,7 +345,7 @@
 		o.t.Errorf("%s (ended %t): %v", what, ended, events)
 	}
 	if mixed != "" {
-		o.mixed[what] = mixed
+		o.mixed[what] = &mixedStream{shown: mixed}
 	}
 	if ended && right {
 		o.whole++
