gateway: the notes on endpoints are read again before they are written over

Cause: the host that schedules writes the notes on endpoints (limits, services of several versions) by comparison with what it last read or wrote itself, and read them once, when it started. While it stands still, or is cut off from the other hosts, another one schedules and writes: it deletes the note on several versions when the old version has left. If versions differ again when the first host goes on, it takes the note for written. Hosts that start when nobody is left then find no note and take the one version that they see for certain.

Fix: the host that schedules reads the notes again once what it knows of them is 5 s old, before it writes. A note on versions that another host wrote since is kept for as long as streams can be taken up: this host may not have seen those versions (TestNoteOfAnotherSchedulerIsKept). Costs one call every 5 s of one host. Not shown on real processes: it needs two rollouts, a standstill between them and the loss of all hosts.

--- a/gateway/endpointnotes.go
+++ b/gateway/endpointnotes.go
@@ -11,6 +11,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/origin"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/throttle"
@@ -26,6 +28,9 @@
 	// ticksBeforeWrite is for how many looks a host schedules before it writes: while hosts
 	// elect a scheduler, each schedules for itself for a moment.
 	ticksBeforeWrite = 4
+	// notesBelieved is for how long a host that schedules goes by what it last read or wrote: while it
+	// stood still or was cut off, another one may have scheduled and written.
+	notesBelieved = 5 * time.Second
 	// notedAge is the age that limits read from the store are taken for. The store doesn't
 	// tell it, and whatever an answer says is newer.
 	notedAge = time.Minute
@@ -54,6 +59,13 @@
 	// written are the values in the store by key, as far as this host knows; nil until they
 	// were read.
 	written map[string]string
+	// readAt is when written was last read, triedAt when that was last attempted, by package clock.
+	readAt, triedAt time.Time
+	// last is the offset of the last note that this host has read or written.
+	last int64
+	// othersUntil is until when a note on versions that another host wrote is kept, by key: this host
+	// may not have seen those versions.
+	othersUntil map[string]time.Time
 	// askedAt is when other hosts were last asked; told is set once one has answered.
 	askedAt time.Time
 	told    bool
@@ -75,7 +87,7 @@
 		switch {
 		case n.written == nil:
 			n.read(ctx)
-		case scheduled >= ticksBeforeWrite:
+		case scheduled >= ticksBeforeWrite && n.confirm(ctx):
 			n.write(ctx)
 		}
 		select {
@@ -88,22 +100,62 @@
 
 // read reads the notes, or what other hosts know if the store doesn't answer, and applies them.
 func (n *endpointNotes) read(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, notesTimeout)
-	defer cancel()
-	records, err := platform.ListAll(call, n.store, platform.TopicEndpointNotes)
+	records, err := n.list(ctx)
 	if err != nil {
-		_ = level.Debug(n.logger).Log("event", "endpoint_notes_unread", "err", err)
 		n.askOthers(ctx)
 		return
 	}
-	n.written = make(map[string]string, len(records))
+	several := n.apply(records)
+	_ = level.Info(n.logger).Log("event", "endpoint_notes_read", "notes", len(n.written), "several_versions", several)
+}
+
+// list reads the notes into written.
+func (n *endpointNotes) list(ctx context.Context) ([]platform.KeyedRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, notesTimeout)
+	defer cancel()
+	n.triedAt = clock.Now()
+	records, err := platform.ListAll(ctx, n.store, platform.TopicEndpointNotes)
+	if err != nil {
+		_ = level.Debug(n.logger).Log("event", "endpoint_notes_unread", "err", err)
+		return nil, err
+	}
+	n.readAt, n.written = n.triedAt, make(map[string]string, len(records))
 	for i := range records {
 		if r := &records[i]; !r.Deletes() {
 			n.written[r.Key] = string(r.Value)
 		}
+		n.last = max(n.last, records[i].Offset)
 	}
-	several := n.apply(records)
-	_ = level.Info(n.logger).Log("event", "endpoint_notes_read", "notes", len(n.written), "several_versions", several)
+	return records, nil
+}
+
+// confirm reports whether what this host knows of the notes is younger than notesBelieved. If it is not,
+// it reads them again. Limits are not taken from there: this host may know of later answers.
+func (n *endpointNotes) confirm(ctx context.Context) bool {
+	now, last := clock.Now(), n.last
+	if now.Sub(n.readAt) < notesBelieved {
+		return true
+	}
+	if now.Sub(n.triedAt) < askInterval {
+		return false
+	}
+	records, err := n.list(ctx)
+	if err != nil {
+		return false
+	}
+	kept := make(map[string]time.Time)
+	for i := range records {
+		r := &records[i]
+		switch until := n.othersUntil[r.Key]; {
+		case r.Deletes() || !strings.HasPrefix(r.Key, versionsNote):
+		case r.Offset > last:
+			kept[r.Key] = now.Add(origin.Retention)
+		case now.Before(until):
+			kept[r.Key] = until
+		}
+	}
+	n.othersUntil = kept
+	return true
 }
 
 // askOthers asks the other hosts for what they know, until one has answered.
@@ -165,6 +217,12 @@
 			records = append(records, platform.EncodeKeyed(key, []byte(value)))
 		}
 	}
+	for key := range n.othersUntil {
+		// Until then this host may have read too little to know those versions.
+		if value, found := n.written[key]; found {
+			wanted[key] = value
+		}
+	}
 	for key := range n.written {
 		if _, found := wanted[key]; !found {
 			records = append(records, platform.EncodeKeyed(key, nil))
@@ -175,11 +233,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, notesTimeout)
 	defer cancel()
-	if _, err := n.store.Append(ctx, platform.TopicEndpointNotes, records); err != nil {
+	offset, err := n.store.Append(ctx, platform.TopicEndpointNotes, records)
+	if err != nil {
 		_ = level.Warn(n.logger).Log("event", "endpoint_notes_not_written", "notes", len(records), "err", err)
 		return
 	}
-	n.written = wanted
+	n.written, n.last = wanted, max(n.last, offset+int64(len(records))-1)
 }
 
 // wanted returns the notes that the store should have.
