gateway: crashes that another scheduler noted meanwhile are read and deleted

What callers would see: after a later change of the scheduler, requests that share a key with those at crashes of long ago are suspects, and may be refused as convicted sooner than the evidence allows (DENIED); and a scheduler that goes on does not know the crashes of the time in which it stood still until the hosts have reported them again (BUDGET).

Cause: the notes on crashes are read when a host begins to schedule. One that stands still and goes on still schedules in its own view, and does not read those that another host wrote meanwhile; so nobody deletes these when they are over. A host that begins to schedule takes the age of the newest note for zero if the clocks make it improbable, on the assumption that what is older was deleted.

Fix: the host that schedules reads the notes again every 5 s, and passes those that it did not write to its scheduler. They then end as its own do. Costs one call every 5 s of one host. A verdict by old notes was not played.

--- a/gateway/crashnotes.go
+++ b/gateway/crashnotes.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
 )
@@ -46,7 +47,8 @@
 
 // crashNotes keeps in the store the crashes that verdicts may rest on: when all hosts have been
 // replaced, one after the other, none is left that saw them. The host that schedules writes them,
-// and reads them when it begins to. It is a suture service.
+// and reads them when it begins to and every notesBelieved: another one may have written while this
+// host stood still. It is a suture service.
 type crashNotes struct {
 	store interface {
 		platform.Lister
@@ -59,6 +61,8 @@
 	// written are the values in the store by key, as far as this host knows; nil until they
 	// were read since it began to schedule.
 	written map[string]string
+	// readAt is when they were last read, by package clock.
+	readAt time.Time
 }
 
 // String names the service to its supervisor.
@@ -87,21 +91,22 @@
 	switch {
 	case !n.schedules():
 		n.written = nil
-	case n.written == nil:
+	case n.written == nil || clock.Now().Sub(n.readAt) >= notesBelieved:
 		n.read(ctx)
 	default:
 		n.write(ctx)
 	}
 }
 
-// read reads the notes and passes them to the scheduler.
+// read reads the notes and passes those that this host did not know to the scheduler.
 func (n *crashNotes) read(ctx context.Context) {
+	began, known := clock.Now(), n.written
 	records, err := platform.ListAll(ctx, n.store, platform.TopicCrashes)
 	if err != nil {
 		_ = level.Debug(n.logger).Log("event", "crash_notes_unread", "err", err)
 		return
 	}
-	n.written = make(map[string]string, len(records))
+	n.readAt, n.written = began, make(map[string]string, len(records))
 	notes := make(map[string]crashNote, len(records))
 	for i := range records {
 		r := &records[i]
@@ -109,6 +114,9 @@
 			continue
 		}
 		n.written[r.Key] = string(r.Value)
+		if known[r.Key] == string(r.Value) {
+			continue
+		}
 		var note crashNote
 		if err := json.Unmarshal(r.Value, &note); err != nil {
 			_ = level.Warn(n.logger).Log("event", "crash_note_unreadable", "key", r.Key, "offset", r.Offset, "err", err)
--- a/gateway/notesstandstill_test.go
+++ b/gateway/notesstandstill_test.go
@@ -93,3 +93,36 @@
 		t.Errorf("%d notes once no stream of the other version can go on", n)
 	}
 }
+
+// TestCrashNotesOfAnotherSchedulerEnd has another host schedule and note crashes while the scheduling host
+// stands still, and end. The host that goes on has to know of them, and to delete the notes in time: a later
+// scheduler takes what it finds for recent, as its clock may differ.
+func TestCrashNotesOfAnotherSchedulerEnd(t *testing.T) {
+	server := httptest.NewServer(standin.NewStore(standin.StoreFaults{}).Handler())
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	ctx, address, now := context.Background(), server.Listener.Addr().String(), time.Now()
+	first, atFirst := newCrashNotes(address, now)
+	first.step(ctx)
+	other, atOther := newCrashNotes(address, now)
+	other.step(ctx)
+	atOther.crash(0)
+	other.step(ctx)
+	first.standStill()
+	for range 2 {
+		first.step(ctx)
+	}
+	if crashes := atFirst.Unexplained(now); len(crashes) != 3 {
+		t.Errorf("the host that goes on knows of %d crashes, want 3", len(crashes))
+	}
+	atFirst.now = now.Add(time.Hour)
+	first.step(ctx)
+	next, atNext := newCrashNotes(address, now.Add(2*time.Hour))
+	next.step(ctx)
+	if crashes := atNext.Unexplained(atNext.now); len(crashes) != 0 {
+		t.Errorf("a later scheduler takes %d crashes of two hours ago for recent ones: %+v", len(crashes), crashes)
+	}
+}
+
+// standStill has the host not run for as long as it believes what it knows of the notes.
+func (n *crashNotes) standStill() { n.readAt = n.readAt.Add(-notesBelieved) }
