gateway: an expiry after a standstill deletes no later conviction

Cause: each host deletes a conviction's record in the store when the conviction is over by its own list, without having read what others wrote meanwhile. All hosts drop a conviction when they read that its record is deleted.

Fix: the host first reads all that was written before (Follower.Refresh), and leaves the record alone if the conviction was deleted or made again. A deletion that could not be confirmed or written is attempted again at the next look; before, it was dropped and the record stayed. What is left: a second conviction that is written between this read and the append, or a deletion that the store carries out seconds late.

--- a/blame/list.go
+++ b/blame/list.go
@@ -100,6 +100,14 @@
 	return out
 }
 
+// Has reports whether a conviction of these keys is in force.
+func (l *List) Has(now time.Time, keys Combination) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.byID[keys.String()]
+	return c != nil && now.Before(c.until)
+}
+
 // Match returns the conviction that a request with these keys matches, nil if there is
 // none.
 func (l *List) Match(now time.Time, keys []Key) *Conviction {
--- a/gateway/convictions.go
+++ b/gateway/convictions.go
@@ -20,7 +20,7 @@
 const (
 	// convictionsTick is the time between two looks for convictions to write or delete.
 	convictionsTick = 500 * time.Millisecond
-	// convictionWriteTimeout bounds one write.
+	// convictionWriteTimeout bounds one write, or one confirmation.
 	convictionWriteTimeout = time.Second
 )
 
@@ -37,6 +37,8 @@
 	list *blame.List
 	// writer writes to the store.
 	writer peers.Writer
+	// confirm returns nil once every record written before the call has been applied.
+	confirm func(ctx context.Context) error
 	// schedules reports whether this host schedules for itself or others, and thus writes.
 	schedules func() bool
 	logger    log.Logger
@@ -45,6 +47,9 @@
 	wake    chan struct{}
 	// listed tells that the topic was read once.
 	listed atomic.Bool
+	// ended are the convictions that have expired here and whose records may have to be deleted. Only
+	// the goroutine of Serve uses it.
+	ended map[string]blame.Combination
 
 	mu sync.Mutex
 	// stored holds the keys of the store's records by the conviction's text.
@@ -52,7 +57,9 @@
 }
 
 func newConvictions(logger log.Logger) *convictions {
-	c := &convictions{logger: logger, wake: make(chan struct{}, 1), stored: make(map[string]blame.Combination)}
+	c := &convictions{
+		logger: logger, wake: make(chan struct{}, 1), ended: make(map[string]blame.Combination), stored: make(map[string]blame.Combination),
+	}
 	c.list = blame.NewList(func() {
 		select {
 		case c.wake <- struct{}{}:
@@ -144,19 +151,47 @@
 	}
 }
 
-// expire ends the convictions whose time is over, also in the store.
+// expire ends the convictions whose time is over, also in the store. Records are deleted only once what
+// others wrote before is known: while this host stood still they may have convicted the same requests again.
 func (c *convictions) expire(ctx context.Context) {
 	for _, keys := range c.list.Expire(time.Now()) {
+		c.ended[keys.String()] = keys
 		_ = level.Info(c.logger).Log("event", "conviction_ended", "keys", keys.String(), "reason", "expired")
-		c.mu.Lock()
-		stored := c.stored[keys.String()] != nil
-		c.mu.Unlock()
-		if stored {
-			c.append(ctx, storeKey(keys), nil)
+	}
+	if !c.anyStored() {
+		clear(c.ended)
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, convictionWriteTimeout)
+	defer cancel()
+	if err := c.confirm(call); err != nil {
+		_ = level.Debug(c.logger).Log("event", "conviction_not_deleted", "convictions", len(c.ended), "err", err)
+		return
+	}
+	for id, keys := range c.ended {
+		if !c.isStored(id) || c.list.Has(time.Now(), keys) || c.append(ctx, storeKey(keys), nil) {
+			delete(c.ended, id)
 		}
 	}
 }
 
+// anyStored reports whether the store has the record of a conviction that has expired here.
+func (c *convictions) anyStored() bool {
+	for id := range c.ended {
+		if c.isStored(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// isStored reports whether the store has the record of a conviction, as far as this host has read.
+func (c *convictions) isStored(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stored[id] != nil
+}
+
 // writeMissing writes the convictions that the store lacks, once the topic was listed.
 func (c *convictions) writeMissing(ctx context.Context) {
 	if !c.listed.Load() {
@@ -164,10 +199,7 @@
 	}
 	for _, v := range c.list.All(time.Now()) {
 		id := v.Keys.String()
-		c.mu.Lock()
-		stored := c.stored[id] != nil
-		c.mu.Unlock()
-		if stored {
+		if c.isStored(id) {
 			continue
 		}
 		// Encoding can't fail: the record holds only text.
--- a/gateway/convictions_test.go
+++ b/gateway/convictions_test.go
@@ -33,6 +33,7 @@
 	h.feed = follow.New(follow.Options{
 		Store: store, Topic: platform.TopicConvictions, Handler: h.convictions, Wait: 100 * time.Millisecond, Logger: log.NewNopLogger(),
 	})
+	h.confirm = h.feed.Refresh
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
 	go func() { _ = h.feed.Serve(ctx); done <- struct{}{} }()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -211,6 +211,7 @@
 	g.convictions.writer = g.store
 	g.convictions.schedules = func() bool { return g.client.Scheduler() == g.self.Name }
 	g.convictionFeed = g.follow(platform.TopicConvictions, g.convictions, convictionPause)
+	g.convictions.confirm = g.convictionFeed.Refresh
 	endpointOptions := g.following(platform.TopicEndpoints, g.endpoints, endpointPause)
 	endpointOptions.Changing, endpointOptions.ChangingPause = g.endpoints.Changing, endpointFoundPause
 	g.endpointFeed = follow.New(endpointOptions)
