batch: an item is looked up again before it is sent

Cause: the item, its job and its route were looked up before the input was read, which takes up to 1.5 s, and not again before the item was sent; its endpoint was.

Fix: the item is looked up again behind its endpoint, with the same outcomes as before the read. While a scheduler has the host it also revokes such runs; that stays.

--- a/batch/run.go
+++ b/batch/run.go
@@ -105,9 +105,7 @@
 		saved, reason = x.findItem()
 	}
 	if reason != "" {
-		// An item that has ended has its result in the ledger; the scheduler just has not
-		// read it yet.
-		return reason, scheduler.Usage{Outcome: scheduler.Abandoned, Delay: misplacedDelay, Settled: reason == reasonItemEnded}
+		return reason, misplacedUse(reason)
 	}
 	item, err := x.ledger.readItem(ctx, x.job, x.ref.Item)
 	if err != nil {
@@ -118,6 +116,12 @@
 	return "", scheduler.Usage{}
 }
 
+// misplacedUse returns the use of the slot of an item that can't be run for a reason of findItem. An item
+// that has ended has its result in the ledger; the scheduler just has not read it yet.
+func misplacedUse(reason string) scheduler.Usage {
+	return scheduler.Usage{Outcome: scheduler.Abandoned, Delay: misplacedDelay, Settled: reason == reasonItemEnded}
+}
+
 // findItem sets the job and route of the item. It returns the item's progress in the
 // ledger, if any, or the reason why the item can't be run.
 func (x *itemRun) findItem() (*jobs.Partial, string) {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -96,8 +96,8 @@
 		x.endRun("misplaced", reason, use)
 		return
 	}
-	// The endpoint is looked up again, as it may have left while the input was read, which
-	// can take seconds.
+	// The endpoint is looked up again, and then the item: the one may have left and the other ended while
+	// the input was read, which can take seconds, or while this host stood still.
 	prepared := x.endpoint
 	x.endpoint = r.ledger.opts.Endpoint(s.Endpoint)
 	switch {
@@ -112,6 +112,10 @@
 		x.endRun("unread", "the scheduler has read version "+s.Version+" of "+s.Endpoint, scheduler.Usage{Outcome: scheduler.Unread})
 		return
 	}
+	if _, reason := x.findItem(); reason != "" {
+		x.endRun("misplaced", reason, misplacedUse(reason))
+		return
+	}
 	if waited := time.Since(x.startTime); waited > startValidity && r.ledger.opts.HasRateLimit(x.endpoint) {
 		// Starts that were delayed together would exceed the limit together.
 		x.endRun("delayed", "the start was delayed by "+waited.Round(time.Millisecond).String()+", and the endpoint has a rate limit",
