slots: ages in messages that lay in a socket include that time

What endpoints would see: more requests than their rate limit allows (LIMIT), after the scheduling host stood still for more than the 250 ms that throttle.Table allows for latency: a notice that a limit has ended counts from when it is read, is thus later than an answer that named a limit meanwhile, and is passed on to all hosts. It lasts until the next answer that names the limit. In the same way crashes and answers to suspects were taken for younger, and convictions lasted longer.

Cause: ages are relative, as the clocks of hosts differ, and are as of when the message was made; the time until it is read was left out.

Fix: messages that tell ages are stamped with the time since the start of the session. The receiver takes the least difference between both clocks that it saw in the session for no delay, and adds to the ages what a message has beyond it. Messages without a stamp, of older builds, are taken as before; older builds ignore it. Some 20 bytes for a notice and for the broadcast of each second; heartbeats carry none. Not covered: a first message that is late itself, and what a hello lists as sent and running.

--- a/slots/message.go
+++ b/slots/message.go
@@ -1,6 +1,8 @@
 package slots
 
 import (
+	"time"
+
 	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/origin"
@@ -9,7 +11,7 @@
 )
 
 // HostMessage is a message of a host to its scheduler, one line of JSON. At most one
-// field is set; a message with none is a heartbeat.
+// field is set beside Stamp; a message with none is a heartbeat.
 type HostMessage struct {
 	Hello    *scheduler.Hello       `json:"hello,omitempty"`
 	Acquire  *scheduler.SlotRequest `json:"ask,omitempty"`
@@ -34,10 +36,13 @@
 	Streams origin.Streams `json:"streams,omitempty"`
 	// Offers are the items of a job that the host has accepted.
 	Offers []scheduler.Offer `json:"offers,omitempty"`
+	// Stamp is the time from the start of the session until the message was made; zero if it tells no
+	// ages, and from older builds.
+	Stamp time.Duration `json:"stamp,omitempty"`
 }
 
 // SchedulerMessage is a message of the scheduler to a host, one line of JSON. At most
-// one field is set; a message with none is a heartbeat.
+// one field is set beside Stamp; a message with none is a heartbeat.
 type SchedulerMessage struct {
 	Grant     *scheduler.Grant  `json:"grant,omitempty"`
 	Refuse    *scheduler.Refuse `json:"refuse,omitempty"`
@@ -55,6 +60,8 @@
 	// Departing is the name of the scheduler if its host shuts down. A remoteLink delivers it as the
 	// incarnationKey of the host that it was opened with.
 	Departing string `json:"departing,omitempty"`
+	// Stamp is that of HostMessage.
+	Stamp time.Duration `json:"stamp,omitempty"`
 }
 
 // Broadcast is the state that a scheduler sends to all its hosts periodically.
--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -41,6 +41,7 @@
 	// lastReceived is when the last message arrived, in nanoseconds by package clock.
 	lastReceived atomic.Int64
 	deliver      Sink
+	stamps       stamper
 	// onLost is called at most once, if the session ends without a call of close.
 	onLost  func(*remoteLink, sessionEnd)
 	endOnce sync.Once
@@ -49,7 +50,7 @@
 // openRemote opens a session, which ends at the latest when ctx is done.
 func openRemote(ctx context.Context, httpClient *http.Client, h peers.Host, deliver Sink, onLost func(*remoteLink, sessionEnd)) (*remoteLink, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &remoteLink{host: h.Name, key: incarnationKey(&h), ctx: ctx, outbox: ring.New[HostMessage](outboxCapacity), cancel: cancel, deliver: deliver, onLost: onLost}
+	l := &remoteLink{host: h.Name, key: incarnationKey(&h), ctx: ctx, outbox: ring.New[HostMessage](outboxCapacity), cancel: cancel, deliver: deliver, stamps: newStamper(), onLost: onLost}
 	body, pipe := io.Pipe()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.Address+SessionPath, body)
 	if err != nil {
@@ -87,6 +88,9 @@
 }
 
 func (l *remoteLink) send(m HostMessage) {
+	if m.hasAges() {
+		m.Stamp = l.stamps.now()
+	}
 	if l.outbox.Offer(m) != nil {
 		l.end("outbox full, message not sent", timedOut)
 	}
@@ -146,6 +150,7 @@
 	defer func() { _ = body.Close() }()
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxMessageBytes)
+	var late delay
 	for lines.Scan() {
 		l.markReceived()
 		var m SchedulerMessage
@@ -153,6 +158,7 @@
 			l.end("malformed message: "+err.Error(), closed)
 			return
 		}
+		m.addDelay(late.of(clock.Now(), m.Stamp))
 		if m.Departing != "" {
 			// A late announcement must not be taken for one of the host's next incarnation.
 			m.Departing = l.key
--- a/slots/server.go
+++ b/slots/server.go
@@ -71,7 +71,11 @@
 		defer func() { _ = control.SetReadDeadline(time.Now()) }()
 		writeMessages(ctx, w, control, outbox)
 	}()
+	stamps := newStamper()
 	leave := s.serveSession(control, r, func(m SchedulerMessage) {
+		if m.hasAges() {
+			m.Stamp = stamps.now()
+		}
 		if outbox.Offer(m) != nil {
 			cancel()
 		}
@@ -93,14 +97,16 @@
 		return func() {}
 	}
 	host := message.Hello.Host
+	var late delay
+	late.of(clock.Now(), message.Stamp)
 	session := s.localScheduler.Join(message.Hello, deliver)
-	end := s.read(control, lines, host)
+	end := s.read(control, lines, host, &late)
 	return func() { s.localScheduler.Leave(host, session, end) }
 }
 
 // read passes the messages of the host to the scheduler until the session ends, and
 // returns how it ended.
-func (s *Server) read(control *http.ResponseController, lines *bufio.Scanner, host string) sessionEnd {
+func (s *Server) read(control *http.ResponseController, lines *bufio.Scanner, host string, late *delay) sessionEnd {
 	end := sessionEnd{cause: closed, lastSeen: clock.Now()}
 	for lines.Scan() {
 		end.lastSeen = clock.Now()
@@ -111,6 +117,7 @@
 			end.reason = "malformed message"
 			return end
 		}
+		m.addDelay(late.of(end.lastSeen, m.Stamp))
 		s.localScheduler.Handle(host, &m)
 	}
 	end.reason = "closed by the host"
