scheduler, throttle: what accrued of rate limits in a standstill is not sent

What endpoints would see: more requests in four seconds than they bear with a rate limit (LIMIT). Another scheduler has sent what the limit allows, and the one that goes on sends to its own host's requests what accrued while it stood still: up to two seconds of the limit, and the tolerance, at once.

Cause: the share of the rate limits follows the sessions, whose ends are read a moment after the process goes on, and the pacers take the standstill for a lull.

Failed before: TestSchedulerThatStoodStillHasNothingAccrued, 1 of 1 plays, at all four limits: 7, 10, 18 and 34 requests after 7, 17, 31 and 60 of the other scheduler within 4 s, allowed 11, 20, 35 and 65.

Fix: the driver sets the share every 100 ms. A gap of more than 300 ms is a standstill, or a time in which no host had a session; what has accrued is then forfeited, as by a new scheduler. A scheduler that is starved for as long loses at most two seconds of a limit, only where endpoints name limits.

Tests of scheduler, slots pass with -race; throttle but for TestLimitOfARunWithAnEarlierClock, known red.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -34,6 +34,8 @@
 	share float64
 	// rateShare is the fraction of the endpoints' rate limits that it may use.
 	rateShare float64
+	// sharedAt is when SetShare was last called; zero before.
+	sharedAt time.Time
 	// batchEnabled enables the start of batch items. It is off while no stable majority
 	// of the hosts has joined, for example in a network partition: items that run on
 	// hosts of another scheduler would be run a second time.
@@ -133,8 +135,11 @@
 }
 
 // SetShare limits the scheduler to a fraction of all slots, and to one of the endpoints' rate
-// limits, and enables or disables the start of batch items.
+// limits, and enables or disables the start of batch items. It is called every 100 ms while hosts have
+// joined, so that a standstill shows.
 func (c *Core) SetShare(now time.Time, share, rateShare float64, batch bool) {
+	c.forfeitAccrued(now)
+	c.sharedAt = now
 	if share == c.share && rateShare == c.rateShare && batch == c.batchEnabled {
 		return
 	}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -21,6 +21,7 @@
 // dispatch assigns free slots to waiting work, online requests first. Suspects whose turn
 // has not come are passed over.
 func (c *Core) dispatch(now time.Time, v *service) {
+	c.forfeitAccrued(now)
 	for i := 0; i < len(v.queue); {
 		w := v.queue[i]
 		if c.suspects.Wait(now, w.keys) > 0 {
--- a/throttle/pacer.go
+++ b/throttle/pacer.go
@@ -130,6 +130,13 @@
 	p.Observe(now, now)
 }
 
+// Forfeit takes away all requests that are due and were not sent.
+func (p *Pacer) Forfeit(now time.Time) {
+	if p.next.Before(now) {
+		p.next = now.Add(p.interval)
+	}
+}
+
 // Observe counts a request that was sent at a time before: by this host, or by another one under
 // an earlier scheduler.
 func (p *Pacer) Observe(now, sent time.Time) {
