forward: the end of the grace period comes once the test's request is there

Cause: the test ends the requests 100 ms after it was started, wherever its request is by then. One that no endpoint has is refused as not run, which is right.

Ruled out: a request that an endpoint has and that is refused as not run; with the end bound to the endpoint's run there is none.

Change: the requests are ended once the placer was asked for a place, or the endpoint works on the request. No wall time is left, and what is asked of the answers stays.

The two tests below it in the file end the host's time by the clock too; they were not seen to fail and stay as they are.

--- a/forward/endrequests_test.go
+++ b/forward/endrequests_test.go
@@ -12,8 +12,19 @@
 	"github.com/peridotmount/peridotmount/standin"
 )
 
+// awaitPlacement waits until a request asks for a place.
+func (b *testbed) awaitPlacement() {
+	b.t.Helper()
+	asked := func() bool { b.placer.mu.Lock(); defer b.placer.mu.Unlock(); return len(b.placer.requests) > 0 }
+	for deadline := time.Now().Add(testTimeout); !asked(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			b.t.Fatal("no request asked for a place")
+		}
+	}
+}
+
 // TestRequestsAtTheEndOfTheGracePeriodAreAnswered ends the requests of a host that has no more
-// time to shut down.
+// time to shut down, once they have come as far as the case says.
 func TestRequestsAtTheEndOfTheGracePeriodAreAnswered(t *testing.T) {
 	t.Parallel()
 	for name, one := range map[string]struct {
@@ -32,8 +43,18 @@
 		b := newTestbed(t, one.route, 2, 9)
 		b.placer.full = one.full
 		b.replicas[0].SetFaults(one.faults)
-		time.AfterFunc(100*time.Millisecond, b.forwarder.EndRequests)
-		_, a := b.send(context.Background(), "body", nil)
+		answers := make(chan response, 1)
+		go func() {
+			_, a := b.send(context.Background(), "body", nil)
+			answers <- a
+		}()
+		if one.full {
+			b.awaitPlacement()
+		} else {
+			b.awaitRun()
+		}
+		b.forwarder.EndRequests()
+		a := <-answers
 		if a.status != one.status || !a.complete || (a.header.Get("Retry-After") != "") != one.retry {
 			t.Errorf("%s: status %d, complete %t, Retry-After %q", name, a.status, a.complete, a.header.Get("Retry-After"))
 		}
