dispatch: a call whose deadline has passed ended by its deadline

The call's deadline is 10 ms away, its wait at the home ends after 50 ms.

Cause: whether a call has ended by its deadline was asked of ctx.Err() alone, which turns when the context's timer has run. On a busy machine the refusal of the home may come first, and the caller is told to try again a call whose time is over.

Ruled out: a refusal before the call has waited; the error is the same then, and the deadline is checked at that moment too.

Change: the deadline itself is compared with the time as well, where a call gets its last error and before all endpoints are tried again.

Before: TestPassedDeadlineIsNoOverload, whose context has a deadline that has passed and no error yet, fails each time.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -238,7 +238,7 @@
 	switch {
 	case x.sinkErr != nil:
 		return &Error{Cause: x.sinkErr, RunState: Unknown}
-	case ctx.Err() != nil:
+	case ended(ctx):
 		return &Error{Cause: ErrDeadline, RunState: x.runState(), RetryAfter: x.tickets.retryAfter}
 	case x.mayHaveRun && !x.call.Service.Idempotent:
 		return &Error{Cause: errors.Wrap(ErrInterrupted, err.Error()), RunState: Unknown}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -250,6 +250,54 @@
 	}
 }
 
+// awaitFull waits until the home of an endpoint gives no ticket to an online call that doesn't wait.
+// Urgent calls start before their home knows of them.
+func (f *fleet) awaitFull(endpoint string) {
+	f.t.Helper()
+	for deadline, i := time.Now().Add(streamTimeout), 0; ; i++ {
+		probe := &admission.Request{
+			Ticket: fmt.Sprint("probe", i), Endpoint: endpoint, Entry: "host", Class: objects.ClassOnline, Customer: "c", Weight: 1,
+		}
+		if out := <-f.duty.Acquire(probe); !out.Granted {
+			return
+		}
+		f.duty.Abandon(endpoint, probe.Ticket)
+		if time.Now().After(deadline) {
+			f.t.Fatal("the endpoint's home has not learned that it is full")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// lateContext is a context whose deadline has passed and whose timer has not run yet.
+type lateContext struct{ context.Context }
+
+func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// TestPassedDeadlineIsNoOverload has a call's wait at a full endpoint end behind its deadline, before
+// the timer of the deadline itself has run: the call ended by its deadline, and no retry would serve it.
+func TestPassedDeadlineIsNoOverload(t *testing.T) {
+	f := newFleet(t, 1, 1, Policy{RetryShare: 0.2, OnlineWait: 50 * time.Millisecond})
+	first := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = f.d.Stream(ctx, newCall(objects.ClassUrgent, 1_000_000), func(offset int, _ string) error {
+			if offset == 0 {
+				close(first)
+			}
+			return nil
+		})
+	}()
+	<-first
+	f.awaitFull("e0")
+	_, err := f.d.Stream(lateContext{context.Background()}, newCall(objects.ClassOnline, 5), func(int, string) error { return nil })
+	expectError(t, err, ErrDeadline, NotRun)
+	cancel()
+	<-done
+}
+
 // TestFullEndpointRefusesWithRetryAfter occupies the only slot with an urgent call:
 // an online call is refused with a retry time, or ends with its deadline.
 func TestFullEndpointRefusesWithRetryAfter(t *testing.T) {
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -133,7 +133,7 @@
 		x.runState = Unknown
 	}
 	switch {
-	case ctx.Err() != nil:
+	case ended(ctx):
 		return &Error{Cause: ErrDeadline, RunState: x.runState, RetryAfter: x.tickets.retryAfter}
 	case x.runState == Unknown && !x.call.Service.Idempotent:
 		return &Error{Cause: errors.Wrap(ErrInterrupted, err.Error()), RunState: Unknown}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -150,7 +150,7 @@
 // delay. Otherwise, if a home did not respond, it returns true once and sets skipWait,
 // but not for batch calls.
 func (r *ticketRequester) retryAll(ctx context.Context) bool {
-	if ctx.Err() != nil {
+	if ended(ctx) {
 		return false
 	}
 	if r.refusals > 0 && !r.limitReached() {
@@ -167,7 +167,7 @@
 // exhaustedError returns the error of a call that no endpoint takes.
 func (r *ticketRequester) exhaustedError(ctx context.Context, state RunState) error {
 	switch {
-	case ctx.Err() != nil:
+	case ended(ctx):
 		return &Error{Cause: ErrDeadline, RunState: state, RetryAfter: r.retryAfter}
 	case r.refusals > 0:
 		return &Error{Cause: ErrOverloaded, RunState: state, RetryAfter: max(r.retryAfter, time.Second)}
