dispatch: TestFullEndpointRefusesWithRetryAfter waits until the home is full

Cause: an urgent call starts before the home of its endpoint knows of it, and the test goes on with the call's first token. If the home hears later, it gives the only slot to the next call, which then waits at the endpoint. That order is the design (admission.Client.AcquireWithoutWait).

Change: the test waits until the home gives an online call no ticket. What is asked of the refusal and of the deadline stays.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -315,6 +315,7 @@
 		})
 	}()
 	<-first
+	f.awaitFull("e0")
 	_, err := f.stream(newCall(objects.ClassOnline, 5), nil)
 	if failure := expectError(t, err, ErrOverloaded, NotRun); failure.RetryAfter <= 0 {
 		t.Error("the error has no RetryAfter")
