forward: TestResponseCutBesideAHedge keeps its attempts beside each other

Cause, from the attempts' log lines (8 of 10 plays, load 52): the slow whole endpoint, which needs 60 ms, is silent for longer than firstByteTimeout, 2 s by the wall clock, as more than 300 requests of a process begin at once. Where the few hedges are used up, the attempt is given up ("silent", or "not-sent" while it connects) for the other endpoint, which cuts; both attempts of the route are used then, and 502 is the true answer.

Ruled out: a hedge that counts as the last attempt while the first one still runs; in the four requests whose lines were followed one by one the second attempt began as the first was given up.

Change: attempts of this test are not given up for others, and its requests have the time of the whole test. So the two attempts are beside each other, as the test's name says, and each case has to be served whatever the load. Replacements have TestResponseCutOfAReplacement and silent_test.go.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -53,6 +53,8 @@
 	cutAfter int
 	// served is set if requests are to be served whole whatever the cut.
 	served bool
+	// replacesNone is set if attempts that are overdue are not given up for others.
+	replacesNone bool
 }
 
 func cutKinds() []cutKind {
--- a/forward/cutbeside_test.go
+++ b/forward/cutbeside_test.go
@@ -25,6 +25,7 @@
 func sendBeside(t *testing.T, kind *cutKind, before func(b *cutBed)) (beside int) {
 	t.Helper()
 	b := newCutBed(t, kind)
+	b.placer.replacesNone = kind.replacesNone
 	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
 	defer cancel()
 	var requests sync.WaitGroup
@@ -59,8 +60,10 @@
 	for _, roles := range [][]string{{roleSlowWhole, roleCuts}, {roleSlowCuts, roleSlowWhole}} {
 		t.Run(fmt.Sprint(roles), func(t *testing.T) {
 			t.Parallel()
-			kind := cutKind{route: idempotent, roles: roles, served: true}
-			kind.route.Objective = hedgeObjective
+			// On a busy machine the slow endpoint may be silent for longer than firstByteTimeout: given up
+			// for the other one, its request has no attempt left beside a hedge.
+			kind := cutKind{route: idempotent, roles: roles, served: true, replacesNone: true}
+			kind.route.Objective, kind.route.Timeout = hedgeObjective, cutTimeout
 			beside := sendBeside(t, &kind, func(b *cutBed) {
 				b.forwarder.hedges.mu.Lock()
 				defer b.forwarder.hedges.mu.Unlock()
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -60,6 +60,8 @@
 	draws bool
 	// released receives the Usage of each placement that is released.
 	released chan Usage
+	// replacesNone refuses places for attempts that are overdue, which have no deadline of their own.
+	replacesNone bool
 	// full makes requests wait until they end, delay for some time.
 	full  bool
 	delay time.Duration
@@ -72,6 +74,9 @@
 	p.mu.Lock()
 	p.requests = append(p.requests, request)
 	p.mu.Unlock()
+	if _, bounded := ctx.Deadline(); p.replacesNone && !bounded {
+		return nil, &Rejection{Reason: "no attempt is replaced"}
+	}
 	if p.full {
 		<-ctx.Done()
 		return nil, ctx.Err()
