upstream: a response in chunks that may have been stopped at its deadline is not whole

Cause: the endpoint's deadline is up to a millisecond before the host's, so that its regular end comes first and is passed on.

Change: the end of each body without a length is asked about, not only of those without chunks; the question whether the endpoint is alive remains one of the latter.

The stand-in ends streams so now. Whether the users' endpoints do is not known: their pages say that they stop work at the value that they receive, and not how.

--- a/detour/httppool.go
+++ b/detour/httppool.go
@@ -41,7 +41,9 @@
 	}
 	out := upstream.NewRelayedResponse("", resp.StatusCode, resp.Header, resp.ContentLength, resp.Body)
 	out.Open = upstream.IsOpen(resp)
-	out.ConfirmEnd(func() error { return p.Probe(ctx, "", address) })
+	if out.Open {
+		out.ConfirmEnd(func() error { return p.Probe(ctx, "", address) })
+	}
 	return out, nil
 }
 
--- a/e2e/deadlineend_test.go
+++ b/e2e/deadlineend_test.go
@@ -10,15 +10,22 @@
 	"github.com/peridotmount/peridotmount/standin"
 )
 
-// TestRoutesStreamStoppedAtTheTimeoutOfItsRoute has engines stop streams without length or chunks at the time
-// that their requests state, in the middle, where the route's time-out is shorter than the callers wait: none
-// ends as complete.
+// TestRoutesStreamStoppedAtTheTimeoutOfItsRoute has engines stop streams at the time that their requests state,
+// in the middle, where the route's time-out is shorter than the callers wait: with the last chunk, or by the end
+// of a connection that states neither a length nor chunks. None ends as complete.
 func TestRoutesStreamStoppedAtTheTimeoutOfItsRoute(t *testing.T) {
+	for name, faults := range map[string]standin.ReplicaFaults{"chunks": {}, "open": {Unframed: true}} {
+		t.Run(name, func(t *testing.T) { stopStreamsAtTimeout(t, faults) })
+	}
+}
+
+func stopStreamsAtTimeout(t *testing.T, faults standin.ReplicaFaults) {
+	t.Helper()
 	const rounds, streams = 8, 24
 	f := newRoutedFleet(t, 2)
 	for _, r := range f.engines {
 		r.Pace, r.KeepDeadlines = 40*time.Millisecond, true
-		r.SetFaults(standin.ReplicaFaults{Unframed: true})
+		r.SetFaults(faults)
 	}
 	f.configure(2, `,{"name":"brief","host":"ficu95.example","path_prefix":"/brief/","kind":"streaming","timeout_ms":300,
 "target_latency_ms":1000,"service":"engines","max_attempts":2,"sticky":true,"resumable":true,"gap_aim_ms":300}`)
--- a/forward/deadlineend_test.go
+++ b/forward/deadlineend_test.go
@@ -17,13 +17,24 @@
 // time that their requests state, which is that of the route: it closes their connections between two
 // events, and lives on. No client, who would wait longer, gets one that looks complete.
 func TestOpenStreamStoppedAtItsDeadlineIsNotWhole(t *testing.T) {
+	stopStreamsAtDeadline(t, standin.ReplicaFaults{Unframed: true})
+}
+
+// TestStreamInChunksStoppedAtItsDeadlineIsNotWhole does the same with streams in chunks, which the endpoint
+// ends with the last chunk.
+func TestStreamInChunksStoppedAtItsDeadlineIsNotWhole(t *testing.T) {
+	stopStreamsAtDeadline(t, standin.ReplicaFaults{})
+}
+
+func stopStreamsAtDeadline(t *testing.T, faults standin.ReplicaFaults) {
+	t.Helper()
 	const streams, events = 200, 100
 	b := newTestbed(t, resumable, 1, events)
 	b.ignoreReleases()
 	b.config.current.Routes[0].Timeout = 300 * time.Millisecond
 	b.config.current.Index()
 	b.replicas[0].Pace, b.replicas[0].KeepDeadlines = 20*time.Millisecond, true
-	b.replicas[0].SetFaults(standin.ReplicaFaults{Unframed: true})
+	b.replicas[0].SetFaults(faults)
 	var group sync.WaitGroup
 	var begun, complete atomic.Int32
 	for i := range streams {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -31,7 +31,8 @@
 	Pace time.Duration
 	// NameRuns has the data of each event name the run that sent it.
 	NameRuns bool
-	// KeepDeadlines ends streams at the time that their requests state, in the middle if need be.
+	// KeepDeadlines ends streams at the time that their requests state, in the middle if need be, as if
+	// they were whole.
 	KeepDeadlines bool
 	// KeepStreams leaves the connection of a stream open that has a length or chunks.
 	KeepStreams bool
@@ -385,6 +386,9 @@
 		select {
 		case <-time.After(r.Pace):
 		case <-deadline:
+			if !f.Unframed && !f.hasLength() {
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			}
 			r.end(run, "stopped")
 			return false
 		case <-left.Done():
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -27,8 +27,8 @@
 	body     io.ReadCloser
 	// closeAfter is set if the connection can't be used after the response.
 	closeAfter bool
-	// confirmEnd returns an error if the end of the connection can't be the end of an open
-	// body. It may be nil.
+	// confirmEnd returns an error if the body, which has no length, may not have been complete where it
+	// ended. It may be nil.
 	confirmEnd func() error
 	// ended is the error with which the body ended, nil before that.
 	ended error
@@ -54,8 +54,8 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// ConfirmEnd has confirm called once the connection of an open body has ended. If it returns an
-// error, the body ended early. It must be called before the first Read.
+// ConfirmEnd has confirm called once a body without a length has ended. If it returns an error, the
+// body ended early. It must be called before the first Read.
 func (r *Response) ConfirmEnd(confirm func() error) {
 	r.confirmEnd = confirm
 }
@@ -87,9 +87,9 @@
 }
 
 // checkEnd returns io.EOF if the body is complete where it ended, and ErrTruncated if not. A
-// process that dies, or stops at a deadline, may close its connections as those of a complete open body.
+// process that dies, or stops at a deadline, may end its bodies as if they were complete.
 func (r *Response) checkEnd() error {
-	if !r.Open || r.confirmEnd == nil {
+	if r.Length >= 0 || r.confirmEnd == nil {
 		return io.EOF
 	}
 	if err := r.confirmEnd(); err != nil {
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -49,8 +49,8 @@
 	return c.Matches(resp.StatusCode, resp.Header)
 }
 
-// ConfirmEnd returns an error if the end of an open body may be that of a call that its endpoint
-// stopped at the deadline: it closes the connection as at a regular end, and lives on.
+// ConfirmEnd returns an error if the end of a body without a length may be that of a call that its
+// endpoint stopped at the deadline: it sends the last chunk, or closes the connection, as at a regular end.
 func (c *Call) ConfirmEnd() error {
 	if !c.Deadline.IsZero() && time.Until(c.Deadline) <= stopMargin {
 		return errStopped
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -64,7 +64,7 @@
 	x.report(ctx, nil)
 	out := newResponse(x, resp)
 	out.ConfirmEnd(func() error {
-		if err := call.ConfirmEnd(); err != nil {
+		if err := call.ConfirmEnd(); err != nil || !out.Open {
 			return err
 		}
 		return p.alive(ctx, key, address, call.Check)
