--- a/e2e/standstillcrash_test.go
+++ b/e2e/standstillcrash_test.go
@@ -9,13 +9,22 @@
 	"github.com/peridotmount/peridotmount/standin"
 )
 
+// afterCrash is what has the address and id of an engine that crashed.
+type afterCrash string
+
+const (
+	gone      afterCrash = "gone"
+	restarted afterCrash = "restarted"
+	upgraded  afterCrash = "of another version"
+)
+
 // TestRoutesEnginesThatCrashWhileTheirHostStandsStill crashes engines whose responses have neither a length
 // nor chunks in the middle of streams and items of a host that stands still, and starts others under
-// their addresses and ids: as the host goes on it meets regular ends, behind which an engine is alive. None may
-// be taken for the end of a stream or of a text.
+// their addresses and ids, also of another version: as the host goes on it meets regular ends, behind which an engine is
+// alive. None may be taken for the end of a stream or of a text, and nothing goes on at another version.
 func TestRoutesEnginesThatCrashWhileTheirHostStandsStill(t *testing.T) {
-	for name, restarted := range map[string]bool{"gone": false, "restarted": true} {
-		t.Run(name, func(t *testing.T) {
+	for _, after := range []afterCrash{gone, restarted, upgraded} {
+		t.Run(string(after), func(t *testing.T) {
 			t.Parallel()
 			f := newRunFleet(t, 60*time.Millisecond)
 			for _, r := range f.engines {
@@ -26,7 +35,7 @@
 			following := l.follow(stop)
 			goneOn := 0
 			for round := range 2 {
-				goneOn += l.crashWhileStandingStill(round, restarted)
+				goneOn += l.crashWhileStandingStill(round, after)
 			}
 			l.awaitAll()
 			close(stop)
@@ -41,7 +50,7 @@
 
 // crashWhileStandingStill crashes an engine of each version while a host stands still. It returns how many
 // streams of this host went on at another engine.
-func (l *lotReader) crashWhileStandingStill(round int, restarted bool) (goneOn int) {
+func (l *lotReader) crashWhileStandingStill(round int, after afterCrash) (goneOn int) {
 	host := l.gateways[round]
 	l.submit(round, fmt.Sprint("j", round), 8)
 	streams := make([]*runStream, 12)
@@ -55,10 +64,13 @@
 	for _, i := range []int{2 * round, 2*round + 1} {
 		old := l.engines[i]
 		old.Close()
-		if restarted {
-			l.startInPlaceOf(old, versionOf(i), int64(2+round))
-		} else {
+		switch after {
+		case gone:
 			l.store.Put(platform.TopicEndpoints.Name, old.ID, nil)
+		case restarted:
+			l.startInPlaceOf(old, versionOf(i), int64(2+round))
+		case upgraded:
+			l.startInPlaceOf(old, versionOf(i+1), int64(2+round))
 		}
 	}
 	time.Sleep(900 * time.Millisecond)
