batch: a view of the ledger from before a standstill is refreshed before an item is sent

What callers would see: an item of a job that they ended while its host stood still runs after the end was acknowledged (UNASKED), or one that another host has finished runs once more.

Cause: an item was looked up in whatever view of the ledger there was, and the view is as of before the standstill until the next long poll returns.

Fix: a view of more than 3 s, which a host that runs does not have while the store answers, is refreshed before the item is looked up for the last time. If that fails the item runs by the view that there is, as in an outage.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -339,6 +339,17 @@
 	return l.refresh(ctx)
 }
 
+// catchUp refreshes a ledger view that is older than it gets while this host runs. During an outage of the
+// store, items run by the view that there is.
+func (l *Ledger) catchUp(ctx context.Context) {
+	age := l.ViewAge()
+	if age <= maxRunViewAge || l.storeUnreachable.Load() {
+		return
+	}
+	err := l.refresh(ctx)
+	_ = level.Info(l.opts.Logger).Log("event", "ledger_caught_up", "ledger_age_ms", age.Milliseconds(), "err", err)
+}
+
 // refresh ensures that the ledger view includes all records written before the call.
 // The error is follow.ErrStale.
 func (l *Ledger) refresh(ctx context.Context) error {
--- a/batch/options.go
+++ b/batch/options.go
@@ -91,6 +91,9 @@
 	// a record does not exist. A position that was read at any host must be visible at
 	// every host within one second.
 	maxViewAge = 300 * time.Millisecond
+	// maxRunViewAge is the age from which the view is refreshed before an item is sent, while the
+	// store can be reached: more than a read and the pause behind it take.
+	maxRunViewAge = 3 * time.Second
 	// refreshTimeout bounds the refresh of the ledger view.
 	refreshTimeout = 700 * time.Millisecond
 	// minAppendTimeout bounds the first attempt of an append, whose response may be lost.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -112,6 +112,7 @@
 		x.endRun("unread", "the scheduler has read version "+s.Version+" of "+s.Endpoint, scheduler.Usage{Outcome: scheduler.Unread})
 		return
 	}
+	r.ledger.catchUp(ctx)
 	if _, reason := x.findItem(); reason != "" {
 		x.endRun("misplaced", reason, misplacedUse(reason))
 		return
--- a/batch/standstill_test.go
+++ b/batch/standstill_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/jobs"
@@ -54,3 +55,32 @@
 		})
 	}
 }
+
+// TestItemOfAJobThatEndedIsNotSentByAnOldView has a host stand still while a job is cancelled at another one.
+// It goes on with a start of the job's item, before its next read of the ledger: the item must not be sent.
+func TestItemOfAJobThatEndedIsNotSentByAnOldView(t *testing.T) {
+	address, engine := startStoreAndEngine(t, 3)
+	other, still := newStoredLedger("other", address, engine), newStoredLedger("still", address, engine)
+	t.Cleanup(followLedger(t, other))
+	stop := followLedger(t, still)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	items := []jobs.Item{{ID: "i", Path: "/lots-in/run", Tokens: 3, Body: []byte("q")}}
+	if v, err := other.Submit(ctx, "j", "h", "/lots-in/j", items); err != nil || v != jobs.Accepted {
+		t.Fatalf("verdict %v, error %v", v, err)
+	}
+	if err := still.refresh(ctx); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	if err := other.Write(ctx, "cancel", &jobs.Record{Job: "j", Cancel: &jobs.Cancel{}}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(standstill)
+	if use := runItem(ctx, t, still); use.Outcome != scheduler.Abandoned || len(engine.Runs()) > 0 {
+		t.Errorf("slot released with %+v, %d runs", use, len(engine.Runs()))
+	}
+}
+
+// standstill is longer than a view of the ledger is taken for current while the store answers.
+const standstill = 3100 * time.Millisecond
