slots: clocks that drift apart in a long session are no delay of its messages

A fault of: the least difference between the clocks of both ends was kept for the whole session, so that two clocks which run at different speeds made messages seem late, by 0.4 s an hour at 1e-4; notices of limits would then count as too old (LIMIT).

Fix: the difference may grow by 1/5000 of the time since the last message that set it.

--- a/slots/delay.go
+++ b/slots/delay.go
@@ -7,6 +7,9 @@
 	"github.com/peridotmount/peridotmount/throttle"
 )
 
+// maxDrift is how much of the time between two messages the clocks of two machines may drift apart.
+const maxDrift = 1.0 / 5000
+
 // stamper stamps the messages of one end of a session with the time since its start.
 type stamper struct {
 	start time.Time
@@ -23,8 +26,9 @@
 // process that stands still reads messages late, whose ages are as of when they were made.
 type delay struct {
 	started bool
-	// least is the least difference between the clocks of receiver and sender that was seen.
+	// least is the least difference between the clocks of receiver and sender, as seen at the time at.
 	least time.Duration
+	at    time.Time
 }
 
 // of returns the delay of a message that has a stamp and is read now; zero if it has none.
@@ -33,10 +37,12 @@
 		return 0
 	}
 	difference := now.Sub(time.Unix(0, 0)) - stamp
-	if !d.started || difference < d.least {
-		d.started, d.least = true, difference
+	least := d.least + time.Duration(maxDrift*float64(now.Sub(d.at)))
+	if !d.started || difference <= least {
+		d.started, d.least, d.at = true, difference, now
+		return 0
 	}
-	return difference - d.least
+	return difference - least
 }
 
 // addDelay makes what the message tells of as old as it is.
--- a/slots/delay_test.go
+++ b/slots/delay_test.go
@@ -157,3 +157,22 @@
 	}
 	_ = pipe.Close()
 }
+
+// TestClocksThatDriftApartAreNoDelay replays a session of a day between machines whose clocks run at
+// different speeds: only a message that is late has a delay.
+func TestClocksThatDriftApartAreNoDelay(t *testing.T) {
+	for _, speed := range []float64{1 - 1e-4, 1, 1 + 1e-4} {
+		var late delay
+		begin := time.Unix(1000, 0)
+		stamp := func(at time.Duration) time.Duration { return 1 + time.Duration(speed*float64(at)) }
+		for at := time.Duration(0); at < 24*time.Hour; at += 7 * time.Second {
+			if d := late.of(begin.Add(at), stamp(at)); d != 0 {
+				t.Fatalf("speed %v: a message after %s seems to be late by %s", speed, at, d)
+			}
+		}
+		const lateBy = 2 * time.Second
+		if d := late.of(begin.Add(24*time.Hour+lateBy), stamp(24*time.Hour)); d < lateBy-10*time.Millisecond || d > lateBy+10*time.Millisecond {
+			t.Errorf("speed %v: a message that is late by %s seems to be by %s", speed, lateBy, d)
+		}
+	}
+}
