gateway: what begins after a standstill is checked until the records were read again

What callers would see: a stream begins at an engine that was started again under its id with another software version while the hosts stood still; the host takes the event for one of the version that it had read, records that, and when the stream breaks off it goes on at that version: one response of two versions (ORDER). The same holds for the text of an item (MIXED).

Cause: a connection to an engine begins with a question for its process, but not for what begins at a service that is known to have a single version, so that engines which start again in an outage of the store go on serving. After a standstill that knowledge is as old as the standstill, and so are the grants and requests in the sockets.

Fix: the duty that ticks every 200 ms notices a gap of more than 500 ms, and so does who asks first behind it. Until the records were read by a call that was sent after it, what begins is checked as what goes on is. Costs one connection and one question for what begins in about a second after a standstill; in an outage of the store it lasts until the store is back, and then only at hosts that stood still.

Left: the first engine of a new version under the id of another one, in the time until its record is read, without a standstill; see docs/design/13-standstill.md.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -31,6 +31,8 @@
 	origins *origins
 	// started is asked to open with the first listing.
 	started *starting
+	// standstills tells when the host last stood still.
+	standstills standstills
 	// leaving counts the endpoints that said in an answer that they leave.
 	leaving *prometheus.CounterVec
 
@@ -138,6 +140,12 @@
 	return e.table.Leaving()
 }
 
+// Current reports whether the records written up to a time include all that were written while this host
+// last stood still.
+func (e *endpoints) Current(complete time.Time) bool {
+	return !complete.Before(e.standstills.ended(clock.Now()))
+}
+
 // TakesWork reports whether an endpoint is known and doesn't leave.
 func (e *endpoints) TakesWork(id string) bool {
 	found := e.View().Endpoint(id)
@@ -166,6 +174,7 @@
 // Serve implements suture.Service.
 func (e *endpoints) Serve(ctx context.Context) error {
 	return clock.Every(ctx, endpointTick, func(time.Time) {
+		e.standstills.tick(clock.Now())
 		e.mu.Lock()
 		e.publish(e.table.Tick(clock.Now()))
 		e.origins.Observe(e.table.Endpoints())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -270,14 +270,15 @@
 
 // check returns the check for a call to an engine with a header: what goes on has to reach the
 // version that began it, and what begins may have to go on, so the version has to be that of the
-// record. With a single version, only the end of an open response depends on the process.
+// record. With a single version, only the end of an open response depends on the process: unless this host
+// stood still, and has not read since which endpoints started again with another one.
 func (g *Gateway) check(e *endpoint.Endpoint, h http.Header) *upstream.Check {
 	c := g.configuration.Current()
 	if c == nil || c.Services[e.Service] == nil || c.Services[e.Service].Engine == nil {
 		return nil
 	}
 	check := platform.ProcessCheck(e)
-	check.AtEnd = !platform.GoesOn(h) && g.origins.Single(e.Service)
+	check.AtEnd = !platform.GoesOn(h) && g.origins.Single(e.Service) && g.endpoints.Current(g.endpointFeed.Complete())
 	return check
 }
 
