Workspaces, quotas and endpoint feedback: types, settings and fields that the parts share

The configuration's workspaces are decoded, with keys as hashes; settings have the bounds of revocation and quotas, and whether the scheduler learns from outcomes and weighs waits. No decision uses them yet. The field rate_per_s of the load tool's cost report is now requests_per_s, as the former is a name of the platform's configuration.

--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -52,6 +52,16 @@
 	PromptTokens   int
 	ExpectedTokens int
 	Prefix         []string
+	// PrefixTokens are the tokens of the parts of Prefix.
+	PrefixTokens []int
+	// Workspace is the workspace whose key the request carries, nil without one, by the
+	// configuration of ConfigVersion.
+	Workspace     *route.Workspace
+	ConfigVersion int64
+	// Charged means that an earlier placement has charged the request to its workspace's quota.
+	Charged bool
+	// Repeatable means that the request may run again if this attempt fails.
+	Repeatable bool
 	// Fingerprint is the same for all of a client's retries of one request.
 	Fingerprint string
 	// Resumes is the request that brought the first event of the stream that this one goes on
--- a/forward/request.go
+++ b/forward/request.go
@@ -22,9 +22,11 @@
 	route         *route.Route
 	configVersion int64
 	service       string
-	body          []byte
-	started       time.Time
-	deadline      time.Time
+	// workspace is the workspace whose key the request carries, nil without one.
+	workspace *route.Workspace
+	body      []byte
+	started   time.Time
+	deadline  time.Time
 	// passedOn is when the request was first passed on.
 	passedOn time.Time
 
@@ -44,6 +46,8 @@
 	// version is the software version that began the stream; nil before its first event, and
 	// if it was begun elsewhere, before the first placement.
 	version *string
+	// charged is set once the request was charged to the quota of its workspace.
+	charged bool
 	// replacement is the placement for the next attempt, obtained while the last one was
 	// overdue.
 	replacement Placement
@@ -163,6 +167,13 @@
 	}
 }
 
+// setCharged records that the request was charged to the quota of its workspace.
+func (r *request) setCharged() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.charged = true
+}
+
 // addVia records the host that made a call for this one, if any.
 func (r *request) addVia(host string) {
 	if host == "" {
@@ -193,12 +204,17 @@
 		PromptTokens:   r.PromptTokens,
 		ExpectedTokens: r.ExpectedOutput(),
 		Prefix:         r.promptParts(),
+		PrefixTokens:   r.promptPartTokens(),
+		ConfigVersion:  r.configVersion,
+		Workspace:      r.workspace,
 		Fingerprint:    r.fingerprint(),
 		Resumes:        r.resumedRequest(),
 	}
 	r.mu.Lock()
 	a.Version = r.version
 	a.Avoid = slices.Clone(r.attempted)
+	a.Charged = r.charged
+	a.Repeatable = r.route.Repeatable() && len(r.attempted)-r.refusals+1 < r.route.MaxAttempts
 	r.mu.Unlock()
 	return a
 }
@@ -234,6 +250,15 @@
 	return out
 }
 
+// promptPartTokens returns the tokens of the parts of the prompt.
+func (r *request) promptPartTokens() []int {
+	var out []int
+	for _, part := range r.Prefix {
+		out = append(out, part.Tokens)
+	}
+	return out
+}
+
 // sharedParts returns the parts of a prompt that other requests may share: all but the
 // last.
 func sharedParts(parts []string) []string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -295,6 +295,8 @@
 func (g *Gateway) buildScheduling() {
 	g.client, g.scheduler = slots.NewClient(slots.Options{
 		Self:             g.self,
+		EndpointFeedback: enabled(g.settings.EndpointFeedback, g.settings.Contracts),
+		WeighWaits:       enabled(g.settings.WeighWaits, g.settings.Contracts),
 		Directory:        g.directory,
 		RecordsReadUntil: g.directoryFeed.Complete,
 		RefreshDirectory: g.directoryFeed.Refresh,
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -185,6 +185,8 @@
 		PromptTokens:   ask.PromptTokens,
 		ExpectedTokens: ask.ExpectedTokens,
 		Prefix:         ask.Prefix,
+		PrefixTokens:   ask.PrefixTokens,
+		Repeatable:     ask.Repeatable,
 		Fingerprint:    ask.Fingerprint,
 		Resumes:        ask.Resumes,
 		Version:        ask.Version,
--- a/load/cost.go
+++ b/load/cost.go
@@ -12,7 +12,7 @@
 type CostPoint struct {
 	// Rate is in requests a second over the fleet, Tokens the length of each
 	// answer.
-	Rate   float64 `json:"rate_per_s"`
+	Rate   float64 `json:"requests_per_s"`
 	Tokens int     `json:"tokens"`
 	// Requests and TokensOut were answered in Seconds.
 	Requests  int64   `json:"requests"`
--- a/route/configuration.go
+++ b/route/configuration.go
@@ -11,10 +11,13 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	// Workspaces are the customers whose requests carry keys; nil if requests need none.
+	Workspaces []Workspace
 
 	// byHost maps a host name to its routes, longest prefix first.
 	byHost map[string][]*Route
 	byName map[string]*Route
+	byKey  map[KeyHash]*Workspace
 }
 
 // Index builds the lookup tables. It must be called once, before the first lookup.
@@ -26,6 +29,12 @@
 		c.byName[r.Name] = r
 		c.byHost[r.Host] = insertByLength(c.byHost[r.Host], r)
 	}
+	c.byKey = make(map[KeyHash]*Workspace)
+	for i := range c.Workspaces {
+		for _, h := range c.Workspaces[i].Keys {
+			c.byKey[h] = &c.Workspaces[i]
+		}
+	}
 }
 
 // insertByLength inserts r into routes, which are in descending order of prefix length.
--- a/route/route.go
+++ b/route/route.go
@@ -24,6 +24,8 @@
 	Priority int
 	// Resumable means that streams can be resumed at another endpoint after any event.
 	Resumable bool
+	// Public means that requests need no key, even if the configuration has workspaces.
+	Public bool
 	// Generates means that a request generates output with a model and occupies a
 	// slot of an engine.
 	Generates bool
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/quota"
 )
 
 // SlotRequest requests a slot for an online request.
@@ -27,6 +28,14 @@
 	// Prefix lists the parts of the prompt, for the choice of an endpoint that has
 	// them cached.
 	Prefix []string `json:"prefix,omitempty"`
+	// PrefixTokens are the tokens of these parts.
+	PrefixTokens []int `json:"prefix_tokens,omitempty"`
+	// Workspace is the workspace that the request belongs to, or "". Claim asks for its
+	// admission within the workspace's quota; nil if it needs none, or was admitted before.
+	Workspace string       `json:"workspace,omitempty"`
+	Claim     *quota.Claim `json:"claim,omitempty"`
+	// Repeatable means that the request may run again at another endpoint if this one fails.
+	Repeatable bool `json:"repeatable,omitempty"`
 	// Fingerprint is the same for all attempts of a client at one request, or "" if
 	// unknown.
 	Fingerprint string `json:"fingerprint,omitempty"`
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -76,6 +76,8 @@
 	ReasonUnknownVersion Reason = "it is not known which version began the stream"
 	// ReasonNoVersion means that no endpoint has the software version that began the stream.
 	ReasonNoVersion Reason = "no endpoint has the version that began the stream"
+	// ReasonQuota means that the workspace of the request is at its quota.
+	ReasonQuota Reason = "the quota of the workspace is used up"
 	// ReasonWithdrawn means that the host withdrew the SlotRequest.
 	ReasonWithdrawn Reason = "withdrawn"
 )
--- a/scheduler/item.go
+++ b/scheduler/item.go
@@ -13,6 +13,10 @@
 	PromptTokens   int
 	ExpectedTokens int
 	Prefix         []string
+	// PrefixTokens are the tokens of the parts of Prefix.
+	PrefixTokens []int
+	// Workspace is the workspace that the item's job belongs to, or "".
+	Workspace string
 	// InputHost is the host that has the item's input in memory, or "" if there is none.
 	InputHost string
 	// TokensDone is how many of the expected tokens exist from earlier runs.
--- a/scheduler/offer.go
+++ b/scheduler/offer.go
@@ -15,6 +15,8 @@
 	PromptTokens   int           `json:"prompt_tokens"`
 	ExpectedTokens int           `json:"expected_tokens"`
 	Prefix         []string      `json:"prefix,omitempty"`
+	PrefixTokens   []int         `json:"prefix_tokens,omitempty"`
+	Workspace      string        `json:"workspace,omitempty"`
 }
 
 // NewOffer returns the offer of an item. Its DueIn is relative to now, so the offer
@@ -23,6 +25,7 @@
 	return Offer{
 		Item: i.Ref, Service: i.Service, DueIn: i.Due.Sub(now),
 		PromptTokens: i.PromptTokens, ExpectedTokens: i.ExpectedTokens, Prefix: i.Prefix,
+		PrefixTokens: i.PrefixTokens, Workspace: i.Workspace,
 	}
 }
 
@@ -31,6 +34,7 @@
 	return Item{
 		Ref: o.Item, Service: o.Service, Due: now.Add(o.DueIn), InputHost: host,
 		PromptTokens: o.PromptTokens, ExpectedTokens: o.ExpectedTokens, Prefix: o.Prefix,
+		PrefixTokens: o.PrefixTokens, Workspace: o.Workspace,
 	}
 }
 
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -21,6 +21,11 @@
 	// Settle is how long the result of a finished item may be missing from the ledger
 	// before the item is run again.
 	Settle time.Duration
+	// EndpointFeedback has endpoints that fail or are slow get less work, by the outcomes of
+	// requests.
+	EndpointFeedback bool
+	// WeighWaits has endpoints chosen by the time that callers wait in expectation.
+	WeighWaits bool
 }
 
 const (
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -9,6 +9,8 @@
 const (
 	// Finished means that the endpoint responded, whatever the status of the response.
 	Finished Outcome = "finished"
+	// Errored means that the endpoint ran the work and responded with a server error.
+	Errored Outcome = "errored"
 	// Abandoned means that the host ended the work: its client disconnected, or it was
 	// preempted.
 	Abandoned Outcome = "abandoned"
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -42,20 +42,41 @@
 	Grace time.Duration
 	// JobStatus is how long after its submission a batch job can be read.
 	JobStatus time.Duration
+	// Contracts are the parts of the platform's rules that hold for the deployment.
+	Contracts []string
+	// Revocation is how long after its removal from the configuration a key may still be
+	// accepted, also by hosts that can't reach the store; zero if that is not bounded.
+	Revocation time.Duration
+	// QuotaWindow, QuotaOverrun and QuotaSlack are the time over which the quotas of
+	// workspaces are checked, and by what fraction and by how many requests more they may be
+	// exceeded in it.
+	QuotaWindow  time.Duration
+	QuotaOverrun float64
+	QuotaSlack   int
+	// EndpointFeedback is whether the scheduler learns from the outcomes of requests which
+	// endpoints fail or are slow, WeighWaits whether it chooses endpoints by the time that
+	// callers wait: yes, no or auto.
+	EndpointFeedback string
+	WeighWaits       string
 }
 
 // Differs reports whether other settings differ in what needs a new start.
 func (s *Gateway) Differs(o *Gateway) bool {
 	return s.Name != o.Name || s.Zone != o.Zone || !maps.Equal(s.Regions, o.Regions) || s.Callers != o.Callers ||
 		s.Readiness != o.Readiness || s.Control != o.Control || !slices.Equal(s.Seeds, o.Seeds) || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Descriptors != o.Descriptors ||
-		s.Processor != o.Processor || s.Grace != o.Grace
+		s.Processor != o.Processor || s.Grace != o.Grace ||
+		!slices.Equal(s.Contracts, o.Contracts) || s.Revocation != o.Revocation ||
+		s.QuotaWindow != o.QuotaWindow || s.QuotaOverrun != o.QuotaOverrun || s.QuotaSlack != o.QuotaSlack ||
+		s.EndpointFeedback != o.EndpointFeedback || s.WeighWaits != o.WeighWaits
 }
 
 const (
 	defaultMemory    = 128 * MiB
 	defaultGrace     = 8 * time.Second
 	defaultJobStatus = 120 * time.Second
-	minMemory        = 32 * MiB
+	// defaultQuotaWindow is long compared to the time in which a scheduler is replaced.
+	defaultQuotaWindow = 5 * time.Second
+	minMemory          = 32 * MiB
 
 	defaultDescriptors = 4096
 	minDescriptors     = 256
@@ -99,6 +120,15 @@
 		Seeds:       r.list("host.seeds"),
 		Store:       r.address("store.address"),
 		JobStatus:   r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
+		Contracts:   r.list("host.contracts"),
+
+		Revocation:   r.duration("keys.revocation", 0, time.Hour, 0),
+		QuotaWindow:  r.duration("quotas.window", time.Second, time.Minute, defaultQuotaWindow),
+		QuotaOverrun: r.decimal("quotas.overrun", 0, 1, 0),
+		QuotaSlack:   r.number("quotas.slack", 0, 1_000_000, 0),
+
+		EndpointFeedback: r.oneOf("scheduler.endpoint_feedback", "auto", "auto", "yes", "no"),
+		WeighWaits:       r.oneOf("scheduler.weigh_waits", "auto", "auto", "yes", "no"),
 	}
 }
 
--- a/slots/client.go
+++ b/slots/client.go
@@ -34,6 +34,8 @@
 type Options struct {
 	// Self is this host.
 	Self peers.Host
+	// EndpointFeedback and WeighWaits are those of scheduler.Options.
+	EndpointFeedback, WeighWaits bool
 	// Directory lists the hosts.
 	Directory Directory
 	// RecordsReadUntil returns the time, by package clock, up to which the records of the
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -95,7 +95,7 @@
 		o.Origins = noOrigins{}
 	}
 	return &LocalScheduler{
-		core:               scheduler.NewCore(scheduler.Options{Host: o.Self.Name}),
+		core:               scheduler.NewCore(scheduler.Options{Host: o.Self.Name, EndpointFeedback: o.EndpointFeedback, WeighWaits: o.WeighWaits}),
 		hosts:              o.Directory,
 		readUntil:          o.RecordsReadUntil,
 		knowsJob:           o.KnowsJob,
