Requests carry workspace keys: authentication, X-Tenant, revocation, jobs of workspaces

Requests on routes that are not public are admitted by X-Credential before their body is read. With keys.revocation a key is accepted only within the bound after the last confirming read was sent. Batch jobs belong to the workspace that submitted them. Configuration records leave a host with hashes in place of keys.

--- a/batch/api.go
+++ b/batch/api.go
@@ -14,6 +14,7 @@
 
 	"github.com/peridotmount/peridotmount/jobs"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
 )
 
 // API is the HTTP handler for batch jobs.
@@ -54,18 +55,18 @@
 		platform.SetRetryAfter(w.Header(), retryAfter)
 	}
 	_ = level.Info(a.ledger.opts.Logger).Log("event", "job_call_refused", "method", r.Method, "path", r.URL.Path,
-		"request", platform.ParseRequest(r.Header).ID, "status", status, "reason", reason,
+		"request", platform.ParseRequest(r.Header).ID, "workspace", route.CallerOf(r.Context()).Workspace, "status", status, "reason", reason,
 		"ledger_age_ms", a.ledger.ViewAge().Milliseconds())
 	http.Error(w, reason, status)
 }
 
-// findJob returns the job with an ID. If the ledger view lacks the job, findJob
+// findJob returns the job with an ID that the caller may read. If the ledger view lacks the job, findJob
 // refreshes the view before it concludes that the job does not exist. If there is no
 // such job, or the refresh fails, it responds to the call and returns nil.
 func (a *API) findJob(w http.ResponseWriter, r *http.Request, id string) *jobs.Job {
-	l := a.ledger
+	l, caller := a.ledger, route.CallerOf(r.Context())
 	l.mu.Lock()
-	job := l.state.Job(id)
+	job := l.readableJob(caller, id)
 	l.mu.Unlock()
 	if job != nil {
 		return job
@@ -77,7 +78,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if job = l.state.Job(id); job == nil {
+	if job = l.readableJob(caller, id); job == nil {
 		a.refuse(w, r, http.StatusNotFound, "no such batch job", 0)
 	}
 	return job
@@ -222,7 +223,7 @@
 	if !cancelled {
 		ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 		defer cancel()
-		err := a.ledger.Write(ctx, "cancel", &jobs.Record{Job: call.Job, Cancel: &jobs.Cancel{}})
+		err := a.ledger.Write(ctx, "cancel", &jobs.Record{Job: job.ID, Cancel: &jobs.Cancel{}})
 		if errors.Is(err, ErrOutcomeUnknown) {
 			a.refuse(w, r, http.StatusGatewayTimeout, "the outcome is not known", 0)
 			return
@@ -268,7 +269,7 @@
 	default:
 		w.WriteHeader(http.StatusAccepted)
 		objective, window := a.ledger.routeBounds(r.Host, r.URL.Path)
-		_ = level.Info(a.ledger.opts.Logger).Log("event", "job_answered", "job", id, "verdict", verdict.String(),
+		_ = level.Info(a.ledger.opts.Logger).Log("event", "job_answered", "job", id, "workspace", route.CallerOf(r.Context()).Workspace, "verdict", verdict.String(),
 			"items", len(items), "after_ms", time.Since(start).Milliseconds(),
 			"objective_ms", objective.Milliseconds(), "window_ms", window.Milliseconds())
 	}
@@ -280,7 +281,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		if a.ledger.Repeats(id, r.Host, r.URL.Path) {
+		if a.ledger.Repeats(id, r.Host, r.URL.Path, route.CallerOf(r.Context())) {
 			// The limit was higher when the job was accepted.
 			w.WriteHeader(http.StatusAccepted)
 			return
--- a/batch/janitor.go
+++ b/batch/janitor.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				return
 			}
-			_ = level.Info(l.opts.Logger).Log("event", "item_given_up", "job", j.job, "item", item, "reason", j.reason)
+			_ = level.Info(l.opts.Logger).Log("event", "item_given_up", "job", jobs.ChosenID(j.job), "item", item, "reason", j.reason)
 		}
 	}
 }
@@ -109,7 +109,7 @@
 		r.Writer = l.opts.Writer
 		value, err := r.Encode()
 		if err != nil {
-			_ = level.Error(l.opts.Logger).Log("event", "rejection_not_written", "job", r.Job, "attempt", r.Rejection.Attempt, "err", err)
+			_ = level.Error(l.opts.Logger).Log("event", "rejection_not_written", "job", jobs.ChosenID(r.Job), "attempt", r.Rejection.Attempt, "err", err)
 			return
 		}
 		records = append(records, platform.EncodeKeyed(jobs.RejectionKey(r.Rejection.Attempt), value))
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"sort"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
@@ -173,7 +175,7 @@
 		for i := range c.Job.Items() {
 			l.dropItem(c.Job, i)
 		}
-		_ = level.Info(l.opts.Logger).Log("event", "job_cancelled", "job", c.Job.ID, "offset", offset, "results", len(c.Job.Results))
+		_ = level.Info(l.opts.Logger).Log("event", "job_cancelled", "job", jobs.ChosenID(c.Job.ID), "workspace", c.Job.Submission.Workspace, "offset", offset, "results", len(c.Job.Results))
 		l.notifyWatchers(c.Job.ID)
 	}
 }
@@ -215,14 +217,14 @@
 func (l *Ledger) handleVerdict(offset int64, r *jobs.Record, c *jobs.Change) {
 	switch c.Verdict {
 	case jobs.OverQuota:
-		_ = level.Info(l.opts.Logger).Log("event", "job_rejected", "job", r.Job, "attempt", c.Attempt, "offset", offset,
-			"tokens", r.Submit.Tokens, "open_tokens", l.state.Waiting(r.Submit.Route), "quota", r.Submit.Quota, "listing", l.listing)
+		_ = level.Info(l.opts.Logger).Log("event", "job_rejected", "job", jobs.ChosenID(r.Job), "workspace", r.Submit.Workspace, "attempt", c.Attempt, "offset", offset,
+			"tokens", r.Submit.Tokens, "open_tokens", l.state.Waiting(r.Submit.Workspace, r.Submit.Route), "quota", r.Submit.Quota, "listing", l.listing)
 	case jobs.Accepted:
 		l.scheduleItems(c.Job)
 		if l.isOwn(c.Job) && !l.listing {
 			l.opts.Offer(l.appendOffers(nil, time.Now(), c.Job))
 		}
-		_ = level.Info(l.opts.Logger).Log("event", "job_accepted", "job", c.Job.ID, "offset", offset,
+		_ = level.Info(l.opts.Logger).Log("event", "job_accepted", "job", jobs.ChosenID(c.Job.ID), "workspace", c.Job.Submission.Workspace, "offset", offset,
 			"items", len(c.Job.Items()), "tokens", c.Job.Submission.Tokens, "route", c.Job.Submission.Route)
 	}
 	if ch := l.pendingVerdicts[c.Attempt]; ch != nil {
@@ -262,6 +264,8 @@
 			PromptTokens:   meta.PromptTokens,
 			ExpectedTokens: meta.ExpectedTokens,
 			Prefix:         meta.Prefix,
+			PrefixTokens:   meta.PrefixTokens,
+			Workspace:      job.Submission.Workspace,
 			InputHost:      job.Submission.AcceptedBy,
 		})
 	}
@@ -360,6 +364,10 @@
 
 // newKey returns a unique key for a record or payload.
 func (l *Ledger) newKey(kind, job string) string {
+	if len(job) > maxKeyJobBytes {
+		// The store's client cuts long keys, at the end where they differ.
+		job = strconv.FormatUint(xxhash.Sum64String(job), 36)
+	}
 	return fmt.Sprintf("%s/%s/%s.%d", kind, job, l.opts.Writer, l.seq.Add(1))
 }
 
--- a/batch/options.go
+++ b/batch/options.go
@@ -113,6 +113,8 @@
 	// maxAppendBytes is the maximum content of one append, below the store's limit of 2
 	// MiB.
 	maxAppendBytes = 7 * maxRecordBytes
+	// maxKeyJobBytes is the longest id of a job that is part of the keys of its records.
+	maxKeyJobBytes = 128
 	// maxInlineBytes bounds the inputs that are inlined in a submission record, in bytes,
 	// so that the record stays below 256 KiB.
 	maxInlineBytes = 96 << 10
--- a/batch/outgoing.go
+++ b/batch/outgoing.go
@@ -32,6 +32,8 @@
 
 // baseKey returns the key of a record without the number of its attempt.
 func baseKey(key string) string {
-	base, _, _ := strings.Cut(key, attemptSeparator)
-	return base
+	if i := strings.LastIndex(key, attemptSeparator); i >= 0 {
+		return key[:i]
+	}
+	return key
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -151,14 +151,14 @@
 		version = x.endpoint.Version
 	}
 	if p.events > 0 && p.version != version {
-		_ = level.Info(x.ledger.opts.Logger).Log("event", "progress_of_other_version", "job", x.ref.Job, "item", x.ref.Item,
+		_ = level.Info(x.ledger.opts.Logger).Log("event", "progress_of_other_version", "job", jobs.ChosenID(x.ref.Job), "item", x.ref.Item,
 			"events", p.events, "version", p.version, "endpoint_version", version)
 		p = itemProgress{}
 	}
 	if saved != nil && !p.unusable && saved.Events > p.events && saved.Version == version {
 		output, err := x.ledger.payloads.get(ctx, &saved.Output)
 		if err != nil {
-			_ = level.Warn(x.ledger.opts.Logger).Log("event", "partial_unread", "job", x.ref.Job, "item", x.ref.Item,
+			_ = level.Warn(x.ledger.opts.Logger).Log("event", "partial_unread", "job", jobs.ChosenID(x.ref.Job), "item", x.ref.Item,
 				"events", saved.Events, "err", err)
 		} else {
 			p = itemProgress{events: saved.Events, output: string(output)}
@@ -174,7 +174,7 @@
 	limits := pace.Limits{Stall: pace.StallAfter(x.tokensPerEvent()), First: firstEventTimeout, Next: nextEventTimeout}
 	x.watch = pace.Start(limits, x.slot.ReportStalled, cancel)
 	defer x.watch.Stop()
-	header := platform.ItemHeader(x.item, x.endpoint.ID)
+	header := platform.ItemHeader(x.item, x.endpoint.ID, x.caller())
 	if x.events > 0 {
 		platform.SetLastEvent(header, strconv.Itoa(x.events))
 	}
@@ -229,6 +229,13 @@
 	}
 }
 
+// caller returns in whose name the item runs: that of its job's workspace, also once the workspace
+// has no key any more.
+func (x *itemRun) caller() route.Caller {
+	workspace, config := x.job.Submission.Workspace, x.ledger.opts.Configuration()
+	return route.Caller{Checked: workspace != "" || config != nil && config.HasWorkspaces(), Workspace: workspace}
+}
+
 // check returns the check for the call, or nil.
 func (x *itemRun) check(h http.Header) *upstream.Check {
 	if x.ledger.opts.Check == nil {
@@ -412,7 +419,7 @@
 }
 
 func (x *itemRun) logNotRecorded(kind string, err error) {
-	_ = level.Error(x.ledger.opts.Logger).Log("event", "item_not_recorded", "job", x.ref.Job, "item", x.ref.Item, "kind", kind, "err", err)
+	_ = level.Error(x.ledger.opts.Logger).Log("event", "item_not_recorded", "job", jobs.ChosenID(x.ref.Job), "item", x.ref.Item, "kind", kind, "err", err)
 }
 
 // endRun releases the slot, and counts and logs the run.
@@ -429,7 +436,7 @@
 	if x.item != nil {
 		request = x.item.ID
 	}
-	_ = level.Info(x.ledger.opts.Logger).Log("event", "item_run", "job", x.ref.Job, "item", x.ref.Item, "request", request,
+	_ = level.Info(x.ledger.opts.Logger).Log("event", "item_run", "job", jobs.ChosenID(x.ref.Job), "item", x.ref.Item, "request", request,
 		"endpoint", id, "version", version, "outcome", outcome, "reason", reason, "resumed_at", x.priorEvents, "events", x.events, "open", x.open,
 		"after_ms", time.Since(x.startTime).Milliseconds())
 }
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -37,20 +37,24 @@
 	return clock.Now().Sub(l.follower.Complete())
 }
 
-// Repeats reports whether a job with this ID was accepted for a host and path, so that a
-// submission of it is accepted again, whatever the configuration allows by now.
-func (l *Ledger) Repeats(id, host, path string) bool {
+// Repeats reports whether a job with this ID was accepted from a caller for a host and path, so
+// that a submission of it is accepted again, whatever the configuration allows by now.
+func (l *Ledger) Repeats(id, host, path string, caller route.Caller) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	job := l.state.Job(id)
+	job := l.ownJob(caller, id)
 	return job != nil && job.Submission.Host == host && job.Submission.Path == path
 }
 
-// Submit submits a job and returns the ledger's verdict. Errors are ErrNotWritten,
+// Submit submits a job in the name of the caller in ctx and returns the ledger's verdict. Errors are ErrNotWritten,
 // after which this call does not cause the job to be accepted, and ErrOutcomeUnknown.
 func (l *Ledger) Submit(ctx context.Context, id, host, path string, items []jobs.Item) (jobs.Verdict, error) {
 	l.listed.Wait(ctx)
-	if l.HasJob(id) {
+	caller := route.CallerOf(ctx)
+	l.mu.Lock()
+	known := l.ownJob(caller, id) != nil
+	l.mu.Unlock()
+	if known {
 		return jobs.Repeated, nil
 	}
 	config := l.opts.Configuration()
@@ -61,9 +65,20 @@
 	if r == nil || r.Kind != route.Batch {
 		return 0, errors.Wrap(ErrNotWritten, "no route for batch jobs")
 	}
+	if config.HasWorkspaces() {
+		if !r.Public && caller.Workspace == "" {
+			return 0, errors.Wrap(ErrNotWritten, "the route needs a key since the request was read")
+		}
+		for i := range items {
+			// The items are read by all hosts.
+			platform.DropCaller(&items[i])
+		}
+	}
 	sub := newSubmission(r, host, path, items)
+	sub.Workspace, sub.Public = caller.Workspace, r.Public && caller.Workspace == ""
+	id = jobs.ID(sub.Workspace, id)
 	l.mu.Lock()
-	fits := sub.Quota <= 0 || l.state.Waiting(sub.Route)+sub.Tokens <= sub.Quota
+	fits := sub.Quota <= 0 || l.state.Waiting(sub.Workspace, sub.Route)+sub.Tokens <= sub.Quota
 	l.mu.Unlock()
 	switch {
 	case l.storeUnreachable.Load() || l.follower.Complete().IsZero():
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -32,6 +32,9 @@
 	// confirmedAt is the time up to which the store confirmed that the view is
 	// complete, zero before the first listing.
 	confirmedAt time.Time
+	// confirmedSentAt is when the last call was sent that confirmed that the view is
+	// complete. Unlike confirmedAt it includes no wait at the store.
+	confirmedSentAt time.Time
 	pageSize    pageSize
 	// newestByKey holds the records for other hosts if Options.Keep is set.
 	newestByKey recordSet
@@ -62,6 +65,23 @@
 	return f.confirmedAt
 }
 
+// ConfirmedSent returns when the last call was sent to the store that confirmed that the
+// cached view is complete, zero before the first listing. All writes that the store
+// acknowledged before that time are in the view. Another host's view confirms nothing.
+func (f *Follower) ConfirmedSent() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedSentAt
+}
+
+// Reachable reports whether the topic was listed and the last call to the store succeeded,
+// so that a Refresh is likely to succeed.
+func (f *Follower) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && !f.unavailable
+}
+
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
 	retryBackoff := newBackoff()
@@ -233,6 +253,14 @@
 	if confirmed.After(f.confirmedAt) {
 		f.confirmedAt = confirmed
 	}
+	f.confirmSent(sent)
+}
+
+// confirmSent records that a call confirmed that the view is complete. The caller holds mu.
+func (f *Follower) confirmSent(sent time.Time) {
+	if sent.After(f.confirmedSentAt) {
+		f.confirmedSentAt = sent
+	}
 }
 
 // scheduleRelisting makes the next step list the topic again.
@@ -266,6 +294,7 @@
 	now := clock.Now()
 	f.markAvailable(now)
 	f.listed, f.next, f.confirmedAt = true, max(f.next, l.end), l.sent
+	f.confirmSent(l.sent)
 	f.newestByKey = make(recordSet)
 	f.retain(records)
 	f.opts.Handler.Listed(now, records, l.end)
@@ -276,7 +305,7 @@
 // retain stores records for other hosts if Options.Keep is set. The caller holds mu.
 func (f *Follower) retain(records []platform.KeyedRecord) {
 	if f.opts.Keep {
-		f.newestByKey.apply(records)
+		f.newestByKey.apply(records, f.opts.Redact)
 	}
 }
 
--- a/follow/options.go
+++ b/follow/options.go
@@ -31,6 +31,9 @@
 	After []*Follower
 	// Keep retains the newest record of each key, for Records.
 	Keep bool
+	// Redact returns a value as other hosts may see it; nil keeps values as they are. It
+	// applies to what is retained, not to what the handler gets.
+	Redact func(value []byte) []byte
 	// Borrow returns the records of another host's cached view, for a process that
 	// cannot list the topic yet; nil disables this fallback.
 	Borrow func(ctx context.Context) ([]platform.KeyedRecord, error)
--- a/follow/recordset.go
+++ b/follow/recordset.go
@@ -9,13 +9,17 @@
 // recordSet holds the newest record of each key.
 type recordSet map[string]platform.KeyedRecord
 
-func (s recordSet) apply(records []platform.KeyedRecord) {
+// apply adds records. Their values are replaced by redact unless it is nil.
+func (s recordSet) apply(records []platform.KeyedRecord, redact func(value []byte) []byte) {
 	for _, r := range records {
 		if r.Deletes() {
 			delete(s, r.Key)
-		} else {
-			s[r.Key] = r
+			continue
 		}
+		if redact != nil {
+			r.Value = redact(r.Value)
+		}
+		s[r.Key] = r
 	}
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
 )
@@ -21,6 +22,8 @@
 	bodies  *semaphore.Weighted
 	hedges  hedgeBudget
 	metrics *metrics
+	// confirmer confirms the configuration for requests with keys.
+	confirmer confirmer
 	// durations holds how long recent requests took.
 	durations *durations
 	// closing ends with EndRequests.
@@ -33,6 +36,7 @@
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
 	f := &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), durations: newDurations(), metrics: newMetrics(o.Registerer)}
+	f.confirmer.read = o.Configuration.Confirm
 	f.closing, f.close = context.WithCancel(context.Background())
 	return f
 }
@@ -51,10 +55,10 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	started := time.Now()
+	started, read := time.Now(), clock.Now()
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: started, phase: readingBody}
+	req := &request{Request: platform.ParseRequest(hr.Header), http: hr, started: started, read: read, phase: readingBody}
 	if shutdown := f.opts.Shutdown(); shutdown != nil {
 		w.Header().Set("Connection", "close")
 		if shutdown.closed(started) {
@@ -70,11 +74,17 @@
 		f.reject(w, req, &Rejection{Reason: "no configuration is known yet", RetryAfter: startupRetry})
 		return
 	}
-	if f.isJobCall(req, config) {
+	if job, called := jobCall(hr, config); called {
+		if f.authenticateJobCall(waiting, w, req, job) {
+			f.serveJobs(waiting, w, req)
+		}
+		return
+	}
+	if f.repeatsJob(waiting, req, config) {
 		f.serveJobs(waiting, w, req)
 		return
 	}
-	if !f.match(waiting, w, req, config) {
+	if !f.match(waiting, w, req, config) || !f.authenticate(waiting, w, req) {
 		return
 	}
 	if req.route.Kind == route.Batch {
@@ -94,21 +104,43 @@
 	}
 }
 
-// isJobCall reports whether a request is a call on a batch job. A job is known to all hosts for
-// longer than its route may exist, so only the ledger can tell that there is none.
-func (f *Forwarder) isJobCall(req *request, config *route.Configuration) bool {
+// jobCall returns the id of the batch job that a request calls on, and whether it does. A job is
+// known to all hosts for longer than its route may exist, so only the ledger can tell that there is
+// none.
+func jobCall(hr *http.Request, config *route.Configuration) (string, bool) {
+	if !platform.IsJobCall(hr) {
+		return "", false
+	}
+	call, err := platform.ParseJobCall(hr)
+	return call.Job, err == nil || config.Serves(hr.Host)
+}
+
+// repeatsJob reports whether a request for which there is no route hands in a batch job that was
+// accepted, and sets the request's caller.
+func (f *Forwarder) repeatsJob(ctx context.Context, req *request, config *route.Configuration) bool {
 	hr := req.http
-	if platform.IsJobCall(hr) {
-		_, err := platform.ParseJobCall(hr)
-		return err == nil || config.Serves(hr.Host)
+	if hr.Method != http.MethodPost || req.ID == "" || platform.IsJobCall(hr) || config.Match(hr.Host, hr.URL.Path) != nil {
+		return false
+	}
+	caller := route.Caller{Checked: config.HasWorkspaces()}
+	if caller.Checked {
+		// Without a valid key it may only be a job of a public route. Otherwise the response is that of
+		// a request without a route.
+		if c, rejection := f.identify(ctx, req); rejection == nil && c.workspace != nil {
+			caller.Workspace = c.workspace.Name
+		}
 	}
-	return hr.Method == http.MethodPost && config.Match(hr.Host, hr.URL.Path) == nil && f.opts.RepeatsJob(req.ID, hr.Host, hr.URL.Path)
+	if !f.opts.RepeatsJob(req.ID, hr.Host, hr.URL.Path, caller) {
+		return false
+	}
+	req.caller = caller
+	return true
 }
 
 // serveJobs serves a call of the API of batch jobs, and logs and counts it if its client's
 // connection ended meanwhile. The context is that of untilEnd.
 func (f *Forwarder) serveJobs(ctx context.Context, w http.ResponseWriter, req *request) {
-	call := req.http.WithContext(ctx)
+	call := req.http.WithContext(route.WithCaller(ctx, req.caller))
 	if call.ContentLength != 0 {
 		body := newEndingBody(w, call.Body, f.closing)
 		defer body.release()
--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -15,6 +15,10 @@
 	// Confirm returns nil once the current configuration is known to be the newest one,
 	// and an error if that can't be established.
 	Confirm(ctx context.Context) error
+	// Confirmed returns when the last read was sent, by package clock, that confirmed that the
+	// configuration in force at the return is the newest one, zero if none has; and whether
+	// another such read is likely to succeed.
+	Confirmed() (sent time.Time, reachable bool)
 }
 
 // Placer chooses the endpoint for a request, and blocks until one has capacity.
@@ -80,6 +84,14 @@
 	return sharedParts(r.Prefix)
 }
 
+// Priority returns the priority of the request, 0 being the highest.
+func (r *PlacementRequest) Priority() int {
+	if r.Workspace != nil && r.Workspace.Priority != nil {
+		return *r.Workspace.Priority
+	}
+	return r.Route.Priority
+}
+
 // Usage reports how a placement was used.
 type Usage struct {
 	// Outcome is how the attempt at the endpoint ended.
--- a/forward/jobcalls_test.go
+++ b/forward/jobcalls_test.go
@@ -21,9 +21,11 @@
 	started.Open()
 	return New(Options{
 		Configuration: &testConfiguration{current: config}, Started: started, Shutdown: func() *Shutdown { return nil },
-		Jobs:       http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) }),
-		RepeatsJob: func(id, host, path string) bool { return id == "j" && host == "h.example" && path == "/lots-in/j" },
-		Logger:     log.NewNopLogger(),
+		Jobs: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) }),
+		RepeatsJob: func(id, host, path string, _ route.Caller) bool {
+			return id == "j" && host == "h.example" && path == "/lots-in/j"
+		},
+		Logger: log.NewNopLogger(),
 	})
 }
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -16,6 +16,8 @@
 	resumed    prometheus.Counter
 	hedges     prometheus.Counter
 	incomplete *prometheus.CounterVec
+	// unauthorized counts responses with status 401.
+	unauthorized *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -49,9 +51,13 @@
 			Name: "peridotmount_route_incomplete_requests_total",
 			Help: "Requests that ended without a whole answer, by kind, how far they were (body, waiting, response), and what ended them.",
 		}, []string{"kind", "phase", "cause"}),
+		unauthorized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "peridotmount_route_unauthorized_total",
+			Help: "Requests answered 401, by what is wrong with their key.",
+		}, []string{"fault"}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.seconds, m.rejections, m.attempts, m.resumed, m.hedges, m.incomplete)
+		r.MustRegister(m.requests, m.seconds, m.rejections, m.attempts, m.resumed, m.hedges, m.incomplete, m.unauthorized)
 	}
 	return m
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/peridotmount/peridotmount/endpoint"
+	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/startup"
 	"github.com/peridotmount/peridotmount/upstream"
 )
@@ -35,8 +37,15 @@
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
 	// Jobs serves the API of batch jobs.
 	Jobs http.Handler
-	// RepeatsJob reports whether a batch job with this id was accepted for this host and path.
-	RepeatsJob func(id, host, path string) bool
+	// RepeatsJob reports whether a batch job with this id, which the caller may read, was accepted
+	// for this host and path.
+	RepeatsJob func(id, host, path string, caller route.Caller) bool
+	// IsPublicJob reports whether a batch job was submitted through a public route, so that calls
+	// on it need no key. The error means that this can't be told.
+	IsPublicJob func(ctx context.Context, id string) (bool, error)
+	// Revocation is how long a key may still be accepted after a configuration without it was
+	// published; zero if that is not bounded.
+	Revocation time.Duration
 	// Shutdown returns the schedule of a host that is shutting down, nil before.
 	Shutdown func() *Shutdown
 	// BodyBudget bounds the memory of all request bodies in flight, in bytes.
@@ -92,6 +101,9 @@
 	// Where the host has no more time, it is discarded for lastDiscardTime.
 	discardTime     = time.Second
 	lastDiscardTime = 100 * time.Millisecond
+	// smallBodyBytes is the longest body that is left to net/http to discard, which reads at most
+	// 256 KiB of one.
+	smallBodyBytes = 64 << 10
 	// startupRetry is the Retry-After of a host whose configuration is not known, or may be
 	// stale.
 	startupRetry = 500 * time.Millisecond
--- a/forward/request.go
+++ b/forward/request.go
@@ -24,9 +24,13 @@
 	service       string
 	// workspace is the workspace whose key the request carries, nil without one.
 	workspace *route.Workspace
-	body      []byte
-	started   time.Time
-	deadline  time.Time
+	// caller is in whose name the request is served.
+	caller  route.Caller
+	body    []byte
+	started time.Time
+	// read is when the head of the request was read, by package clock.
+	read     time.Time
+	deadline time.Time
 	// passedOn is when the request was first passed on.
 	passedOn time.Time
 
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -40,12 +40,27 @@
 // refuseUnread rejects a request whose body was not read. The client gets the response before
 // its body is discarded.
 func (f *Forwarder) refuseUnread(w http.ResponseWriter, req *request, r *Rejection) {
+	f.beforeDiscarding(w, req, func() { f.reject(w, req, r) })
+}
+
+// endUnread ends a request whose body was not read by respond. A body that net/http reads by itself
+// does not cost the client its connection.
+func (f *Forwarder) endUnread(w http.ResponseWriter, req *request, respond func()) {
+	if length := req.http.ContentLength; length >= 0 && length <= smallBodyBytes {
+		respond()
+		return
+	}
+	f.beforeDiscarding(w, req, respond)
+}
+
+// beforeDiscarding ends a request by respond, sends the response, and then discards the body.
+func (f *Forwarder) beforeDiscarding(w http.ResponseWriter, req *request, respond func()) {
 	control := http.NewResponseController(w)
 	// Without full duplex net/http may read the body before it writes the response.
 	_ = control.EnableFullDuplex()
 	// Nor does it end the connection by itself if the rest of the body doesn't come.
 	w.Header().Set("Connection", "close")
-	f.reject(w, req, r)
+	respond()
 	_ = control.Flush()
 	if req.http.ContentLength == 0 || req.http.Header.Get("Expect") != "" {
 		return
@@ -134,7 +149,7 @@
 	if req.route != nil {
 		objective = req.route.Objective
 	}
-	_ = level.Info(f.opts.Logger).Log("event", "request", "request", req.ID, "objective_ms", objective.Milliseconds(), "route", name, "kind", kind, "target", target,
+	_ = level.Info(f.opts.Logger).Log("event", "request", "request", req.ID, "objective_ms", objective.Milliseconds(), "route", name, "workspace", req.caller.Workspace, "kind", kind, "target", target,
 		"config", req.configVersion, "status", status, "reason", req.reason, "ended_by", req.ending, "phase", req.phase, "inputs", req.inputs,
 		"retry_after_ms", req.retryAfter.Milliseconds(), "endpoints", req.attempted, "via", req.vias, "versions", req.versions, "open", req.open, "resumes", req.Resumes, "last_event", req.LastEvent,
 		"ran", req.runs, "refused", req.refusals, "placed_ms", req.placementWait.Milliseconds(),
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -36,6 +36,13 @@
 	// confirmErr is the error of Confirm, unless it waits until its context ends.
 	confirmErr error
 	waits      bool
+	// confirmed and reachable are the results of Confirmed.
+	confirmed time.Time
+	reachable bool
+}
+
+func (c *testConfiguration) Confirmed() (sent time.Time, reachable bool) {
+	return c.confirmed, c.reachable
 }
 
 func (c *testConfiguration) Current() *route.Configuration { return c.current }
@@ -182,7 +189,7 @@
 		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
 		Jobs:          http.HandlerFunc(b.serveJobs),
-		RepeatsJob:    func(string, string, string) bool { return false },
+		RepeatsJob:    func(string, string, string, route.Caller) bool { return false },
 		Shutdown:      b.shutdown.Load,
 		BodyBudget:    16 << 20,
 		Logger:        log.NewJSONLogger(log.NewSyncWriter(&b.logLines)),
--- a/forward/try.go
+++ b/forward/try.go
@@ -86,7 +86,7 @@
 	attemptCtx, a.cancel = context.WithCancel(ctx)
 	// Endpoints are told whole milliseconds.
 	left := req.timeLeft(now).Truncate(time.Millisecond)
-	header := platform.ForwardHeader(req.http.Header, left, e.ID)
+	header := platform.ForwardHeader(req.http.Header, left, e.ID, req.caller)
 	if lastEvent != "" {
 		platform.SetLastEvent(header, lastEvent)
 	}
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -17,6 +17,20 @@
 // no route.
 const confirmTimeout = 500 * time.Millisecond
 
+// revocationWaits is how many reads of the configuration fit into the bound on revocation. A host
+// that is cut off during a read knows a confirmation that may be two reads old. With ten of them
+// it goes on for most of the bound, also if the store takes 60 times as long as usual.
+const revocationWaits = 10
+
+// configurationWait returns how long a read of the configuration waits at the store, by the bound
+// on the revocation of keys.
+func configurationWait(revocation time.Duration) time.Duration {
+	if revocation <= 0 {
+		return followWait
+	}
+	return min(followWait, revocation/revocationWaits)
+}
+
 // configuration holds the newest configuration that this process has seen. Its
 // version only rises.
 type configuration struct {
@@ -41,6 +55,12 @@
 	return c.follower.Refresh(ctx)
 }
 
+// Confirmed implements forward.Configuration. The follower hands a new configuration over before it
+// counts the read that brought it.
+func (c *configuration) Confirmed() (sent time.Time, reachable bool) {
+	return c.follower.ConfirmedSent(), c.follower.Reachable()
+}
+
 // Listed implements follow.Handler.
 func (c *configuration) Listed(now time.Time, records []platform.KeyedRecord, _ int64) {
 	c.Changed(now, records)
@@ -69,7 +89,7 @@
 	c.started.check()
 	_ = level.Info(c.logger).Log("event", "configuration_adopted", "version", next.Version, "offset", r.Offset,
 		"routes", len(next.Routes), "services", len(next.Services))
-	_ = level.Debug(c.logger).Log("event", "configuration", "record", string(r.Value))
+	_ = level.Debug(c.logger).Log("event", "configuration", "record", string(platform.RedactConfiguration(r.Value)))
 	c.adopted(next)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,7 +188,10 @@
 	g.asker = picture.NewClient(g.settings.Seeds, &http.Client{Transport: &http.Transport{
 		DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: headerBytes,
 	}})
-	g.configuration.follower = g.follow(platform.TopicOperator, g.configuration, configurationPause)
+	configurationOptions := g.following(platform.TopicOperator, g.configuration, configurationPause)
+	configurationOptions.Wait = configurationWait(g.settings.Revocation)
+	configurationOptions.Redact = platform.RedactConfiguration
+	g.configuration.follower = follow.New(configurationOptions)
 	g.origins = newOrigins(func() time.Time { return g.endpointFeed.Complete() })
 	g.endpoints = newEndpoints(g.logger, g.registry, g.origins, g.endpointsChanged)
 	g.limits = newLimits(g.logger, g.registry)
@@ -371,18 +374,20 @@
 			links:       g.sender.Links(),
 			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
-		Sender:     g.sender,
-		Started:    g.starting.gate,
-		OnLeaving:  g.endpointLeaves,
-		OnLimit:    g.limits.Answered,
-		Check:      g.check,
-		OnBegun:    g.streamBegun,
-		Jobs:       batch.NewAPI(g.ledger),
-		RepeatsJob: g.ledger.Repeats,
-		Shutdown:   g.ready.shutdown.Load,
-		BodyBudget: int64(float64(g.settings.Memory) * bodyShare),
-		Logger:     g.logger,
-		Registerer: g.registry,
+		Sender:      g.sender,
+		Started:     g.starting.gate,
+		OnLeaving:   g.endpointLeaves,
+		OnLimit:     g.limits.Answered,
+		Check:       g.check,
+		OnBegun:     g.streamBegun,
+		Jobs:        batch.NewAPI(g.ledger),
+		RepeatsJob:  g.ledger.Repeats,
+		IsPublicJob: g.ledger.IsPublic,
+		Revocation:  g.settings.Revocation,
+		Shutdown:    g.ready.shutdown.Load,
+		BodyBudget:  int64(float64(g.settings.Memory) * bodyShare),
+		Logger:      g.logger,
+		Registerer:  g.registry,
 	})
 }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -180,7 +180,7 @@
 	a := scheduler.SlotRequest{
 		Request:        ask.Request,
 		Service:        ask.Service,
-		Priority:       ask.Route.Priority,
+		Priority:       ask.Priority(),
 		Objective:      ask.Route.Objective,
 		PromptTokens:   ask.PromptTokens,
 		ExpectedTokens: ask.ExpectedTokens,
@@ -192,6 +192,9 @@
 		Version:        ask.Version,
 		Avoid:          slices.Clone(ask.Avoid),
 	}
+	if ask.Workspace != nil {
+		a.Workspace = ask.Workspace.Name
+	}
 	for range maxPlaces {
 		lease, err := p.acquire(ctx, ask, &a, begun)
 		if err != nil {
--- a/jobs/format_test.go
+++ b/jobs/format_test.go
@@ -30,7 +30,7 @@
 		}
 	}
 	job := s.Job("j")
-	if len(job.Results) != 1 || !job.Cancelled || job.Failures(0) != 1 || s.Waiting("r") != 0 {
+	if len(job.Results) != 1 || !job.Cancelled || job.Failures(0) != 1 || s.Waiting("", "r") != 0 {
 		t.Errorf("job %+v", job)
 	}
 }
--- a/jobs/oddrecord_test.go
+++ b/jobs/oddrecord_test.go
@@ -72,7 +72,7 @@
 				}
 				s.ApplyDeletion(s.Next(), job.acceptedKey)
 			}
-			if got := s.Waiting("r"); got != 10 {
+			if got := s.Waiting("", "r"); got != 10 {
 				t.Fatalf("%s: %d tokens wait on the route, want 10", text, got)
 			}
 		}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -11,6 +11,7 @@
 
 // Record is one ledger record; exactly one of its pointer fields is set.
 type Record struct {
+	// Job is the id of the job, by ID.
 	Job string `json:"job"`
 	// Writer identifies the process that wrote the record.
 	Writer  string      `json:"writer"`
@@ -33,6 +34,11 @@
 	Route string `json:"route"`
 	Host  string `json:"host"`
 	Path  string `json:"path"`
+	// Workspace is the workspace whose key the submission carried, or "" if it needed none.
+	Workspace string `json:"workspace,omitempty"`
+	// Public means that the route was public, so that calls on the job need no key. Jobs of
+	// older builds have neither a workspace nor this mark.
+	Public bool `json:"public,omitempty"`
 	// Items holds the metadata of the job's items; Inputs locates the rest of their
 	// data.
 	Items  []ItemMeta `json:"items"`
@@ -41,8 +47,8 @@
 	AcceptedBy string `json:"taken_by,omitempty"`
 	// Tokens is the sum of the items' tokens.
 	Tokens int64 `json:"tokens"`
-	// Quota is the maximum number of tokens of open items on the route; 0 means
-	// unlimited.
+	// Quota is the maximum number of tokens of open items that the workspace has on the route,
+	// or all jobs without a workspace; 0 means unlimited.
 	Quota int64 `json:"quota,omitempty"`
 	// SubmittedMillis is the writer's wall-clock time, in Unix milliseconds.
 	SubmittedMillis int64 `json:"submitted_ms"`
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -34,8 +34,8 @@
 // each attempt to submit a job has one verdict.
 type State struct {
 	jobs map[string]*Job
-	// openTokens is the sum of the tokens of open items, by route.
-	openTokens map[string]int64
+	// openTokens is the sum of the tokens of open items.
+	openTokens map[quotaKey]int64
 	// next is the offset after the newest applied record.
 	next int64
 	// rejections holds the attempts that were rejected: a late duplicate of one must not be
@@ -49,6 +49,14 @@
 	orphans map[string]bool
 }
 
+// quotaKey names whose open items on a route count against one quota.
+type quotaKey struct{ workspace, route string }
+
+// quotaKey returns against whose quota the items of a submission count.
+func (s *Submission) quotaKey() quotaKey {
+	return quotaKey{workspace: s.Workspace, route: s.Route}
+}
+
 // submissionRef names a submission in the ledger.
 type submissionRef struct{ job, attempt string }
 
@@ -56,7 +64,7 @@
 func NewState() *State {
 	return &State{
 		jobs:          make(map[string]*Job),
-		openTokens:    make(map[string]int64),
+		openTokens:    make(map[quotaKey]int64),
 		rejections:    make(map[string]*rejection),
 		rejectionKeys: make(map[string]string),
 		submissions:   make(map[string]submissionRef),
@@ -79,10 +87,10 @@
 	return s.next
 }
 
-// Waiting returns the sum of the tokens of the open items of a route, including
-// items that are running.
-func (s *State) Waiting(route string) int64 {
-	return s.openTokens[route]
+// Waiting returns the sum of the tokens of the open items that a workspace has on a route,
+// including items that are running; for "" that of all jobs without a workspace.
+func (s *State) Waiting(workspace, route string) int64 {
+	return s.openTokens[quotaKey{workspace: workspace, route: route}]
 }
 
 // Apply applies the record at an offset and returns what it changed. Records must
@@ -162,7 +170,7 @@
 		return Repeated
 	case s.rejections[r.Submit.Attempt] != nil:
 		return OverQuota
-	case r.Submit.Quota > 0 && s.openTokens[r.Submit.Route]+r.Submit.Tokens > r.Submit.Quota:
+	case r.Submit.Quota > 0 && s.openTokens[r.Submit.quotaKey()]+r.Submit.Tokens > r.Submit.Quota:
 		return OverQuota
 	default:
 		return Accepted
@@ -179,7 +187,7 @@
 		acceptedKey: key,
 		payloadKeys: inputKeys(r.Submit),
 	}
-	s.openTokens[r.Submit.Route] += r.Submit.Tokens
+	s.openTokens[r.Submit.quotaKey()] += r.Submit.Tokens
 }
 
 func inputKeys(s *Submission) []string {
@@ -203,9 +211,9 @@
 }
 
 func (s *State) subtractOpenTokens(job *Job, tokens int64) {
-	route := job.Submission.Route
-	if s.openTokens[route] -= tokens; s.openTokens[route] <= 0 {
-		delete(s.openTokens, route)
+	key := job.Submission.quotaKey()
+	if s.openTokens[key] -= tokens; s.openTokens[key] <= 0 {
+		delete(s.openTokens, key)
 	}
 }
 
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -95,13 +95,13 @@
 	l := newTestLedger(t)
 	l.accept("j", "a", "b", "c")
 	l.apply(result("j", 0, ""))
-	if got := l.state.Waiting("r"); got != 20 {
+	if got := l.state.Waiting("", "r"); got != 20 {
 		t.Errorf("%d tokens of open items, want 20", got)
 	}
 	l.apply(&Record{Job: "j", Cancel: &Cancel{}})
 	l.apply(&Record{Job: "j", Cancel: &Cancel{}})
 	l.apply(result("j", 1, ""))
-	if got := l.state.Waiting("r"); got != 0 {
+	if got := l.state.Waiting("", "r"); got != 0 {
 		t.Errorf("%d tokens of open items after cancellation, want 0", got)
 	}
 	if n := len(l.state.Job("j").Results); n != 1 {
@@ -171,7 +171,7 @@
 		l.offset++
 		l.state.ApplyDeletion(l.offset, key)
 	}
-	if l.state.Job("j") != nil || l.state.Waiting("r") != 0 {
+	if l.state.Job("j") != nil || l.state.Waiting("", "r") != 0 {
 		t.Error("the job or its open tokens remain after its records were deleted")
 	}
 	l.apply(result("j", 0, "late"))
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -37,6 +37,9 @@
 			return errors.Wrapf(ErrMalformed, "item %d has %d tokens", i, tokens)
 		}
 		sum += tokens
+		if err := s.Items[i].validatePrefix(); err != nil {
+			return errors.Wrapf(err, "item %d", i)
+		}
 	}
 	if s.Tokens != sum {
 		return errors.Wrapf(ErrMalformed, "job of %d tokens, its items have %d", s.Tokens, sum)
@@ -53,6 +56,19 @@
 	return nil
 }
 
+// validatePrefix returns ErrMalformed unless each part of the prompt has its tokens, or none has.
+func (m *ItemMeta) validatePrefix() error {
+	if n := len(m.PrefixTokens); n != 0 && n != len(m.Prefix) {
+		return errors.Wrapf(ErrMalformed, "tokens of %d parts of %d", n, len(m.Prefix))
+	}
+	for _, tokens := range m.PrefixTokens {
+		if tokens < 0 {
+			return errors.Wrapf(ErrMalformed, "part of %d tokens", tokens)
+		}
+	}
+	return nil
+}
+
 func (b *Blob) validate() error {
 	records := 0
 	for i := range b.Segments {
