--- a/cli/routesjobs.go
+++ b/cli/routesjobs.go
@@ -17,6 +17,7 @@
 // routesJob is a batch job in the JSON output of the routes jobs command.
 type routesJob struct {
 	ID        string    `json:"id"`
+	Workspace string    `json:"workspace"`
 	Route     string    `json:"route"`
 	TakenBy   string    `json:"taken_by"`
 	Items     int       `json:"items"`
@@ -44,10 +45,10 @@
 			return err
 		}
 		list := replayJobs(records, func(key string) { cmd.PrintErrln("not readable:", key) })
-		t := &table{headings: []string{"JOB", "ROUTE", "TAKEN BY", "ITEMS", "DONE", "DEAD", "OPEN", "CANCELLED", "SUBMITTED", "DUE"}}
+		t := &table{headings: []string{"JOB", "WORKSPACE", "ROUTE", "TAKEN BY", "ITEMS", "DONE", "DEAD", "OPEN", "CANCELLED", "SUBMITTED", "DUE"}}
 		for i := range list {
 			j := &list[i]
-			t.add(j.ID, j.Route, j.TakenBy, strconv.Itoa(j.Items), strconv.Itoa(j.Done), strconv.Itoa(j.Dead), strconv.Itoa(j.Open),
+			t.add(j.ID, j.Workspace, j.Route, j.TakenBy, strconv.Itoa(j.Items), strconv.Itoa(j.Done), strconv.Itoa(j.Dead), strconv.Itoa(j.Open),
 				strconv.FormatBool(j.Cancelled), j.Submitted.Format(time.RFC3339), j.Due.Format(time.RFC3339))
 		}
 		return write(cmd.OutOrStdout(), output.value, t, list)
@@ -84,7 +85,10 @@
 		if !out[i].Submitted.Equal(out[j].Submitted) {
 			return out[i].Submitted.After(out[j].Submitted)
 		}
-		return out[i].ID < out[j].ID
+		if out[i].ID != out[j].ID {
+			return out[i].ID < out[j].ID
+		}
+		return out[i].Workspace < out[j].Workspace
 	})
 	return out
 }
@@ -92,7 +96,7 @@
 func statusOfJob(j *jobs.Job) routesJob {
 	sub := &j.Submission
 	out := routesJob{
-		ID: j.ID, Route: sub.Route, TakenBy: sub.AcceptedBy, Items: len(j.Items()), Open: j.Open(), Cancelled: j.Cancelled,
+		ID: jobs.ChosenID(j.ID), Workspace: sub.Workspace, Route: sub.Route, TakenBy: sub.AcceptedBy, Items: len(j.Items()), Open: j.Open(), Cancelled: j.Cancelled,
 		Submitted: time.UnixMilli(sub.SubmittedMillis), Due: time.UnixMilli(sub.SubmittedMillis + sub.WindowMillis),
 	}
 	for i := range j.Results {
