--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -7,7 +7,9 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
@@ -31,6 +33,20 @@
 	return min(followWait, revocation/revocationWaits)
 }
 
+// newConfirmationAge returns the metric of how old the last confirmation of the configuration is.
+func newConfirmationAge(f *follow.Follower) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "peridotmount_configuration_confirmed_age_seconds",
+		Help: "Time since the last read was sent that confirmed that the configuration is the newest; -1 before the first.",
+	}, func() float64 {
+		sent := f.ConfirmedSent()
+		if sent.IsZero() {
+			return -1
+		}
+		return clock.Now().Sub(sent).Seconds()
+	})
+}
+
 // configuration holds the newest configuration that this process has seen. Its
 // version only rises.
 type configuration struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,6 +192,7 @@
 	configurationOptions.Wait = configurationWait(g.settings.Revocation)
 	configurationOptions.Redact = platform.RedactConfiguration
 	g.configuration.follower = follow.New(configurationOptions)
+	g.registry.MustRegister(newConfirmationAge(g.configuration.follower))
 	g.origins = newOrigins(func() time.Time { return g.endpointFeed.Complete() })
 	g.endpoints = newEndpoints(g.logger, g.registry, g.origins, g.endpointsChanged)
 	g.limits = newLimits(g.logger, g.registry)
--- a/relay/transport_test.go
+++ b/relay/transport_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"encoding/base64"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +17,9 @@
 
 	"github.com/peridotmount/peridotmount/httpjson"
 	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/route"
+	"github.com/peridotmount/peridotmount/standin"
 )
 
 const testTimeout = 20 * time.Second
@@ -257,3 +262,83 @@
 		t.Errorf("relay is still %q, %d failures counted", h.transport.selector.relay, h.transport.selector.failures)
 	}
 }
+
+// TestRelayedAnswersHoldNoKeys relays reads of the operator's topic. Other answers of the store pass
+// unchanged.
+func TestRelayedAnswersHoldNoKeys(t *testing.T) {
+	const configuration = `{"version":3,"tenants":[{"name":"a","api_keys":["planted-key"]}]}`
+	store := standin.NewStore(standin.StoreFaults{})
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	store.Put(platform.TopicOperator.Name, platform.KeyConfiguration, []byte(configuration))
+	store.Put(platform.TopicEndpoints.Name, "e", []byte(configuration))
+	near := newTestHost(t, "near", server.Listener.Addr().String())
+	cut := newTestHost(t, "cut", server.Listener.Addr().String(), near)
+	cut.cutOff.Store(true)
+	cut.transport.selector.directDown = true
+	var bodies bytes.Buffer
+	client := platform.NewStore(server.Listener.Addr().String(), platform.StoreOptions{Transport: &recordingTransport{next: cut.transport, bodies: &bodies}})
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	page, err := client.Read(ctx, platform.TopicOperator, 0, 100, 0)
+	if err != nil || len(page.Records) != 1 {
+		t.Fatalf("page %+v, error %v", page, err)
+	}
+	record, err := platform.DecodeKeyed(page.Records[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot, err := client.Newest(ctx, platform.TopicOperator, "")
+	if err != nil || len(snapshot.Records) != 1 {
+		t.Fatalf("snapshot %+v, error %v", snapshot, err)
+	}
+	for _, value := range [][]byte{record.Value, snapshot.Records[0].Value} {
+		c, err := platform.DecodeConfiguration(value)
+		if err != nil || c.Version != 3 || c.WorkspaceByKey(route.HashKey("planted-key")) == nil {
+			t.Errorf("configuration %+v, error %v", c, err)
+		}
+	}
+	for _, text := range []string{"planted-key", base64.StdEncoding.EncodeToString([]byte(configuration))} {
+		if strings.Contains(bodies.String(), text) {
+			t.Errorf("the relayed answers hold %q", text)
+		}
+	}
+	if r, err := client.Newest(ctx, platform.TopicEndpoints, ""); err != nil || string(r.Records[0].Value) != configuration {
+		t.Errorf("another topic: %+v, error %v", r, err)
+	}
+	if _, err := client.Read(ctx, platform.TopicOperator, 99, 100, 0); err != nil {
+		t.Errorf("read of nothing: %v", err)
+	}
+}
+
+// recordingTransport keeps the bodies of all responses.
+type recordingTransport struct {
+	next   http.RoundTripper
+	bodies *bytes.Buffer
+}
+
+func (r *recordingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := r.next.RoundTrip(req)
+	if err == nil {
+		resp.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.TeeReader(resp.Body, r.bodies), resp.Body}
+	}
+	return resp, err
+}
+
+// TestUnreadableAnswersAreNotRelayed guards against keys in an answer that can't be redacted.
+func TestUnreadableAnswersAreNotRelayed(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "planted-key") }))
+	t.Cleanup(server.Close)
+	near := newTestHost(t, "near", server.Listener.Addr().String())
+	for _, path := range []string{"/log-read", "/log-newest", "/log-other"} {
+		w := httptest.NewRecorder()
+		NewServer(near.transport).ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path+path+"?topic=keyed.op&part=0", http.NoBody))
+		if w.Code == http.StatusOK || strings.Contains(w.Body.String(), "planted") || w.Header().Get(outcomeHeader) == "" {
+			t.Errorf("%s: status %d, %q", path, w.Code, w.Body)
+		}
+	}
+}
