--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -37,6 +37,10 @@
 	processes    hostProcesses
 	// controls are the control addresses of the first hosts.
 	controls []string
+	// hostSettings are further lines of the section host of the settings, settings further sections.
+	hostSettings, settings string
+	// seeds returns the control addresses that a host gets; nil returns controls.
+	seeds func() []string
 	// quota is that of the route for batch jobs; zero means routedQuota.
 	quota   int
 	engines []*standin.Replica
@@ -141,12 +145,17 @@
 	if n := len(f.gateways); n < len(f.controls) {
 		control = "control = " + f.controls[n]
 	}
+	seeds := f.controls
+	if f.seeds != nil {
+		seeds = f.seeds()
+	}
 	text := fmt.Sprintf(`[host]
 name = %s
 zone = sk-central-a
 regions = sk-central-a=sk-central
 seeds = %s
 grace = 8s
+%s
 [listen]
 callers = %s
 readiness = %s
@@ -154,7 +163,8 @@
 %s
 [store]
 address = %s
-`, name, strings.Join(f.controls, ","), callers, ready, peers, control, store)
+%s
+`, name, strings.Join(seeds, ","), f.hostSettings, callers, ready, peers, control, store, f.settings)
 	file := filepath.Join(f.t.TempDir(), name+".ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/e2e/soakproxy_test.go
+++ b/e2e/soakproxy_test.go
@@ -27,6 +27,8 @@
 	// changed is closed when the state changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// passed, unless it is nil, keeps what goes through.
+	passed *passedBytes
 }
 
 func newSoakProxy(t *testing.T, target string) *soakProxy {
@@ -121,8 +123,10 @@
 // copy passes one direction on until it ends; an end that is no close resets both.
 func (p *soakProxy) copy(to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
+	kept := p.passed.open()
 	for {
 		n, err := from.Read(buffer)
+		kept.write(buffer[:max(0, n)])
 		if !p.pass() {
 			resetConn(to)
 			resetConn(from)
