Quotas of workspaces across all hosts: token buckets at the scheduler, claims and permits

Package quota keeps a bucket for each active workspace. Requests for slots carry a claim, requests to plain services ask for a permit over the session. Hosts tell a new scheduler what was admitted for them in the last window, and a scheduler replicates what it admitted to the hosts that may schedule next. Requests beyond a quota get 429.

The tests' links name the incarnation of their scheduler, as the interface now asks for it.

--- a/forward/rejection.go
+++ b/forward/rejection.go
@@ -14,6 +14,8 @@
 	// Inputs describes the data that the decision was based on, for the log; it may be
 	// empty.
 	Inputs string
+	// Quota means that the client sends more than it may: the status is 429 instead of 503.
+	Quota bool
 }
 
 // Error implements error.
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -27,14 +27,18 @@
 	f.finish(req, status)
 }
 
-// reject ends a request that did not run, with status 503 and a Retry-After.
+// reject ends a request that did not run, with status 503, or 429 beyond a quota, and a Retry-After.
 func (f *Forwarder) reject(w http.ResponseWriter, req *request, r *Rejection) {
 	if r.RetryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), r.RetryAfter)
 	}
 	req.inputs, req.retryAfter = r.Inputs, r.RetryAfter
 	f.metrics.rejections.WithLabelValues(r.Reason).Inc()
-	f.respond(w, req, http.StatusServiceUnavailable, r.Reason)
+	status := http.StatusServiceUnavailable
+	if r.Quota {
+		status = http.StatusTooManyRequests
+	}
+	f.respond(w, req, status, r.Reason)
 }
 
 // refuseUnread rejects a request whose body was not read. The client gets the response before
--- a/forward/try.go
+++ b/forward/try.go
@@ -75,8 +75,9 @@
 		}
 	}
 	e := placement.Endpoint()
-	req.addAttempt(e, now.Sub(placementStarted))
+	// Before the endpoint is known, as a hedge may begin then.
 	req.setCharged()
+	req.addAttempt(e, now.Sub(placementStarted))
 	if req.resumedRequest() != "" {
 		// The placer knows that this version began the stream.
 		req.setVersion(e.Version)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/picture"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/quota"
 	"github.com/peridotmount/peridotmount/relay"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
@@ -297,6 +298,9 @@
 		Self:             g.self,
 		EndpointFeedback: enabled(g.settings.EndpointFeedback, g.settings.Contracts),
 		WeighWaits:       enabled(g.settings.WeighWaits, g.settings.Contracts),
+		Quota: quota.Options{
+			Window: g.settings.QuotaWindow, Overrun: g.settings.QuotaOverrun, Slack: g.settings.QuotaSlack,
+		},
 		Directory:        g.directory,
 		RecordsReadUntil: g.directoryFeed.Complete,
 		RefreshDirectory: g.directoryFeed.Refresh,
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -17,6 +17,7 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/forward"
 	"github.com/peridotmount/peridotmount/origin"
+	"github.com/peridotmount/peridotmount/quota"
 	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/slots"
@@ -94,7 +95,34 @@
 			return p.slot(ctx, ask)
 		}
 	}
-	return p.balanced(ctx, ask)
+	return p.permitted(ctx, ask)
+}
+
+// permitted places a request to a plain service, once it is admitted within its workspace's quota.
+func (p *placer) permitted(ctx context.Context, ask *forward.PlacementRequest) (forward.Placement, error) {
+	claim := claimOf(ask)
+	if claim == nil {
+		return p.balanced(ctx, ask)
+	}
+	permit, err := p.client.AcquirePermit(ctx, *claim)
+	if err != nil {
+		return nil, rejectionOf(err)
+	}
+	place, err := p.balanced(ctx, ask)
+	if err != nil {
+		permit.Return()
+	}
+	return place, err
+}
+
+// claimOf returns what a request claims of its workspace's quota, nil if it needs no admission.
+func claimOf(ask *forward.PlacementRequest) *quota.Claim {
+	if ask.Charged || !ask.Workspace.Limited() {
+		return nil
+	}
+	return &quota.Claim{
+		Workspace: ask.Workspace.Name, RequestsPerSecond: ask.Workspace.RequestsPerSecond, Burst: ask.Workspace.Burst, Version: ask.ConfigVersion,
+	}
 }
 
 // balanced places a request to a plain service, now or as soon as the rate limits of its
@@ -187,6 +215,7 @@
 		Prefix:         ask.Prefix,
 		PrefixTokens:   ask.PrefixTokens,
 		Repeatable:     ask.Repeatable,
+		Claim:          claimOf(ask),
 		Fingerprint:    ask.Fingerprint,
 		Resumes:        ask.Resumes,
 		Version:        ask.Version,
@@ -197,6 +226,7 @@
 		if err != nil {
 			return nil, rejectionOf(err)
 		}
+		a.Claim = nil
 		e := p.endpoints.View().Endpoint(lease.Endpoint)
 		outcome, usable := usableGrant(ask, lease.Version, e)
 		if usable {
@@ -276,6 +306,12 @@
 func rejectionOf(err error) error {
 	var refused *slots.RefusedError
 	if errors.As(err, &refused) {
+		if refused.Quota != nil {
+			return &forward.Rejection{
+				Reason: string(refused.Reason), RetryAfter: refused.RetryAfter, Quota: true,
+				Inputs: refused.Scheduler + ": " + refused.Quota.String(),
+			}
+		}
 		return &forward.Rejection{
 			Reason: string(refused.Reason), RetryAfter: refused.RetryAfter,
 			Inputs: refused.Scheduler + ": " + refused.Load.String(),
--- /dev/null
+++ b/quota/report.go
@@ -0,0 +1,64 @@
+package quota
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Report tells what a scheduler admitted within the last window: for one host, or for all.
+type Report struct {
+	// Scheduler is the Options.Self of the scheduler that admitted.
+	Scheduler string `json:"scheduler"`
+	// Width is the width of the bins.
+	Width time.Duration `json:"width"`
+	Uses  []Use         `json:"uses"`
+}
+
+// Use is what was admitted of one workspace.
+type Use struct {
+	Workspace string `json:"w"`
+	Bins      []Bin  `json:"b"`
+}
+
+// Bin is the age of a bin, in widths, and the number of admissions in it.
+type Bin [2]int
+
+// maxReportedUses bounds the workspaces of a report, whose message is to stay below a megabyte.
+const maxReportedUses = 4000
+
+// reportOf makes a report of histories that have been advanced. If there are too many, it holds
+// those of the most admissions.
+func reportOf(scheduler string, width time.Duration, histories map[string]*history) Report {
+	r := Report{Scheduler: scheduler, Width: width}
+	names := make([]string, 0, len(histories))
+	for name, h := range histories {
+		if h.total > 0 {
+			names = append(names, name)
+		}
+	}
+	if len(names) > maxReportedUses {
+		slices.SortFunc(names, func(a, b string) int { return histories[b].total - histories[a].total })
+		names = names[:maxReportedUses]
+	}
+	slices.SortFunc(names, strings.Compare)
+	for _, name := range names {
+		r.Uses = append(r.Uses, Use{Workspace: name, Bins: histories[name].bins()})
+	}
+	return r
+}
+
+// addTo adds the admissions of a report to histories, now being the present bin.
+func (r *Report) addTo(histories map[string]*history, now int64, width time.Duration) {
+	for i := range r.Uses {
+		u := &r.Uses[i]
+		h := histories[u.Workspace]
+		if h == nil {
+			h = &history{newest: now}
+			histories[u.Workspace] = h
+		}
+		for _, b := range u.Bins {
+			h.add(now, now-int64(time.Duration(b[0])*r.Width/width), b[1])
+		}
+	}
+}
--- a/scheduler/convicted.go
+++ b/scheduler/convicted.go
@@ -22,6 +22,7 @@
 			if verdict := match(w.keys); verdict != nil {
 				v.dequeue(w)
 				delete(c.waiting, w.Ticket)
+				c.refund(now, w)
 				c.RefuseRequest(now, w.host.name, &w.SlotRequest, verdict)
 			}
 		}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -30,6 +30,7 @@
 	items     map[ItemRef]*openItem
 	// suspects spaces the requests that may crash endpoints.
 	suspects *blame.Pace
+	quotas   quotas
 	// share is the fraction of all slots that this scheduler may use.
 	share float64
 	// rateShare is the fraction of the endpoints' rate limits that it may use.
@@ -55,6 +56,7 @@
 		waiting:      make(map[string]*waiter),
 		items:        make(map[ItemRef]*openItem),
 		suspects:     blame.NewPace(),
+		quotas:       newQuotas(o.Quota),
 		share:        1,
 		rateShare:    1,
 		batchEnabled: true,
@@ -86,7 +88,7 @@
 // Busy reports whether Tick has work to do: some request or item is known, and a host
 // that it could run on.
 func (c *Core) Busy() bool {
-	return len(c.members) > 0 && (len(c.waiting) > 0 || len(c.items) > 0)
+	return len(c.members) > 0 && (len(c.waiting) > 0 || len(c.items) > 0 || len(c.quotas.parked) > 0)
 }
 
 // SetEndpoints replaces the set of endpoints that accept new work.
@@ -140,6 +142,7 @@
 func (c *Core) SetShare(now time.Time, share, rateShare float64, batch bool) {
 	c.forfeitAccrued(now)
 	c.sharedAt = now
+	c.quotas.table.SetShare(now, rateShare)
 	if share == c.share && rateShare == c.rateShare && batch == c.batchEnabled {
 		return
 	}
@@ -147,6 +150,7 @@
 	for _, s := range c.endpoints {
 		s.setRateLimit(now, rateShare)
 	}
+	c.retryParked(now)
 	c.dispatchAll(now)
 }
 
@@ -154,7 +158,7 @@
 // repeats the grant, and for one that waits it does nothing.
 func (c *Core) Acquire(now time.Time, host string, request SlotRequest) {
 	m := c.members[host]
-	if m == nil || c.waiting[request.Ticket] != nil {
+	if m == nil || c.waiting[request.Ticket] != nil || (request.Claim != nil && c.isParked(request.Ticket)) {
 		return
 	}
 	if t := c.tickets[request.Ticket]; t != nil {
@@ -174,13 +178,17 @@
 		c.emit(Refuse{Host: host, Ticket: request.Ticket, Reason: ReasonUnread, RetryAfter: wait})
 		return
 	}
+	c.forfeitAccrued(now)
+	if !c.chargeSlot(now, host, &request) {
+		return
+	}
 	v.arrivals.count(now)
 	c.seq++
 	w := &waiter{
 		SlotRequest: request, host: m, seq: c.seq, keys: request.Keys(),
 		arrived:  now.Add(-request.Elapsed),
-		deadline: now.Add(request.Left),
-		retry:    request.Resumes != "" || (request.Fingerprint != "" && v.refused.Has(request.Fingerprint)),
+		deadline: now.Add(request.Left), chargedAt: now,
+		retry: request.Resumes != "" || (request.Fingerprint != "" && v.refused.Has(request.Fingerprint)),
 	}
 	c.waiting[request.Ticket] = w
 	v.enqueue(w)
@@ -252,6 +260,10 @@
 		v := c.service(w.Service)
 		v.dequeue(w)
 		delete(c.waiting, id)
+		c.refund(now, w)
+		return
+	}
+	if c.unpark(id) {
 		return
 	}
 	c.Done(now, Usage{Ticket: id, Outcome: Abandoned})
@@ -331,6 +343,7 @@
 // and requeues finished items whose result has been missing for Options.Settle.
 func (c *Core) Tick(now time.Time) {
 	c.releasePresumedDone(now)
+	c.retryParked(now)
 	for _, name := range c.serviceNames() {
 		c.refuseOrDemote(now, c.services[name])
 		c.planItems(now, c.services[name])
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/quota"
+)
 
 // Effect is a decision to send to a host.
 type Effect interface {
@@ -26,6 +30,8 @@
 	Reason     Reason        `json:"reason"`
 	RetryAfter time.Duration `json:"retry_after"`
 	Load       Load          `json:"load"`
+	// Quota tells of the workspace's quota, if that is the reason.
+	Quota *quota.Refusal `json:"quota,omitempty"`
 }
 
 // Revoke preempts a batch item: its host has to release the slot.
@@ -78,6 +84,9 @@
 	ReasonNoVersion Reason = "no endpoint has the version that began the stream"
 	// ReasonQuota means that the workspace of the request is at its quota.
 	ReasonQuota Reason = "the quota of the workspace is used up"
+	// ReasonNoPermit means that the scheduler did not tell whether the workspace is within its
+	// quota.
+	ReasonNoPermit Reason = "the quota of the workspace could not be checked"
 	// ReasonWithdrawn means that the host withdrew the SlotRequest.
 	ReasonWithdrawn Reason = "withdrawn"
 )
--- a/scheduler/hello.go
+++ b/scheduler/hello.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "github.com/peridotmount/peridotmount/quota"
+
 // Hello describes the state of a host to a new scheduler.
 type Hello struct {
 	Host   string `json:"host"`
@@ -11,6 +13,9 @@
 	Resumable []Resumable `json:"kept,omitempty"`
 	// Sent lists what the host sent lately, under earlier schedulers.
 	Sent []Sent `json:"sent,omitempty"`
+	// Admitted is what schedulers admitted for the host within the quotas of workspaces, in the
+	// last window.
+	Admitted []quota.Report `json:"admitted,omitempty"`
 	// Offers lists the open items of the jobs that the host accepted.
 	Offers []Offer `json:"offers,omitempty"`
 }
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -4,6 +4,10 @@
 
 // Join adds a host, the slots that it already uses, and the items that it can resume.
 func (c *Core) Join(now time.Time, h *Hello) {
+	if len(c.members) == 0 {
+		c.quotas.settleUntil = now.Add(settleTime)
+	}
+	c.quotas.table.Tell(now, h.Host, h.Admitted)
 	m := &member{name: h.Host, zone: h.Zone, region: h.Region}
 	c.members[m.name] = m
 	c.Offer(now, m.name, h.Offers)
@@ -77,6 +81,7 @@
 		if w.host.name == host {
 			c.service(w.Service).dequeue(w)
 			delete(c.waiting, id)
+			c.refund(now, w)
 		}
 	}
 	for _, t := range c.tickets {
@@ -94,6 +99,7 @@
 		}
 	}
 	delete(c.members, host)
+	c.unparkHost(host)
 	c.dispatchAll(now)
 }
 
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/quota"
+)
 
 // Options configures a Core. Zero values mean the defaults.
 type Options struct {
@@ -21,6 +25,8 @@
 	// Settle is how long the result of a finished item may be missing from the ledger
 	// before the item is run again.
 	Settle time.Duration
+	// Quota configures the quotas of workspaces.
+	Quota quota.Options
 	// EndpointFeedback has endpoints that fail or are slow get less work, by the outcomes of
 	// requests.
 	EndpointFeedback bool
--- a/scheduler/refusals.go
+++ b/scheduler/refusals.go
@@ -20,6 +20,7 @@
 	load := v.load(now, c.share, v.queuePosition(w))
 	v.dequeue(w)
 	delete(c.waiting, w.Ticket)
+	c.refund(now, w)
 	v.overloadedAt = now
 	if w.Fingerprint != "" {
 		v.refused.Add(w.Fingerprint)
--- a/scheduler/standstill.go
+++ b/scheduler/standstill.go
@@ -12,7 +12,12 @@
 	if c.sharedAt.IsZero() || now.Sub(c.sharedAt) <= standstillGap {
 		return
 	}
+	since := c.sharedAt
 	c.sharedAt = now
+	if len(c.members) > 0 {
+		// One without hosts is told what others admitted as its hosts join.
+		c.quotas.table.Forfeit(now, since)
+	}
 	for _, s := range c.endpoints {
 		if s.pacer != nil {
 			s.pacer.Forfeit(now)
--- a/scheduler/waiter.go
+++ b/scheduler/waiter.go
@@ -22,6 +22,8 @@
 	// priority.
 	retry bool
 	seq   uint64
+	// chargedAt is when the request was charged to its workspace's quota, if it has a claim.
+	chargedAt time.Time
 	// keys is what the request may share with others that crash endpoints.
 	keys []blame.Key
 }
--- a/slots/broadcasts.go
+++ b/slots/broadcasts.go
@@ -20,7 +20,7 @@
 	l.mu.Unlock()
 	l.attribution.announced = l.attribution.tracker.Suspects()
 	l.broadcast(SchedulerMessage{Broadcast: &Broadcast{
-		Alive: alive, Convictions: l.convictions.All(now), Suspects: l.attribution.announced, EndpointsLeaving: l.leavingEndpoints(),
+		Alive: alive, Convictions: l.convictions.All(now), Suspects: l.attribution.announced, EndpointsLeaving: l.leavingEndpoints(), Quotas: true,
 	}})
 }
 
--- a/slots/client.go
+++ b/slots/client.go
@@ -15,6 +15,7 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/origin"
 	"github.com/peridotmount/peridotmount/peers"
+	"github.com/peridotmount/peridotmount/quota"
 	"github.com/peridotmount/peridotmount/ring"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
@@ -36,6 +37,8 @@
 	Self peers.Host
 	// EndpointFeedback and WeighWaits are those of scheduler.Options.
 	EndpointFeedback, WeighWaits bool
+	// Quota configures the quotas of workspaces; Self is set from the host.
+	Quota quota.Options
 	// Directory lists the hosts.
 	Directory Directory
 	// RecordsReadUntil returns the time, by package clock, up to which the records of the
@@ -86,6 +89,7 @@
 	pending      map[string]*pendingRequest
 	held         map[string]*heldSlot
 	sent         sentLog
+	quotas       hostQuotas
 	seq          uint64
 	shuttingDown bool
 	// departed holds, by name and incarnation, when a scheduler announced its shutdown.
@@ -107,6 +111,7 @@
 // NewClient returns a Client and the LocalScheduler of the same host.
 func NewClient(o Options) (*Client, *LocalScheduler) {
 	m := newMetrics(o.Registerer)
+	o.Quota.Self = incarnationKey(&o.Self)
 	local := newLocalScheduler(&o, m)
 	c := &Client{
 		opts:           o,
@@ -117,6 +122,7 @@
 		pending:        make(map[string]*pendingRequest),
 		held:           make(map[string]*heldSlot),
 		answers:        blame.NewAnswers(),
+		quotas:         newHostQuotas(o.Quota),
 		backoffs:       make(map[string]*backoff),
 		departed:       make(map[string]time.Time),
 	}
@@ -127,6 +133,10 @@
 func (c *Client) Acquire(ctx context.Context, request scheduler.SlotRequest) (*Lease, error) {
 	w := &pendingRequest{request: request, since: time.Now(), answer: make(chan SchedulerMessage, 1)}
 	c.mu.Lock()
+	if refused := c.admitAlone(w.since, &w.request); refused != nil {
+		c.mu.Unlock()
+		return nil, refused
+	}
 	c.seq++
 	w.request.Ticket = fmt.Sprintf("%s.%s.%d", c.opts.Self.Name, c.opts.Self.Incarnation, c.seq)
 	c.pending[w.request.Ticket] = w
@@ -140,6 +150,7 @@
 		if m.Refuse != nil {
 			return nil, &RefusedError{
 				Reason: m.Refuse.Reason, RetryAfter: m.Refuse.RetryAfter, Scheduler: c.Scheduler(), Load: m.Refuse.Load,
+				Quota: m.Refuse.Quota,
 			}
 		}
 		return &Lease{
@@ -242,7 +253,7 @@
 
 func (c *Client) newLocalLink() *localLink {
 	box := &mailbox{client: c}
-	l := &localLink{host: c.opts.Self.Name, localScheduler: c.localScheduler, deliver: box.deliver}
+	l := &localLink{host: c.opts.Self.Name, key: incarnationKey(&c.opts.Self), localScheduler: c.localScheduler, deliver: box.deliver}
 	box.of(l)
 	return l
 }
@@ -271,7 +282,9 @@
 		hello.Running = append(hello.Running, r)
 	}
 	hello.Sent = c.sent.since(now)
+	hello.Admitted = c.quotas.admitted.Reports(now)
 	c.link = l
+	c.quotas.attachedAt = now
 	c.localScheduler.SetSuperseded(c.shuttingDown || l.scheduler() != c.opts.Self.Name)
 	l.send(HostMessage{Hello: hello})
 	if leaving := c.opts.LeavingEndpoints(); len(leaving) > 0 {
@@ -296,6 +309,9 @@
 	for _, w := range c.pending {
 		l.send(HostMessage{Acquire: w.asOf(now)})
 	}
+	for _, p := range c.quotas.pending {
+		p.send(l)
+	}
 	if old != nil {
 		old.close("moved to " + l.scheduler())
 	}
@@ -343,6 +359,10 @@
 		c.opts.Limits.Merge(m.Limits)
 		return
 	}
+	if m.Admitted != nil {
+		c.localScheduler.replicate(m.Admitted)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -364,7 +384,12 @@
 		}
 	case m.Start != nil:
 		c.handleStart(ctx, m.Start)
+	case m.Permit != nil:
+		c.handlePermit(m.Permit)
 	case m.Broadcast != nil:
+		if m.Broadcast.Quotas && from == c.link {
+			c.quotas.answeredBy = from
+		}
 		c.applyBroadcast(m.Broadcast)
 	case m.Departing != "":
 		c.markDeparted(m.Departing)
@@ -382,6 +407,9 @@
 		return
 	}
 	delete(c.pending, g.Ticket)
+	if w.request.Claim != nil {
+		c.quotas.admitted.Add(time.Now(), c.link.incarnation(), w.request.Claim.Workspace)
+	}
 	c.sent.add(time.Now(), g.Endpoint)
 	c.held[g.Ticket] = &heldSlot{since: time.Now(), running: scheduler.Running{
 		Ticket:   g.Ticket,
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -60,7 +60,8 @@
 	participation *participation
 	lastCount     hostCounts
 	// departing means that this host shuts down. Only the goroutine of Serve accesses it.
-	departing bool
+	departing  bool
+	admissions admissionReplicas
 	// majoritySince is the time since which a majority of the hosts has a session;
 	// zero while there is none. Only the goroutine of Serve accesses it.
 	majoritySince time.Time
@@ -95,7 +96,7 @@
 		o.Origins = noOrigins{}
 	}
 	return &LocalScheduler{
-		core:               scheduler.NewCore(scheduler.Options{Host: o.Self.Name, EndpointFeedback: o.EndpointFeedback, WeighWaits: o.WeighWaits}),
+		core:               scheduler.NewCore(scheduler.Options{Host: o.Self.Name, EndpointFeedback: o.EndpointFeedback, WeighWaits: o.WeighWaits, Quota: o.Quota}),
 		hosts:              o.Directory,
 		readUntil:          o.RecordsReadUntil,
 		knowsJob:           o.KnowsJob,
@@ -164,6 +165,7 @@
 		if l.origins.due(now) {
 			l.replicateStreams()
 		}
+		l.replicateAdmissions(now)
 	}
 }
 
@@ -263,6 +265,7 @@
 		if replaced {
 			c.Leave(now, h.Host)
 		}
+		deliver(SchedulerMessage{Broadcast: &Broadcast{Quotas: true}})
 		c.Join(now, h)
 		if convictions := l.convictions.All(now); len(convictions) > 0 {
 			deliver(SchedulerMessage{Broadcast: &Broadcast{Convictions: convictions, Suspects: l.attribution.announced}})
@@ -344,6 +347,12 @@
 	case m.Withdraw != "":
 		id := m.Withdraw
 		l.enqueue(func(now time.Time, c *scheduler.Core) { c.Withdraw(now, id) })
+	case m.Permit != nil:
+		p := *m.Permit
+		l.enqueue(func(now time.Time, c *scheduler.Core) { c.RequestPermit(now, host, p) })
+	case m.PermitReturn != "":
+		id := m.PermitReturn
+		l.enqueue(func(now time.Time, c *scheduler.Core) { c.ReturnPermit(now, id) })
 	case m.Stalled != "":
 		id := m.Stalled
 		l.enqueue(func(now time.Time, c *scheduler.Core) { c.Stalled(now, id) })
--- a/slots/link.go
+++ b/slots/link.go
@@ -12,11 +12,15 @@
 	close(reason string)
 	// scheduler returns the name of the host that schedules.
 	scheduler() string
+	// incarnation identifies the process of the scheduler.
+	incarnation() string
 }
 
 // localLink connects to the scheduler on this host.
 type localLink struct {
-	host           string
+	host string
+	// key is the incarnationKey of the host.
+	key            string
 	localScheduler *LocalScheduler
 	deliver        Sink
 	session        *hostSession
@@ -41,3 +45,7 @@
 func (l *localLink) scheduler() string {
 	return l.host
 }
+
+func (l *localLink) incarnation() string {
+	return l.key
+}
--- a/slots/mailbox.go
+++ b/slots/mailbox.go
@@ -42,5 +42,5 @@
 // decides reports whether the message is a decision, which only the scheduler that a host uses may
 // make: what waited was sent to it again when the host moved.
 func (m *SchedulerMessage) decides() bool {
-	return m.Grant != nil || m.Refuse != nil || m.Revoke != nil || m.Start != nil
+	return m.Grant != nil || m.Refuse != nil || m.Revoke != nil || m.Start != nil || m.Permit != nil
 }
--- a/slots/message.go
+++ b/slots/message.go
@@ -6,6 +6,7 @@
 	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/origin"
+	"github.com/peridotmount/peridotmount/quota"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/throttle"
 )
@@ -17,7 +18,11 @@
 	Acquire  *scheduler.SlotRequest `json:"ask,omitempty"`
 	Usage    *scheduler.Usage       `json:"use,omitempty"`
 	Withdraw string                 `json:"withdraw,omitempty"`
-	Leaving  bool                   `json:"leaving,omitempty"`
+	// Permit asks for a request that needs no slot to be admitted within its workspace's quota.
+	// PermitReturn is the id of a permit that is not used, or no longer waited for.
+	Permit       *scheduler.PermitRequest `json:"permit,omitempty"`
+	PermitReturn string                   `json:"permit_return,omitempty"`
+	Leaving      bool                     `json:"leaving,omitempty"`
 	// Stranded tells whether the host reaches no endpoint itself.
 	Stranded *Stranded `json:"stranded,omitempty"`
 	// Stalled is the ticket of a use whose endpoint sends nothing.
@@ -51,6 +56,10 @@
 	Revoke    *scheduler.Revoke `json:"revoke,omitempty"`
 	Start     *scheduler.Start  `json:"start,omitempty"`
 	Broadcast *Broadcast        `json:"news,omitempty"`
+	Permit    *scheduler.Permit `json:"permit,omitempty"`
+	// Admitted is what the scheduler admitted within the quotas of workspaces, for hosts that may
+	// schedule next.
+	Admitted *quota.Report `json:"admitted,omitempty"`
 	// Limits are rate limits of endpoints: all that are known at the start of a session,
 	// then those that change.
 	Limits []throttle.Notice `json:"limits,omitempty"`
@@ -80,6 +89,8 @@
 	// EndpointsLeaving are all known endpoints that announced in a response that they are
 	// leaving.
 	EndpointsLeaving []endpoint.Incarnation `json:"endpoints_leaving,omitempty"`
+	// Quotas announces that the scheduler keeps the quotas of workspaces. Older builds don't.
+	Quotas bool `json:"quotas,omitempty"`
 }
 
 // newSchedulerMessage returns the message that carries an effect.
@@ -93,6 +104,8 @@
 		return SchedulerMessage{Revoke: &e}
 	case scheduler.Start:
 		return SchedulerMessage{Start: &e}
+	case scheduler.Permit:
+		return SchedulerMessage{Permit: &e}
 	default:
 		return SchedulerMessage{}
 	}
--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -50,6 +50,12 @@
 		m.decisions.WithLabelValues(string(e.Reason)).Inc()
 	case scheduler.Revoke:
 		m.decisions.WithLabelValues("revoke").Inc()
+	case scheduler.Permit:
+		decision := "permit"
+		if e.Refusal != nil {
+			decision = string(scheduler.ReasonQuota)
+		}
+		m.decisions.WithLabelValues(decision).Inc()
 	case scheduler.Start:
 		m.decisions.WithLabelValues("start").Inc()
 	}
--- a/slots/moved_test.go
+++ b/slots/moved_test.go
@@ -13,9 +13,10 @@
 	sent []HostMessage
 }
 
-func (l *keptLink) send(m HostMessage) { l.sent = append(l.sent, m) }
-func (l *keptLink) close(string)       {}
-func (l *keptLink) scheduler() string  { return l.name }
+func (l *keptLink) send(m HostMessage)  { l.sent = append(l.sent, m) }
+func (l *keptLink) close(string)        {}
+func (l *keptLink) scheduler() string   { return l.name }
+func (l *keptLink) incarnation() string { return l.name }
 
 // TestGrantsOfAFormerSchedulerAreDropped moves a host to another scheduler while a stream waits, which
 // is sent there too. The grant of the former one comes late: the stream must not begin by it, as the slot
--- a/slots/offers_test.go
+++ b/slots/offers_test.go
@@ -26,9 +26,10 @@
 // recordingLink is a link to a scheduler that keeps what is sent.
 type recordingLink struct{ sent []HostMessage }
 
-func (l *recordingLink) send(m HostMessage) { l.sent = append(l.sent, m) }
-func (l *recordingLink) close(string)       {}
-func (l *recordingLink) scheduler() string  { return "first" }
+func (l *recordingLink) send(m HostMessage)  { l.sent = append(l.sent, m) }
+func (l *recordingLink) close(string)        {}
+func (l *recordingLink) scheduler() string   { return "first" }
+func (l *recordingLink) incarnation() string { return l.scheduler() }
 
 // TestHelloFits moves a host with twenty thousand open items to a scheduler. The hello must
 // not exceed the size of a message: the session opens, and some of the items run.
--- a/slots/refused.go
+++ b/slots/refused.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/peridotmount/peridotmount/quota"
 	"github.com/peridotmount/peridotmount/scheduler"
 )
 
@@ -15,6 +16,8 @@
 	// Scheduler is the name of the host that refused, Load the load it based this on.
 	Scheduler string
 	Load      scheduler.Load
+	// Quota tells of the workspace's quota, if that is the reason.
+	Quota *quota.Refusal
 }
 
 // Error implements error.
--- a/slots/remotelink.go
+++ b/slots/remotelink.go
@@ -104,6 +104,10 @@
 	return l.host
 }
 
+func (l *remoteLink) incarnation() string {
+	return l.key
+}
+
 // end closes a session that failed, and reports it to onLost.
 func (l *remoteLink) end(reason string, cause absenceCause) {
 	l.endOnce.Do(func() {
