--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -19,8 +19,8 @@
 	levelThen   float64
 	// used counts the admissions of this Table.
 	used history
-	// nextRetry is when the request that was refused last is to come again.
-	nextRetry time.Time
+	// refusedAt is when a request was last refused, nextRetry when that one is to come again.
+	refusedAt, nextRetry time.Time
 }
 
 // setLimits applies the limits of a newer configuration. What was admitted under the former ones is
--- a/quota/table.go
+++ b/quota/table.go
@@ -11,6 +11,14 @@
 // request at most: see Table.phase.
 const splitShare = 0.5
 
+// roundingError is what a level may lack of a request, so that a request that comes again when it
+// was told to is admitted.
+const roundingError = 1e-6
+
+// demandMemory is for how long after a refusal a share of less than a request goes on to fill. It is
+// short: what many schedulers save adds up.
+const demandMemory = 500 * time.Millisecond
+
 // Table holds a token bucket for each active workspace. It is not safe for concurrent use.
 //
 // Invariant: with C the capacity and R the rate of a bucket (Options.capacity, Options.rate), a
@@ -113,10 +121,10 @@
 	if c.Version > b.claim.Version {
 		b.setLimits(now, c, t.limit(now, b, c.Burst))
 	}
-	if b.level < 1 {
+	if b.level < 1-roundingError {
 		return t.refusal(now, b)
 	}
-	b.level--
+	b.level = max(0, b.level-1)
 	b.used.add(t.bin(now), t.bin(now), 1)
 	if t.replicated {
 		t.addFresh(now, c.Workspace)
@@ -214,9 +222,14 @@
 	return t.start.Add(time.Duration(bin+1) * t.opts.binWidth())
 }
 
-// limit returns how many requests a bucket holds for this scheduler.
+// limit returns how many requests a bucket holds for this scheduler. A share of less than a request
+// fills up to one while requests come: each scheduler then admits its share of the rate.
 func (t *Table) limit(now time.Time, b *bucket, burst float64) float64 {
-	return t.share*t.opts.capacity(burst) + t.phase(now, b)
+	limit := t.share*t.opts.capacity(burst) + t.phase(now, b)
+	if limit < 1 && t.share > 0 && now.Sub(b.refusedAt) <= demandMemory {
+		return 1
+	}
+	return limit
 }
 
 // rate returns at how many requests per second a bucket fills for this scheduler.
@@ -333,6 +346,7 @@
 // refusal refuses a request. The times after which refused requests are to come again are spaced
 // as the bucket fills.
 func (t *Table) refusal(now time.Time, b *bucket) *Refusal {
+	b.refusedAt = now
 	wait := t.opts.Window
 	if rate := t.rate(b); rate > 0 {
 		earliest := now.Add(min(t.opts.Window, time.Duration((1-b.level)/rate*float64(time.Second))))
