--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -233,27 +233,6 @@
 	return found
 }
 
-func (v *service) enqueue(w *waiter) {
-	at := sort.Search(len(v.queue), func(i int) bool { return w.before(v.queue[i]) })
-	v.queue = append(v.queue, nil)
-	copy(v.queue[at+1:], v.queue[at:])
-	v.queue[at] = w
-}
-
-// queuePosition returns how many requests are served before w.
-func (v *service) queuePosition(w *waiter) int {
-	return sort.Search(len(v.queue), func(i int) bool { return !v.queue[i].before(w) })
-}
-
-func (v *service) dequeue(w *waiter) {
-	for i, o := range v.queue {
-		if o == w {
-			v.queue = append(v.queue[:i], v.queue[i+1:]...)
-			return
-		}
-	}
-}
-
 // Withdraw cancels a waiting request, or releases its slot if it was granted.
 func (c *Core) Withdraw(now time.Time, id string) {
 	if w := c.waiting[id]; w != nil {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -37,7 +37,7 @@
 			}
 			return
 		}
-		v.queue = append(v.queue[:i], v.queue[i+1:]...)
+		v.serve(i)
 	}
 	if !c.batchEnabled {
 		return
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -13,6 +13,7 @@
 	name      string
 	endpoints []*endpointState
 	queue     []*waiter
+	turns     turns
 	items     itemQueue
 	// plannedAt is the time of the last plan of the items, batchSlots the moving
 	// average of the number of slots left for them.
--- a/scheduler/waiter.go
+++ b/scheduler/waiter.go
@@ -19,29 +19,17 @@
 	// late means that the objective has passed: all other requests are served first.
 	late bool
 	// retry means that the request was refused before: it is served first within its
-	// priority.
+	// priority and workspace.
 	retry bool
 	seq   uint64
+	// startTag is the start of the request in the virtual time of its lane, among workspaces.
+	startTag float64
 	// chargedAt is when the request was charged to its workspace's quota, if it has a claim.
 	chargedAt time.Time
 	// keys is what the request may share with others that crash endpoints.
 	keys []blame.Key
 }
 
-// before reports whether w is served before o.
-func (w *waiter) before(o *waiter) bool {
-	if w.late != o.late {
-		return !w.late
-	}
-	if w.Priority != o.Priority {
-		return w.Priority < o.Priority
-	}
-	if w.retry != o.retry {
-		return w.retry
-	}
-	return w.seq < o.seq
-}
-
 // earlyRefusalEnd returns the end of the time in which the request may be refused for
 // an expected long wait.
 func (w *waiter) earlyRefusalEnd() time.Time {
