--- a/quota/table.go
+++ b/quota/table.go
@@ -39,6 +39,8 @@
 	// reports alone, or not at all: the buckets were empty then.
 	countedSince time.Time
 	buckets      map[string]*bucket
+	// rateSum is the sum of the rates of their quotas.
+	rateSum float64
 	// told holds what hosts reported that other schedulers admitted for them, by host;
 	// replicas what such schedulers told themselves, by scheduler.
 	told     map[string]*hostReport
@@ -77,6 +79,18 @@
 // Len returns the number of workspaces with a bucket.
 func (t *Table) Len() int { return len(t.buckets) }
 
+// Weight returns the rate of a workspace's quota, the mean one if it has no bucket, and 1 if none
+// has.
+func (t *Table) Weight(workspace string) float64 {
+	if b := t.buckets[workspace]; b != nil {
+		return b.claim.RequestsPerSecond
+	}
+	if len(t.buckets) == 0 || t.rateSum <= 0 {
+		return 1
+	}
+	return t.rateSum / float64(len(t.buckets))
+}
+
 // SetShare sets the fraction of each limit that the Table may use.
 func (t *Table) SetShare(now time.Time, share float64) {
 	t.Start(now)
@@ -116,9 +130,11 @@
 		b = &bucket{claim: *c, hash: xxhash.Sum64String(t.opts.Self + "/" + c.Workspace), changes: t.changes - 1}
 		b.used.newest = t.bin(now)
 		t.buckets[c.Workspace] = b
+		t.rateSum += c.RequestsPerSecond
 	}
 	t.update(now, b)
 	if c.Version > b.claim.Version {
+		t.rateSum += c.RequestsPerSecond - b.claim.RequestsPerSecond
 		b.setLimits(now, c, t.limit(now, b, c.Burst))
 	}
 	if b.level < 1-roundingError {
@@ -383,9 +399,13 @@
 	t.nextSweep = now.Add(t.opts.Window)
 	for name, b := range t.buckets {
 		if b.used.advance(t.bin(now)); b.used.total == 0 && now.Sub(b.at) >= t.opts.Window {
+			t.rateSum -= b.claim.RequestsPerSecond
 			delete(t.buckets, name)
 		}
 	}
+	if len(t.buckets) == 0 {
+		t.rateSum = 0
+	}
 	for host, report := range t.told {
 		if now.Sub(report.at) >= t.opts.Window {
 			delete(t.told, host)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -188,6 +188,7 @@
 		SlotRequest: request, host: m, seq: c.seq, keys: request.Keys(),
 		arrived:  now.Add(-request.Elapsed),
 		deadline: now.Add(request.Left), chargedAt: now,
+		cost:  c.turnCost(&request),
 		retry: request.Resumes != "" || (request.Fingerprint != "" && v.refused.Has(request.Fingerprint)),
 	}
 	c.waiting[request.Ticket] = w
--- a/scheduler/turns.go
+++ b/scheduler/turns.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 )
@@ -8,11 +9,33 @@
 // minSweptFlows is the number of flows up to which idle ones are kept.
 const minSweptFlows = 64
 
+// turnCredit is for how many seconds a workspace may be ahead of the others at the rate of its quota
+// before they have turns before it. It is longer than the peaks of the users' sites: without it, the
+// second of two requests that a workspace happens to send at once waits for all others at a peak, and
+// passes its objective, though nobody sends more than usual.
+const turnCredit = 4.0
+
 // turns gives the workspaces of a service their turns, by start-time fair queueing: each waiter has
-// a start tag in virtual time, and the lowest one is served first. The cost of a request is its
-// tokens. The order of the waiters of one workspace, "" included, is not changed.
+// a start tag in virtual time, and the lowest one is served first; among equals, the order of arrival
+// counts. The order of the waiters of one workspace, "" included, is not changed.
 type turns struct {
 	lanes map[laneKey]*lane
+	// meanTokens is the mean number of tokens of a request.
+	meanTokens float64
+}
+
+// turn is the place of a waiter in its lane.
+type turn struct {
+	startTag float64
+	seq      uint64
+}
+
+func (t turn) compare(o turn) int {
+	return cmp.Or(cmp.Compare(t.startTag, o.startTag), cmp.Compare(t.seq, o.seq))
+}
+
+func (t turn) before(o turn) bool {
+	return t.compare(o) < 0
 }
 
 // laneKey identifies the waiters among which workspaces take turns.
@@ -31,16 +54,23 @@
 	sweepAt int
 }
 
-// flow holds the waiters of one workspace in the order in which they are served. Their tags
-// increase by their costs. finishTag is the earliest start tag of the next one.
+// flow holds the waiters of one workspace in the order in which they are served, which is that of
+// their turns. finishTag is the earliest start tag of the next one, without turnCredit.
 type flow struct {
 	waiters   []*waiter
 	finishTag float64
 }
 
-// cost returns how much of its workspace's turn a request takes.
-func (w *waiter) cost() float64 {
-	return float64(max(1, w.PromptTokens+w.ExpectedTokens))
+// tokens returns the tokens of a request, at least one.
+func (r *SlotRequest) tokens() float64 {
+	return float64(max(1, r.PromptTokens+r.ExpectedTokens))
+}
+
+// turnCost returns how much of its workspace's turn a request takes: its tokens, over the rate of the
+// workspace's quota. With equal turns, large workspaces would wait for all others at each peak
+// though none sends more than usual. Workspaces without a quota count as those of the mean quota.
+func (c *Core) turnCost(request *SlotRequest) float64 {
+	return request.tokens() / c.quotas.table.Weight(request.Workspace)
 }
 
 // precedes reports whether w is served before another waiter of the same workspace.
@@ -64,7 +94,7 @@
 	return l
 }
 
-// add gives a waiter its start tag. It reports whether the order of other waiters changed.
+// add gives a waiter its turn. It reports whether the turns of others changed.
 func (t *turns) add(w *waiter) bool {
 	l := t.lane(w)
 	f := l.flows[w.Workspace]
@@ -73,42 +103,54 @@
 		l.flows[w.Workspace] = f
 	}
 	l.waiting++
-	at := sort.Search(len(f.waiters), func(i int) bool { return w.precedes(f.waiters[i]) })
-	if at == len(f.waiters) {
-		w.startTag = max(l.virtualTime, f.finishTag)
-		f.finishTag = w.startTag + w.cost()
-		f.waiters = append(f.waiters, w)
-		return false
+	if t.meanTokens == 0 {
+		t.meanTokens = w.tokens()
 	}
-	w.startTag = f.waiters[at].startTag
-	f.shift(at, w.cost())
+	t.meanTokens += averageWeight * (w.tokens() - t.meanTokens)
+	start := max(l.virtualTime, f.finishTag)
+	f.finishTag = start + w.cost
+	w.turn = turn{startTag: max(l.virtualTime, start-turnCredit*t.meanTokens), seq: w.seq}
+	at := sort.Search(len(f.waiters), func(i int) bool { return w.precedes(f.waiters[i]) })
 	f.waiters = slices.Insert(f.waiters, at, w)
-	return len(l.flows) > 1
+	return f.arrange(at)
 }
 
-// shift adds to the tags of the waiters from a place on, and to the finish tag.
-func (f *flow) shift(from int, by float64) {
-	for _, o := range f.waiters[from:] {
-		o.startTag += by
+// arrange gives the turns of the waiters to them in their order, after one was inserted at a place. It
+// reports whether the turns of others changed.
+func (f *flow) arrange(at int) bool {
+	added, last := f.waiters[at], len(f.waiters)-1
+	if at == last && (last == 0 || f.waiters[last-1].turn.before(added.turn)) {
+		return false
+	}
+	turns := make([]turn, len(f.waiters))
+	for i, w := range f.waiters {
+		turns[i] = w.turn
+	}
+	slices.SortFunc(turns, turn.compare)
+	for i, w := range f.waiters {
+		w.turn = turns[i]
 	}
-	f.finishTag += by
+	return true
 }
 
-// remove removes a waiter that was not served: its workspace gets its turn back. It reports
-// whether the order of other waiters changed.
+// remove removes a waiter that was not served, and gives its turn to the next one of its workspace.
+// It reports whether the turns of others changed.
 func (t *turns) remove(w *waiter) bool {
 	l, f, at := t.find(w)
+	for _, o := range f.waiters[at+1:] {
+		w.turn, o.turn = o.turn, w.turn
+	}
 	f.waiters = slices.Delete(f.waiters, at, at+1)
-	f.shift(at, -w.cost())
+	f.finishTag -= w.cost
 	l.removed()
-	return len(l.flows) > 1 && at < len(f.waiters)
+	return at < len(f.waiters)
 }
 
 // serve removes a waiter that was served.
 func (t *turns) serve(w *waiter) {
 	l, f, at := t.find(w)
 	f.waiters = slices.Delete(f.waiters, at, at+1)
-	l.virtualTime = max(l.virtualTime, w.startTag)
+	l.virtualTime = max(l.virtualTime, w.turn.startTag)
 	l.removed()
 }
 
@@ -146,19 +188,12 @@
 	if w.Priority != o.Priority {
 		return w.Priority < o.Priority
 	}
-	if w.Workspace == o.Workspace {
-		return w.precedes(o)
-	}
-	if w.startTag != o.startTag {
-		return w.startTag < o.startTag
-	}
-	return w.seq < o.seq
+	return w.turn.before(o.turn)
 }
 
 // enqueue adds a waiter to the queue.
 func (v *service) enqueue(w *waiter) {
-	reordered := v.turns.add(w)
-	if reordered {
+	if v.turns.add(w) {
 		v.sortQueue()
 	}
 	at := sort.Search(len(v.queue), func(i int) bool { return w.before(v.queue[i]) })
--- a/scheduler/waiter.go
+++ b/scheduler/waiter.go
@@ -22,8 +22,10 @@
 	// priority and workspace.
 	retry bool
 	seq   uint64
-	// startTag is the start of the request in the virtual time of its lane, among workspaces.
-	startTag float64
+	// turn is the request's place among the workspaces of its lane.
+	turn turn
+	// cost is what the request takes of its workspace's turn.
+	cost float64
 	// chargedAt is when the request was charged to its workspace's quota, if it has a claim.
 	chargedAt time.Time
 	// keys is what the request may share with others that crash endpoints.
