--- a/quota/report.go
+++ b/quota/report.go
@@ -24,8 +24,12 @@
 // Bin is the age of a bin, in widths, and the number of admissions in it.
 type Bin [2]int
 
-// maxReportedUses bounds the workspaces of a report, whose message is to stay below a megabyte.
-const maxReportedUses = 4000
+// maxReportedUses and maxReportedBins bound a report, whose message is to stay below a megabyte. A
+// host tells as many only if thousands of its requests per second are admitted.
+const (
+	maxReportedUses = 6000
+	maxReportedBins = 12_000
+)
 
 // reportOf makes a report of histories that have been advanced. If there are too many, it holds
 // those of the most admissions.
@@ -42,8 +46,13 @@
 		names = names[:maxReportedUses]
 	}
 	slices.SortFunc(names, strings.Compare)
+	left := maxReportedBins
 	for _, name := range names {
-		r.Uses = append(r.Uses, Use{Workspace: name, Bins: histories[name].bins()})
+		bins := histories[name].bins()
+		if left -= len(bins); left < 0 {
+			break
+		}
+		r.Uses = append(r.Uses, Use{Workspace: name, Bins: bins})
 	}
 	return r
 }
