--- a/scheduler/turns_test.go
+++ b/scheduler/turns_test.go
@@ -355,3 +355,29 @@
 		t.Error("a request that was refused before is served before another workspace's that waits for longer")
 	}
 }
+
+// BenchmarkTurns adds and serves a request while 500 of 73 workspaces wait.
+func BenchmarkTurns(b *testing.B) {
+	for _, workspaces := range []int{1, turnsWorkspaces} {
+		b.Run(fmt.Sprint(workspaces, " workspaces"), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			v := &service{}
+			seq := uint64(0)
+			add := func() {
+				seq++
+				w := &waiter{seq: seq, retry: random.IntN(10) == 0, cost: 1 + 1000*random.Float64()}
+				w.Workspace, w.PromptTokens = fmt.Sprint(random.IntN(workspaces)), 100
+				v.enqueue(w)
+			}
+			for range 500 {
+				add()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				add()
+				v.serve(0)
+			}
+		})
+	}
+}
