--- a/cli/routes_test.go
+++ b/cli/routes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -12,6 +14,7 @@
 
 	"github.com/peridotmount/peridotmount/jobs"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/slots"
 	"github.com/peridotmount/peridotmount/standin"
 )
 
@@ -59,6 +62,33 @@
 	}
 }
 
+// TestRoutesStatusShowsQuotas asks the scheduling host and another one.
+func TestRoutesStatusShowsQuotas(t *testing.T) {
+	store := standin.NewStore(standin.StoreFaults{})
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	serve := func(body string) string {
+		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == slots.QuotasPath {
+				_, _ = io.WriteString(w, body)
+			}
+		}))
+		t.Cleanup(host.Close)
+		return host.URL
+	}
+	first := serve(`{"host":"host-1","scheduler":"host-1","share":1,"active":1,"workspaces":[{"workspace":"acme","per_second":12,"burst":20,"version":7,"used":95,"left":0,"refused":31}]}`)
+	other := serve(`{"host":"host-2","scheduler":"host-1"}`)
+	out, err := operate(t, "routes", "status", "--store", server.Listener.Addr().String(), "--operators", first+","+other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"host-1 schedules for host-2", "acme", "12 per second, burst 20, configuration 7: 95 used, 0 left, 31 refused"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("the output lacks %q:\n%s", want, out)
+		}
+	}
+}
+
 func TestRoutesStatusAndJobs(t *testing.T) {
 	store := standin.NewStore(standin.StoreFaults{})
 	server := httptest.NewServer(store.Handler())
--- a/cli/routesstatus.go
+++ b/cli/routesstatus.go
@@ -11,6 +11,7 @@
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/platform"
+	"github.com/peridotmount/peridotmount/slots"
 )
 
 // routesStatus is the JSON output of the routes status command.
@@ -21,6 +22,10 @@
 	Endpoints []endpoint.Endpoint `json:"endpoints"`
 	// Unreadable are the keys of records that say nothing.
 	Unreadable []string `json:"unreadable,omitempty"`
+	// Quotas are those that scheduling hosts among --operators believe, Schedulers which hosts
+	// schedule for the others.
+	Quotas     []slots.QuotaStatus `json:"quotas,omitempty"`
+	Schedulers []string            `json:"schedulers,omitempty"`
 }
 
 // routesHost is a host as its record says; its token is nobody's business.
@@ -42,9 +47,13 @@
 		Long: `Show the configuration's version, the hosts and the endpoints in the store. Hosts
 stand in the order in which they schedule. A host that was killed keeps its record
 until it starts again; the log of the scheduling host says who takes part. A stranded
-host reaches no endpoint: others, which help it, make its calls.`,
-		Example: "  peridotmount routes status --store 10.0.0.5:7001",
-		Args:    usage(cobra.NoArgs),
+host reaches no endpoint: others, which help it, make its calls.
+
+With --operators, hosts are asked for the use of the workspaces' quotas. The scheduling
+host knows it; others name that host.`,
+		Example: `  peridotmount routes status --store 10.0.0.5:7001
+  peridotmount routes status --store 10.0.0.5:7001 --operators http://10.0.1.1:8001`,
+		Args: usage(cobra.NoArgs),
 	}
 	output := outputFlag(cmd.Flags(), outputTable, outputJSON)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -52,6 +61,7 @@
 		if err != nil {
 			return err
 		}
+		lacking := s.addQuotas(cmd.Context(), c)
 		t := &table{headings: []string{"KIND", "NAME", "ZONE", "STATE", "SERVICE", "SLOTS", "ADDRESS"}}
 		t.add("configuration", strconv.FormatInt(s.Version, 10), "", "", "", "", "")
 		for i := range s.Hosts {
@@ -65,7 +75,11 @@
 		for _, key := range s.Unreadable {
 			t.add("unreadable", key, "", "", "", "", "")
 		}
-		return write(cmd.OutOrStdout(), output.value, t, s)
+		s.addQuotaRows(t)
+		if err := write(cmd.OutOrStdout(), output.value, t, s); err != nil {
+			return err
+		}
+		return lacking
 	}
 	return cmd
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -129,6 +129,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /ready", g.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET "+slots.QuotasPath, g.client.ServeQuotas)
 	others := connectionsOfHosts
 	for _, l := range []struct {
 		at *(*listener)
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -17,8 +17,9 @@
 	// limitsSince is when the limits last changed; levelThen is the level at that time.
 	limitsSince time.Time
 	levelThen   float64
-	// used counts the admissions of this Table.
-	used history
+	// used counts the admissions of this Table, refused its refusals.
+	used    history
+	refused int
 	// refusedAt is when a request was last refused, nextRetry when that one is to come again.
 	refusedAt, nextRetry time.Time
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -363,6 +363,7 @@
 // as the bucket fills.
 func (t *Table) refusal(now time.Time, b *bucket) *Refusal {
 	b.refusedAt = now
+	b.refused++
 	wait := t.opts.Window
 	if rate := t.rate(b); rate > 0 {
 		earliest := now.Add(min(t.opts.Window, time.Duration((1-b.level)/rate*float64(time.Second))))
