--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -19,7 +19,7 @@
 	m := &metrics{
 		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "peridotmount_scheduler_decisions_total",
-			Help: "Decisions of this host as scheduler: grants, refusals by reason, revocations, starts of batch items.",
+			Help: "Decisions of this host as scheduler: grants, permits, refusals by reason (those for a quota count slots and permits), revocations, starts of batch items.",
 		}, []string{"decision"}),
 		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "peridotmount_scheduler_wait_seconds",
