--- a/slots/quotareplay_test.go
+++ b/slots/quotareplay_test.go
@@ -64,7 +64,6 @@
 	name  string
 	key   string
 	up    bool
-	share float64
 	core  *scheduler.Core
 	part  *participation
 	log   *quota.Log
