--- a/entry/keyed_test.go
+++ b/entry/keyed_test.go
@@ -168,6 +168,8 @@
 	if ran.status != http.StatusOK || ran.header.Get(HeaderRecording) != recordingDone {
 		t.Fatalf("got %+v", ran)
 	}
+	// Until the run is dropped, shortly after its answer, a repeat gets the answer from it.
+	await(t, "run dropped", func() bool { return h.entry.runs.find(ran.header.Get(HeaderRequestID)) == nil })
 	s.ledger.set(func(f *fakeLedger) { f.out = true })
 	for _, c := range []struct {
 		key, state string
