--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -441,6 +441,7 @@
 				CacheTokens: s.Engine.CacheTokens,
 				RateLimit:   g.limits.Rate(e),
 				Version:     e.Version,
+				Started:     e.Started,
 			})
 		}
 	}
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/peridotmount/peridotmount/promptcache"
 )
 
 // AddItem adds an item to run. It does nothing if the item is already known.
@@ -81,6 +83,10 @@
 	p := &placement{
 		host: host, tokens: i.PromptTokens + i.ExpectedTokens, prefix: i.Prefix, batch: true, limited: v.hasRateLimits(),
 	}
+	if v.choice != nil {
+		chain := promptcache.NewChain(i.Workspace, i.Prefix, i.PrefixTokens, i.PromptTokens)
+		p.chain, p.expected, p.repeatable = &chain, max(0, i.ExpectedTokens-i.TokensDone), true
+	}
 	if i.TokensDone > 0 && v.lists(&i.version) {
 		p.version = &i.version
 	}
@@ -102,6 +108,10 @@
 	host.runningItems++
 	t := &ticket{id: i.ticket, host: host.name, class: Batch, since: now, tokens: p.tokens, item: i}
 	s.countRequest(now)
+	if p.chain != nil {
+		t.chain = *p.chain
+		v.estimate(now, p, s, t)
+	}
 	c.occupy(now, s, t, i.Prefix)
 	c.emit(Start{Host: host.name, Ticket: t.id, Endpoint: s.ID, Item: i.Ref, Version: s.Version})
 	return true
@@ -171,6 +181,7 @@
 	}
 	t.revoked = true
 	t.endpoint.revoked++
+	t.endpoint.refresh()
 	c.emit(Revoke{Host: t.host, Ticket: t.id})
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/promptcache"
 	"github.com/peridotmount/peridotmount/recent"
 )
 
@@ -41,7 +42,9 @@
 	// hosts of another scheduler would be run a second time.
 	batchEnabled bool
 	seq          uint64
-	effects      []Effect
+	// loads numbers the uses of slots.
+	loads   uint64
+	effects []Effect
 }
 
 // NewCore returns a Core without hosts, endpoints or work.
@@ -78,6 +81,9 @@
 		v = &service{
 			name: name, meanHold: c.opts.Hold, perToken: c.opts.PerToken, meanFirst: c.opts.FirstToken, refused: recent.NewSet(maxRefusedKept),
 		}
+		if c.opts.WeighWaits {
+			v.choice = newChoice()
+		}
 		c.services[name] = v
 	}
 	return v
@@ -93,6 +99,7 @@
 func (c *Core) SetEndpoints(now time.Time, endpoints []Endpoint) {
 	for _, s := range c.endpoints {
 		s.listed = false
+		s.refresh()
 	}
 	for _, e := range endpoints {
 		s := c.endpoints[e.ID]
@@ -101,8 +108,10 @@
 			v := c.service(e.Service)
 			sort.Slice(v.endpoints, func(i, j int) bool { return v.endpoints[i].before(v.endpoints[j]) })
 		}
+		restarted := !s.Started.Equal(e.Started)
 		s.Endpoint, s.listed = e, true
 		s.setRateLimit(now, c.rateShare)
+		s.updateCache(restarted)
 	}
 	c.removeIdleEndpoints()
 	c.dispatchAll(now)
@@ -114,6 +123,9 @@
 	c.endpoints[e.ID] = s
 	v := c.service(e.Service)
 	v.endpoints = append(v.endpoints, s)
+	if v.choice != nil {
+		v.choice.add(s)
+	}
 	return s
 }
 
@@ -128,6 +140,9 @@
 		for i, o := range v.endpoints {
 			if o == s {
 				v.endpoints = append(v.endpoints[:i], v.endpoints[i+1:]...)
+				if v.choice != nil {
+					v.choice.remove(s)
+				}
 				break
 			}
 		}
@@ -182,6 +197,9 @@
 		deadline: now.Add(request.Left),
 		retry:    request.Resumes != "" || (request.Fingerprint != "" && v.refused.Has(request.Fingerprint)),
 	}
+	if v.choice != nil {
+		w.chain = promptcache.NewChain(request.Workspace, request.Prefix, request.PrefixTokens, request.PromptTokens)
+	}
 	c.waiting[request.Ticket] = w
 	v.enqueue(w)
 	c.dispatch(now, v)
@@ -297,6 +315,7 @@
 // the outcome of a use.
 func (c *Core) recordOutcome(now time.Time, v *service, t *ticket, u *Usage) {
 	s := t.endpoint
+	v.observeRead(now, t, u)
 	switch u.Outcome {
 	case Finished:
 		s.markHealthy()
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -63,7 +63,10 @@
 // startOnline grants a slot to a request and reports whether it found one. If no slot
 // is free, it revokes a batch item and grants the slot that is being released.
 func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
-	p := &placement{host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version}
+	p := &placement{
+		host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version,
+		chain: &w.chain, expected: w.ExpectedTokens, left: w.arrived.Add(w.Objective).Sub(now), repeatable: w.Repeatable,
+	}
 	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, p) {
 		return false
 	}
@@ -80,9 +83,12 @@
 	delete(c.waiting, w.Ticket)
 	c.suspects.Granted(now, w.keys)
 	s.countRequest(now)
-	c.occupy(now, s, &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens}, w.Prefix)
+	t := &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens, chain: w.chain}
+	v.estimate(now, p, s, t)
+	c.occupy(now, s, t, w.Prefix)
 	c.emit(Grant{
 		Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed, Version: s.Version,
+		Service: v.name, Choice: v.describe(t),
 	})
 	return true
 }
@@ -90,12 +96,17 @@
 // occupy records a ticket as using a slot of an endpoint.
 func (c *Core) occupy(now time.Time, s *endpointState, t *ticket, prefix []string) {
 	t.endpoint = s
+	if s.choice != nil {
+		c.loads++
+		t.estimate.load = c.loads
+		s.loadPrompt(now, t)
+	}
 	s.add(t)
 	c.tickets[t.id] = t
 	if s.hasIdleConnection(now, t.host) {
 		s.takeConnection(t.host)
 	}
-	if n := len(prefix); n > 1 {
+	if n := len(prefix); n > 1 && s.choice == nil {
 		s.promptParts.Add(prefix[n-2])
 	}
 }
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -17,6 +17,10 @@
 	Waited time.Duration `json:"waited"`
 	// Version is the software version of the endpoint, as the scheduler knows it.
 	Version string `json:"version,omitempty"`
+	// Service is the service of the request, and Choice what was expected of the endpoint; nil
+	// without Options.WeighWaits.
+	Service string  `json:"-"`
+	Choice  *Choice `json:"choice,omitempty"`
 }
 
 // Refuse rejects a SlotRequest.
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // Endpoint is an engine that accepts work.
 type Endpoint struct {
 	ID      string
@@ -15,4 +17,6 @@
 	// RateLimit is how many requests per second the endpoint accepts from all hosts
 	// together; 0 means unlimited.
 	RateLimit float64
+	// Started is the start time of the engine's process. A restart loses what it had cached.
+	Started time.Time
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/peridotmount/peridotmount/promptcache"
 )
 
 // Costs of a placement, relative to the cost of opening a connection, which takes a
@@ -38,6 +40,13 @@
 	batch bool
 	// limited means that some endpoints of the service have a rate limit.
 	limited bool
+	// chain, expected, left and repeatable are used only with Options.WeighWaits: the part of
+	// the prompt that others may share, the tokens that are expected to be generated, the time
+	// until the objective passes, and whether the work may run again if it fails.
+	chain      *promptcache.Chain
+	expected   int
+	left       time.Duration
+	repeatable bool
 }
 
 // eligible reports whether a usable endpoint can be used for this work: it has the version that
@@ -78,6 +87,9 @@
 // cheapest returns the usable endpoint of the lowest cost among those for which room
 // returns true, or nil. Endpoints to avoid are returned only if there is no other.
 func (v *service) cheapest(now time.Time, p *placement, room func(*endpointState) bool) *endpointState {
+	if v.choice != nil {
+		return v.leastWait(now, p, room)
+	}
 	var best, fallback *endpointState
 	var bestCost, fallbackCost float64
 	for _, s := range v.endpoints {
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -32,6 +32,8 @@
 	overloadedAt time.Time
 	// nextRetry is the retry time given to the client that was refused last.
 	nextRetry time.Time
+	// choice is nil without Options.WeighWaits.
+	choice *choice
 }
 
 // usableSlots returns the number of slots of all usable endpoints.
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/peridotmount/peridotmount/promptcache"
 	"github.com/peridotmount/peridotmount/recent"
 	"github.com/peridotmount/peridotmount/throttle"
 )
@@ -34,6 +35,12 @@
 	promptParts *recent.Set
 	// pacer spaces the requests to an endpoint with a rate limit; nil if it has none.
 	pacer *throttle.Pacer
+	// choice is that of the service, cache the model of the engine's prompt cache, and
+	// prefillUntil the time until which it reads the prompts that it was sent. They are used
+	// only with Options.WeighWaits.
+	choice       *choice
+	cache        *promptcache.Engine
+	prefillUntil time.Time
 }
 
 // maxPromptParts is how many prompt parts are remembered for an endpoint. Its cache of
@@ -131,6 +138,7 @@
 func (s *endpointState) add(t *ticket) {
 	s.tickets[t.id] = t
 	s.tokens += int64(t.tokens)
+	s.refresh()
 }
 
 func (s *endpointState) remove(t *ticket) {
@@ -139,6 +147,7 @@
 	if t.revoked {
 		s.revoked--
 	}
+	s.refresh()
 }
 
 // pause excludes the endpoint from new work after a failure. The pause starts at base
@@ -178,4 +187,7 @@
 		conns = conns[1:]
 	}
 	s.idleConnections[host] = append(conns, now.Add(connectionIdleTimeout))
+	if s.choice != nil {
+		s.choice.setIdle(host, s)
+	}
 }
--- a/scheduler/ticket.go
+++ b/scheduler/ticket.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/promptcache"
+)
 
 // ticket is a slot in use.
 type ticket struct {
@@ -18,4 +22,8 @@
 	// presumedDone is when the slot of a request that its host may have lost is released; zero
 	// for others.
 	presumedDone time.Time
+	// chain is the part of the prompt that others may share, and estimate what was expected of
+	// the placement. They are used only with Options.WeighWaits.
+	chain    promptcache.Chain
+	estimate estimate
 }
--- a/scheduler/waiter.go
+++ b/scheduler/waiter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/promptcache"
 )
 
 // waiter is a queued request for a slot.
@@ -24,6 +25,8 @@
 	seq   uint64
 	// keys is what the request may share with others that crash endpoints.
 	keys []blame.Key
+	// chain is the part of the prompt that others may share; only with Options.WeighWaits.
+	chain promptcache.Chain
 }
 
 // before reports whether w is served before o.
