--- a/promptcache/pool.go
+++ b/promptcache/pool.go
@@ -60,6 +60,8 @@
 	holders map[uint64]Set
 	// used are the numbers of the engines.
 	used Set
+	// groups are the groups of the engines of each word of a Set.
+	groups []int
 	// engines is the number of engines.
 	engines int
 }
@@ -69,11 +71,15 @@
 	return &Pool{holders: make(map[uint64]Set)}
 }
 
-// Add adds an engine without cached parts, with the smallest number that is free.
-func (p *Pool) Add(capacity int64) *Engine {
+// Add adds an engine without cached parts. It gets the smallest free number among those of its
+// group: engines whose numbers are in one word of a Set are of the same group.
+func (p *Pool) Add(group int, capacity int64) *Engine {
 	number := 0
 	for i := 0; ; i++ {
-		if w := p.used.Word(i); w != ^uint64(0) {
+		if i == len(p.groups) {
+			p.groups = append(p.groups, group)
+		}
+		if w := p.used.Word(i); p.groups[i] == group && w != ^uint64(0) {
 			number = i<<6 + bits.TrailingZeros64(^w)
 			break
 		}
@@ -83,6 +89,11 @@
 	return &Engine{pool: p, number: number, capacity: capacity, index: make(map[uint64]int32), first: none, last: none, free: none}
 }
 
+// Group returns the group of the engines of a word.
+func (p *Pool) Group(word int) int {
+	return p.groups[word]
+}
+
 // Remove removes an engine.
 func (p *Pool) Remove(e *Engine) {
 	e.Restart()
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -15,8 +16,12 @@
 	// pool models the engines' prompt caches, rate is how fast they read prompts.
 	pool *promptcache.Pool
 	rate promptcache.Rate
+	// pace is (*endpointState).pace; tests replace it.
+	pace func(*endpointState) float64
 	// rows holds an endpoint at the number that it has in the pool.
 	rows []row
+	// least is the least slack of the open endpoints of each word of a Set.
+	least []float64
 	// open are the endpoints that are listed and have a slot that is free or being freed.
 	open promptcache.Set
 	// idle are the endpoints to which a host has or had idle connections.
@@ -30,12 +35,12 @@
 // row holds what is needed for a lower bound of the cost of an endpoint.
 type row struct {
 	endpoint *endpointState
-	// pace is endpointState.pace, slowdown how much longer a step takes than at an empty
-	// engine of the median pace, for the work in progress.
-	pace, slowdown float32
+	// slack is how much longer a step takes than at an empty endpoint of the median pace, due
+	// to the pace and the work in progress, and reading how long it takes to read a prompt, with
+	// the weight of what others wait. Both are relative.
+	slack, reading float64
 	// preference orders equally good endpoints.
-	preference float32
-	place      int32
+	preference float64
 }
 
 // reach holds the waits of a host to reach the endpoints of a zone.
@@ -49,16 +54,21 @@
 }
 
 func newChoice() *choice {
-	return &choice{pool: promptcache.NewPool(), idle: make(map[string]promptcache.Set)}
+	return &choice{pool: promptcache.NewPool(), pace: (*endpointState).pace, idle: make(map[string]promptcache.Set)}
 }
 
 // add adds an endpoint to the service.
 func (c *choice) add(s *endpointState) {
-	s.choice, s.cache = c, c.pool.Add(s.CacheTokens)
-	for len(c.rows) <= s.cache.Number() {
+	s.choice, s.place = c, place{s.Zone, s.Region}
+	s.cache = c.pool.Add(c.placeOf(s.place), s.CacheTokens)
+	n := s.cache.Number()
+	for len(c.rows) <= n {
 		c.rows = append(c.rows, row{})
 	}
-	c.rows[s.cache.Number()] = row{endpoint: s}
+	for len(c.least) <= n>>6 {
+		c.least = append(c.least, 0)
+	}
+	c.rows[n] = row{endpoint: s, preference: maxPreference * s.phase()}
 	s.refresh()
 }
 
@@ -80,13 +90,13 @@
 }
 
 // placeOf returns the index of a zone in places.
-func (c *choice) placeOf(p place) int32 {
+func (c *choice) placeOf(p place) int {
 	if i := slices.Index(c.places, p); i >= 0 {
-		return int32(i)
+		return i
 	}
 	c.places = append(c.places, p)
 	c.reach = append(c.reach, reach{})
-	return int32(len(c.places) - 1)
+	return len(c.places) - 1
 }
 
 // refresh brings the row of the endpoint up to date. It is called after each change of its
@@ -101,16 +111,22 @@
 	} else {
 		c.open = c.open.Add(n)
 	}
-	r := &c.rows[n]
-	pace := s.pace()
-	r.pace, r.slowdown = float32(pace), float32(slowdown(s, pace))
-	r.preference = float32(maxPreference * s.phase())
-	if r.place == 0 || c.places[r.place-1] != (place{s.Zone, s.Region}) {
-		r.place = c.placeOf(place{s.Zone, s.Region}) + 1
-	}
+	r, pace := &c.rows[n], c.pace(s)
+	r.slack = slowdown(s, pace) + pace - 1
+	r.reading = pace * (1 + othersShare(s))
+	c.setLeast(n >> 6)
 	s.cache.SetRunning(s.tokens)
 }
 
+// setLeast updates the least slack of the open endpoints of a word.
+func (c *choice) setLeast(word int) {
+	least := math.Inf(1)
+	for open := c.open.Word(word); open != 0; open &= open - 1 {
+		least = min(least, c.rows[word<<6+bits.TrailingZeros64(open)].slack)
+	}
+	c.least[word] = least
+}
+
 // updateCache applies a change of the endpoint's record.
 func (s *endpointState) updateCache(restarted bool) {
 	if s.choice == nil {
@@ -120,6 +136,11 @@
 		s.cache.Restart()
 		s.prefillUntil = time.Time{}
 	}
+	if s.place != (place{s.Zone, s.Region}) {
+		c := s.choice
+		c.remove(s)
+		c.add(s)
+	}
 	s.cache.SetCapacity(s.CacheTokens)
 	s.refresh()
 }
@@ -127,16 +148,13 @@
 // leastWait returns the usable endpoint at which the work waits the least among those for which
 // room returns true, or nil. Endpoints to avoid are returned only if there is no other.
 //
-// Most endpoints are passed over by a lower bound of their cost: a decision among 760 of them
-// would take ten times as long otherwise, and the scheduler makes up to 800 a second on a third
-// of a core.
+// Most endpoints are passed over by a lower bound of their cost, those of a whole zone if
+// possible: a decision among 760 of them would take ten times as long otherwise. The endpoints
+// that are probably the best come first, as the bounds are compared to the best so far: those
+// with an idle connection, then those of the region.
 func (v *service) leastWait(now time.Time, p *placement, room func(*endpointState) bool) *endpointState {
-	c, k := v.choice, v.weights(p)
-	var holders [promptcache.MaxParts]promptcache.Set
-	parts := 0
-	if p.chain != nil {
-		holders, parts = c.pool.Holders(p.chain), len(p.chain.Parts())
-	}
+	c := v.choice
+	q := search{now: now, p: p, c: c, k: v.weights(p), room: room}
 	var idle promptcache.Set
 	clear(c.reach)
 	if p.host != nil {
@@ -145,44 +163,85 @@
 			c.reach[i] = reach{distance: distanceWait(p.host, at), connection: connectionWait(p.host, at)}
 		}
 	}
-	var best, fallback *endpointState
-	var bestCost, fallbackCost float64
+	if p.chain != nil {
+		q.holders, q.parts = c.pool.Holders(p.chain), len(p.chain.Parts())
+	}
 	for i, open := range c.open {
-		connected := idle.Word(i)
-		for ; open != 0; open &= open - 1 {
-			bit := open & -open
-			r := &c.rows[i<<6+bits.TrailingZeros64(open)]
-			held := 0
-			for held < parts && holders[held].Word(i)&bit != 0 {
-				held++
-			}
-			to := &c.reach[r.place-1]
-			bound := k.run*float64(r.slowdown+r.pace-1) + k.prefill[held]*float64(r.pace) + to.distance + float64(r.preference)
-			if connected&bit == 0 {
-				bound += to.connection
-			}
-			if best != nil && bound >= bestCost {
-				continue
-			}
-			s := r.endpoint
-			if !s.usable(now) || !p.eligible(now, s) || !room(s) || !s.fits(p.tokens) || !s.admits(now, p.repeatable) {
-				continue
-			}
-			w := p.waits(now, &k, s, held)
-			cost := w.sum() + float64(r.preference)
-			if slices.Contains(p.avoid, s.ID) {
-				if fallback == nil || cost < fallbackCost {
-					fallback, fallbackCost = s, cost
-				}
-				continue
-			}
-			if best == nil || cost < bestCost {
-				best, bestCost = s, cost
+		if known := open & idle.Word(i); known != 0 {
+			q.word(i, known, c.reach[c.pool.Group(i)].distance)
+		}
+	}
+	for _, far := range [...]bool{false, true} {
+		for i, open := range c.open {
+			to := c.reach[c.pool.Group(i)]
+			if rest := open &^ idle.Word(i); rest != 0 && (to.distance >= crossRegionTrip) == far {
+				q.word(i, rest, to.distance+to.connection)
 			}
 		}
 	}
-	if best == nil {
-		return fallback
+	if q.best == nil {
+		return q.fallback
+	}
+	return q.best
+}
+
+// search is a search for the endpoint of the least cost.
+type search struct {
+	now     time.Time
+	p       *placement
+	c       *choice
+	k       weights
+	room    func(*endpointState) bool
+	holders [promptcache.MaxParts]promptcache.Set
+	parts   int
+	// best is the best endpoint so far, fallback that among the endpoints to avoid.
+	best, fallback         *endpointState
+	bestCost, fallbackCost float64
+}
+
+// word considers the given endpoints of a word of a Set, where the distance and the connection
+// have the cost base.
+func (q *search) word(i int, open uint64, base float64) {
+	var holders [promptcache.MaxParts]uint64
+	depth := 0
+	for depth < q.parts {
+		if holders[depth] = q.holders[depth].Word(i) & open; holders[depth] == 0 {
+			break
+		}
+		depth++
+	}
+	if q.best != nil && q.k.run*q.c.least[i]+q.k.prefill[depth]*minPace+base >= q.bestCost {
+		return
+	}
+	for ; open != 0; open &= open - 1 {
+		bit := open & -open
+		r := &q.c.rows[i<<6+bits.TrailingZeros64(open)]
+		held := 0
+		for held < depth && holders[held]&bit != 0 {
+			held++
+		}
+		bound := q.k.run*r.slack + q.k.prefill[held]*r.reading + base + r.preference
+		if q.best == nil || bound < q.bestCost {
+			q.consider(r, held)
+		}
+	}
+}
+
+// consider compares an endpoint that has a number of the prompt's parts to the best so far.
+func (q *search) consider(r *row, held int) {
+	s, p := r.endpoint, q.p
+	if !s.usable(q.now) || !p.eligible(q.now, s) || !q.room(s) || !s.fits(p.tokens) || !s.admits(q.now, p.repeatable) {
+		return
+	}
+	w := p.waits(q.now, &q.k, s, held)
+	cost := w.sum() + r.preference
+	if slices.Contains(p.avoid, s.ID) {
+		if q.fallback == nil || cost < q.fallbackCost {
+			q.fallback, q.fallbackCost = s, cost
+		}
+		return
+	}
+	if q.best == nil || cost < q.bestCost {
+		q.best, q.bestCost = s, cost
 	}
-	return best
 }
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -35,10 +35,11 @@
 	promptParts *recent.Set
 	// pacer spaces the requests to an endpoint with a rate limit; nil if it has none.
 	pacer *throttle.Pacer
-	// choice is that of the service, cache the model of the engine's prompt cache, and
+	// choice is that of the service, place where the endpoint is, cache the model of the engine's prompt cache, and
 	// prefillUntil the time until which it reads the prompts that it was sent. They are used
 	// only with Options.WeighWaits.
 	choice       *choice
+	place        place
 	cache        *promptcache.Engine
 	prefillUntil time.Time
 }
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -25,10 +25,10 @@
 	eventTokens = 12
 	// fullSlowdown is how much longer a step of a full engine takes than one of an empty
 	// engine: 4.1 ms instead of 3.
-	fullSlowdown = 0.35
+	fullSlowdown = 0.06
 	// streamShare is the weight of the time after the first event: callers read a stream
 	// while it is generated.
-	streamShare = 0.25
+	streamShare = 0.1
 	// maxRun bounds the weighted time of a generation.
 	maxRun = 5000.0
 	// lateShare is the additional weight of the time beyond the objective.
@@ -57,6 +57,8 @@
 	// endpoints. Prefill is the time to read the part of the prompt that is not cached.
 	Pace    float64 `json:"pace,omitempty"`
 	Prefill float64 `json:"prefill,omitempty"`
+	// Others is what the other requests in progress wait while the endpoint reads the prompt.
+	Others float64 `json:"others,omitempty"`
 	// Risk is the expected wait due to a failure, Late the weight of what is beyond the
 	// objective.
 	Risk float64 `json:"risk,omitempty"`
@@ -69,7 +71,7 @@
 
 // sum returns the cost.
 func (w *Waits) sum() float64 {
-	return w.Busy + w.Load + w.Distance + w.Connection + w.Freeing + w.Pace + w.Prefill + w.Risk + w.Late + w.Limit + w.Revocation
+	return w.Busy + w.Load + w.Distance + w.Connection + w.Freeing + w.Pace + w.Prefill + w.Others + w.Risk + w.Late + w.Limit + w.Revocation
 }
 
 // untilFirst returns what delays the first event before the engine reads the prompt.
@@ -109,7 +111,7 @@
 
 // waits returns the terms of the cost of an endpoint that has a number of the prompt's parts.
 func (p *placement) waits(now time.Time, k *weights, s *endpointState, held int) Waits {
-	pace := s.pace()
+	pace := s.choice.pace(s)
 	slow := slowdown(s, pace)
 	w := Waits{
 		Busy:    busyWait(now, s),
@@ -117,6 +119,7 @@
 		Freeing: freeingWait(s),
 		Pace:    k.run * (pace - 1),
 		Prefill: k.prefill[held] * pace,
+		Others:  k.prefill[held] * pace * othersShare(s),
 		Risk:    milliseconds(s.risk(now, p.repeatable)),
 	}
 	if p.host != nil {
@@ -142,6 +145,12 @@
 	return fullSlowdown * pace * float64(min(len(s.tickets), s.Slots)) / float64(max(1, s.Slots))
 }
 
+// othersShare returns the weight of what the other requests in progress wait while the endpoint
+// reads a prompt, relative to what its caller waits.
+func othersShare(s *endpointState) float64 {
+	return streamShare * float64(min(len(s.tickets), s.Slots))
+}
+
 // busyWait returns the time until the endpoint has read the prompts that it was sent. A request
 // for a part that is being read there waits for it, and finds it cached.
 func busyWait(now time.Time, s *endpointState) float64 {
@@ -228,7 +237,7 @@
 	k := v.weights(p)
 	held := s.cache.Held(&t.chain)
 	t.estimate = estimate{
-		held: t.chain.Total() - k.unread[held], unread: k.unread[held], pace: s.pace(), waits: p.waits(now, &k, s, held),
+		held: t.chain.Total() - k.unread[held], unread: k.unread[held], pace: s.choice.pace(s), waits: p.waits(now, &k, s, held),
 	}
 }
 
@@ -299,7 +308,7 @@
 // rounded returns the terms in tenths of a millisecond.
 func (w Waits) rounded() Waits {
 	for _, term := range []*float64{
-		&w.Busy, &w.Load, &w.Distance, &w.Connection, &w.Freeing, &w.Pace, &w.Prefill, &w.Risk, &w.Late, &w.Limit, &w.Revocation,
+		&w.Busy, &w.Load, &w.Distance, &w.Connection, &w.Freeing, &w.Pace, &w.Prefill, &w.Others, &w.Risk, &w.Late, &w.Limit, &w.Revocation,
 	} {
 		*term = tenths(*term)
 	}
