--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -150,31 +150,62 @@
 
 // revokeOne revokes the running batch item with the most slack, and reports whether
 // there was one. It spares endpoints whose rate limit admits no request at the moment: the
-// slot would stay free. Only endpoints that are eligible for the placement count.
+// slot would stay free. Only endpoints that are eligible for the placement count. With
+// Options.WeighWaits, the cost of the placement decides among items of about the same slack.
 func (c *Core) revokeOne(now time.Time, v *service, p *placement) bool {
-	var victim *ticket
-	var mostSlack time.Duration
+	var best candidate
 	for _, s := range v.endpoints {
 		if !s.usable(now) || !p.eligible(now, s) || !s.takesRequest(now) {
 			continue
 		}
+		cost, known := 0.0, false
 		for _, t := range s.tickets {
 			if t.item == nil || t.revoked {
 				continue
 			}
-			slack := t.item.slack(now, v.perToken)
-			if victim == nil || slack > mostSlack || (slack == mostSlack && t.id < victim.id) {
-				victim, mostSlack = t, slack
+			x := candidate{ticket: t, slack: t.item.slack(now, v.perToken)}
+			if v.choice != nil {
+				if x.slack = x.slack.Truncate(slackClass); best.ticket != nil && x.slack < best.slack {
+					continue
+				}
+				if !known {
+					cost, known = v.costAt(now, p, s), true
+				}
+				x.cost = cost
+			}
+			if best.ticket == nil || x.before(&best) {
+				best = x
 			}
 		}
 	}
-	if victim == nil {
+	if best.ticket == nil {
 		return false
 	}
-	c.revoke(victim)
+	c.revoke(best.ticket)
 	return true
 }
 
+// candidate is a batch item that may be revoked.
+type candidate struct {
+	ticket *ticket
+	slack  time.Duration
+	// cost is that of the endpoint for the work that needs the slot; zero without
+	// Options.WeighWaits.
+	cost float64
+}
+
+// before reports whether x is revoked rather than o.
+func (x *candidate) before(o *candidate) bool {
+	switch {
+	case x.slack != o.slack:
+		return x.slack > o.slack
+	case x.cost != o.cost:
+		return x.cost < o.cost
+	default:
+		return x.ticket.id < o.ticket.id
+	}
+}
+
 func (c *Core) revoke(t *ticket) {
 	if t == nil || t.revoked {
 		return
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -111,7 +111,7 @@
 	} else {
 		c.open = c.open.Add(n)
 	}
-	r, pace := &c.rows[n], c.pace(s)
+	r, pace := &c.rows[n], c.paceOf(s)
 	r.slack = slowdown(s, pace) + pace - 1
 	r.reading = pace * (1 + othersShare(s))
 	c.setLeast(n >> 6)
@@ -127,6 +127,11 @@
 	c.least[word] = least
 }
 
+// paceOf returns the pace of an endpoint, at least minPace.
+func (c *choice) paceOf(s *endpointState) float64 {
+	return max(minPace, c.pace(s))
+}
+
 // updateCache applies a change of the endpoint's record.
 func (s *endpointState) updateCache(restarted bool) {
 	if s.choice == nil {
@@ -185,6 +190,16 @@
 	return q.best
 }
 
+// costAt returns the cost of an endpoint.
+func (v *service) costAt(now time.Time, p *placement, s *endpointState) float64 {
+	k, held := v.weights(p), 0
+	if p.chain != nil {
+		held = s.cache.Held(p.chain)
+	}
+	w := p.waits(now, &k, s, held)
+	return w.sum() + maxPreference*s.phase()
+}
+
 // search is a search for the endpoint of the least cost.
 type search struct {
 	now     time.Time
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -284,6 +284,7 @@
 	v := c.service(t.endpoint.Service)
 	c.release(t)
 	c.recordOutcome(now, v, t, &u)
+	t.endpoint.refresh()
 	if t.item != nil {
 		c.itemDone(now, v, t, &u)
 	}
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -37,6 +37,10 @@
 	// the load of an endpoint adds, as those do.
 	limitWait      = 75.0
 	revocationWait = 250.0
+	// minPace bounds the pace of an endpoint from below.
+	minPace = 0.1
+	// slackClass is the difference in slack up to which batch items are equally good to revoke.
+	slackClass = time.Second
 	// maxPreference is the largest difference between equally good endpoints.
 	maxPreference = 0.05
 )
@@ -111,7 +115,7 @@
 
 // waits returns the terms of the cost of an endpoint that has a number of the prompt's parts.
 func (p *placement) waits(now time.Time, k *weights, s *endpointState, held int) Waits {
-	pace := s.choice.pace(s)
+	pace := s.choice.paceOf(s)
 	slow := slowdown(s, pace)
 	w := Waits{
 		Busy:    busyWait(now, s),
@@ -237,7 +241,7 @@
 	k := v.weights(p)
 	held := s.cache.Held(&t.chain)
 	t.estimate = estimate{
-		held: t.chain.Total() - k.unread[held], unread: k.unread[held], pace: s.choice.pace(s), waits: p.waits(now, &k, s, held),
+		held: t.chain.Total() - k.unread[held], unread: k.unread[held], pace: s.choice.paceOf(s), waits: p.waits(now, &k, s, held),
 	}
 }
 
@@ -269,13 +273,10 @@
 	}
 	if u.First > 0 && t.class == Online && e.unread > 0 {
 		took := milliseconds(u.First) - e.waits.untilFirst()
-		v.choice.rate.Observe(float64(e.unread)*max(minPace, e.pace), took)
+		v.choice.rate.Observe(float64(e.unread)*e.pace, took)
 	}
 }
 
-// minPace bounds the pace by which measurements are divided.
-const minPace = 0.1
-
 // Choice is what was expected of the endpoint of a Grant.
 type Choice struct {
 	// Held and Read are the tokens of the prompt that the endpoint was expected to have
