--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -38,6 +38,12 @@
 	Release(usage Usage)
 }
 
+// Chosen is a placement that tells for the log what its endpoint was chosen by.
+type Chosen interface {
+	// Choice returns the terms of the choice, or "".
+	Choice() string
+}
+
 // PlacementRequest requests a placement.
 type PlacementRequest struct {
 	// Request is the request id that the client set.
--- a/forward/request.go
+++ b/forward/request.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/pace"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/route"
@@ -41,6 +40,8 @@
 	attempted []string
 	// versions are the software versions of these endpoints, for the log.
 	versions []string
+	// choices are the terms by which the scheduler chose them, for the log.
+	choices []string
 	// vias are the hosts that made calls for this one.
 	vias []string
 	// version is the software version that began the stream; nil before its first event, and
@@ -155,12 +156,19 @@
 	return len(r.attempted) == r.refusals
 }
 
-// addAttempt records an attempt at an endpoint, and the time waited for its placement.
-func (r *request) addAttempt(e *endpoint.Endpoint, waited time.Duration) {
+// addAttempt records an attempt at the endpoint of a placement, and the time waited for its placement.
+func (r *request) addAttempt(p Placement, waited time.Duration) {
+	e, choice := p.Endpoint(), ""
+	if c, chosen := p.(Chosen); chosen {
+		choice = c.Choice()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.attempted = append(r.attempted, e.ID)
 	r.versions = append(r.versions, e.Version)
+	if choice != "" {
+		r.choices = append(r.choices, choice)
+	}
 	r.placementWait += waited
 	if r.passedOn.IsZero() {
 		r.passedOn = time.Now()
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -136,7 +136,7 @@
 	}
 	_ = level.Info(f.opts.Logger).Log("event", "request", "request", req.ID, "objective_ms", objective.Milliseconds(), "route", name, "kind", kind, "target", target,
 		"config", req.configVersion, "status", status, "reason", req.reason, "ended_by", req.ending, "phase", req.phase, "inputs", req.inputs,
-		"retry_after_ms", req.retryAfter.Milliseconds(), "endpoints", req.attempted, "via", req.vias, "versions", req.versions, "open", req.open, "resumes", req.Resumes, "last_event", req.LastEvent,
+		"retry_after_ms", req.retryAfter.Milliseconds(), "endpoints", req.attempted, "choices", req.choices, "via", req.vias, "versions", req.versions, "open", req.open, "resumes", req.Resumes, "last_event", req.LastEvent,
 		"ran", req.runs, "refused", req.refusals, "placed_ms", req.placementWait.Milliseconds(),
 		"first_ms", first.Milliseconds(), "total_ms", now.Sub(req.started).Milliseconds())
 }
--- a/forward/try.go
+++ b/forward/try.go
@@ -75,7 +75,7 @@
 		}
 	}
 	e := placement.Endpoint()
-	req.addAttempt(e, now.Sub(placementStarted))
+	req.addAttempt(placement, now.Sub(placementStarted))
 	req.setCharged()
 	if req.resumedRequest() != "" {
 		// The placer knows that this version began the stream.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -330,6 +330,14 @@
 	return p.endpoint
 }
 
+// Choice implements forward.Chosen.
+func (p *leasedPlace) Choice() string {
+	if p.lease.Choice == nil {
+		return ""
+	}
+	return p.lease.Choice.String()
+}
+
 // ReportResponding implements forward.Placement.
 func (p *leasedPlace) ReportResponding() {}
 
--- a/gateway/watchedplace.go
+++ b/gateway/watchedplace.go
@@ -19,6 +19,14 @@
 	keys    []blame.Key
 }
 
+// Choice implements forward.Chosen.
+func (p *watchedPlace) Choice() string {
+	if c, chosen := p.Placement.(forward.Chosen); chosen {
+		return c.Choice()
+	}
+	return ""
+}
+
 // ReportResponding implements forward.Placement.
 func (p *watchedPlace) ReportResponding() {
 	p.client.RecordAnswered(p.keys)
--- a/promptcache/chain.go
+++ b/promptcache/chain.go
@@ -20,8 +20,8 @@
 type Part struct {
 	// Key is a hash of the ids of all parts up to this one: an engine can use a part only
 	// after the same parts before it.
-	Key    uint64
-	Tokens int
+	Key    uint64 `json:"key"`
+	Tokens int    `json:"tokens"`
 }
 
 // Chain is the beginning of a prompt that other prompts may share.
@@ -57,6 +57,20 @@
 	return c
 }
 
+// ChainOf returns the chain with the given shared parts, as another host reports it.
+func ChainOf(parts []Part, promptTokens int) Chain {
+	c := Chain{total: min(max(0, promptTokens), maxTokens)}
+	sum := 0
+	for _, p := range parts[:min(len(parts), MaxParts)] {
+		p.Tokens = min(max(0, p.Tokens), maxTokens)
+		c.parts[c.count] = p
+		c.count++
+		sum += p.Tokens
+	}
+	c.total = max(c.total, sum)
+	return c
+}
+
 // extend returns the hash of a sequence with one more element.
 func extend(key uint64, id string) uint64 {
 	var b [16]byte
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/promptcache"
 	"github.com/peridotmount/peridotmount/quota"
 )
 
@@ -48,6 +49,11 @@
 	Avoid []string `json:"avoid,omitempty"`
 }
 
+// Chain returns the part of the prompt that other requests may share.
+func (r *SlotRequest) Chain() promptcache.Chain {
+	return promptcache.NewChain(r.Workspace, r.Prefix, r.PrefixTokens, r.PromptTokens)
+}
+
 // Keys returns what the request may share with others that crash endpoints.
 func (r *SlotRequest) Keys() []blame.Key {
 	return blame.KeysOf(r.Fingerprint, r.Prefix[:max(0, len(r.Prefix)-1)])
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/peridotmount/peridotmount/blame"
-	"github.com/peridotmount/peridotmount/promptcache"
 	"github.com/peridotmount/peridotmount/recent"
 )
 
@@ -198,7 +197,7 @@
 		retry:    request.Resumes != "" || (request.Fingerprint != "" && v.refused.Has(request.Fingerprint)),
 	}
 	if v.choice != nil {
-		w.chain = promptcache.NewChain(request.Workspace, request.Prefix, request.PrefixTokens, request.PromptTokens)
+		w.chain = request.Chain()
 	}
 	c.waiting[request.Ticket] = w
 	v.enqueue(w)
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/promptcache"
+)
 
 // Join adds a host, the slots that it already uses, and the items that it can resume.
 func (c *Core) Join(now time.Time, h *Hello) {
@@ -32,6 +36,9 @@
 		t.item = c.adoptItem(now, m, r)
 		m.runningItems++
 	}
+	if s.choice != nil {
+		t.chain = promptcache.ChainOf(r.Parts, r.Prompt)
+	}
 	c.occupy(now, s, t, nil)
 	if r.Item != nil && (t.item == nil || t.item.ticket != t.id) {
 		c.revoke(t)
--- a/scheduler/prompts_test.go
+++ b/scheduler/prompts_test.go
@@ -448,15 +448,36 @@
 }
 
 func TestTrial(t *testing.T) {
-	for _, parallel := range []bool{false, true} {
-		l := halvorsen(smallParts)
-		l.parallel = parallel
-		compare(t, l, 1)
-		l = halvorsen(largeParts)
-		l.parallel = parallel
-		l.online = peaks(54)
-		compare(t, l, 1)
-		l.capacity, l.rate = 72_000, 78.6
-		compare(t, l, 1)
+	l := halvorsen(smallParts)
+	l.length = 60 * time.Second
+	t.Log("small, 60 s")
+	compare(t, l, 1)
+	hot := func(*rand.Rand, time.Duration) ([]string, []int) { return []string{"hot"}, []int{13_300} }
+	l = halvorsen(hot)
+	l.online, l.expected = peaks(100), 60
+	t.Log("hot large")
+	compare(t, l, 1)
+	l = halvorsen(largeParts)
+	l.online, l.slow, l.paceKnown = peaks(120), true, true
+	t.Log("slow")
+	compare(t, l, 1)
+	t.Log("restarts")
+	l = halvorsen(largeParts)
+	l.online = peaks(54)
+	l.restarts = func(engine int, at time.Duration) int {
+		return int((at + time.Duration(engine)*100*time.Millisecond) / (6 * time.Second))
 	}
+	compare(t, l, 1)
+	t.Log("pressure")
+	l = halvorsen(largeParts)
+	l.capacity, l.rate, l.online = 72_000, 78.6, peaks(110)
+	compare(t, l, 1)
+	t.Log("mixed")
+	l = halvorsen(func(r *rand.Rand, at time.Duration) ([]string, []int) {
+		if r.Float64() < 0.2 {
+			return largeParts(r, at)
+		}
+		return smallParts(r, at)
+	})
+	compare(t, l, 1)
 }
--- a/scheduler/running.go
+++ b/scheduler/running.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/promptcache"
+)
 
 // Running describes a slot in use, as its host reports it to a new scheduler.
 type Running struct {
@@ -12,6 +16,10 @@
 	Since time.Duration `json:"since"`
 	// Tokens is the number of input and expected output tokens.
 	Tokens int `json:"tokens"`
+	// Prompt is the number of tokens of the prompt, and Parts are those that other prompts may
+	// share. Older builds and batch items have none.
+	Prompt int                `json:"prompt,omitempty"`
+	Parts  []promptcache.Part `json:"parts,omitempty"`
 	// Item is the batch item that runs, or nil for an online request.
 	Item *ItemRef `json:"item,omitempty"`
 }
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -319,3 +320,21 @@
 func tenths(x float64) float64 {
 	return math.Round(10*x) / 10
 }
+
+// String formats the choice for logs.
+func (c *Choice) String() string {
+	out := fmt.Sprintf("held %d, read %d", c.Held, c.Read)
+	w := &c.Waits
+	for _, term := range []struct {
+		name  string
+		value float64
+	}{
+		{"busy", w.Busy}, {"load", w.Load}, {"distance", w.Distance}, {"connection", w.Connection}, {"freeing", w.Freeing},
+		{"pace", w.Pace}, {"prefill", w.Prefill}, {"others", w.Others}, {"risk", w.Risk}, {"late", w.Late}, {"limit", w.Limit},
+	} {
+		if term.value != 0 {
+			out += fmt.Sprintf(", %s %.1f ms", term.name, term.value)
+		}
+	}
+	return out
+}
--- a/slots/client.go
+++ b/slots/client.go
@@ -144,7 +144,7 @@
 		}
 		return &Lease{
 			Ticket: m.Grant.Ticket, Endpoint: m.Grant.Endpoint, Version: m.Grant.Version, Scheduler: c.Scheduler(),
-			Overhead: max(0, time.Since(w.since)-m.Grant.Waited), client: c,
+			Overhead: max(0, time.Since(w.since)-m.Grant.Waited), Choice: m.Grant.Choice, client: c,
 		}, nil
 	case <-ctx.Done():
 		c.withdraw(w)
@@ -383,12 +383,15 @@
 	}
 	delete(c.pending, g.Ticket)
 	c.sent.add(time.Now(), g.Endpoint)
+	chain := w.request.Chain()
 	c.held[g.Ticket] = &heldSlot{since: time.Now(), running: scheduler.Running{
 		Ticket:   g.Ticket,
 		Service:  w.request.Service,
 		Endpoint: g.Endpoint,
 		Class:    scheduler.Online,
 		Tokens:   w.request.PromptTokens + w.request.ExpectedTokens,
+		Prompt:   chain.Total(),
+		Parts:    chain.Parts(),
 	}}
 	w.answer <- SchedulerMessage{Grant: g}
 }
--- a/slots/lease.go
+++ b/slots/lease.go
@@ -20,6 +20,8 @@
 	// Overhead is the time from the request for the slot to its grant, less the time
 	// that the request was queued at the scheduler: the network latency both ways.
 	Overhead time.Duration
+	// Choice is what the scheduler expected of the endpoint; nil if it weighs no waits.
+	Choice *scheduler.Choice
 
 	client *Client
 }
--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -13,6 +13,9 @@
 	sessions  *prometheus.CounterVec
 	// convictions counts the convictions that this host made as scheduler.
 	convictions prometheus.Counter
+	// promptTokens and prefillRate are only set if this host weighs waits as scheduler.
+	promptTokens *prometheus.CounterVec
+	prefillRate  *prometheus.GaugeVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -35,8 +38,16 @@
 			Help: "Convictions of requests that crash endpoints that this host made as scheduler.",
 		}),
 	}
+	m.promptTokens = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "peridotmount_scheduler_prompt_tokens_total",
+		Help: "Tokens of shared parts of prompts that this host as scheduler expected endpoints to have cached (held) or to read (read), by service.",
+	}, []string{"service", "state"})
+	m.prefillRate = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "peridotmount_scheduler_prefill_tokens_per_millisecond",
+		Help: "Prompt tokens that an endpoint reads per millisecond, as this host learned as scheduler, by service.",
+	}, []string{"service"})
 	if r != nil {
-		r.MustRegister(m.decisions, m.waits, m.sessions, m.convictions)
+		r.MustRegister(m.decisions, m.waits, m.sessions, m.convictions, m.promptTokens, m.prefillRate)
 	}
 	return m
 }
@@ -46,6 +57,7 @@
 	case scheduler.Grant:
 		m.decisions.WithLabelValues("grant").Inc()
 		m.waits.Observe(e.Waited.Seconds())
+		m.observeChoice(e.Service, e.Choice)
 	case scheduler.Refuse:
 		m.decisions.WithLabelValues(string(e.Reason)).Inc()
 	case scheduler.Revoke:
@@ -54,3 +66,13 @@
 		m.decisions.WithLabelValues("start").Inc()
 	}
 }
+
+// observeChoice counts what was expected of the endpoint of a grant; nil counts nothing.
+func (m *metrics) observeChoice(service string, c *scheduler.Choice) {
+	if c == nil {
+		return
+	}
+	m.promptTokens.WithLabelValues(service, "held").Add(float64(c.SharedHeld))
+	m.promptTokens.WithLabelValues(service, "read").Add(float64(c.SharedRead))
+	m.prefillRate.WithLabelValues(service).Set(c.Rate)
+}
