--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -26,6 +26,11 @@
 	open promptcache.Set
 	// idle are the endpoints to which a host has or had idle connections.
 	idle map[string]promptcache.Set
+	// crossed sums up what requests of a region have waited as the last shared part of their
+	// prompt was cached only in other regions. It counts against the time to read the part in
+	// the region: otherwise each request would find the way to the other region shorter, and
+	// all of them together would take it for ever. It is cleared at maxCrossed entries.
+	crossed map[crossing]float64
 	// places are the zones of the endpoints. reach is used during a decision: the waits to
 	// reach each of them.
 	places []place
@@ -48,13 +53,22 @@
 	distance, connection float64
 }
 
+// crossing is a shared part of prompts and a region with requests for it.
+type crossing struct {
+	part   uint64
+	region string
+}
+
+// maxCrossed bounds choice.crossed.
+const maxCrossed = 8192
+
 // place is where endpoints are.
 type place struct {
 	zone, region string
 }
 
 func newChoice() *choice {
-	return &choice{pool: promptcache.NewPool(), pace: (*endpointState).pace, idle: make(map[string]promptcache.Set)}
+	return &choice{pool: promptcache.NewPool(), pace: (*endpointState).pace, idle: make(map[string]promptcache.Set), crossed: make(map[crossing]float64)}
 }
 
 // add adds an endpoint to the service.
@@ -171,16 +185,17 @@
 	if p.chain != nil {
 		q.holders, q.parts = c.pool.Holders(p.chain), len(p.chain.Parts())
 	}
+	q.near = q.k.invested(c.crossedBy(p))
 	for i, open := range c.open {
 		if known := open & idle.Word(i); known != 0 {
-			q.word(i, known, c.reach[c.pool.Group(i)].distance)
+			q.word(i, known, c.reach[c.pool.Group(i)].distance, c.reach[c.pool.Group(i)].distance < crossRegionTrip)
 		}
 	}
 	for _, far := range [...]bool{false, true} {
 		for i, open := range c.open {
 			to := c.reach[c.pool.Group(i)]
 			if rest := open &^ idle.Word(i); rest != 0 && (to.distance >= crossRegionTrip) == far {
-				q.word(i, rest, to.distance+to.connection)
+				q.word(i, rest, to.distance+to.connection, !far)
 			}
 		}
 	}
@@ -200,6 +215,34 @@
 	return w.sum() + maxPreference*s.phase()
 }
 
+// crossedBy returns how long requests of the host's region have waited for crossing to another
+// region, as the last shared part of the prompt was cached only there.
+func (c *choice) crossedBy(p *placement) float64 {
+	if p.host == nil || p.chain == nil || len(p.chain.Parts()) == 0 {
+		return 0
+	}
+	parts := p.chain.Parts()
+	return c.crossed[crossing{parts[len(parts)-1].Key, p.host.region}]
+}
+
+// placed records a placement, for crossedBy.
+func (c *choice) placed(p *placement, s *endpointState, e *estimate) {
+	if p.host == nil || p.batch || len(p.chain.Parts()) == 0 {
+		return
+	}
+	parts := p.chain.Parts()
+	x := crossing{parts[len(parts)-1].Key, p.host.region}
+	switch {
+	case s.Region == p.host.region && e.held < p.chain.Shared():
+		delete(c.crossed, x)
+	case s.Region != p.host.region && e.held > 0:
+		if len(c.crossed) >= maxCrossed {
+			clear(c.crossed)
+		}
+		c.crossed[x] += e.waits.Distance + e.waits.Connection
+	}
+}
+
 // search is a search for the endpoint of the least cost.
 type search struct {
 	now     time.Time
@@ -209,14 +252,20 @@
 	room    func(*endpointState) bool
 	holders [promptcache.MaxParts]promptcache.Set
 	parts   int
+	// near replaces weights.prefill in the region of the host.
+	near [promptcache.MaxParts + 1]float64
 	// best is the best endpoint so far, fallback that among the endpoints to avoid.
 	best, fallback         *endpointState
 	bestCost, fallbackCost float64
 }
 
 // word considers the given endpoints of a word of a Set, where the distance and the connection
-// have the cost base.
-func (q *search) word(i int, open uint64, base float64) {
+// have the cost base. near means that they are in the region of the host.
+func (q *search) word(i int, open uint64, base float64, near bool) {
+	prefill := &q.k.prefill
+	if near {
+		prefill = &q.near
+	}
 	var holders [promptcache.MaxParts]uint64
 	depth := 0
 	for depth < q.parts {
@@ -225,7 +274,7 @@
 		}
 		depth++
 	}
-	if q.best != nil && q.k.run*q.c.least[i]+q.k.prefill[depth]*minPace+base >= q.bestCost {
+	if q.best != nil && q.k.run*q.c.least[i]+prefill[depth]*minPace+base >= q.bestCost {
 		return
 	}
 	for ; open != 0; open &= open - 1 {
@@ -235,21 +284,22 @@
 		for held < depth && holders[held]&bit != 0 {
 			held++
 		}
-		bound := q.k.run*r.slack + q.k.prefill[held]*r.reading + base + r.preference
+		bound := q.k.run*r.slack + prefill[held]*r.reading + base + r.preference
 		if q.best == nil || bound < q.bestCost {
-			q.consider(r, held)
+			q.consider(r, held, prefill[held])
 		}
 	}
 }
 
 // consider compares an endpoint that has a number of the prompt's parts to the best so far.
-func (q *search) consider(r *row, held int) {
+// prefill is the time to read the others that counts.
+func (q *search) consider(r *row, held int, prefill float64) {
 	s, p := r.endpoint, q.p
 	if !s.usable(q.now) || !p.eligible(q.now, s) || !q.room(s) || !s.fits(p.tokens) || !s.admits(q.now, p.repeatable) {
 		return
 	}
 	w := p.waits(q.now, &q.k, s, held)
-	cost := w.sum() + r.preference
+	cost := w.sum() + r.preference + (prefill-q.k.prefill[held])*r.reading
 	if slices.Contains(p.avoid, s.ID) {
 		if q.fallback == nil || cost < q.fallbackCost {
 			q.fallback, q.fallbackCost = s, cost
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -108,12 +108,25 @@
 	for i, part := range p.chain.Parts() {
 		k.unread[i+1] = k.unread[i] - part.Tokens
 	}
+	for i := len(p.chain.Parts()); i < len(k.unread)-1; i++ {
+		k.unread[i+1] = k.unread[i]
+	}
 	for i := range k.unread {
 		k.prefill[i] = float64(k.unread[i]) / rate
 	}
 	return k
 }
 
+// invested returns prefill less what earlier requests have waited because no endpoint of their
+// region has the parts, but no less than if all shared parts were cached.
+func (k *weights) invested(crossed float64) [promptcache.MaxParts + 1]float64 {
+	out := k.prefill
+	for i := range out {
+		out[i] = max(out[i]-crossed, min(out[i], k.prefill[len(out)-1]))
+	}
+	return out
+}
+
 // waits returns the terms of the cost of an endpoint that has a number of the prompt's parts.
 func (p *placement) waits(now time.Time, k *weights, s *endpointState, held int) Waits {
 	pace := s.choice.paceOf(s)
@@ -244,6 +257,7 @@
 	t.estimate = estimate{
 		held: t.chain.Total() - k.unread[held], unread: k.unread[held], pace: s.choice.paceOf(s), waits: p.waits(now, &k, s, held),
 	}
+	v.choice.placed(p, s, &t.estimate)
 }
 
 // loadPrompt records that the endpoint is sent the prompt of a ticket.
