--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -127,7 +127,7 @@
 	}
 	r, pace := &c.rows[n], c.paceOf(s)
 	r.slack = slowdown(s, pace) + pace - 1
-	r.reading = pace * (1 + othersShare(s))
+	r.reading = pace * (1 + othersShare(s) + displacedShare)
 	c.setLeast(n >> 6)
 	s.cache.SetRunning(s.tokens)
 }
--- a/scheduler/draws_test.go
+++ b/scheduler/draws_test.go
@@ -90,7 +90,7 @@
 }
 
 // TestReplayDrawnDeployments replays random deployments and compares the shares in time to
-// their upper bounds. The environment variable DRAWS sets the number of deployments, and
+// their upper bounds, without and with Options.WeighWaits. The environment variable DRAWS sets the number of deployments, and
 // makes the test print each.
 func TestReplayDrawnDeployments(t *testing.T) {
 	draws, verbose := 12, false
@@ -101,9 +101,17 @@
 		}
 		draws, verbose = n, true
 	}
+	for _, weigh := range []bool{false, true} {
+		replayDraws(t, draws, verbose, weigh)
+	}
+}
+
+func replayDraws(t *testing.T, draws int, verbose, weigh bool) {
+	t.Helper()
 	var online, items, allOnline, allItems float64
 	for seed := range uint64(draws) {
 		d := drawDeployment(seed + 1)
+		d.weigh = weigh
 		o := runReplay(t, d.replayLoad, seed+1)
 		mostOnline, mostItems := d.bound()
 		gapOnline := mostOnline - share(o.inTime, o.online)
@@ -117,12 +125,12 @@
 				d.peak, d.mean, d.jobRate, gapOnline, mostOnline, gapItems, mostItems)
 		}
 		if o.refusedWithRoom > 0 {
-			t.Errorf("draw %d: %d requests refused while slots were free", seed+1, o.refusedWithRoom)
+			t.Errorf("draw %d, weigh %v: %d requests refused while slots were free", seed+1, weigh, o.refusedWithRoom)
 		}
 	}
 	online, items = online/allOnline, items/allItems
-	t.Logf("%d draws: online %.3f, items %.3f below the bound", draws, online, items)
+	t.Logf("%d draws, weigh %v: online %.3f, items %.3f below the bound", draws, weigh, online, items)
 	if online > maxBoundGap || items > maxBoundGap {
-		t.Errorf("%d draws: online %.3f, items %.3f below the bound", draws, online, items)
+		t.Errorf("%d draws, weigh %v: online %.3f, items %.3f below the bound", draws, weigh, online, items)
 	}
 }
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -31,6 +31,8 @@
 	token, objective time.Duration
 	// onlineTokens and itemTokens are the mean sizes; zero means those of the users' sites.
 	onlineTokens, itemTokens float64
+	// weigh sets Options.WeighWaits.
+	weigh bool
 }
 
 const (
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -116,7 +116,7 @@
 func runReplay(t *testing.T, l replayLoad, seed uint64) *replayResult {
 	t.Helper()
 	r := &replay{
-		core: NewCore(Options{}), load: l, random: rand.New(rand.NewPCG(seed, 1)),
+		core: NewCore(Options{WeighWaits: l.weigh}), load: l, random: rand.New(rand.NewPCG(seed, 1)),
 		waiting: make(map[string]*onlineRequest), runs: make(map[string]*itemRun),
 		sizes: make(map[ItemRef]int), done: make(map[ItemRef]int), due: make(map[ItemRef]time.Duration),
 	}
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -32,6 +32,10 @@
 	streamShare = 0.1
 	// maxRun bounds the weighted time of a generation.
 	maxRun = 5000.0
+	// displacedShare is the weight of what later requests wait for parts that a prompt displaces
+	// from the engine's memory when it is read. It makes requests for a part that is being read
+	// follow to that engine, rather than have each of them read it elsewhere.
+	displacedShare = 0.1
 	// lateShare is the additional weight of the time beyond the objective.
 	lateShare = 3.0
 	// limitWait and revocationWait replace costLimited and costRevocable. They exceed what
@@ -64,6 +68,8 @@
 	Prefill float64 `json:"prefill,omitempty"`
 	// Others is what the other requests in progress wait while the endpoint reads the prompt.
 	Others float64 `json:"others,omitempty"`
+	// Displaced is what later requests wait for the parts that the prompt displaces.
+	Displaced float64 `json:"displaced,omitempty"`
 	// Risk is the expected wait due to a failure, Late the weight of what is beyond the
 	// objective.
 	Risk float64 `json:"risk,omitempty"`
@@ -76,7 +82,7 @@
 
 // sum returns the cost.
 func (w *Waits) sum() float64 {
-	return w.Busy + w.Load + w.Distance + w.Connection + w.Freeing + w.Pace + w.Prefill + w.Others + w.Risk + w.Late + w.Limit + w.Revocation
+	return w.Busy + w.Load + w.Distance + w.Connection + w.Freeing + w.Pace + w.Prefill + w.Others + w.Displaced + w.Risk + w.Late + w.Limit + w.Revocation
 }
 
 // untilFirst returns what delays the first event before the engine reads the prompt.
@@ -138,7 +144,9 @@
 		Pace:    k.run * (pace - 1),
 		Prefill: k.prefill[held] * pace,
 		Others:  k.prefill[held] * pace * othersShare(s),
-		Risk:    milliseconds(s.risk(now, p.repeatable)),
+
+		Displaced: k.prefill[held] * pace * displacedShare,
+		Risk:      milliseconds(s.risk(now, p.repeatable)),
 	}
 	if p.host != nil {
 		at := place{s.Zone, s.Region}
@@ -288,7 +296,7 @@
 	}
 	if u.First > 0 && t.class == Online && e.unread > 0 {
 		took := milliseconds(u.First) - e.waits.untilFirst()
-		v.choice.rate.Observe(float64(e.unread)*e.pace, took)
+		v.choice.rate.Observe(float64(e.unread), took/e.pace)
 	}
 }
 
@@ -324,7 +332,7 @@
 // rounded returns the terms in tenths of a millisecond.
 func (w Waits) rounded() Waits {
 	for _, term := range []*float64{
-		&w.Busy, &w.Load, &w.Distance, &w.Connection, &w.Freeing, &w.Pace, &w.Prefill, &w.Others, &w.Risk, &w.Late, &w.Limit, &w.Revocation,
+		&w.Busy, &w.Load, &w.Distance, &w.Connection, &w.Freeing, &w.Pace, &w.Prefill, &w.Others, &w.Displaced, &w.Risk, &w.Late, &w.Limit, &w.Revocation,
 	} {
 		*term = tenths(*term)
 	}
@@ -344,7 +352,7 @@
 		value float64
 	}{
 		{"busy", w.Busy}, {"load", w.Load}, {"distance", w.Distance}, {"connection", w.Connection}, {"freeing", w.Freeing},
-		{"pace", w.Pace}, {"prefill", w.Prefill}, {"others", w.Others}, {"risk", w.Risk}, {"late", w.Late}, {"limit", w.Limit},
+		{"pace", w.Pace}, {"prefill", w.Prefill}, {"others", w.Others}, {"displaced", w.Displaced}, {"risk", w.Risk}, {"late", w.Late}, {"limit", w.Limit},
 	} {
 		if term.value != 0 {
 			out += fmt.Sprintf(", %s %.1f ms", term.name, term.value)
