--- a/promptcache/rate.go
+++ b/promptcache/rate.go
@@ -49,7 +49,8 @@
 	if r.weight > 0 {
 		expected := r.meanTime + (tokens-r.meanTokens)/r.TokensPerMillisecond()
 		off := milliseconds - expected
-		limit := maxDeviations * max(r.deviation, minDeviation)
+		// Large prompts may be off by what they take: DefaultRate may be far from the rate.
+		limit := max(maxDeviations*max(r.deviation, minDeviation), tokens/r.TokensPerMillisecond())
 		// An outlier widens the limit by what it is clipped to, so that one has little effect
 		// and a lasting change gets through.
 		off = min(max(off, -limit), limit)
