--- a/promptcache/engine.go
+++ b/promptcache/engine.go
@@ -3,6 +3,9 @@
 // none is the index of no entry.
 const none = -1
 
+// maxRunning bounds the memory of running requests, whose sizes clients claim.
+const maxRunning = 1 << 40
+
 // entry is a part that an engine has cached, in a list from the most to the least recently used.
 type entry struct {
 	key uint64
@@ -49,7 +52,7 @@
 
 // SetRunning sets the memory of the running requests, and evicts what has no room beside them.
 func (e *Engine) SetRunning(tokens int64) {
-	e.running = tokens
+	e.running = min(max(0, tokens), maxRunning)
 	e.evict()
 }
 
@@ -73,16 +76,26 @@
 }
 
 // Load records that the engine is sent a prompt, by a request with the given identity: all
-// shared parts are then cached.
+// shared parts are then cached, but for those from a part on that exceeds the memory.
 func (e *Engine) Load(c *Chain, loader uint64) {
 	// The first part is moved to the front last: a part is never evicted before those that
 	// follow it, as these are of no use alone.
-	for i := c.count - 1; i >= 0; i-- {
+	for i := e.fitting(c) - 1; i >= 0; i-- {
 		e.touch(&c.parts[i], loader)
 	}
 	e.evict()
 }
 
+// fitting returns how many parts at the beginning of a chain fit into the memory.
+func (e *Engine) fitting(c *Chain) int {
+	for i := range c.Parts() {
+		if e.capacity > 0 && blocks(c.parts[i].Tokens) > e.capacity {
+			return i
+		}
+	}
+	return c.count
+}
+
 // Unload forgets the parts of a chain that a request was to load. It is called if the request
 // failed before its first event.
 func (e *Engine) Unload(c *Chain, loader uint64) {
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -36,6 +36,9 @@
 	// from the engine's memory when it is read. It makes requests for a part that is being read
 	// follow to that engine, rather than have each of them read it elsewhere.
 	displacedShare = 0.1
+	// maxPrefill bounds the time for which a request has its endpoint counted as busy: the number
+	// of tokens is the client's claim.
+	maxPrefill = 1000.0
 	// lateShare is the additional weight of the time beyond the objective.
 	lateShare = 3.0
 	// limitWait and revocationWait replace costLimited and costRevocable. They exceed what
@@ -274,7 +277,7 @@
 	if s.prefillUntil.After(begin) {
 		begin = s.prefillUntil
 	}
-	took := t.estimate.waits.Prefill * float64(time.Millisecond)
+	took := min(t.estimate.waits.Prefill, maxPrefill) * float64(time.Millisecond)
 	t.estimate.prefillEnd = begin.Add(time.Duration(took))
 	s.prefillUntil = t.estimate.prefillEnd
 	s.cache.Load(&t.chain, t.estimate.load)
@@ -290,9 +293,9 @@
 		u.Outcome == Abandoned && !now.Before(e.prefillEnd)
 	if !read {
 		s.cache.Unload(&t.chain, e.load)
-		if s.prefillUntil.Equal(e.prefillEnd) {
-			s.prefillUntil = now
-		}
+	}
+	if s.prefillUntil.Equal(e.prefillEnd) && e.prefillEnd.After(now) {
+		s.prefillUntil = now
 	}
 	if u.First > 0 && t.class == Online && e.unread > 0 {
 		took := milliseconds(u.First) - e.waits.untilFirst()
--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -106,6 +106,30 @@
 	within(t, "after a failure", at(c, v, p, "e").Busy, 0, 0)
 }
 
+// TestClaimsOfClientsAreBounded guards against clients that claim to send huge prompts: neither is
+// an endpoint left alone for long after them, nor what it has cached forgotten.
+func TestClaimsOfClientsAreBounded(t *testing.T) {
+	c, v, p := termPool(Endpoint{ID: "e", CacheTokens: 147_261})
+	ask := func(ticket, part string, tokens int) {
+		c.Acquire(replayStart, "h", SlotRequest{
+			Ticket: ticket, Service: "s", Objective: replayObjective, Left: time.Second, Prefix: []string{part, "own"}, PrefixTokens: []int{tokens, 1},
+		})
+		if _, granted := c.Effects()[0].(Grant); !granted {
+			t.Fatal("not granted")
+		}
+		c.Done(replayStart, Usage{Ticket: ticket, Outcome: Finished})
+	}
+	ask("1", "known", 1000)
+	ask("2", "huge", math.MaxInt)
+	chain := promptcache.NewChain("", []string{"known", "own"}, []int{1000, 1}, 1001)
+	if c.endpoints["e"].cache.Held(&chain) != 1 {
+		t.Error("a huge part displaced the others")
+	}
+	c.Acquire(replayStart, "h", SlotRequest{Ticket: "3", Service: "s", Objective: replayObjective, Left: time.Second, PromptTokens: math.MaxInt})
+	c.Effects()
+	within(t, "busy", at(c, v, p, "e").Busy, 0, maxPrefill)
+}
+
 // TestPaceWeighsTheGeneration guards against long outputs at slow endpoints.
 func TestPaceWeighsTheGeneration(t *testing.T) {
 	c, v, p := termPool(Endpoint{ID: "e"})
