--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -209,12 +209,19 @@
 // TestRevokedItemIsWhereTheRequestGoes guards against a slot that is freed far from the request,
 // when items of the same slack run nearer.
 func TestRevokedItemIsWhereTheRequestGoes(t *testing.T) {
-	c, _, _ := termPool(Endpoint{ID: "far", Zone: "b1", Region: "b", Slots: 1}, Endpoint{ID: "near", Slots: 1})
-	for i := range 2 {
+	far := Endpoint{ID: "far", Service: "s", Zone: "b1", Region: "b", Slots: 1}
+	near := Endpoint{ID: "near", Service: "s", Zone: "a1", Region: "a", Slots: 1}
+	c, _, _ := termPool(far)
+	started := make(map[string]string)
+	for i, endpoints := range [][]Endpoint{{far}, {far, near}} {
+		c.SetEndpoints(replayStart, endpoints)
 		c.AddItem(replayStart, Item{Ref: ItemRef{Job: "j", Item: i}, Service: "s", Due: replayStart.Add(time.Minute + time.Duration(i)*time.Millisecond), ExpectedTokens: 100})
+		for _, e := range c.Effects() {
+			started[e.(Start).Endpoint] = e.(Start).Ticket
+		}
 	}
-	if n := len(c.Effects()); n != 2 {
-		t.Fatalf("%d items started, want 2", n)
+	if len(started) != 2 || started["far"] > started["near"] {
+		t.Fatalf("items started at %v: the run does not reach what it tests", started)
 	}
 	c.Acquire(replayStart, "h", SlotRequest{Ticket: "t", Service: "s", Objective: replayObjective, Left: time.Second})
 	for _, e := range c.Effects() {
@@ -338,6 +345,25 @@
 	}
 }
 
+// TestPaceIsTakenFromEachUse guards against a choice by the pace that an endpoint had before its
+// last use ended.
+func TestPaceIsTakenFromEachUse(t *testing.T) {
+	c, v, _ := termPool(Endpoint{ID: "e"})
+	c.Acquire(replayStart, "h", SlotRequest{Ticket: "a", Service: "s", Objective: replayObjective, Left: time.Second})
+	s := c.endpoints["e"]
+	// The pace changes when the use is recorded, after its slot was released.
+	v.choice.pace = func(s *endpointState) float64 {
+		if len(s.tickets) == 0 && s.failures > 0 {
+			return 2
+		}
+		return 1
+	}
+	c.Done(replayStart, Usage{Ticket: "a", Outcome: Failed})
+	if slack := v.choice.rows[s.cache.Number()].slack; slack != 1 {
+		t.Errorf("the row has a slack of %.2f, want 1", slack)
+	}
+}
+
 // TestNewSchedulerLearnsPartsOfRunningRequests guards against a new scheduler that has the parts of
 // running requests read elsewhere again.
 func TestNewSchedulerLearnsPartsOfRunningRequests(t *testing.T) {
