--- a/forward/try.go
+++ b/forward/try.go
@@ -77,7 +77,7 @@
 	e := placement.Endpoint()
 	// Before the endpoint is known, as a hedge may begin then.
 	req.setCharged()
-	req.addAttempt(e, now.Sub(placementStarted))
+	req.addAttempt(placement, now.Sub(placementStarted))
 	if req.resumedRequest() != "" {
 		// The placer knows that this version began the stream.
 		req.setVersion(e.Version)
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/peridotmount/peridotmount/promptcache"
 )
 
 // AddItem adds an item to run. It does nothing if the item is already known.
@@ -81,6 +83,10 @@
 	p := &placement{
 		host: host, tokens: i.PromptTokens + i.ExpectedTokens, prefix: i.Prefix, batch: true, limited: v.hasRateLimits(),
 	}
+	if v.choice != nil {
+		chain := promptcache.NewChain(i.Workspace, i.Prefix, i.PrefixTokens, i.PromptTokens)
+		p.chain, p.expected, p.repeatable = &chain, max(0, i.ExpectedTokens-i.TokensDone), true
+	}
 	if i.TokensDone > 0 && v.lists(&i.version) {
 		p.version = &i.version
 	}
@@ -102,6 +108,10 @@
 	host.runningItems++
 	t := &ticket{id: i.ticket, host: host.name, class: Batch, since: now, tokens: p.tokens, item: i}
 	s.countRequest(now)
+	if p.chain != nil {
+		t.chain = *p.chain
+		v.estimate(now, p, s, t)
+	}
 	c.occupy(now, s, t, i.Prefix)
 	c.emit(Start{Host: host.name, Ticket: t.id, Endpoint: s.ID, Item: i.Ref, Version: s.Version})
 	return true
@@ -140,37 +150,69 @@
 
 // revokeOne revokes the running batch item with the most slack, and reports whether
 // there was one. It spares endpoints whose rate limit admits no request at the moment: the
-// slot would stay free. Only endpoints that are eligible for the placement count.
+// slot would stay free. Only endpoints that are eligible for the placement count. With
+// Options.WeighWaits, the cost of the placement decides among items of about the same slack.
 func (c *Core) revokeOne(now time.Time, v *service, p *placement) bool {
-	var victim *ticket
-	var mostSlack time.Duration
+	var best candidate
 	for _, s := range v.endpoints {
 		if !s.usable(now) || !p.eligible(now, s) || !s.takesRequest(now) {
 			continue
 		}
+		cost, known := 0.0, false
 		for _, t := range s.tickets {
 			if t.item == nil || t.revoked {
 				continue
 			}
-			slack := t.item.slack(now, v.perToken)
-			if victim == nil || slack > mostSlack || (slack == mostSlack && t.id < victim.id) {
-				victim, mostSlack = t, slack
+			x := candidate{ticket: t, slack: t.item.slack(now, v.perToken)}
+			if v.choice != nil {
+				if x.slack = x.slack.Truncate(slackClass); best.ticket != nil && x.slack < best.slack {
+					continue
+				}
+				if !known {
+					cost, known = v.costAt(now, p, s), true
+				}
+				x.cost = cost
+			}
+			if best.ticket == nil || x.before(&best) {
+				best = x
 			}
 		}
 	}
-	if victim == nil {
+	if best.ticket == nil {
 		return false
 	}
-	c.revoke(victim)
+	c.revoke(best.ticket)
 	return true
 }
 
+// candidate is a batch item that may be revoked.
+type candidate struct {
+	ticket *ticket
+	slack  time.Duration
+	// cost is that of the endpoint for the work that needs the slot; zero without
+	// Options.WeighWaits.
+	cost float64
+}
+
+// before reports whether x is revoked rather than o.
+func (x *candidate) before(o *candidate) bool {
+	switch {
+	case x.slack != o.slack:
+		return x.slack > o.slack
+	case x.cost != o.cost:
+		return x.cost < o.cost
+	default:
+		return x.ticket.id < o.ticket.id
+	}
+}
+
 func (c *Core) revoke(t *ticket) {
 	if t == nil || t.revoked {
 		return
 	}
 	t.revoked = true
 	t.endpoint.revoked++
+	t.endpoint.refresh()
 	c.emit(Revoke{Host: t.host, Ticket: t.id})
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -42,7 +42,9 @@
 	// hosts of another scheduler would be run a second time.
 	batchEnabled bool
 	seq          uint64
-	effects      []Effect
+	// loads numbers the uses of slots.
+	loads   uint64
+	effects []Effect
 }
 
 // NewCore returns a Core without hosts, endpoints or work.
@@ -80,6 +82,9 @@
 		v = &service{
 			name: name, meanHold: c.opts.Hold, perToken: c.opts.PerToken, meanFirst: c.opts.FirstToken, refused: recent.NewSet(maxRefusedKept),
 		}
+		if c.opts.WeighWaits {
+			v.choice = newChoice()
+		}
 		c.services[name] = v
 	}
 	return v
@@ -95,6 +100,7 @@
 func (c *Core) SetEndpoints(now time.Time, endpoints []Endpoint) {
 	for _, s := range c.endpoints {
 		s.listed = false
+		s.refresh()
 	}
 	for _, e := range endpoints {
 		s := c.endpoints[e.ID]
@@ -103,8 +109,10 @@
 			v := c.service(e.Service)
 			sort.Slice(v.endpoints, func(i, j int) bool { return v.endpoints[i].before(v.endpoints[j]) })
 		}
+		restarted := !s.Started.Equal(e.Started)
 		s.Endpoint, s.listed = e, true
 		s.setRateLimit(now, c.rateShare)
+		s.updateCache(restarted)
 	}
 	c.removeIdleEndpoints()
 	c.dispatchAll(now)
@@ -116,6 +124,9 @@
 	c.endpoints[e.ID] = s
 	v := c.service(e.Service)
 	v.endpoints = append(v.endpoints, s)
+	if v.choice != nil {
+		v.choice.add(s)
+	}
 	return s
 }
 
@@ -130,6 +141,9 @@
 		for i, o := range v.endpoints {
 			if o == s {
 				v.endpoints = append(v.endpoints[:i], v.endpoints[i+1:]...)
+				if v.choice != nil {
+					v.choice.remove(s)
+				}
 				break
 			}
 		}
@@ -191,6 +205,9 @@
 		cost:  c.turnCost(&request),
 		retry: request.Resumes != "" || (request.Fingerprint != "" && v.refused.Has(request.Fingerprint)),
 	}
+	if v.choice != nil {
+		w.chain = request.Chain()
+	}
 	c.waiting[request.Ticket] = w
 	v.enqueue(w)
 	c.dispatch(now, v)
@@ -258,6 +275,7 @@
 	v := c.service(t.endpoint.Service)
 	c.release(t)
 	c.recordOutcome(now, v, t, &u)
+	t.endpoint.refresh()
 	if t.item != nil {
 		c.itemDone(now, v, t, &u)
 	}
@@ -289,6 +307,7 @@
 // the outcome of a use.
 func (c *Core) recordOutcome(now time.Time, v *service, t *ticket, u *Usage) {
 	s := t.endpoint
+	v.observeRead(now, t, u)
 	switch u.Outcome {
 	case Finished:
 		s.markHealthy()
--- a/scheduler/waiter.go
+++ b/scheduler/waiter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peridotmount/peridotmount/blame"
+	"github.com/peridotmount/peridotmount/promptcache"
 )
 
 // waiter is a queued request for a slot.
@@ -30,6 +31,8 @@
 	chargedAt time.Time
 	// keys is what the request may share with others that crash endpoints.
 	keys []blame.Key
+	// chain is the part of the prompt that others may share; only with Options.WeighWaits.
+	chain promptcache.Chain
 }
 
 // earlyRefusalEnd returns the end of the time in which the request may be refused for
