quota: requests that come again after a refusal come behind first attempts

While first attempts alone use up the quota, requests that come again are refused, and all refusals say to come again after a window.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -35,7 +35,7 @@
 	// confirmedSentAt is when the last call was sent that confirmed that the view is
 	// complete. Unlike confirmedAt it includes no wait at the store.
 	confirmedSentAt time.Time
-	pageSize    pageSize
+	pageSize        pageSize
 	// newestByKey holds the records for other hosts if Options.Keep is set.
 	newestByKey recordSet
 	// listing is the unfinished listing, nil if there is none. Only Serve uses it.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -122,6 +122,7 @@
 	}
 	return &quota.Claim{
 		Workspace: ask.Workspace.Name, RequestsPerSecond: ask.Workspace.RequestsPerSecond, Burst: ask.Workspace.Burst, Version: ask.ConfigVersion,
+		Fingerprint: ask.Fingerprint,
 	}
 }
 
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -17,9 +17,11 @@
 	// limitsSince is when the limits last changed; levelThen is the level at that time.
 	limitsSince time.Time
 	levelThen   float64
-	// used counts the admissions of this Table, refused its refusals.
+	// used counts the admissions of this Table, refused its refusals, first the requests with
+	// a fingerprint that were not refused before.
 	used    history
 	refused int
+	first   history
 	// refusedAt is when a request was last refused, nextRetry when that one is to come again.
 	refusedAt, nextRetry time.Time
 }
--- a/quota/claim.go
+++ b/quota/claim.go
@@ -9,4 +9,6 @@
 	Burst             float64 `json:"burst,omitempty"`
 	// Version is that of the configuration that the limits come from: the newest one counts.
 	Version int64 `json:"version"`
+	// Fingerprint is the same for all attempts of a client at one request, or "" if unknown.
+	Fingerprint string `json:"fingerprint,omitempty"`
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/peridotmount/peridotmount/recent"
 )
 
 // splitShare is the share below which several schedulers are at work, and each has a fraction of a
@@ -50,6 +52,8 @@
 	// replicated means that Fresh is called.
 	replicated bool
 	nextSweep  time.Time
+	// turnedAway are the workspaces and fingerprints of requests that were refused.
+	turnedAway *recent.Set
 }
 
 // hostReport is what a host told of the last window.
@@ -62,7 +66,7 @@
 func NewTable(o Options) *Table {
 	return &Table{
 		opts: o.withDefaults(), share: 1, buckets: make(map[string]*bucket), told: make(map[string]*hostReport),
-		replicas: make(map[string]map[string]*history), fresh: make(map[string]*history),
+		replicas: make(map[string]map[string]*history), fresh: make(map[string]*history), turnedAway: recent.NewSet(maxTurnedAway),
 	}
 }
 
@@ -137,7 +141,14 @@
 		t.rateSum += c.RequestsPerSecond - b.claim.RequestsPerSecond
 		b.setLimits(now, c, t.limit(now, b, c.Burst))
 	}
-	if b.level < 1-roundingError {
+	again := t.isAgain(c)
+	if c.Fingerprint != "" && !again {
+		b.first.add(t.bin(now), t.bin(now), 1)
+	}
+	if b.level < 1-roundingError || again && t.overloaded(now, b) {
+		if c.Fingerprint != "" {
+			t.turnedAway.Add(c.key())
+		}
 		return t.refusal(now, b)
 	}
 	b.level = max(0, b.level-1)
@@ -359,13 +370,44 @@
 	return out
 }
 
-// refusal refuses a request. The times after which refused requests are to come again are spaced
+// overloadBins is the number of bins over which the rate of first attempts is measured: 1 s of a
+// window of 5 s.
+const overloadBins = windowBins / 5
+
+// maxTurnedAway bounds the refused requests that are remembered: more than come back within a
+// client's deadline.
+const maxTurnedAway = 8192
+
+// key identifies the request of a claim.
+func (c *Claim) key() string {
+	return c.Workspace + "/" + c.Fingerprint
+}
+
+// isAgain reports whether a request was refused before.
+func (t *Table) isAgain(c *Claim) bool {
+	return c.Fingerprint != "" && t.turnedAway.Has(c.key())
+}
+
+// overloaded reports whether first attempts alone come faster than the bucket fills. Requests that
+// come again are refused then: each would take the place of one that can still be in time.
+func (t *Table) overloaded(now time.Time, b *bucket) bool {
+	b.first.advance(t.bin(now))
+	n := 0
+	for bin := t.bin(now) - overloadBins; bin < t.bin(now); bin++ {
+		n += b.first.at(bin)
+	}
+	span := time.Duration(overloadBins) * t.opts.binWidth()
+	return float64(n) > t.rate(b)*span.Seconds()
+}
+
+// refusal refuses a request. While first attempts use up the quota, it is to come again after a
+// window. Otherwise, the times after which refused requests are to come again are spaced
 // as the bucket fills.
 func (t *Table) refusal(now time.Time, b *bucket) *Refusal {
 	b.refusedAt = now
 	b.refused++
 	wait := t.opts.Window
-	if rate := t.rate(b); rate > 0 {
+	if rate := t.rate(b); rate > 0 && !t.overloaded(now, b) {
 		earliest := now.Add(min(t.opts.Window, time.Duration((1-b.level)/rate*float64(time.Second))))
 		if b.nextRetry.Before(earliest) {
 			b.nextRetry = earliest
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -214,7 +214,43 @@
 
 // TestNewestLimitsCount mixes claims of two versions of the configuration, as hosts read it at
 // different times, and checks that a lower limit doesn't refuse everything afterwards.
-func TestNewestLimitsCount(t *testing.T) {
+
+// TestRefusedRequestsComeBehindFirstAttempts plays a workspace that sends three times its quota and
+// whose clients come again once. It guards against requests that come back in the place of those
+// that can still be in time: half of what is admitted would be late.
+func TestRefusedRequestsComeBehindFirstAttempts(t *testing.T) {
+	table := NewTable(Options{Window: 5 * time.Second})
+	const rate, step, retryAfter = 100.0, 10 * time.Millisecond, 200 * time.Millisecond
+	firsts, repeats, sent := 0, 0, 0
+	again := make(map[time.Duration][]string)
+	for at := time.Duration(0); at < 4*time.Second; at += step {
+		now := start.Add(at)
+		for _, fingerprint := range again[at] {
+			if table.Charge(now, &Claim{Workspace: "w", RequestsPerSecond: rate, Burst: rate, Version: 1, Fingerprint: fingerprint}) == nil {
+				repeats++
+			}
+		}
+		for range 3 {
+			sent++
+			fingerprint := fmt.Sprint(sent)
+			if table.Charge(now, &Claim{Workspace: "w", RequestsPerSecond: rate, Burst: rate, Version: 1, Fingerprint: fingerprint}) == nil {
+				firsts++
+				continue
+			}
+			again[at+retryAfter] = append(again[at+retryAfter], fingerprint)
+		}
+	}
+	if want := int(0.9 * rate * 4); firsts < want {
+		t.Errorf("%d first attempts and %d repeated ones admitted in 4 s, want at least %d first ones", firsts, repeats, want)
+	}
+	// Once the burst is over, those that come again are served.
+	calm := start.Add(6 * time.Second)
+	if table.Charge(calm, &Claim{Workspace: "w", RequestsPerSecond: rate, Burst: rate, Version: 1, Fingerprint: fmt.Sprint(sent)}) != nil {
+		t.Error("a request that came again after the burst was refused")
+	}
+}
+
+func TestLimitsCount(t *testing.T) {
 	table := counted(testOptions)
 	before := &Claim{Workspace: "w", RequestsPerSecond: 100, Burst: 50, Version: 1}
 	after := &Claim{Workspace: "w", RequestsPerSecond: 10, Burst: 20, Version: 2}
