--- a/quota/refusal.go
+++ b/quota/refusal.go
@@ -20,12 +20,18 @@
 	// Known is for how long the scheduler has counted, or been told of, all admissions, up to
 	// the length of the window.
 	Known time.Duration `json:"known"`
+	// Again means that the request was refused before, and first attempts use up the quota.
+	Again bool `json:"again,omitempty"`
 	// RetryAfter is the time after which a request will be admitted.
 	RetryAfter time.Duration `json:"retry_after"`
 }
 
 // String formats the refusal for logs.
 func (r *Refusal) String() string {
-	return fmt.Sprintf("workspace %s, %g per second, burst %g, configuration %d, %d admitted in the window, share %.3f, counted for %s",
-		r.Workspace, r.RequestsPerSecond, r.Burst, r.Version, r.Used, r.Share, r.Known.Round(time.Millisecond))
+	again := ""
+	if r.Again {
+		again = ", refused before"
+	}
+	return fmt.Sprintf("workspace %s, %g per second, burst %g, configuration %d, %d admitted in the window, share %.3f, counted for %s%s",
+		r.Workspace, r.RequestsPerSecond, r.Burst, r.Version, r.Used, r.Share, r.Known.Round(time.Millisecond), again)
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -149,7 +149,9 @@
 		if c.Fingerprint != "" {
 			t.turnedAway.Add(c.key())
 		}
-		return t.refusal(now, b)
+		refusal := t.refusal(now, b)
+		refusal.Again = again
+		return refusal
 	}
 	b.level = max(0, b.level-1)
 	b.used.add(t.bin(now), t.bin(now), 1)
