--- a/quota/table.go
+++ b/quota/table.go
@@ -145,13 +145,11 @@
 	if c.Fingerprint != "" && !again {
 		b.first.add(t.bin(now), t.bin(now), 1)
 	}
-	if b.level < 1-roundingError || again && b.level < 1+t.reserve(now, b)-roundingError {
-		reserve := 0.0
+	if b.level < 1-roundingError || again && t.overloaded(now, b) {
 		if c.Fingerprint != "" {
 			t.turnedAway.Add(c.key())
-			reserve = t.reserve(now, b)
 		}
-		refusal := t.refusal(now, b, reserve)
+		refusal := t.refusal(now, b)
 		refusal.Again = again
 		return refusal
 	}
@@ -392,19 +390,8 @@
 	return c.Fingerprint != "" && t.turnedAway.Has(c.key())
 }
 
-// firstShare is the share of a bucket that is kept for requests that were not refused before.
-const firstShare = 0.5
-
-// reserve returns what a bucket has to hold beside the request to admit one that was refused
-// before: each would take the place of one that can still be in time.
-func (t *Table) reserve(now time.Time, b *bucket) float64 {
-	if t.share < splitShare {
-		return 0
-	}
-	return firstShare * (t.limit(now, b, b.claim.Burst) - 1)
-}
-
-// overloaded reports whether first attempts alone come faster than the bucket fills.
+// overloaded reports whether first attempts alone come faster than the bucket fills. Requests that
+// come again are refused then: each would take the place of one that can still be in time.
 func (t *Table) overloaded(now time.Time, b *bucket) bool {
 	b.first.advance(t.bin(now))
 	n := 0
@@ -415,15 +402,15 @@
 	return float64(n) > t.rate(b)*span.Seconds()
 }
 
-// refusal refuses a request, which is to come again once the bucket holds a reserve beside it. While
-// first attempts use up the quota, that is after a window at the earliest. Otherwise, the times after which refused requests are to come again are spaced
+// refusal refuses a request. While first attempts use up the quota, it is to come again after a
+// window. Otherwise, the times after which refused requests are to come again are spaced
 // as the bucket fills.
-func (t *Table) refusal(now time.Time, b *bucket, reserve float64) *Refusal {
+func (t *Table) refusal(now time.Time, b *bucket) *Refusal {
 	b.refusedAt = now
 	b.refused++
 	wait := t.opts.Window
 	if rate := t.rate(b); rate > 0 && !t.overloaded(now, b) {
-		earliest := now.Add(min(t.opts.Window, time.Duration((1+reserve-b.level)/rate*float64(time.Second))))
+		earliest := now.Add(min(t.opts.Window, time.Duration((1-b.level)/rate*float64(time.Second))))
 		if b.nextRetry.Before(earliest) {
 			b.nextRetry = earliest
 		} else {
