--- a/e2e/workspacekeys_test.go
+++ b/e2e/workspacekeys_test.go
@@ -238,12 +238,12 @@
 	return out.Bytes()
 }
 
-// TestWorkspaceKeys serves workspaces with several hosts, of which one loses the store, then the other
+// TestRoutesWorkspaceKeys serves workspaces with several hosts, of which one loses the store, then the other
 // hosts too, and one starts while the store is away. Requests and jobs run in the name of their
 // workspace, a key that was taken away does not run beyond its bound, and no key appears in anything that a
 // process emits: log, metrics, headers at endpoints, messages between hosts and the views that they
 // serve to hosts that start.
-func TestWorkspaceKeys(t *testing.T) {
+func TestRoutesWorkspaceKeys(t *testing.T) {
 	f := newKeyedFleet(t)
 	for _, g := range f.gateways {
 		f.checkKeys(g)
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -32,9 +33,6 @@
 	// confirmedAt is the time up to which the store confirmed that the view is
 	// complete, zero before the first listing.
 	confirmedAt time.Time
-	// confirmedSentAt is when the last call was sent that confirmed that the view is
-	// complete. Unlike confirmedAt it includes no wait at the store.
-	confirmedSentAt time.Time
 	pageSize    pageSize
 	// newestByKey holds the records for other hosts if Options.Keep is set.
 	newestByKey recordSet
@@ -43,6 +41,13 @@
 	// copiedFromPeer is set once the handler was given another host's cached view.
 	copiedFromPeer bool
 
+	// confirmedSentAt is when the last call was sent that confirmed that the view is
+	// complete, nil before the first. Unlike confirmedAt it includes no wait at the store.
+	// reachable is set if the topic is listed and the last call succeeded. Both are read by
+	// each request with a key, which is not to wait for mu while a handler runs.
+	confirmedSentAt atomic.Pointer[time.Time]
+	reachable       atomic.Bool
+
 	// refreshing lets one Refresh at a time read from the store.
 	refreshing sync.Mutex
 }
@@ -69,17 +74,16 @@
 // cached view is complete, zero before the first listing. All writes that the store
 // acknowledged before that time are in the view. Another host's view confirms nothing.
 func (f *Follower) ConfirmedSent() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.confirmedSentAt
+	if sent := f.confirmedSentAt.Load(); sent != nil {
+		return *sent
+	}
+	return time.Time{}
 }
 
 // Reachable reports whether the topic was listed and the last call to the store succeeded,
 // so that a Refresh is likely to succeed.
 func (f *Follower) Reachable() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.listed && !f.unavailable
+	return f.reachable.Load()
 }
 
 // Serve implements suture.Service.
@@ -256,10 +260,11 @@
 	f.confirmSent(sent)
 }
 
-// confirmSent records that a call confirmed that the view is complete. The caller holds mu.
+// confirmSent records that a call confirmed that the view is complete, after the handler got
+// its records. The caller holds mu.
 func (f *Follower) confirmSent(sent time.Time) {
-	if sent.After(f.confirmedSentAt) {
-		f.confirmedSentAt = sent
+	if sent.After(f.ConfirmedSent()) {
+		f.confirmedSentAt.Store(&sent)
 	}
 }
 
@@ -268,6 +273,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed = false
+	f.reachable.Store(false)
 	_ = level.Info(f.opts.Logger).Log("event", "history_trimmed", "topic", f.opts.Topic.Name, "next", f.next)
 }
 
@@ -294,10 +300,11 @@
 	now := clock.Now()
 	f.markAvailable(now)
 	f.listed, f.next, f.confirmedAt = true, max(f.next, l.end), l.sent
-	f.confirmSent(l.sent)
 	f.newestByKey = make(recordSet)
 	f.retain(records)
 	f.opts.Handler.Listed(now, records, l.end)
+	f.confirmSent(l.sent)
+	f.reachable.Store(true)
 	_ = level.Info(f.opts.Logger).Log("event", "topic_listed", "topic", f.opts.Topic.Name, "keys", len(records), "next", l.end)
 	return nil
 }
@@ -351,6 +358,7 @@
 		return
 	}
 	f.unavailable = true
+	f.reachable.Store(false)
 	f.opts.Handler.Lost(clock.Now())
 	_ = level.Warn(f.opts.Logger).Log("event", "store_lost", "topic", f.opts.Topic.Name, "err", err)
 }
@@ -360,6 +368,7 @@
 		return
 	}
 	f.unavailable = false
+	f.reachable.Store(f.listed)
 	f.opts.Handler.Regained(now)
 	_ = level.Info(f.opts.Logger).Log("event", "store_regained", "topic", f.opts.Topic.Name)
 }
