--- a/e2e/workspacekeys_test.go
+++ b/e2e/workspacekeys_test.go
@@ -87,6 +87,11 @@
 			return f.call(g, http.MethodGet, "/lots/none", "", keyAcme, nil).status == http.StatusNotFound
 		})
 	}
+	// A host that has read of no other one finds none to relay its calls.
+	eventually(t, "the cut host knows the others", func() bool {
+		text, err := os.ReadFile(f.cut.log.Name())
+		return err == nil && bytes.Contains(text, []byte(`"hosts":3`))
+	})
 	return f
 }
 
