--- a/quota/table.go
+++ b/quota/table.go
@@ -94,6 +94,7 @@
 // SetShare sets the fraction of each limit that the Table may use.
 func (t *Table) SetShare(now time.Time, share float64) {
 	t.Start(now)
+	t.sweep(now)
 	if share != t.share {
 		t.share = share
 		t.changes++
@@ -325,6 +326,7 @@
 // admitted last, the hosts alone know.
 func (t *Table) others(now time.Time, workspace string) []*history {
 	var out []*history
+	present := t.bin(now)
 	told := make(map[string]*history)
 	for _, report := range t.told {
 		for scheduler, byWorkspace := range report.byScheduler {
@@ -334,12 +336,15 @@
 			}
 			sum := told[scheduler]
 			if sum == nil {
-				sum = &history{newest: t.bin(now)}
+				sum = &history{newest: present}
 				told[scheduler] = sum
 			}
-			h.advance(t.bin(now))
-			for bin := h.newest - windowBins; bin <= h.newest; bin++ {
-				sum.add(t.bin(now), bin, h.at(bin))
+			h.advance(present)
+			if h.total == 0 {
+				continue
+			}
+			for bin := present - windowBins; bin <= present; bin++ {
+				sum.add(present, bin, h.at(bin))
 			}
 		}
 	}
@@ -348,7 +353,7 @@
 		if h == nil {
 			continue
 		}
-		h.advance(t.bin(now))
+		h.advance(present)
 		if sum := told[scheduler]; sum == nil || sum.total < int(t.share*float64(h.total)) {
 			told[scheduler] = h.scaled(t.share)
 		}
