scheduler: endpoints that fail or crash get probes only, and return with care

With EndpointFeedback, the scheduling host weighs the outcomes of all uses of an endpoint against the rate of failures of its service. Responses of 500 and above are Errored; without the option they act as Finished did.

--- a/batch/run.go
+++ b/batch/run.go
@@ -82,6 +82,9 @@
 	// lastSnapshot is the time of the last snapshot of the item's progress for a
 	// checkpoint.
 	lastSnapshot time.Time
+	// sentAt is when the item was sent, firstEvent and lastEvent when the first and the last
+	// event of this run arrived; zero before.
+	sentAt, firstEvent, lastEvent time.Time
 	// open is set if the response has neither a length nor chunks.
 	open bool
 	// outputTooLarge is true if the endpoint sent more than maxOutputBytes.
@@ -179,6 +182,7 @@
 		platform.SetLastEvent(header, strconv.Itoa(x.events))
 	}
 	opts := &x.ledger.opts
+	x.sentAt = time.Now()
 	response, err := opts.Sender.Send(ctx, x.endpoint.ID, x.endpoint.Address, &upstream.Call{
 		Request:    x.item.ID,
 		Method:     http.MethodPost,
@@ -262,6 +266,10 @@
 		if len(block.Events) > 0 {
 			// Comments do not count as progress.
 			x.watch.RecordEvent()
+			x.lastEvent = time.Now()
+			if x.firstEvent.IsZero() {
+				x.firstEvent = x.lastEvent
+			}
 		}
 		if err := x.checkEvents(block.Events); err != nil {
 			x.abort(ctx, scheduler.Failed, err)
@@ -390,11 +398,15 @@
 	reason := "endpoint answered " + strconv.Itoa(status)
 	switch {
 	case permanent, status == http.StatusInternalServerError && failures >= x.job.Submission.MaxFailures:
-		x.endRun("dead", reason, scheduler.Usage{Outcome: scheduler.Finished, Settled: true})
+		outcome := scheduler.Finished
+		if !permanent {
+			outcome = scheduler.Errored
+		}
+		x.endRun("dead", reason, scheduler.Usage{Outcome: outcome, Settled: true})
 		x.writeRecord("result", &jobs.Record{Job: x.ref.Job, Result: &jobs.Result{Item: x.ref.Item, Dead: true, Reason: reason}})
 		x.ledger.progress.drop(x.ref)
 	case status == http.StatusInternalServerError:
-		x.endRun("failed", reason, scheduler.Usage{Outcome: scheduler.Finished, Delay: failureDelay, TokensDone: x.tokenCount()})
+		x.endRun("failed", reason, scheduler.Usage{Outcome: scheduler.Errored, Delay: failureDelay, TokensDone: x.tokenCount()})
 		x.writeRecord("failure", &jobs.Record{Job: x.ref.Job, Failure: &jobs.Failure{
 			Item: x.ref.Item, Run: x.ledger.newKey("run", x.ref.Job), Status: status,
 		}})
@@ -420,6 +432,10 @@
 	if x.endpoint != nil {
 		u.Version = x.endpoint.Version
 	}
+	if !x.firstEvent.IsZero() {
+		u.FirstEvent, u.Generating = x.firstEvent.Sub(x.sentAt), x.lastEvent.Sub(x.firstEvent)
+		u.Events = max(0, x.events-x.priorEvents)
+	}
 	x.slot.Release(u)
 	x.ledger.metrics.runs.WithLabelValues(outcome).Inc()
 	id, version, request := "", "", ""
--- a/blame/pace.go
+++ b/blame/pace.go
@@ -59,3 +59,16 @@
 		}
 	}
 }
+
+// Has reports whether one of the keys is suspect.
+func (p *Pace) Has(keys []Key) bool {
+	if len(p.next) == 0 {
+		return false
+	}
+	for _, k := range keys {
+		if _, suspect := p.next[k]; suspect {
+			return true
+		}
+	}
+	return false
+}
--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -90,6 +90,12 @@
 	// ReportResponding was called.
 	Events     int
 	Responding bool
+	// FirstEvent is the time until the first of them, Generating the time from the first to the
+	// last; zero without events.
+	FirstEvent, Generating time.Duration
+	// ServerError is set if the endpoint ran the request and responded with a status of 500 or
+	// above.
+	ServerError bool
 	// Reusable is set if the connection to the endpoint was returned to the pool.
 	Reusable bool
 }
--- a/forward/try.go
+++ b/forward/try.go
@@ -36,6 +36,13 @@
 func (a *attempt) countEvents(n int) {
 	before := a.usage.Events
 	a.usage.Events += n
+	if n > 0 {
+		took := time.Since(a.started)
+		if before == 0 {
+			a.usage.FirstEvent = took
+		}
+		a.usage.Generating = took - a.usage.FirstEvent
+	}
 	if before < respondingEvents && a.usage.Events >= respondingEvents {
 		a.usage.Responding = true
 		a.placement.ReportResponding()
@@ -47,6 +54,7 @@
 	a.usage.Outcome = outcome
 	a.watch.Stop()
 	if a.response != nil {
+		a.usage.ServerError = a.verdict == platform.Failed && a.response.Status >= http.StatusInternalServerError
 		a.usage.Reusable = a.response.Close()
 	}
 	a.cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -441,6 +441,8 @@
 				CacheTokens: s.Engine.CacheTokens,
 				RateLimit:   g.limits.Rate(e),
 				Version:     e.Version,
+				Started:     e.Started,
+				Address:     e.Address,
 			})
 		}
 	}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -200,7 +200,7 @@
 		e := p.endpoints.View().Endpoint(lease.Endpoint)
 		outcome, usable := usableGrant(ask, lease.Version, e)
 		if usable {
-			return &leasedPlace{lease: lease, endpoint: e}, nil
+			return &leasedPlace{lease: lease, endpoint: e, work: ask.Fingerprint}, nil
 		}
 		_ = level.Info(p.logger).Log("event", "slot_returned", "request", ask.Request, "endpoint", lease.Endpoint, "outcome", outcome)
 		lease.Release(scheduler.Usage{Outcome: outcome})
@@ -323,6 +323,8 @@
 type leasedPlace struct {
 	lease    *slots.Lease
 	endpoint *endpoint.Endpoint
+	// work is the fingerprint of the request.
+	work string
 }
 
 // Endpoint implements forward.Placement.
@@ -340,7 +342,14 @@
 
 // Release implements forward.Placement.
 func (p *leasedPlace) Release(use forward.Usage) {
-	u := scheduler.Usage{Outcome: outcomeOf(use.Outcome), Reusable: use.Reusable}
+	u := scheduler.Usage{
+		Outcome: outcomeOf(use), Reusable: use.Reusable,
+		FirstEvent: use.FirstEvent, Events: use.Events, Generating: use.Generating,
+		NoEvent: use.Outcome == forward.OutcomeAbandoned && use.Events == 0,
+	}
+	if u.Outcome == scheduler.Errored || u.Outcome == scheduler.Failed {
+		u.Work = p.work
+	}
 	if use.TimeToFirstByte > 0 {
 		u.First = p.lease.Overhead + use.TimeToFirstByte
 	}
@@ -348,9 +357,12 @@
 }
 
 // outcomeOf says of a try's outcome what it means for the endpoint.
-func outcomeOf(o forward.Outcome) scheduler.Outcome {
-	switch o {
+func outcomeOf(use forward.Usage) scheduler.Outcome {
+	switch use.Outcome {
 	case forward.OutcomeAnswered, forward.OutcomeFailed:
+		if use.ServerError {
+			return scheduler.Errored
+		}
 		return scheduler.Finished
 	case forward.OutcomeNotRun:
 		return scheduler.Refused
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -43,7 +43,7 @@
 // TestOlderRecordExcludesThisHostOnly checks what the scheduler is told if an endpoint has started again
 // since its record that this host has read.
 func TestOlderRecordExcludesThisHostOnly(t *testing.T) {
-	if got := outcomeOf(forward.OutcomeUnread); got != scheduler.Unread {
+	if got := outcomeOf(forward.Usage{Outcome: forward.OutcomeUnread}); got != scheduler.Unread {
 		t.Errorf("%q, want %q", got, scheduler.Unread)
 	}
 }
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -70,7 +70,9 @@
 	// just now and come back.
 	yield := now.Sub(v.overloadedAt) < overloadYield
 	free := func(s *endpointState) bool { return s.admissible(now) > 0 && (s.pacer == nil || !yield) }
-	if v.cheapest(now, &placement{}, free) == nil {
+	// Online requests test endpoints sooner than items, which take long.
+	tests := v.itemsTest(now)
+	if q := (&placement{repeatable: tests}); v.probe(now, q) == nil && v.cheapest(now, q, free) == nil {
 		return false
 	}
 	i := v.items.pop(now)
@@ -80,11 +82,16 @@
 	host := c.hostFor(now, v, i, free)
 	p := &placement{
 		host: host, tokens: i.PromptTokens + i.ExpectedTokens, prefix: i.Prefix, batch: true, limited: v.hasRateLimits(),
+		repeatable: tests,
 	}
 	if i.TokensDone > 0 && v.lists(&i.version) {
 		p.version = &i.version
 	}
-	s := v.cheapest(now, p, free)
+	s := v.probe(now, p)
+	if s == nil {
+		v.allowAnywhere(now, p)
+		s = v.cheapest(now, p, free)
+	}
 	if s == nil || host == nil {
 		i.notBefore = now.Add(failedRunDelay)
 		v.items.push(i)
@@ -100,7 +107,8 @@
 	i.ticket = fmt.Sprintf("%s/%d/%d", i.Ref.Job, i.Ref.Item, c.seq)
 	i.host = host.name
 	host.runningItems++
-	t := &ticket{id: i.ticket, host: host.name, class: Batch, since: now, tokens: p.tokens, item: i}
+	v.itemAt = now
+	t := &ticket{id: i.ticket, host: host.name, class: Batch, since: now, tokens: p.tokens, item: i, work: workOfItem(i.Ref)}
 	s.countRequest(now)
 	c.occupy(now, s, t, i.Prefix)
 	c.emit(Start{Host: host.name, Ticket: t.id, Endpoint: s.ID, Item: i.Ref, Version: s.Version})
@@ -145,7 +153,7 @@
 	var victim *ticket
 	var mostSlack time.Duration
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !p.eligible(now, s) || !s.takesRequest(now) {
+		if !s.usable(now) || !p.eligible(now, s) || !p.admits(now, s) || !s.takesRequest(now) {
 			continue
 		}
 		for _, t := range s.tickets {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -42,6 +42,12 @@
 	batchEnabled bool
 	seq          uint64
 	effects      []Effect
+	// departed holds the crashes of endpoints that have left.
+	departed map[string][maxCrashes]time.Time
+	// notices tell changes of the health of endpoints; noticesDropped counts those beyond
+	// maxNotices.
+	notices        []HealthNotice
+	noticesDropped int
 }
 
 // NewCore returns a Core without hosts, endpoints or work.
@@ -54,6 +60,7 @@
 		tickets:      make(map[string]*ticket),
 		waiting:      make(map[string]*waiter),
 		items:        make(map[ItemRef]*openItem),
+		departed:     make(map[string][maxCrashes]time.Time),
 		suspects:     blame.NewPace(),
 		share:        1,
 		rateShare:    1,
@@ -94,17 +101,22 @@
 	for _, s := range c.endpoints {
 		s.listed = false
 	}
-	for _, e := range endpoints {
+	for i := range endpoints {
+		e := endpoints[i]
 		s := c.endpoints[e.ID]
 		if s == nil {
 			s = c.addEndpoint(e)
+			c.welcome(now, s)
 			v := c.service(e.Service)
 			sort.Slice(v.endpoints, func(i, j int) bool { return v.endpoints[i].before(v.endpoints[j]) })
 		}
-		s.Endpoint, s.listed = e, true
+		c.listEndpoint(now, s, &e)
 		s.setRateLimit(now, c.rateShare)
 	}
 	c.removeIdleEndpoints()
+	for _, v := range c.services {
+		c.limitExcluded(now, v)
+	}
 	c.dispatchAll(now)
 }
 
@@ -125,6 +137,9 @@
 		}
 		delete(c.endpoints, id)
 		v := c.services[s.Service]
+		c.keepCrashes(s)
+		v.countLevel(s.health.level, -1)
+		s.removed = true
 		for i, o := range v.endpoints {
 			if o == s {
 				v.endpoints = append(v.endpoints[:i], v.endpoints[i+1:]...)
@@ -175,6 +190,9 @@
 		return
 	}
 	v.arrivals.count(now)
+	if request.Repeatable {
+		v.repeatableAt = now
+	}
 	c.seq++
 	w := &waiter{
 		SlotRequest: request, host: m, seq: c.seq, keys: request.Keys(),
@@ -297,8 +315,14 @@
 // the outcome of a use.
 func (c *Core) recordOutcome(now time.Time, v *service, t *ticket, u *Usage) {
 	s := t.endpoint
+	if c.opts.EndpointFeedback {
+		c.observeHealth(now, v, t, u)
+	}
 	switch u.Outcome {
-	case Finished:
+	case Finished, Errored:
+		if u.Outcome == Errored && c.opts.EndpointFeedback {
+			break
+		}
 		s.markHealthy()
 		if t.class == Online {
 			v.observeHold(now.Sub(t.since))
@@ -307,7 +331,7 @@
 	case Refused:
 		s.pause(now, refusedPause, "")
 	case Unreachable, Failed:
-		if m := c.members[t.host]; m == nil || !m.stranded {
+		if m := c.members[t.host]; (m == nil || !m.stranded) && !c.blamesHost(now, v, t) {
 			s.pause(now, failurePause, t.host)
 		}
 	case Misdirected, Leaving:
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -29,9 +29,9 @@
 			continue
 		}
 		if !c.startOnline(now, v, w) {
-			if w.Version != nil || v.reservedForOthers(now, w) {
+			if w.Version != nil || v.reservedForOthers(now, w) || (v.underTest > 0 && !w.Repeatable) {
 				// Others may start at endpoints of other versions, or that this host has not
-				// read yet.
+				// read yet, or that get only requests that can be repeated.
 				i++
 				continue
 			}
@@ -63,33 +63,57 @@
 // startOnline grants a slot to a request and reports whether it found one. If no slot
 // is free, it revokes a batch item and grants the slot that is being released.
 func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
-	p := &placement{host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version}
-	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, p) {
-		return false
+	p := &placement{
+		host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version,
+		repeatable: v.testsAs(now, w.Repeatable),
 	}
-	room := func(s *endpointState) bool { return s.heldSlots() < s.Slots && s.takesRequest(now) }
-	s := v.cheapest(now, p, room)
+	s := v.probe(now, p)
 	if s == nil {
-		if !c.revokeOne(now, v, p) {
-			return false
-		}
-		if s = v.cheapest(now, p, room); s == nil {
+		if s = c.placeOnline(now, v, p); s == nil {
 			return false
 		}
 	}
 	delete(c.waiting, w.Ticket)
 	c.suspects.Granted(now, w.keys)
 	s.countRequest(now)
-	c.occupy(now, s, &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens}, w.Prefix)
+	c.occupy(now, s, &ticket{
+		id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens,
+		request: w.Request, work: workOf(w.Fingerprint), keys: w.keys,
+	}, w.Prefix)
 	c.emit(Grant{
 		Host: w.host.name, Ticket: w.Ticket, Endpoint: s.ID, Waited: now.Sub(w.arrived) - w.Elapsed, Version: s.Version,
 	})
 	return true
 }
 
+// placeOnline returns the endpoint for a request, after it has revoked a batch item if no slot is
+// free; nil if there is none.
+func (c *Core) placeOnline(now time.Time, v *service, p *placement) *endpointState {
+	v.allowAnywhere(now, p)
+	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, p) {
+		return nil
+	}
+	room := func(s *endpointState) bool { return s.heldSlots() < s.Slots && s.takesRequest(now) }
+	s := v.cheapest(now, p, room)
+	if s == nil {
+		if !c.revokeOne(now, v, p) {
+			return nil
+		}
+		s = v.cheapest(now, p, room)
+	}
+	return s
+}
+
 // occupy records a ticket as using a slot of an endpoint.
 func (c *Core) occupy(now time.Time, s *endpointState, t *ticket, prefix []string) {
 	t.endpoint = s
+	if s.health.level != healthSound {
+		t.trial = true
+		s.health.beginTrial(now)
+		if s.health.level == healthExcluded {
+			c.note(now, c.service(s.Service), s, StepProbed, t, nil)
+		}
+	}
 	s.add(t)
 	c.tickets[t.id] = t
 	if s.hasIdleConnection(now, t.host) {
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // Endpoint is an engine that accepts work.
 type Endpoint struct {
 	ID      string
@@ -15,4 +17,8 @@
 	// RateLimit is how many requests per second the endpoint accepts from all hosts
 	// together; 0 means unlimited.
 	RateLimit float64
+	// Started is when the engine's process started, by its own clock; zero if unknown. Address
+	// is where it is reached.
+	Started time.Time
+	Address string
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -1,14 +1,329 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// healthLevel is what the outcomes of its last uses say of an endpoint.
+type healthLevel uint8
+
+const (
+	// healthSound endpoints get all work.
+	healthSound healthLevel = iota
+	// healthSuspected endpoints have failed lately. They get repeatable requests only, few
+	// at a time.
+	healthSuspected
+	// healthReturning endpoints were lost under work, and get repeatable requests again, at
+	// first one at a time.
+	healthReturning
+	// healthExcluded endpoints fail their requests. They get probes.
+	healthExcluded
+)
+
+// String returns the name of the level in logs and metrics.
+func (l healthLevel) String() string {
+	return [...]string{"sound", "suspected", "returning", "excluded"}[l]
+}
+
+const (
+	// minBaseRate and maxBaseRate bound the rate of failures that a sound endpoint is
+	// expected to have. With the lower one, an endpoint is excluded after three failures in
+	// a row of different work: two may be chance where ten requests at once fail wherever
+	// they run.
+	minBaseRate = 0.03
+	maxBaseRate = 0.5
+	// suspectEvidence and excludeEvidence are the evidence of failure, a logarithm of odds,
+	// from which an endpoint is suspected and excluded: a failing endpoint is one of a
+	// hundred beforehand, so that the probabilities are 0.08 and 0.88.
+	priorOdds       = 4.6
+	suspectEvidence = 2.1
+	excludeEvidence = 6.6
+	// maxEvidence bounds the evidence, so that two successes after a series of failures
+	// alone are enough to use an endpoint again.
+	maxEvidence = 7.5
+	// relapseEvidence is the least evidence within relapsePeriod of an exclusion: the next
+	// one takes two failures.
+	relapseEvidence = 1.5
+	relapsePeriod   = 15 * time.Second
+	// trialSpacing is how long one request is at an endpoint under test before the next one
+	// is sent there: what fails at once has failed by then.
+	trialSpacing = 300 * time.Millisecond
+	// maxTrials is how many requests are at an endpoint under test before one succeeds.
+	maxTrials = 4
+	// failureWindow is the time constant of the rates of failures.
+	failureWindow = 10 * time.Second
+	// rateWeight is how many uses at the rate of the service are assumed of each endpoint,
+	// so that a single failure says little.
+	rateWeight = 10
+	// singleHarm and repeatableHarm are what a failure costs a caller: the request, counted
+	// as most of its deadline, or a further attempt.
+	singleHarm     = 4 * time.Second
+	repeatableHarm = 200 * time.Millisecond
+	// crashWindow is how long crashes count. breakSpan is how long after the first lost use
+	// others count to the same crash.
+	crashWindow = 15 * time.Second
+	breakSpan   = 300 * time.Millisecond
+	// maxCrashes is how many crashes are remembered; from then on the return of the endpoint
+	// takes no longer.
+	maxCrashes = 4
+)
+
+// trialDelays are the pauses after one, two and more failures in a row. The last one leaves
+// time for two requests within two seconds of the recovery.
+var trialDelays = [...]time.Duration{
+	0, 150 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond,
+}
+
+// crashCaution is for how long after the last of one, two, three and more crashes an endpoint
+// gets only repeatable requests.
+var crashCaution = [maxCrashes]time.Duration{0, time.Second, 2 * time.Second, 4 * time.Second}
+
+// endpointHealth is what the outcomes of its uses say of an endpoint. The zero value is that of
+// a sound endpoint.
+type endpointHealth struct {
+	level healthLevel
+	// since is when the level was reached.
+	since time.Time
+	// evidence is the logarithm of how much more likely the outcomes are if the endpoint
+	// fails than if it is sound; not negative.
+	evidence float64
+	// failed and ran count the uses up to the last failure, since the evidence was last at
+	// its least; succeeded counts the successes since then.
+	failed, ran, succeeded int
+	// row counts the failures in a row of different work, the last of which was lastWork.
+	row      int
+	lastWork uint64
+	// failedGrant is when the last use that failed was granted, failedAt when it ended.
+	failedGrant, failedAt time.Time
+	// excludedAt is when the endpoint was last excluded.
+	excludedAt time.Time
+	// blamed is the host that saw all failures counted in failed, or "" if several did.
+	blamed string
+	// trials are the uses in progress that began under test, lastTrial when the last one
+	// did. None begins before notBefore.
+	trials               int
+	lastTrial, notBefore time.Time
+	// failures and uses are those of failureWindow.
+	failures, uses decayingCount
+	// crashes are the times of the last crashes, oldest first; afterCrash counts the
+	// successes since the last one.
+	crashes    [maxCrashes]time.Time
+	afterCrash int
+	// singleRisk and repeatableRisk are those of the last outcome, ratedAt its time.
+	singleRisk, repeatableRisk time.Duration
+	ratedAt                    time.Time
+	// startedAt is when the endpoint was seen to have started again: outcomes of earlier uses
+	// say nothing of it.
+	startedAt time.Time
+}
 
 // admits reports whether the endpoint may get a request, by the outcomes of its last ones.
 // A repeatable request may be run again after a failure.
-func (s *endpointState) admits(_ time.Time, _ bool) bool {
-	return true
+func (s *endpointState) admits(now time.Time, repeatable bool) bool {
+	return s.health.level == healthSound || (repeatable && s.health.trialDue(now))
 }
 
 // risk returns how much longer a request waits in expectation because the endpoint may fail it.
-func (s *endpointState) risk(_ time.Time, _ bool) time.Duration {
+func (s *endpointState) risk(now time.Time, repeatable bool) time.Duration {
+	h := &s.health
+	risk := h.singleRisk
+	if repeatable {
+		risk = h.repeatableRisk
+	}
+	if risk == 0 {
+		return 0
+	}
+	// An endpoint that gets no work for its risk would keep it for ever.
+	left := 1 - float64(now.Sub(h.ratedAt))/float64(failureWindow)
+	return time.Duration(float64(risk) * min(1, max(0, left)))
+}
+
+// trialDue reports whether an endpoint under test may get one more request.
+func (h *endpointHealth) trialDue(now time.Time) bool {
+	switch {
+	case now.Before(h.notBefore):
+		return false
+	case h.trials == 0:
+		return true
+	case h.succeeded > 0:
+		return h.trials < 2<<min(h.succeeded, 5)
+	default:
+		return h.trials < maxTrials && now.Sub(h.lastTrial) >= trialSpacing
+	}
+}
+
+// beginTrial records a use that begins under test.
+func (h *endpointHealth) beginTrial(now time.Time) {
+	h.trials++
+	h.lastTrial = now
+}
+
+// failureRate returns the estimated rate of failures, if the endpoint is one that fails.
+func (h *endpointHealth) failureRate() float64 {
+	return min(0.99, max(0.1, (float64(h.failed)+0.1)/(float64(h.ran)+0.2)))
+}
+
+// leastEvidence returns the lower bound of the evidence.
+func (h *endpointHealth) leastEvidence(now time.Time) float64 {
+	if !h.excludedAt.IsZero() && now.Sub(h.excludedAt) < relapsePeriod {
+		return relapseEvidence
+	}
 	return 0
 }
+
+// fail counts a failed use that was granted at a time, and returns by how much the evidence rose.
+// Failures in a row of the same work count once.
+func (h *endpointHealth) fail(now, granted time.Time, work uint64, host string, base float64) float64 {
+	h.failures.add(now, 1)
+	h.uses.add(now, 1)
+	if h.failed == 0 {
+		h.blamed = host
+	} else if h.blamed != host {
+		h.blamed = ""
+	}
+	h.failedAt = now
+	if granted.After(h.failedGrant) {
+		h.failedGrant = granted
+	}
+	if h.row == 0 || work == 0 || work != h.lastWork {
+		h.row++
+		h.lastWork = work
+	} else {
+		h.notBefore = now.Add(trialDelays[min(h.row, len(trialDelays)-1)])
+		return 0
+	}
+	h.notBefore = now.Add(trialDelays[min(h.row, len(trialDelays))-1])
+	before := max(h.evidence, h.leastEvidence(now))
+	h.evidence = min(maxEvidence, before+max(0, math.Log(h.failureRate()/base)))
+	h.failed++
+	h.ran += 1 + h.succeeded
+	h.succeeded = 0
+	return h.evidence - before
+}
+
+// succeed counts a use that succeeded. One that was granted no later than the last that failed
+// may have begun before the endpoint began to fail.
+func (h *endpointHealth) succeed(now, granted time.Time, base float64) {
+	h.uses.add(now, 1)
+	if !granted.After(h.failedGrant) {
+		return
+	}
+	h.afterCrash++
+	h.row, h.lastWork, h.notBefore = 0, 0, time.Time{}
+	if h.evidence == 0 && h.failed == 0 {
+		return
+	}
+	h.succeeded++
+	least := h.leastEvidence(now)
+	h.evidence = max(least, h.evidence+min(0, math.Log((1-h.failureRate())/(1-base))))
+	if h.evidence <= least {
+		if least > 0 {
+			// It was excluded, and has recovered: its failures up to then would keep work away.
+			h.failures, h.uses = decayingCount{}, decayingCount{}
+		}
+		h.forget(least)
+	}
+}
+
+// withdraw takes back a failure that says nothing of the endpoint.
+func (h *endpointHealth) withdraw(now time.Time, evidence float64) {
+	h.evidence = max(h.leastEvidence(now), h.evidence-evidence)
+	h.failed, h.ran, h.row = max(0, h.failed-1), max(0, h.ran-1), max(0, h.row-1)
+	h.failures.add(now, -1)
+	if h.row == 0 {
+		h.notBefore = time.Time{}
+	}
+}
+
+// forget ends the present series of outcomes.
+func (h *endpointHealth) forget(least float64) {
+	h.evidence, h.failed, h.ran, h.succeeded = least, 0, 0, 0
+	h.row, h.lastWork, h.blamed = 0, 0, ""
+}
+
+// recentCrashes returns how many crashes count.
+func (h *endpointHealth) recentCrashes(now time.Time) int {
+	n := 0
+	for _, at := range h.crashes {
+		if !at.IsZero() && now.Sub(at) < crashWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// lastCrash returns the time of the last crash; zero if there was none.
+func (h *endpointHealth) lastCrash() time.Time {
+	return h.crashes[maxCrashes-1]
+}
+
+// lose counts a use under which the endpoint was lost, and reports whether that was another crash
+// than the last one.
+func (h *endpointHealth) lose(now, granted time.Time) bool {
+	if last := h.lastCrash(); !last.IsZero() && (now.Sub(last) < breakSpan || !granted.After(last)) {
+		return false
+	}
+	copy(h.crashes[:], h.crashes[1:])
+	h.crashes[maxCrashes-1] = now
+	h.afterCrash = 0
+	return true
+}
+
+// cautious reports whether the endpoint still returns from its last crash.
+func (h *endpointHealth) cautious(now time.Time) bool {
+	n := h.recentCrashes(now)
+	return n > 0 && (h.afterCrash < n || now.Sub(h.lastCrash()) < crashCaution[n-1])
+}
+
+// target returns the level that the outcomes speak for.
+func (h *endpointHealth) target(now time.Time) healthLevel {
+	switch {
+	case h.evidence >= excludeEvidence:
+		return healthExcluded
+	case h.evidence >= suspectEvidence:
+		return healthSuspected
+	case h.cautious(now):
+		return healthReturning
+	default:
+		return healthSound
+	}
+}
+
+// rateRisk updates the risk of the endpoint, given the rate of failures of its service.
+func (h *endpointHealth) rateRisk(now time.Time, rate float64) {
+	estimate := (h.failures.at(now, failureWindow) + rateWeight*rate) / (h.uses.at(now, failureWindow) + rateWeight)
+	excess := max(0, estimate-rate)
+	if h.failed > 0 {
+		excess = max(excess, h.failureRate()/(1+math.Exp(priorOdds-h.evidence)))
+	}
+	h.singleRisk = time.Duration(excess * float64(singleHarm))
+	h.repeatableRisk = time.Duration(excess * float64(repeatableHarm))
+	h.ratedAt = now
+}
+
+// restart forgets what is known of the former process of an endpoint that has started again, but
+// for its crashes. One that failed, or crashed, is tested first.
+func (h *endpointHealth) restart(now time.Time) {
+	*h = endpointHealth{level: h.level, since: h.since, crashes: h.crashes, trials: h.trials, lastTrial: h.lastTrial, startedAt: now}
+}
+
+// decayingCount counts events of a time window, the older ones less.
+type decayingCount struct {
+	value float64
+	last  time.Time
+}
+
+// add adds to a count of failureWindow.
+func (d *decayingCount) add(now time.Time, n float64) {
+	d.value = max(0, d.at(now, failureWindow)+n)
+	d.last = now
+}
+
+// at returns the count.
+func (d *decayingCount) at(now time.Time, window time.Duration) float64 {
+	if d.value == 0 {
+		return 0
+	}
+	return d.value * math.Exp(-now.Sub(d.last).Seconds()/window.Seconds())
+}
--- a/scheduler/hello.go
+++ b/scheduler/hello.go
@@ -13,6 +13,8 @@
 	Sent []Sent `json:"sent,omitempty"`
 	// Offers lists the open items of the jobs that the host accepted.
 	Offers []Offer `json:"offers,omitempty"`
+	// Failing lists endpoints whose last uses by the host failed.
+	Failing []FailingEndpoint `json:"failing,omitempty"`
 }
 
 // Resumable is the partial output that a host has of an item that it ran.
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -19,6 +19,10 @@
 	itemsAfter time.Time
 	// unread holds the endpoints that the host was given and had not read yet.
 	unread map[string]unreadEndpoint
+	// paths are the endpoints at which the host's uses failed of late; failed and used count its
+	// uses.
+	paths        map[string]*pathState
+	failed, used decayingCount
 }
 
 // unreadEndpoint is an endpoint whose record a host has not read.
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -8,6 +8,7 @@
 	c.members[m.name] = m
 	c.Offer(now, m.name, h.Offers)
 	c.observeSent(now, h.Sent)
+	c.observeFailing(now, m, h.Failing)
 	for i := range h.Running {
 		c.adoptRunning(now, m, &h.Running[i])
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -24,6 +24,8 @@
 	// have one: the slots there are what waves of online requests need, and an item that is
 	// revoked and goes on costs a request more.
 	costRevocable = 1.5
+	// riskUnit is the expected harm of a failure that costs as much as a connection.
+	riskUnit = 50 * time.Millisecond
 )
 
 // placement describes work for which an endpoint is to be chosen.
@@ -38,6 +40,9 @@
 	batch bool
 	// limited means that some endpoints of the service have a rate limit.
 	limited bool
+	// repeatable means that the work may run again after a failure; anywhere that no usable
+	// endpoint admits it, so that any will do.
+	repeatable, anywhere bool
 }
 
 // eligible reports whether a usable endpoint can be used for this work: it has the version that
@@ -72,7 +77,7 @@
 	if n := len(p.prefix); n > 1 && !s.promptParts.Has(p.prefix[n-2]) {
 		cost += costPrompt
 	}
-	return cost
+	return cost + float64(s.risk(now, p.repeatable))/float64(riskUnit)
 }
 
 // cheapest returns the usable endpoint of the lowest cost among those for which room
@@ -81,7 +86,7 @@
 	var best, fallback *endpointState
 	var bestCost, fallbackCost float64
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !p.eligible(now, s) || !room(s) || !s.fits(p.tokens) {
+		if !s.usable(now) || !p.eligible(now, s) || !p.admits(now, s) || !room(s) || !s.fits(p.tokens) {
 			continue
 		}
 		cost := p.cost(now, s)
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -32,6 +32,18 @@
 	overloadedAt time.Time
 	// nextRetry is the retry time given to the client that was refused last.
 	nextRetry time.Time
+	// underTest counts the endpoints that are not sound, excluded those that are excluded.
+	underTest, excluded int
+	// uses and failures are those at sound endpoints, allUses and allFailures those at all.
+	uses, failures, allUses, allFailures decayingCount
+	// works are those that failed of late.
+	works failedWorks
+	// repeatableAt is when a repeatable request last came, itemAt when an item last started.
+	repeatableAt, itemAt time.Time
+	// comparedAt is when the speeds of the endpoints were last compared, speeds the space for
+	// that.
+	comparedAt time.Time
+	speeds     []float64
 }
 
 // usableSlots returns the number of slots of all usable endpoints.
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -34,6 +34,12 @@
 	promptParts *recent.Set
 	// pacer spaces the requests to an endpoint with a rate limit; nil if it has none.
 	pacer *throttle.Pacer
+	// health and speed are what the outcomes and times of its uses say of the endpoint; with
+	// Options.EndpointFeedback.
+	health endpointHealth
+	speed  endpointSpeed
+	// removed means that the endpoint is no longer one of its service.
+	removed bool
 }
 
 // maxPromptParts is how many prompt parts are remembered for an endpoint. Its cache of
@@ -73,9 +79,9 @@
 	return false
 }
 
-// usable reports whether the endpoint is listed and not paused, for all hosts.
+// usable reports whether the endpoint is listed, not paused and not excluded, for all hosts.
 func (s *endpointState) usable(now time.Time) bool {
-	return s.listed && !now.Before(s.pausedUntil)
+	return s.listed && s.health.level != healthExcluded && !now.Before(s.pausedUntil)
 }
 
 // hasVersion reports whether the endpoint has a software version; nil stands for any.
@@ -139,6 +145,9 @@
 	if t.revoked {
 		s.revoked--
 	}
+	if t.trial {
+		s.health.trials--
+	}
 }
 
 // pause excludes the endpoint from new work after a failure. The pause starts at base
--- a/scheduler/ticket.go
+++ b/scheduler/ticket.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/blame"
+)
 
 // ticket is a slot in use.
 type ticket struct {
@@ -10,6 +14,14 @@
 	endpoint *endpointState
 	since    time.Time
 	tokens   int
+	// request is the client's request id, for the log.
+	request string
+	// work identifies the work, 0 if unknown; keys are those of a request that may crash
+	// endpoints.
+	work uint64
+	keys []blame.Key
+	// trial means that the endpoint was under test when the use began.
+	trial bool
 	// item is the batch item, or nil for an online request.
 	item *openItem
 	// revoked means that the host was sent a Revoke: it stops the item and releases the
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -51,4 +51,13 @@
 	First time.Duration `json:"first,omitempty"`
 	// Reusable means that the connection to the endpoint was kept open.
 	Reusable bool `json:"reusable,omitempty"`
+	// FirstEvent is the time from the sending to the first event of a stream, Events their
+	// number in this use, Generating the time from the first to the last.
+	FirstEvent time.Duration `json:"first_event,omitempty"`
+	Events     int           `json:"events,omitempty"`
+	Generating time.Duration `json:"generating,omitempty"`
+	// NoEvent means that a stream was abandoned before its first event.
+	NoEvent bool `json:"no_event,omitempty"`
+	// Work is the fingerprint of online work that failed.
+	Work string `json:"work,omitempty"`
 }
