--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -329,13 +329,13 @@
 			v.observeFirst(u.First)
 		}
 	case Refused:
-		s.pause(now, refusedPause, "")
+		s.pause(now, refusedPause, maxPause, "")
 	case Unreachable, Failed:
 		if m := c.members[t.host]; (m == nil || !m.stranded) && !c.blamesHost(now, v, t) {
-			s.pause(now, failurePause, t.host)
+			s.pause(now, failurePause, c.longestPause(), t.host)
 		}
 	case Misdirected, Leaving:
-		s.pause(now, maxPause, "")
+		s.pause(now, maxPause, maxPause, "")
 	case Unread:
 		if m := c.members[t.host]; m != nil {
 			m.setUnread(now, s.ID)
--- a/scheduler/feedback.go
+++ b/scheduler/feedback.go
@@ -53,7 +53,7 @@
 	return min(maxBaseRate, max(minBaseRate, tested, v.failureRate(now)))
 }
 
-// failureRate returns the rate of failures at endpoints that were sound.
+// failureRate returns the rate of failures of uses that began at sound endpoints.
 func (v *service) failureRate(now time.Time) float64 {
 	return v.failures.at(now, failureWindow) / (v.uses.at(now, failureWindow) + rateWeight)
 }
@@ -133,15 +133,17 @@
 func (c *Core) observeSuccess(now time.Time, v *service, t *ticket, u *Usage, m *member) {
 	s := t.endpoint
 	h := &s.health
-	v.countUse(now, s, m, false)
+	v.countUse(now, t, m, false)
 	if m != nil {
 		m.pathSucceeded(t.since, s.ID)
 	}
-	if h.failed > 0 && h.blamed != "" && h.blamed != t.host && t.since.After(h.failedGrant) {
-		if b := c.members[h.blamed]; b != nil {
+	if h.failed > 0 && h.failedHost != t.host && !h.mixed(now) && t.since.After(h.failedGrant) {
+		if b := c.members[h.failedHost]; b != nil {
 			if p := b.paths[s.ID]; p != nil && p.failures >= pathFailures {
+				if !p.bad {
+					c.note(now, v, s, StepPath, t, u)
+				}
 				p.block(now)
-				c.note(now, v, s, StepPath, t, u)
 				h.failures.add(now, -float64(h.failed))
 				h.crashes = [maxCrashes]time.Time{}
 				h.excludedAt = time.Time{}
@@ -157,14 +159,14 @@
 }
 
 // countUse counts a use in the rates of failures.
-func (v *service) countUse(now time.Time, s *endpointState, m *member, failed bool) {
+func (v *service) countUse(now time.Time, t *ticket, m *member, failed bool) {
 	n := 0.0
 	if failed {
 		n = 1
 	}
 	v.allUses.add(now, 1)
 	v.allFailures.add(now, n)
-	if s.health.level == healthSound {
+	if !t.trial {
 		v.uses.add(now, 1)
 		v.failures.add(now, n)
 	}
@@ -185,15 +187,18 @@
 	doubted := false
 	if m != nil {
 		p := m.pathFailed(now, t.since, s.ID)
-		if doubted = p.bad || m.doubted(now, v); doubted {
+		if doubted = (p.bad && !h.mixed(now)) || m.doubted(now, v); doubted {
+			if !p.bad {
+				c.note(now, v, s, StepPath, t, u)
+			}
 			p.block(now)
 		}
 	}
-	v.countUse(now, s, m, true)
+	v.countUse(now, t, m, true)
 	if doubted {
-		c.note(now, v, s, StepPath, t, u)
 		return
 	}
+	h.seenBy(now, t.host)
 	if lost && !h.lose(now, t.since) {
 		return // Of the same crash.
 	}
@@ -205,7 +210,12 @@
 		c.blameWork(now, v, w, t, u)
 		return
 	}
-	evidence := h.fail(now, t.since, work, t.host, v.baseRate(now, s))
+	h.uses.add(now, 1)
+	if !lost {
+		// Crashes have caution of their own.
+		h.failures.add(now, 1)
+	}
+	evidence := h.fail(now, t.since, work, v.baseRate(now, s))
 	v.works.record(now, work, s, evidence)
 	if t.trial && h.level == healthExcluded {
 		c.note(now, v, s, StepProbeFailed, t, u)
@@ -236,7 +246,16 @@
 		return false
 	}
 	p := m.paths[t.endpoint.ID]
-	return (p != nil && p.bad) || m.doubted(now, v)
+	return (p != nil && p.bad && !t.endpoint.health.mixed(now)) || m.doubted(now, v)
+}
+
+// longestPause returns the longest pause after failures. With feedback, the endpoint is tested by
+// few requests after that.
+func (c *Core) longestPause() time.Duration {
+	if c.opts.EndpointFeedback {
+		return trialDelays[len(trialDelays)-1]
+	}
+	return maxPause
 }
 
 // assess sets the level of an endpoint by its outcomes.
@@ -246,7 +265,7 @@
 	}
 	h := &s.health
 	h.rateRisk(now, v.failureRate(now))
-	level := h.target(now)
+	level := h.target(now, v.baseRate(now, s))
 	if level == healthExcluded && h.level != healthExcluded && !c.mayExclude(now, v, s) {
 		if h.level == healthSound {
 			c.note(now, v, s, StepSpared, t, u)
@@ -388,7 +407,8 @@
 		}
 		v := c.service(s.Service)
 		for range min(f.Failures, maxHeardFailures) {
-			s.health.fail(now, now.Add(-f.Age), 0, m.name, v.baseRate(now, s))
+			s.health.seenBy(now, m.name)
+			s.health.fail(now, now.Add(-f.Age), 0, v.baseRate(now, s))
 		}
 		// The failures are past: the test is due at once.
 		s.health.notBefore = time.Time{}
--- a/scheduler/feedback_test.go
+++ b/scheduler/feedback_test.go
@@ -72,6 +72,8 @@
 	// lost counts the requests that failed for good, lostSingle those of one attempt, by engine
 	// at which they were last.
 	lost, lostSingle map[int]int
+	// lostSingleAt are the times at which uses of the latter began.
+	lostSingleAt map[int][]time.Duration
 	// failed and used count the uses by engine, and are those of uses that begin at a time in
 	// usedAt.
 	failed  map[int]int
@@ -82,7 +84,9 @@
 	// mostExcluded is the largest number of engines excluded, excludedEver names them.
 	mostExcluded int
 	excludedEver map[int]bool
-	notices      map[HealthStep]int
+	// soundAt is when an engine was last taken for sound again.
+	soundAt map[int]time.Duration
+	notices map[HealthStep]int
 }
 
 const (
@@ -105,9 +109,10 @@
 		load: l, random: rand.New(rand.NewPCG(l.seed, 5)), waiting: make(map[string]*feedbackRequest),
 		running: make(map[string]*feedbackUse), items: make(map[string]ItemRef),
 		failing: make(map[string]map[string]*FailingEndpoint), failAt: make(map[string]time.Duration),
-		lost: make(map[int]int), lostSingle: make(map[int]int), failed: make(map[int]int),
+		lostSingleAt: make(map[int][]time.Duration),
+		lost:         make(map[int]int), lostSingle: make(map[int]int), failed: make(map[int]int),
 		usedAt: make(map[int][]time.Duration), singles: make(map[int][]time.Duration),
-		excludedEver: make(map[int]bool), notices: make(map[HealthStep]int),
+		soundAt: make(map[int]time.Duration), excludedEver: make(map[int]bool), notices: make(map[HealthStep]int),
 	}
 	r.start()
 	for at := time.Duration(0); at < l.length; {
@@ -270,6 +275,9 @@
 	notices, _ := r.core.HealthNotices()
 	for i := range notices {
 		r.notices[notices[i].Step]++
+		if notices[i].Step == StepSound {
+			r.soundAt[engineIndex(notices[i].Endpoint)] = r.now
+		}
 		if notices[i].Step == StepExcluded {
 			r.excludedEver[engineIndex(notices[i].Endpoint)] = true
 		}
@@ -335,6 +343,7 @@
 			r.lost[use.engine]++
 			if !q.repeatable {
 				r.lostSingle[use.engine]++
+				r.lostSingleAt[use.engine] = append(r.lostSingleAt[use.engine], use.at)
 			}
 		}
 	})
@@ -456,6 +465,9 @@
 			if o.failed[e] > 16 {
 				t.Errorf("seed %d: %d uses failed at engine %d", seed, o.failed[e], e)
 			}
+			if at := o.soundAt[e]; at < failUntil || at > failUntil+2*time.Second {
+				t.Errorf("seed %d: engine %d was taken for sound at %s, it was at %s", seed, e, at, failUntil)
+			}
 			if n := countBetween(o.singles[e], failUntil+2*time.Second, l.length); n == 0 {
 				t.Errorf("seed %d: engine %d gets no requests of one attempt 2 s after its recovery", seed, e)
 			}
@@ -465,3 +477,237 @@
 		}
 	}
 }
+
+// TestPartlyFailingEndpointsGetLittleWork guards against engines that fail half of their requests and
+// are taken for sound after each success.
+func TestPartlyFailingEndpointsGetLittleWork(t *testing.T) {
+	for _, seed := range seeds {
+		l := feedbackLoad{
+			engines: 60, slots: 8, rate: 275, single: 0.2, length: 20 * time.Second, seed: seed, jobs: 3.4,
+			fails: failingBetween(6, 3*time.Second, 15*time.Second, 0.5),
+		}
+		o := runFeedback(t, l)
+		l.off = true
+		without := runFeedback(t, l)
+		t.Logf("seed %d: lost %v (of one attempt %v), failed %v, refused %d; without feedback lost %d, failed %d; %v",
+			seed, o.lost, o.lostSingle, o.failed, o.refused, total(without.lost), total(without.failed), o.notices)
+		if 4*total(o.lost) > total(without.lost) || total(o.lost) > 30 {
+			t.Errorf("seed %d: %d requests lost, %d without feedback", seed, total(o.lost), total(without.lost))
+		}
+		for e := range 6 {
+			if at := o.soundAt[e]; at > 17*time.Second {
+				t.Errorf("seed %d: engine %d was taken for sound at %s, it was at 15 s", seed, e, at)
+			}
+		}
+		if len(o.excludedEver) > 6+2 {
+			t.Errorf("seed %d: engines %v were excluded", seed, o.excludedEver)
+		}
+	}
+}
+
+// TestEndpointsThatFailSomeRequestsAreAvoided guards against engines whose failures are too rare for
+// an exclusion, but far above those of the others.
+func TestEndpointsThatFailSomeRequestsAreAvoided(t *testing.T) {
+	for _, probability := range []float64{0.05, 0.2} {
+		lost, lostWithout, lostSingle, lostSingleWithout := 0, 0, 0, 0
+		for _, seed := range seeds[:3] {
+			l := feedbackLoad{
+				engines: 60, slots: 8, rate: 275, single: 0.2, length: 40 * time.Second, seed: seed,
+				fails: failingBetween(6, 0, 40*time.Second, probability),
+			}
+			o := runFeedback(t, l)
+			l.off = true
+			without := runFeedback(t, l)
+			lost, lostWithout = lost+total(o.lost), lostWithout+total(without.lost)
+			lostSingle, lostSingleWithout = lostSingle+total(o.lostSingle), lostSingleWithout+total(without.lostSingle)
+		}
+		t.Logf("%.2f: lost %d (of one attempt %d), without feedback %d (%d)", probability, lost, lostSingle, lostWithout, lostSingleWithout)
+		if 2*lostSingle > lostSingleWithout {
+			t.Errorf("%.2f: %d requests of one attempt lost, %d without feedback", probability, lostSingle, lostSingleWithout)
+		}
+	}
+}
+
+// TestFailuresOfTheWholeServiceExcludeNobody guards against a service whose endpoints all fail some
+// requests, and that would be left with two thirds of its slots.
+func TestFailuresOfTheWholeServiceExcludeNobody(t *testing.T) {
+	for _, probability := range []float64{0.02, 0.1, 0.3} {
+		for _, seed := range seeds[:3] {
+			o := runFeedback(t, feedbackLoad{
+				engines: 60, slots: 8, rate: 275, single: 0.2, length: 15 * time.Second, seed: seed,
+				fails: failingBetween(60, 0, 15*time.Second, probability),
+			})
+			t.Logf("%.2f: excluded %v, refused %d, %v", probability, o.excludedEver, o.refused, o.notices)
+			if len(o.excludedEver) > 2 || o.refused > 0 {
+				t.Errorf("%.2f: engines %v were excluded, %d requests refused", probability, o.excludedEver, o.refused)
+			}
+		}
+	}
+}
+
+// TestCrashingEndpointsGetNoRequestsOfOneAttempt guards against engines that crash each 1.5 s and get
+// all their slots filled as soon as they are back: on Linjesyn, 90 requests of one attempt went to
+// such engines.
+func TestCrashingEndpointsGetNoRequestsOfOneAttempt(t *testing.T) {
+	const crashing = 4
+	from, until := 2*time.Second, 14*time.Second
+	// An engine is down for the last 300 ms of each period of 1.5 s.
+	period, up := 1500*time.Millisecond, 1200*time.Millisecond
+	for _, listed := range []bool{true, false} {
+		for _, seed := range seeds {
+			l := feedbackLoad{
+				engines: 60, slots: 8, rate: 450, single: 0.75, length: 26 * time.Second, seed: seed,
+				fails: func(_ *feedbackReplay, use *feedbackUse) (Outcome, time.Duration) {
+					if use.engine >= crashing || use.at < from-period || use.at >= until {
+						return Finished, 0
+					}
+					phase := (use.at - from + 10*period) % period
+					if phase >= up {
+						return Unreachable, 10 * time.Millisecond
+					}
+					// Requests take 740 ms on average: those of the last part of a period are lost.
+					if phase > up-500*time.Millisecond && use.at+period-phase >= from {
+						return Failed, up - phase
+					}
+					return Finished, 0
+				},
+			}
+			if !listed {
+				// The record of an engine that crashed lapses, and a new one has another start.
+				l.listed = func(engine int, at time.Duration) (bool, time.Time) {
+					if engine >= crashing || at < from || at >= until+period {
+						return true, replayStart
+					}
+					since := at - from + period
+					return since%period < up, replayStart.Add(since / period * period)
+				}
+			}
+			o := runFeedback(t, l)
+			l.off = true
+			without := runFeedback(t, l)
+			t.Logf("lapses %t, seed %d: lost of one attempt %v, without feedback %v; failed %v, without %v; %v",
+				!listed, seed, o.lostSingle, without.lostSingle, o.failed, without.failed, o.notices)
+			if 2*total(o.lostSingle) > total(without.lostSingle) {
+				t.Errorf("seed %d: %d requests of one attempt lost, %d without feedback", seed, total(o.lostSingle), total(without.lostSingle))
+			}
+			later := 0
+			for e := range crashing {
+				later += countBetween(o.lostSingleAt[e], from+2*period, until)
+				if n := countBetween(o.usedAt[e], until+time.Second, until+3*time.Second); n == 0 {
+					s := o.core.endpoints[engineName(e)]
+					t.Errorf("seed %d: engine %d gets no requests after its last crash %+v", seed, e, s.health)
+				}
+				if n := countBetween(o.singles[e], until+7*time.Second, l.length); n == 0 {
+					t.Errorf("seed %d: engine %d gets no requests of one attempt 7 s after its last crash", seed, e)
+				}
+			}
+			if later > crashing {
+				t.Errorf("seed %d: %d requests of one attempt lost after the second crash of each engine", seed, later)
+			}
+		}
+	}
+}
+
+// TestBadLinkOfOneHostExcludesNoEndpoint guards against a host with a bad link, whose failures would
+// exclude endpoints that all others use.
+func TestBadLinkOfOneHostExcludesNoEndpoint(t *testing.T) {
+	for name, bad := range map[string]func(use *feedbackUse) bool{
+		// The engines of the host's zone, which it uses most.
+		"to one engine":  func(use *feedbackUse) bool { return use.engine == 3 },
+		"to ten engines": func(use *feedbackUse) bool { return use.engine%6 == 3 },
+		"to all engines": func(*feedbackUse) bool { return true },
+	} {
+		for _, seed := range seeds[:3] {
+			l := feedbackLoad{
+				engines: 60, slots: 8, rate: 275, single: 0.2, length: 15 * time.Second, seed: seed, hosts: 20,
+				fails: func(r *feedbackReplay, use *feedbackUse) (Outcome, time.Duration) {
+					if use.request != nil && use.request.host == "h3" && bad(use) && r.random.Float64() < 0.9 {
+						return Failed, 30 * time.Millisecond
+					}
+					return Finished, 0
+				},
+			}
+			o := runFeedback(t, l)
+			l.off = true
+			without := runFeedback(t, l)
+			t.Logf("%s, seed %d: excluded %v, lost %d (without %d), refused %d, %v", name, seed, o.excludedEver, total(o.lost), total(without.lost), o.refused, o.notices)
+			if len(o.excludedEver) > 0 {
+				t.Errorf("%s, seed %d: engines %v were excluded", name, seed, o.excludedEver)
+			}
+			if total(o.lost) > total(without.lost) {
+				t.Errorf("%s, seed %d: %d requests lost, %d without feedback", name, seed, total(o.lost), total(without.lost))
+			}
+			if name == "to one engine" && countBetween(o.usedAt[3], 5*time.Second, l.length) < 10 {
+				t.Errorf("%s, seed %d: the engine got few requests of other hosts", name, seed)
+			}
+		}
+	}
+}
+
+// TestRequestsThatFailAnywhereExcludeNobody guards against ten requests that fail wherever they run,
+// and make the endpoints that they reach look as if they failed.
+func TestRequestsThatFailAnywhereExcludeNobody(t *testing.T) {
+	for _, engines := range []int{6, 60} {
+		for _, seed := range seeds {
+			l := feedbackLoad{
+				engines: engines, slots: 8, rate: 4.6 * float64(engines), single: 0.2, length: 10 * time.Second, seed: seed,
+			}
+			for i := range 10 {
+				l.poisoned = append(l.poisoned, 3*time.Second+time.Duration(i)*time.Millisecond)
+			}
+			o := runFeedback(t, l)
+			t.Logf("%d engines, seed %d: excluded %v, failed %d, %v", engines, seed, o.excludedEver, total(o.failed), o.notices)
+			if len(o.excludedEver) > 0 {
+				t.Errorf("%d engines, seed %d: engines %v were excluded", engines, seed, o.excludedEver)
+			}
+			if o.refused > 0 {
+				t.Errorf("%d engines, seed %d: %d requests refused", engines, seed, o.refused)
+			}
+		}
+	}
+}
+
+// TestAtMostAThirdIsExcluded guards against a service of which half of the endpoints fail and that is
+// left with less than two thirds, for what may be a fault of the requests.
+func TestAtMostAThirdIsExcluded(t *testing.T) {
+	for _, engines := range []int{2, 5, 60} {
+		l := feedbackLoad{
+			engines: engines, slots: 8, rate: 2.5 * float64(engines), single: 0.2, length: 14 * time.Second,
+			fails: failingBetween((engines+1)/2, failFrom, failUntil, 1),
+		}
+		o := runFeedback(t, l)
+		l.off = true
+		without := runFeedback(t, l)
+		t.Logf("%d engines: most excluded %d, lost %d, without feedback %d, refused %d, %v", engines, o.mostExcluded, total(o.lost), total(without.lost), o.refused, o.notices)
+		if o.mostExcluded > engines/3 {
+			t.Errorf("%d of %d engines were excluded", o.mostExcluded, engines)
+		}
+		if engines == 60 && o.mostExcluded < 15 {
+			t.Errorf("at most %d of %d engines were excluded", o.mostExcluded, engines)
+		}
+		if total(o.lost) > total(without.lost) {
+			t.Errorf("%d engines: %d requests lost, %d without feedback", engines, total(o.lost), total(without.lost))
+		}
+	}
+}
+
+// TestFailingEndpointsAfterATakeover guards against a scheduler that takes over while engines fail, and
+// would learn it anew by lost requests.
+func TestFailingEndpointsAfterATakeover(t *testing.T) {
+	for _, seed := range seeds {
+		l := fiveFail(seed)
+		l.takeover = 5 * time.Second
+		o := runFeedback(t, l)
+		after := 0
+		for e := range 5 {
+			after += countBetween(o.singles[e], l.takeover, failUntil)
+		}
+		t.Logf("seed %d: lost %v, failed %v, of one attempt at failing engines after the takeover %d, %v", seed, o.lost, o.failed, after, o.notices)
+		if total(o.lost) >= 40 {
+			t.Errorf("seed %d: %d requests lost", seed, total(o.lost))
+		}
+		if after > 2 {
+			t.Errorf("seed %d: %d requests of one attempt went to failing engines after the takeover", seed, after)
+		}
+	}
+}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -46,9 +46,14 @@
 	// one takes two failures.
 	relapseEvidence = 1.5
 	relapsePeriod   = 15 * time.Second
-	// trialSpacing is how long one request is at an endpoint under test before the next one
-	// is sent there: what fails at once has failed by then.
-	trialSpacing = 300 * time.Millisecond
+	// trialEvidence is by how much the evidence is taken to fall with each use in progress.
+	trialEvidence = 0.7
+	// trialSpacing is how long one request is at an excluded endpoint before the next one is
+	// sent there: what fails at once has failed by then.
+	trialSpacing = 150 * time.Millisecond
+	// trialPatience is how long the only request at a suspected endpoint may take before another
+	// one is sent there.
+	trialPatience = time.Second
 	// maxTrials is how many requests are at an endpoint under test before one succeeds.
 	maxTrials = 4
 	// failureWindow is the time constant of the rates of failures.
@@ -77,7 +82,7 @@
 
 // crashCaution is for how long after the last of one, two, three and more crashes an endpoint
 // gets only repeatable requests.
-var crashCaution = [maxCrashes]time.Duration{0, time.Second, 2 * time.Second, 4 * time.Second}
+var crashCaution = [maxCrashes]time.Duration{time.Second, 3 * time.Second, 5 * time.Second, 6 * time.Second}
 
 // endpointHealth is what the outcomes of its uses say of an endpoint. The zero value is that of
 // a sound endpoint.
@@ -98,8 +103,10 @@
 	failedGrant, failedAt time.Time
 	// excludedAt is when the endpoint was last excluded.
 	excludedAt time.Time
-	// blamed is the host that saw all failures counted in failed, or "" if several did.
-	blamed string
+	// failedHost is the host that saw the last failure, mixedAt when another one saw one after
+	// it: the cause is then not the way of one host to the endpoint.
+	failedHost string
+	mixedAt    time.Time
 	// trials are the uses in progress that began under test, lastTrial when the last one
 	// did. None begins before notBefore.
 	trials               int
@@ -146,10 +153,14 @@
 		return false
 	case h.trials == 0:
 		return true
-	case h.succeeded > 0:
-		return h.trials < 2<<min(h.succeeded, 5)
-	default:
+	case h.row == 0 && h.succeeded+h.afterCrash > 0:
+		return h.trials < 2<<min(max(h.succeeded, h.afterCrash), 5)
+	case h.level == healthExcluded:
 		return h.trials < maxTrials && now.Sub(h.lastTrial) >= trialSpacing
+	default:
+		// Failures are known sooner than successes: with several in progress, an endpoint that
+		// fails no more than others would be excluded by chance.
+		return h.trials < maxTrials && now.Sub(h.lastTrial) >= trialPatience
 	}
 }
 
@@ -164,6 +175,17 @@
 	return min(0.99, max(0.1, (float64(h.failed)+0.1)/(float64(h.ran)+0.2)))
 }
 
+// fails reports whether the outcomes speak for an exclusion, given the rate of failures of a sound
+// endpoint.
+func (h *endpointHealth) fails(base float64) bool {
+	if h.level == healthExcluded {
+		return h.evidence >= excludeEvidence
+	}
+	// Failures are known sooner than successes, so that the uses in progress are taken for these.
+	rate := float64(h.failed) / float64(h.ran+h.succeeded+h.trials)
+	return h.evidence-trialEvidence*float64(h.trials) >= excludeEvidence && rate > 2*base
+}
+
 // leastEvidence returns the lower bound of the evidence.
 func (h *endpointHealth) leastEvidence(now time.Time) float64 {
 	if !h.excludedAt.IsZero() && now.Sub(h.excludedAt) < relapsePeriod {
@@ -174,18 +196,15 @@
 
 // fail counts a failed use that was granted at a time, and returns by how much the evidence rose.
 // Failures in a row of the same work count once.
-func (h *endpointHealth) fail(now, granted time.Time, work uint64, host string, base float64) float64 {
-	h.failures.add(now, 1)
-	h.uses.add(now, 1)
-	if h.failed == 0 {
-		h.blamed = host
-	} else if h.blamed != host {
-		h.blamed = ""
-	}
-	h.failedAt = now
+func (h *endpointHealth) fail(now, granted time.Time, work uint64, base float64) float64 {
 	if granted.After(h.failedGrant) {
 		h.failedGrant = granted
 	}
+	if h.row > 0 && !granted.After(h.failedAt) {
+		// Granted before the last failure was known: both may be of one burst of bad requests.
+		return 0
+	}
+	h.failedAt = now
 	if h.row == 0 || work == 0 || work != h.lastWork {
 		h.row++
 		h.lastWork = work
@@ -239,7 +258,20 @@
 // forget ends the present series of outcomes.
 func (h *endpointHealth) forget(least float64) {
 	h.evidence, h.failed, h.ran, h.succeeded = least, 0, 0, 0
-	h.row, h.lastWork, h.blamed = 0, 0, ""
+	h.row, h.lastWork = 0, 0
+}
+
+// seenBy records that a host saw a failure.
+func (h *endpointHealth) seenBy(now time.Time, host string) {
+	if h.failedHost != "" && h.failedHost != host && now.Sub(h.failedAt) < pathMemory {
+		h.mixedAt = now
+	}
+	h.failedHost = host
+}
+
+// mixed reports whether several hosts have seen failures.
+func (h *endpointHealth) mixed(now time.Time) bool {
+	return !h.mixedAt.IsZero() && now.Sub(h.mixedAt) < pathMemory
 }
 
 // recentCrashes returns how many crashes count.
@@ -276,10 +308,11 @@
 	return n > 0 && (h.afterCrash < n || now.Sub(h.lastCrash()) < crashCaution[n-1])
 }
 
-// target returns the level that the outcomes speak for.
-func (h *endpointHealth) target(now time.Time) healthLevel {
+// target returns the level that the outcomes speak for, given the rate of failures of a sound
+// endpoint.
+func (h *endpointHealth) target(now time.Time, base float64) healthLevel {
 	switch {
-	case h.evidence >= excludeEvidence:
+	case h.fails(base):
 		return healthExcluded
 	case h.evidence >= suspectEvidence:
 		return healthSuspected
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -34,7 +34,7 @@
 	nextRetry time.Time
 	// underTest counts the endpoints that are not sound, excluded those that are excluded.
 	underTest, excluded int
-	// uses and failures are those at sound endpoints, allUses and allFailures those at all.
+	// uses and failures are those that began at sound endpoints, allUses and allFailures those at all.
 	uses, failures, allUses, allFailures decayingCount
 	// works are those that failed of late.
 	works failedWorks
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -151,9 +151,9 @@
 }
 
 // pause excludes the endpoint from new work after a failure. The pause starts at base
-// and doubles with consecutive failures, up to maxPause.
-func (s *endpointState) pause(now time.Time, base time.Duration, host string) {
-	d := min(base<<min(s.failures, 6), maxPause)
+// and doubles with consecutive failures, up to longest.
+func (s *endpointState) pause(now time.Time, base, longest time.Duration, host string) {
+	d := min(base<<min(s.failures, 6), longest)
 	s.failures++
 	s.pausedBy = host
 	if until := now.Add(d); until.After(s.pausedUntil) {
