--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -65,7 +65,7 @@
 func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
 	p := &placement{
 		host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version,
-		repeatable: v.testsAs(now, w.Repeatable),
+		repeatable: w.Repeatable, standsIn: !w.Repeatable && v.standsIn(now),
 	}
 	s := v.probe(now, p)
 	if s == nil {
--- a/scheduler/feedback.go
+++ b/scheduler/feedback.go
@@ -19,7 +19,8 @@
 	// in place of another one.
 	worseRate = 0.1
 	// repeatableGap is after how long without repeatable requests batch items test endpoints,
-	// and then requests that can't be repeated: an endpoint would never be used again.
+	// and then requests that can't be repeated, one in that time: an endpoint would never be
+	// used again.
 	repeatableGap = 2 * time.Second
 	// silentAfter is how long an endpoint sends no event of a stream before the client leaves,
 	// for the endpoint to have failed.
@@ -58,9 +59,9 @@
 	return v.failures.at(now, failureWindow) / (v.uses.at(now, failureWindow) + rateWeight)
 }
 
-// testsAs reports whether a request may test endpoints as if it were repeatable.
-func (v *service) testsAs(now time.Time, repeatable bool) bool {
-	return repeatable || (v.underTest > 0 && now.Sub(v.repeatableAt) > repeatableGap && now.Sub(v.itemAt) > repeatableGap)
+// standsIn reports whether requests that can't be repeated test endpoints, as there are no others.
+func (v *service) standsIn(now time.Time) bool {
+	return v.underTest > 0 && now.Sub(v.repeatableAt) > repeatableGap && now.Sub(v.itemAt) > repeatableGap
 }
 
 // itemsTest reports whether batch items test endpoints.
@@ -87,7 +88,7 @@
 // probe returns an endpoint under test that is due to get this work, or nil: the one whose test
 // is due for the longest time.
 func (v *service) probe(now time.Time, p *placement) *endpointState {
-	if v.underTest == 0 || !p.repeatable {
+	if v.underTest == 0 || (!p.repeatable && !p.standsIn) {
 		return nil
 	}
 	var best *endpointState
@@ -95,6 +96,9 @@
 		if s.health.level == healthSound || !s.listed || now.Before(s.pausedUntil) || !s.health.trialDue(now) {
 			continue
 		}
+		if p.standsIn && s.health.row > 0 && now.Sub(s.health.failedAt) < repeatableGap {
+			continue
+		}
 		if s.heldSlots() >= s.Slots || !s.takesRequest(now) || !s.fits(p.tokens) || !p.eligible(now, s) || slices.Contains(p.avoid, s.ID) {
 			continue
 		}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -87,7 +87,11 @@
 // endpointHealth is what the outcomes of its uses say of an endpoint. The zero value is that of
 // a sound endpoint.
 type endpointHealth struct {
+	// Decisions read the fields up to ratedAt of each endpoint.
 	level healthLevel
+	// singleRisk and repeatableRisk are those of the last outcome, ratedAt its time.
+	singleRisk, repeatableRisk time.Duration
+	ratedAt                    time.Time
 	// since is when the level was reached.
 	since time.Time
 	// evidence is the logarithm of how much more likely the outcomes are if the endpoint
@@ -117,9 +121,6 @@
 	// successes since the last one.
 	crashes    [maxCrashes]time.Time
 	afterCrash int
-	// singleRisk and repeatableRisk are those of the last outcome, ratedAt its time.
-	singleRisk, repeatableRisk time.Duration
-	ratedAt                    time.Time
 	// startedAt is when the endpoint was seen to have started again: outcomes of earlier uses
 	// say nothing of it.
 	startedAt time.Time
@@ -128,24 +129,33 @@
 // admits reports whether the endpoint may get a request, by the outcomes of its last ones.
 // A repeatable request may be run again after a failure.
 func (s *endpointState) admits(now time.Time, repeatable bool) bool {
-	return s.health.level == healthSound || (repeatable && s.health.trialDue(now))
+	return s.health.level == healthSound || s.health.admitsTrial(now, repeatable)
 }
 
 // risk returns how much longer a request waits in expectation because the endpoint may fail it.
 func (s *endpointState) risk(now time.Time, repeatable bool) time.Duration {
-	h := &s.health
+	if s.health.singleRisk == 0 {
+		return 0
+	}
+	return s.health.risk(now, repeatable)
+}
+
+// risk returns the risk of the last outcome, less what it has lost by age.
+func (h *endpointHealth) risk(now time.Time, repeatable bool) time.Duration {
 	risk := h.singleRisk
 	if repeatable {
 		risk = h.repeatableRisk
 	}
-	if risk == 0 {
-		return 0
-	}
 	// An endpoint that gets no work for its risk would keep it for ever.
 	left := 1 - float64(now.Sub(h.ratedAt))/float64(failureWindow)
 	return time.Duration(float64(risk) * min(1, max(0, left)))
 }
 
+// admitsTrial reports whether an endpoint under test may get a request.
+func (h *endpointHealth) admitsTrial(now time.Time, repeatable bool) bool {
+	return repeatable && h.trialDue(now)
+}
+
 // trialDue reports whether an endpoint under test may get one more request.
 func (h *endpointHealth) trialDue(now time.Time) bool {
 	switch {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -43,6 +43,8 @@
 	// repeatable means that the work may run again after a failure; anywhere that no usable
 	// endpoint admits it, so that any will do.
 	repeatable, anywhere bool
+	// standsIn means that the work tests endpoints though it can't be repeated.
+	standsIn bool
 }
 
 // eligible reports whether a usable endpoint can be used for this work: it has the version that
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -26,7 +26,7 @@
 // endpointSpeed is how long an endpoint takes. The zero value is that of one that is not known.
 type endpointSpeed struct {
 	event, first speedAverage
-	// eventRatio and firstRatio are the averages relative to the medians of the service; zero
+	// Decisions read the fields below of each endpoint. eventRatio and firstRatio are the averages relative to the medians of the service; zero
 	// if they are not known.
 	eventRatio, firstRatio float64
 }
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -34,10 +34,10 @@
 	promptParts *recent.Set
 	// pacer spaces the requests to an endpoint with a rate limit; nil if it has none.
 	pacer *throttle.Pacer
-	// health and speed are what the outcomes and times of its uses say of the endpoint; with
-	// Options.EndpointFeedback.
-	health endpointHealth
+	// speed and health are what the times and outcomes of its uses say of the endpoint; with
+	// Options.EndpointFeedback. They are side by side as decisions read both of each endpoint.
 	speed  endpointSpeed
+	health endpointHealth
 	// removed means that the endpoint is no longer one of its service.
 	removed bool
 }
