--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -39,13 +39,19 @@
 	priorOdds       = 4.6
 	suspectEvidence = 2.1
 	excludeEvidence = 6.6
-	// maxEvidence bounds the evidence, so that two successes after a series of failures
-	// alone are enough to use an endpoint again.
-	maxEvidence = 7.5
+	// maxExtraEvidence bounds the evidence that an exclusion takes beyond that where sound
+	// endpoints fail more often than minBaseRate: the more failures, the more series of them
+	// there are by chance.
+	maxExtraEvidence = 2.0
+	// evidenceMargin is by how much the evidence may exceed what an exclusion takes, so that two
+	// successes after a series of failures alone are enough to use an endpoint again.
+	evidenceMargin = 0.9
 	// relapseEvidence is the least evidence within relapsePeriod of an exclusion: the next
 	// one takes two failures.
 	relapseEvidence = 1.5
 	relapsePeriod   = 15 * time.Second
+	// failureSpell is how long endpoints fail on average before they recover.
+	failureSpell = 5 * time.Second
 	// trialEvidence is by how much the evidence is taken to fall with each use in progress.
 	trialEvidence = 0.7
 	// trialSpacing is how long one request is at an excluded endpoint before the next one is
@@ -193,7 +199,13 @@
 	}
 	// Failures are known sooner than successes, so that the uses in progress are taken for these.
 	rate := float64(h.failed) / float64(h.ran+h.succeeded+h.trials)
-	return h.evidence-trialEvidence*float64(h.trials) >= excludeEvidence && rate > 2*base
+	return h.evidence-trialEvidence*float64(h.trials) >= exclusionEvidence(base) && rate > 2*base
+}
+
+// exclusionEvidence returns the evidence that an exclusion takes, given the rate of failures of a
+// sound endpoint.
+func exclusionEvidence(base float64) float64 {
+	return excludeEvidence + min(maxExtraEvidence, math.Log(base/minBaseRate))
 }
 
 // leastEvidence returns the lower bound of the evidence.
@@ -224,7 +236,7 @@
 	}
 	h.notBefore = now.Add(trialDelays[min(h.row, len(trialDelays))-1])
 	before := max(h.evidence, h.leastEvidence(now))
-	h.evidence = min(maxEvidence, before+max(0, math.Log(h.failureRate()/base)))
+	h.evidence = min(exclusionEvidence(base)+evidenceMargin, before+max(0, math.Log(h.failureRate()/base)))
 	h.failed++
 	h.ran += 1 + h.succeeded
 	h.succeeded = 0
@@ -245,8 +257,11 @@
 	}
 	h.succeeded++
 	least := h.leastEvidence(now)
+	// The endpoint may have recovered since its last failure, the more likely the longer ago.
+	recovered := 1 - math.Exp(-max(0.001, now.Sub(h.failedAt).Seconds())/failureSpell.Seconds())
+	h.evidence = min(h.evidence, priorOdds+math.Log((1-recovered)/recovered))
 	h.evidence = max(least, h.evidence+min(0, math.Log((1-h.failureRate())/(1-base))))
-	if h.evidence <= least {
+	if h.evidence <= least || (least > 0 && h.evidence < suspectEvidence) {
 		if least > 0 {
 			// It was excluded, and has recovered: its failures up to then would keep work away.
 			h.failures, h.uses = decayingCount{}, decayingCount{}
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -67,11 +67,15 @@
 	Excluded, Suspected int
 }
 
-// HealthCounts returns the counts of all services.
+// HealthCounts returns the counts of all services; zero while no host has joined.
 func (c *Core) HealthCounts() []HealthCount {
 	out := make([]HealthCount, 0, len(c.services))
 	for name, v := range c.services {
-		out = append(out, HealthCount{Service: name, Excluded: v.excluded, Suspected: v.underTest - v.excluded})
+		n := HealthCount{Service: name}
+		if len(c.members) > 0 {
+			n.Excluded, n.Suspected = v.excluded, v.underTest-v.excluded
+		}
+		out = append(out, n)
 	}
 	return out
 }
--- a/slots/client.go
+++ b/slots/client.go
@@ -86,6 +86,7 @@
 	pending      map[string]*pendingRequest
 	held         map[string]*heldSlot
 	sent         sentLog
+	failing      failingLog
 	seq          uint64
 	shuttingDown bool
 	// departed holds, by name and incarnation, when a scheduler announced its shutdown.
@@ -168,10 +169,14 @@
 func (c *Client) release(u scheduler.Usage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.held[u.Ticket]; h == nil {
+	h := c.held[u.Ticket]
+	if h == nil {
 		return
 	}
 	delete(c.held, u.Ticket)
+	if c.opts.EndpointFeedback {
+		c.failing.record(time.Now(), h.running.Endpoint, u.Outcome)
+	}
 	if c.link != nil {
 		c.link.send(HostMessage{Usage: &u})
 	}
@@ -271,6 +276,7 @@
 		hello.Running = append(hello.Running, r)
 	}
 	hello.Sent = c.sent.since(now)
+	hello.Failing = c.failing.list(now)
 	c.link = l
 	c.localScheduler.SetSuperseded(c.shuttingDown || l.scheduler() != c.opts.Self.Name)
 	l.send(HostMessage{Hello: hello})
--- a/slots/duty.go
+++ b/slots/duty.go
@@ -51,6 +51,9 @@
 	// convictions are those that this host knows.
 	convictions *blame.List
 	attribution attribution
+	// healthLog bounds what is logged of the health of endpoints. Only the goroutine of Serve
+	// accesses it.
+	healthLog healthLog
 
 	// mu guards the fields up to lastCount.
 	mu       sync.Mutex
@@ -158,9 +161,11 @@
 		if !now.Before(nextBroadcast) {
 			nextBroadcast = now.Add(broadcastInterval)
 			l.broadcastState(now)
+			l.metrics.health.setCounts(l.core.HealthCounts())
 		}
 		l.convict(now, l.core)
 		l.sendEffects()
+		l.reportHealth(now)
 		if l.origins.due(now) {
 			l.replicateStreams()
 		}
--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -13,6 +13,7 @@
 	sessions  *prometheus.CounterVec
 	// convictions counts the convictions that this host made as scheduler.
 	convictions prometheus.Counter
+	health      *healthMetrics
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -35,6 +36,7 @@
 			Help: "Convictions of requests that crash endpoints that this host made as scheduler.",
 		}),
 	}
+	m.health = newHealthMetrics(r)
 	if r != nil {
 		r.MustRegister(m.decisions, m.waits, m.sessions, m.convictions)
 	}
