--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,8 +33,29 @@
 	mu             sync.Mutex
 	inFlight       map[string]int
 	penalizedUntil map[string]time.Time
+	// erring are the endpoints whose last answers to this host were server errors.
+	erring map[string]serverErrors
 }
 
+// serverErrors are the server errors in a row of an endpoint.
+type serverErrors struct {
+	count int
+	// until is the end of the time in which the endpoint is avoided, last when it answered last.
+	until, last time.Time
+}
+
+// errorMemory is how long a request that can't be repeated avoids an endpoint after its last server
+// error, if no request succeeded there.
+const errorMemory = 10 * time.Second
+
+// errorPauses are how long endpoints are avoided after one, two and more server errors in a row. The
+// last one lets a recovered endpoint back within two seconds.
+var errorPauses = [...]time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond}
+
+// maxErringShare is the largest part of the endpoints that is avoided for server errors as if they
+// had failed: beyond that, requests are likely to be the cause.
+const maxErringShare = 1.0 / 3
+
 // New returns a Balancer for a host in an availability zone. regions maps zones to
 // regions.
 func New(zone string, regions map[string]string) *Balancer {
@@ -43,12 +64,23 @@
 		regions:        regions,
 		inFlight:       make(map[string]int),
 		penalizedUntil: make(map[string]time.Time),
+		erring:         make(map[string]serverErrors),
 	}
 }
 
 // Choose returns the endpoint of the lowest cost, or nil if all are to be avoided. The
 // endpoint counts as having a request in progress until Done is called.
 func (b *Balancer) Choose(now time.Time, endpoints []*endpoint.Endpoint, avoid func(id string) bool) *endpoint.Endpoint {
+	return b.choose(now, endpoints, avoid, false)
+}
+
+// ChooseOnce is Choose for a request that can't be repeated: endpoints whose last answer was a server
+// error come last.
+func (b *Balancer) ChooseOnce(now time.Time, endpoints []*endpoint.Endpoint, avoid func(id string) bool) *endpoint.Endpoint {
+	return b.choose(now, endpoints, avoid, true)
+}
+
+func (b *Balancer) choose(now time.Time, endpoints []*endpoint.Endpoint, avoid func(id string) bool, once bool) *endpoint.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best *endpoint.Endpoint
@@ -57,7 +89,11 @@
 		if avoid(e.ID) {
 			continue
 		}
-		if cost := b.cost(now, e); best == nil || cost < bestCost {
+		cost := b.cost(now, e)
+		if len(b.erring) > 0 {
+			cost += b.errorCost(now, e.ID, endpoints, once)
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
@@ -96,16 +132,64 @@
 	return cost
 }
 
-// Done ends a request to an endpoint, and applies a penalty. None ends any penalty of the
-// endpoint; a shorter penalty doesn't shorten a longer one.
-func (b *Balancer) Done(now time.Time, id string, p Penalty) {
+// errorCost returns the cost of the server errors of an endpoint. After the first one, and for more than
+// maxErringShare of the endpoints, it is that of a full one, so that an endpoint that fails at once is
+// not preferred for its free slots.
+func (b *Balancer) errorCost(now time.Time, id string, endpoints []*endpoint.Endpoint, once bool) float64 {
+	e, found := b.erring[id]
+	if !found || now.Sub(e.last) >= errorMemory {
+		return 0
+	}
+	switch {
+	case !now.Before(e.until) && !once:
+		return 0
+	case e.count == 1 && !once:
+		return costFull
+	}
+	worse := 0
+	for _, other := range endpoints {
+		o := b.erring[other.ID]
+		if other.ID != id && now.Before(o.until) && (o.count > e.count || (o.count == e.count && other.ID < id)) {
+			worse++
+		}
+	}
+	if worse+1 > int(maxErringShare*float64(len(endpoints))) {
+		return costFull
+	}
+	return costPenalized
+}
+
+// Errored ends a request to an endpoint that ran it and answered with a server error.
+func (b *Balancer) Errored(now time.Time, id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.end(id)
+	e := b.erring[id]
+	if now.Sub(e.last) >= errorMemory {
+		e.count = 0
+	}
+	e.count++
+	e.last = now
+	e.until = now.Add(errorPauses[min(e.count, len(errorPauses))-1])
+	b.erring[id] = e
+}
+
+// end ends a request to an endpoint. Called with mu locked.
+func (b *Balancer) end(id string) {
 	if b.inFlight[id]--; b.inFlight[id] <= 0 {
 		delete(b.inFlight, id)
 	}
+}
+
+// Done ends a request to an endpoint, and applies a penalty. None ends any penalty of the
+// endpoint; a shorter penalty doesn't shorten a longer one.
+func (b *Balancer) Done(now time.Time, id string, p Penalty) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(id)
 	if p == None {
 		delete(b.penalizedUntil, id)
+		delete(b.erring, id)
 		return
 	}
 	if until := now.Add(time.Duration(p)); until.After(b.penalizedUntil[id]) {
@@ -118,6 +202,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.penalizedUntil)
+	clear(b.erring)
 }
 
 // Forget drops the penalty of an endpoint that was removed.
@@ -125,4 +210,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.penalizedUntil, id)
+	delete(b.erring, id)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -369,6 +369,7 @@
 			logger:      g.logger,
 			crashes:     newCrashDetector(g.logger, g.registry, g.endpoints.View, g.sender.Dial, g.client.ReportCrash),
 			links:       g.sender.Links(),
+			feedback:    enabled(g.settings.EndpointFeedback, g.settings.Contracts),
 			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
 		Sender:     g.sender,
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -55,6 +55,8 @@
 	crashes       *crashDetector
 	links         *detour.Links
 	logger        log.Logger
+	// feedback has endpoints of plain services that answer with server errors avoided.
+	feedback bool
 	// age returns how old the picture of the endpoints is.
 	age func() time.Duration
 }
@@ -106,15 +108,19 @@
 	}
 	now := time.Now()
 	ready := ofVersion(version, p.endpoints.View().Ready(ask.Service))
+	pick := p.balancer.Choose
+	if p.feedback && !ask.Repeatable {
+		pick = p.balancer.ChooseOnce
+	}
 	choose := func(open []*endpoint.Endpoint) *endpoint.Endpoint {
-		e := p.balancer.Choose(now, open, func(id string) bool { return slices.Contains(ask.Avoid, id) })
+		e := pick(now, open, func(id string) bool { return slices.Contains(ask.Avoid, id) })
 		if e == nil {
-			e = p.balancer.Choose(now, open, func(string) bool { return false })
+			e = pick(now, open, func(string) bool { return false })
 		}
 		return e
 	}
 	if e := p.pacers.take(now, ready, choose); e != nil {
-		return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
+		return &balancedPlace{balancer: p.balancer, endpoint: e, feedback: p.feedback}, nil
 	}
 	if len(ready) == 0 {
 		return nil, p.noEndpoint(ask)
@@ -135,7 +141,7 @@
 	case <-timer.C:
 	}
 	p.balancer.Choose(time.Now(), []*endpoint.Endpoint{e}, func(string) bool { return false })
-	return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
+	return &balancedPlace{balancer: p.balancer, endpoint: e, feedback: p.feedback}, nil
 }
 
 // versionOf returns the version at which a request to a plain service has to go on, nil if any will
@@ -288,6 +294,7 @@
 type balancedPlace struct {
 	balancer *balance.Balancer
 	endpoint *endpoint.Endpoint
+	feedback bool
 }
 
 // Endpoint implements forward.Placement.
@@ -304,6 +311,10 @@
 
 // Release implements forward.Placement.
 func (p *balancedPlace) Release(use forward.Usage) {
+	if p.feedback && use.Outcome == forward.OutcomeFailed && use.ServerError {
+		p.balancer.Errored(time.Now(), p.endpoint.ID)
+		return
+	}
 	p.balancer.Done(time.Now(), p.endpoint.ID, penaltyOf(use.Outcome))
 }
 
