--- a/balance/balance.go
+++ b/balance/balance.go
@@ -159,8 +159,9 @@
 	return costPenalized
 }
 
-// Errored ends a request to an endpoint that ran it and answered with a server error.
-func (b *Balancer) Errored(now time.Time, id string) {
+// Errored ends a request to an endpoint that ran it and answered with a server error. It returns how many
+// of these came in a row, and for how long the endpoint is avoided.
+func (b *Balancer) Errored(now time.Time, id string) (inARow int, pause time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.end(id)
@@ -170,8 +171,10 @@
 	}
 	e.count++
 	e.last = now
-	e.until = now.Add(errorPauses[min(e.count, len(errorPauses))-1])
+	pause = errorPauses[min(e.count, len(errorPauses))-1]
+	e.until = now.Add(pause)
 	b.erring[id] = e
+	return e.count, pause
 }
 
 // end ends a request to an endpoint. Called with mu locked.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -120,7 +120,7 @@
 		return e
 	}
 	if e := p.pacers.take(now, ready, choose); e != nil {
-		return &balancedPlace{balancer: p.balancer, endpoint: e, feedback: p.feedback}, nil
+		return &balancedPlace{placer: p, endpoint: e, request: ask.Request}, nil
 	}
 	if len(ready) == 0 {
 		return nil, p.noEndpoint(ask)
@@ -141,7 +141,7 @@
 	case <-timer.C:
 	}
 	p.balancer.Choose(time.Now(), []*endpoint.Endpoint{e}, func(string) bool { return false })
-	return &balancedPlace{balancer: p.balancer, endpoint: e, feedback: p.feedback}, nil
+	return &balancedPlace{placer: p, endpoint: e, request: ask.Request}, nil
 }
 
 // versionOf returns the version at which a request to a plain service has to go on, nil if any will
@@ -292,9 +292,10 @@
 
 // balancedPlace is room at an endpoint by the balancer's count.
 type balancedPlace struct {
-	balancer *balance.Balancer
+	placer   *placer
 	endpoint *endpoint.Endpoint
-	feedback bool
+	// request is the client's request id.
+	request string
 }
 
 // Endpoint implements forward.Placement.
@@ -311,11 +312,13 @@
 
 // Release implements forward.Placement.
 func (p *balancedPlace) Release(use forward.Usage) {
-	if p.feedback && use.Outcome == forward.OutcomeFailed && use.ServerError {
-		p.balancer.Errored(time.Now(), p.endpoint.ID)
+	if p.placer.feedback && use.Outcome == forward.OutcomeFailed && use.ServerError {
+		inARow, pause := p.placer.balancer.Errored(time.Now(), p.endpoint.ID)
+		_ = level.Info(p.placer.logger).Log("event", "plain_endpoint_avoided", "endpoint", p.endpoint.ID, "service", p.endpoint.Service,
+			"request", p.request, "in_a_row", inARow, "pause_ms", pause.Milliseconds())
 		return
 	}
-	p.balancer.Done(time.Now(), p.endpoint.ID, penaltyOf(use.Outcome))
+	p.placer.balancer.Done(time.Now(), p.endpoint.ID, penaltyOf(use.Outcome))
 }
 
 // penaltyOf says how badly an endpoint did.
