--- a/forward/interfaces.go
+++ b/forward/interfaces.go
@@ -93,6 +93,8 @@
 	// FirstEvent is the time until the first of them, Generating the time from the first to the
 	// last; zero without events.
 	FirstEvent, Generating time.Duration
+	// Took is the time of the whole attempt.
+	Took time.Duration
 	// ServerError is set if the endpoint ran the request and responded with a status of 500 or
 	// above.
 	ServerError bool
--- a/forward/try.go
+++ b/forward/try.go
@@ -52,6 +52,7 @@
 // release releases the placement, the connection and the timers of the attempt.
 func (a *attempt) release(outcome Outcome) {
 	a.usage.Outcome = outcome
+	a.usage.Took = time.Since(a.started)
 	a.watch.Stop()
 	if a.response != nil {
 		a.usage.ServerError = a.verdict == platform.Failed && a.response.Status >= http.StatusInternalServerError
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -359,7 +359,9 @@
 	u := scheduler.Usage{
 		Outcome: outcomeOf(use), Reusable: use.Reusable,
 		FirstEvent: use.FirstEvent, Events: use.Events, Generating: use.Generating,
-		NoEvent: use.Outcome == forward.OutcomeAbandoned && use.Events == 0,
+	}
+	if use.Outcome == forward.OutcomeAbandoned && use.Events == 0 {
+		u.Silent = use.Took
 	}
 	if u.Outcome == scheduler.Errored || u.Outcome == scheduler.Failed {
 		u.Work = p.work
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -114,8 +114,8 @@
 		s.setRateLimit(now, c.rateShare)
 	}
 	c.removeIdleEndpoints()
-	for _, v := range c.services {
-		c.limitExcluded(now, v)
+	for _, name := range c.serviceNames() {
+		c.limitExcluded(now, c.services[name])
 	}
 	c.dispatchAll(now)
 }
@@ -294,7 +294,7 @@
 // is paused, so that no further work is lost at it if it has failed.
 func (c *Core) Stalled(now time.Time, id string) {
 	if t := c.tickets[id]; t != nil {
-		if m := c.members[t.host]; m != nil && m.stranded {
+		if m := c.members[t.host]; (m != nil && m.stranded) || c.blamesHost(now, c.service(t.endpoint.Service), t) {
 			return
 		}
 		if until := now.Add(stallPause); until.After(t.endpoint.pausedUntil) {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -22,16 +22,24 @@
 // has not come are passed over.
 func (c *Core) dispatch(now time.Time, v *service) {
 	c.forfeitAccrued(now)
+	// singlesWait means that a request that can't be repeated waits for a sound endpoint.
+	singlesWait := false
 	for i := 0; i < len(v.queue); {
 		w := v.queue[i]
+		if singlesWait && !w.Repeatable && w.Version == nil {
+			i++
+			continue
+		}
 		if c.suspects.Wait(now, w.keys) > 0 {
 			i++
 			continue
 		}
 		if !c.startOnline(now, v, w) {
-			if w.Version != nil || v.reservedForOthers(now, w) || (v.underTest > 0 && !w.Repeatable) {
+			single := v.underTest > 0 && !w.Repeatable
+			if w.Version != nil || v.reservedForOthers(now, w) || single {
 				// Others may start at endpoints of other versions, or that this host has not
 				// read yet, or that get only requests that can be repeated.
+				singlesWait = singlesWait || single
 				i++
 				continue
 			}
--- a/scheduler/feedback.go
+++ b/scheduler/feedback.go
@@ -129,7 +129,7 @@
 	case Unreachable, Failed:
 		c.observeFailure(now, v, t, u, m, true)
 	case Abandoned:
-		if u.NoEvent && now.Sub(t.since) >= silentAfter {
+		if u.Silent >= silentAfter {
 			c.observeFailure(now, v, t, u, m, false)
 		}
 	default:
--- a/scheduler/feedback_test.go
+++ b/scheduler/feedback_test.go
@@ -16,6 +16,8 @@
 	// rate is the number of requests per second, single the share of them that have one attempt.
 	rate, single float64
 	length       time.Duration
+	// wave makes the rate that of Halvorsen's square wave.
+	wave bool
 	// jobs is the rate of batch jobs of ten items.
 	jobs float64
 	// fails returns how a use of an engine by a host that begins at a time ends, and after which
@@ -115,8 +117,15 @@
 		soundAt: make(map[int]time.Duration), excludedEver: make(map[int]bool), notices: make(map[HealthStep]int),
 	}
 	r.start()
+	highest := 1.0
+	if l.wave {
+		highest = 1.87
+	}
 	for at := time.Duration(0); at < l.length; {
-		at += time.Duration(r.random.ExpFloat64() / l.rate * float64(time.Second))
+		at += time.Duration(r.random.ExpFloat64() / (highest * l.rate) * float64(time.Second))
+		if l.wave && r.random.Float64() > wave(at)/highest {
+			continue
+		}
 		r.at(at, func() { r.arrive(&feedbackRequest{repeatable: r.random.Float64() >= l.single}) })
 	}
 	for at := time.Duration(0); l.jobs > 0 && at < l.length; {
@@ -433,6 +442,14 @@
 	failUntil = 8200 * time.Millisecond
 )
 
+// wave returns the share of the mean rate at a time: Halvorsen's square wave.
+func wave(at time.Duration) float64 {
+	if at%(5800*time.Millisecond) < 3400*time.Millisecond {
+		return 0.38
+	}
+	return 1.87
+}
+
 // fiveFail is the load of Halvorsen on which five of 60 engines answer 500 at once for 5.2 s.
 func fiveFail(seed uint64) feedbackLoad {
 	return feedbackLoad{
@@ -898,7 +915,7 @@
 		now := replayStart.Add(time.Second)
 		for n, u := range []Usage{
 			{Outcome: "later-build"}, {}, {Outcome: Finished, Events: -1, Generating: -time.Second},
-			{Outcome: Finished, Events: 1 << 40, Generating: 1, FirstEvent: -5}, {Outcome: Abandoned, NoEvent: true},
+			{Outcome: Finished, Events: 1 << 40, Generating: 1, FirstEvent: -5}, {Outcome: Abandoned, Silent: -time.Hour},
 		} {
 			u.Ticket = useOf(c, now, "h0", 0, n)
 			c.Done(now.Add(time.Millisecond), u)
@@ -979,3 +996,30 @@
 		}
 	}
 }
+
+// TestFailingEndpointsAtAPeak guards against engines that fail while all others are full, and get the
+// requests that would have to wait.
+func TestFailingEndpointsAtAPeak(t *testing.T) {
+	for _, seed := range seeds {
+		l := fiveFail(seed)
+		l.rate, l.wave = 330, true
+		o := runFeedback(t, l)
+		l.off = true
+		without := runFeedback(t, l)
+		t.Logf("seed %d: lost %v (of one attempt %v), failed %v, refused %d; without feedback lost %d, failed %d, refused %d; %v",
+			seed, o.lost, o.lostSingle, o.failed, o.refused, total(without.lost), total(without.failed), without.refused, o.notices)
+		if total(o.lost) >= 40 || total(without.lost) < 100 {
+			t.Errorf("seed %d: %d requests lost, %d without feedback", seed, total(o.lost), total(without.lost))
+		}
+		for e := range 5 {
+			if at := o.soundAt[e]; at < failUntil || at > failUntil+2*time.Second {
+				t.Errorf("seed %d: engine %d was taken for sound at %s, it was at %s", seed, e, at, failUntil)
+			}
+		}
+		for e := 5; e < 60; e++ {
+			if o.excludedEver[e] {
+				t.Errorf("seed %d: engine %d was excluded", seed, e)
+			}
+		}
+	}
+}
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -59,15 +59,6 @@
 	}
 }
 
-// firstPace returns how long the endpoint takes to the first event, relative to the median of
-// its service.
-func (s *endpointState) firstPace() float64 {
-	if s.speed.firstRatio > 0 {
-		return s.speed.firstRatio
-	}
-	return s.pace()
-}
-
 // observe adds the times of a finished use, and compares the endpoints of the service if that is
 // due.
 func (p *endpointSpeed) observe(now time.Time, v *service, u *Usage) {
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -56,8 +56,9 @@
 	FirstEvent time.Duration `json:"first_event,omitempty"`
 	Events     int           `json:"events,omitempty"`
 	Generating time.Duration `json:"generating,omitempty"`
-	// NoEvent means that a stream was abandoned before its first event.
-	NoEvent bool `json:"no_event,omitempty"`
+	// Silent is for how long the endpoint had sent no event of a stream when it was abandoned;
+	// zero if it had sent one.
+	Silent time.Duration `json:"silent,omitempty"`
 	// Work is the fingerprint of online work that failed.
 	Work string `json:"work,omitempty"`
 }
--- a/slots/delay.go
+++ b/slots/delay.go
@@ -51,6 +51,11 @@
 	if m.Crash != nil {
 		m.Crash.Age += d
 	}
+	if m.Hello != nil {
+		for i := range m.Hello.Failing {
+			m.Hello.Failing[i].Age += d
+		}
+	}
 	for i := range m.Answers {
 		m.Answers[i].Age += d
 	}
