--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -37,6 +37,8 @@
 	processes    hostProcesses
 	// controls are the control addresses of the first hosts.
 	controls []string
+	// settings are further sections of the settings of gateways that are made.
+	settings string
 	// quota is that of the route for batch jobs; zero means routedQuota.
 	quota   int
 	engines []*standin.Replica
@@ -154,7 +156,7 @@
 %s
 [store]
 address = %s
-`, name, strings.Join(f.controls, ","), callers, ready, peers, control, store)
+%s`, name, strings.Join(f.controls, ","), callers, ready, peers, control, store, f.settings)
 	file := filepath.Join(f.t.TempDir(), name+".ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
