--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -16,7 +16,8 @@
 //
 // Invariants: each SlotRequest that isn't withdrawn ends in exactly one Grant or Refuse,
 // where a repeated SlotRequest for a ticket in use only repeats the Grant; online requests
-// wait only while no batch item can be revoked for them, or as suspects; batch items start
+// wait only while no batch item can be revoked for them, as suspects, or while the only free slots
+// are at endpoints that fail; batch items start
 // only while no other online request waits and a slot is free; an endpoint never has more unrevoked tickets
 // than slots, except for tickets that a joining host reports as already running; an endpoint
 // with a rate limit is granted no more than rateShare of it, whatever the class.
--- a/scheduler/failedworks.go
+++ b/scheduler/failedworks.go
@@ -15,9 +15,11 @@
 type failedWork struct {
 	work uint64
 	at   time.Time
-	// endpoints are those at which it failed, and evidence what was counted against each.
+	// endpoints are those at which it failed, evidence what was counted against each, and
+	// lost whether a crash was counted.
 	endpoints [maxFailedAt]*endpointState
 	evidence  [maxFailedAt]float64
+	lost      [maxFailedAt]bool
 	n         int
 	// faulty means that the work fails wherever it runs.
 	faulty bool
@@ -43,7 +45,7 @@
 }
 
 // record records a failure at an endpoint.
-func (f *failedWorks) record(now time.Time, work uint64, s *endpointState, evidence float64) {
+func (f *failedWorks) record(now time.Time, work uint64, s *endpointState, evidence float64, lost bool) {
 	if work == 0 {
 		return
 	}
@@ -60,11 +62,12 @@
 	for i := range w.n {
 		if w.endpoints[i] == s {
 			w.evidence[i] += evidence
+			w.lost[i] = w.lost[i] || lost
 			return
 		}
 	}
 	if w.n < maxFailedAt {
-		w.endpoints[w.n], w.evidence[w.n] = s, evidence
+		w.endpoints[w.n], w.evidence[w.n], w.lost[w.n] = s, evidence, lost
 		w.n++
 	}
 }
--- a/scheduler/feedback.go
+++ b/scheduler/feedback.go
@@ -206,9 +206,6 @@
 		return
 	}
 	h.seenBy(now, t.host)
-	if lost && !h.lose(now, t.since) {
-		return // Of the same crash.
-	}
 	work := t.work
 	if work == 0 {
 		work = workOf(u.Work)
@@ -217,13 +214,16 @@
 		c.blameWork(now, v, w, t, u)
 		return
 	}
+	if lost && !h.lose(now, t.since) {
+		return // Of the same crash.
+	}
 	h.uses.add(now, 1)
 	if !lost {
 		// Crashes have caution of their own.
 		h.failures.add(now, 1)
 	}
 	evidence := h.fail(now, t.since, work, base)
-	v.works.record(now, work, s, evidence)
+	v.works.record(now, work, s, evidence, lost)
 	if t.trial && h.level == healthExcluded {
 		c.note(now, v, s, StepProbeFailed, t, u)
 	}
@@ -239,6 +239,9 @@
 	for i := range w.n {
 		s := w.endpoints[i]
 		s.health.withdraw(now, w.evidence[i])
+		if w.lost[i] {
+			s.health.withdrawCrash()
+		}
 		w.endpoints[i] = nil
 		c.assess(now, v, s, nil, nil)
 	}
--- a/scheduler/feedback_test.go
+++ b/scheduler/feedback_test.go
@@ -33,8 +33,10 @@
 	// poisoned are the times at which requests come that fail wherever they run; each is sent
 	// again once by its client.
 	poisoned []time.Duration
-	seed     uint64
-	off      bool
+	// poison is how these end.
+	poison Outcome
+	seed   uint64
+	off    bool
 }
 
 // feedbackUse is a use of an engine.
@@ -325,7 +327,7 @@
 		outcome, after = r.load.fails(r, use)
 	}
 	if q.poisoned {
-		outcome, after = Errored, 30*time.Millisecond
+		outcome, after = r.load.poison, 30*time.Millisecond
 	}
 	if outcome == Finished {
 		generating := r.takes(use.engine, q.tokens)
@@ -669,20 +671,23 @@
 // and make the endpoints that they reach look as if they failed.
 func TestRequestsThatFailAnywhereExcludeNobody(t *testing.T) {
 	for _, engines := range []int{6, 60} {
-		for _, seed := range seeds {
-			l := feedbackLoad{
-				engines: engines, slots: 8, rate: 4.6 * float64(engines), single: 0.2, length: 10 * time.Second, seed: seed,
-			}
-			for i := range 10 {
-				l.poisoned = append(l.poisoned, 3*time.Second+time.Duration(i)*time.Millisecond)
-			}
-			o := runFeedback(t, l)
-			t.Logf("%d engines, seed %d: excluded %v, failed %d, %v", engines, seed, o.excludedEver, total(o.failed), o.notices)
-			if len(o.excludedEver) > 0 {
-				t.Errorf("%d engines, seed %d: engines %v were excluded", engines, seed, o.excludedEver)
-			}
-			if o.refused > 0 {
-				t.Errorf("%d engines, seed %d: %d requests refused", engines, seed, o.refused)
+		for _, poison := range []Outcome{Errored, Failed} {
+			for _, seed := range seeds {
+				l := feedbackLoad{
+					engines: engines, slots: 8, rate: 4.6 * float64(engines), single: 0.2, length: 10 * time.Second, seed: seed, poison: poison,
+				}
+				for i := range 10 {
+					l.poisoned = append(l.poisoned, 3*time.Second+time.Duration(i)*time.Millisecond)
+				}
+				o := runFeedback(t, l)
+				load := fmt.Sprintf("%d engines, seed %d, %s", engines, seed, poison)
+				t.Logf("%s: excluded %v, failed %d, %v", load, o.excludedEver, total(o.failed), o.notices)
+				if len(o.excludedEver) > 0 {
+					t.Errorf("%s: engines %v were excluded", load, o.excludedEver)
+				}
+				if o.refused > 0 {
+					t.Errorf("%s: %d requests refused", load, o.refused)
+				}
 			}
 		}
 	}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -327,6 +327,12 @@
 	return true
 }
 
+// withdrawCrash takes back the last crash.
+func (h *endpointHealth) withdrawCrash() {
+	copy(h.crashes[1:], h.crashes[:maxCrashes-1])
+	h.crashes[0] = time.Time{}
+}
+
 // cautious reports whether the endpoint still returns from its last crash.
 func (h *endpointHealth) cautious(now time.Time) bool {
 	n := h.recentCrashes(now)
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -7,9 +7,11 @@
 
 // Outcomes of a use.
 const (
-	// Finished means that the endpoint responded, whatever the status of the response.
+	// Finished means that the endpoint responded with a status below 500; older builds report
+	// any status so.
 	Finished Outcome = "finished"
-	// Errored means that the endpoint ran the work and responded with a server error.
+	// Errored means that the endpoint ran the work and responded with a server error. Without
+	// Options.EndpointFeedback it acts as Finished does.
 	Errored Outcome = "errored"
 	// Abandoned means that the host ended the work: its client disconnected, or it was
 	// preempted.
