--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -89,7 +89,7 @@
 	}
 	s := v.probe(now, p)
 	if s == nil {
-		v.allowAnywhere(now, p)
+		v.prepareAdmission(now, p)
 		s = v.cheapest(now, p, free)
 	}
 	if s == nil || host == nil {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -97,7 +97,7 @@
 // placeOnline returns the endpoint for a request, after it has revoked a batch item if no slot is
 // free; nil if there is none.
 func (c *Core) placeOnline(now time.Time, v *service, p *placement) *endpointState {
-	v.allowAnywhere(now, p)
+	v.prepareAdmission(now, p)
 	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, p) {
 		return nil
 	}
--- a/scheduler/feedback.go
+++ b/scheduler/feedback.go
@@ -74,12 +74,19 @@
 // admits reports whether an endpoint may be used for this work, by the outcomes of its uses. If it
 // were none, all may be.
 func (p *placement) admits(now time.Time, s *endpointState) bool {
-	return p.anywhere || (s.admits(now, p.repeatable) && (p.host == nil || len(p.host.paths) == 0 || p.host.pathAdmits(now, s.ID, p.repeatable)))
+	return (s.health.level == healthSound && !p.paths) || p.admitsTested(now, s)
 }
 
-// allowAnywhere lets the work be placed at any endpoint if no usable one admits it.
-func (v *service) allowAnywhere(now time.Time, p *placement) {
-	if v.underTest == 0 && (p.host == nil || len(p.host.paths) == 0) {
+// admitsTested is admits for endpoints under test, and hosts with failures of their own.
+func (p *placement) admitsTested(now time.Time, s *endpointState) bool {
+	return p.anywhere || (s.admits(now, p.repeatable) && (!p.paths || p.host.pathAdmits(now, s.ID, p.repeatable)))
+}
+
+// prepareAdmission prepares a placement for admits: if no usable endpoint admits the work, it may be placed
+// at any.
+func (v *service) prepareAdmission(now time.Time, p *placement) {
+	p.paths = p.host != nil && len(p.host.paths) > 0
+	if v.underTest == 0 && !p.paths {
 		return
 	}
 	p.anywhere = !slices.ContainsFunc(v.endpoints, func(s *endpointState) bool {
--- a/scheduler/feedback_test.go
+++ b/scheduler/feedback_test.go
@@ -989,7 +989,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		v.probe(now, p)
-		v.allowAnywhere(now, p)
+		v.prepareAdmission(now, p)
 		n := time.Duration(0)
 		for _, s := range v.endpoints {
 			if p.admits(now, s) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -43,6 +43,8 @@
 	// repeatable means that the work may run again after a failure; anywhere that no usable
 	// endpoint admits it, so that any will do.
 	repeatable, anywhere bool
+	// paths means that the host has failed at endpoints of late.
+	paths bool
 	// standsIn means that the work tests endpoints though it can't be repeated.
 	standsIn bool
 }
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -14,15 +14,9 @@
 	// a power failure, 300 hosts may each schedule for themselves; if all ordered
 	// endpoints by id, they would send their first requests to the same few.
 	tieBreak uint64
-	// listed means that the endpoint accepts new work. If not, it may still have tickets.
-	listed  bool
-	tickets map[string]*ticket
-	revoked int
-	tokens  int64
-	// pausedUntil is the end of the pause after a failure, during which the endpoint
-	// gets no new work. failures counts consecutive failures.
-	pausedUntil time.Time
-	failures    int
+	tickets  map[string]*ticket
+	revoked  int
+	tokens   int64
 	// pausedBy is the host that began the last pause by failing to use the endpoint; "" if the
 	// endpoint's own answer did.
 	pausedBy string
@@ -34,10 +28,18 @@
 	promptParts *recent.Set
 	// pacer spaces the requests to an endpoint with a rate limit; nil if it has none.
 	pacer *throttle.Pacer
+	// failures counts consecutive failures.
+	failures int
 	// speed and health are what the times and outcomes of its uses say of the endpoint; with
-	// Options.EndpointFeedback. They are side by side as decisions read both of each endpoint.
-	speed  endpointSpeed
-	health endpointHealth
+	// Options.EndpointFeedback. Decisions read the end of speed, the beginning of health and
+	// what is between them of each endpoint.
+	speed endpointSpeed
+	// listed means that the endpoint accepts new work. If not, it may still have tickets.
+	listed bool
+	// pausedUntil is the end of the pause after a failure, during which the endpoint
+	// gets no new work.
+	pausedUntil time.Time
+	health      endpointHealth
 	// removed means that the endpoint is no longer one of its service.
 	removed bool
 }
