--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -377,6 +377,7 @@
 			logger:      g.logger,
 			crashes:     newCrashDetector(g.logger, g.registry, g.endpoints.View, g.sender.Dial, g.client.ReportCrash),
 			links:       g.sender.Links(),
+			feedback:    enabled(g.settings.EndpointFeedback, g.settings.Contracts),
 			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
 		Sender:      g.sender,
@@ -452,6 +453,7 @@
 				RateLimit:   g.limits.Rate(e),
 				Version:     e.Version,
 				Started:     e.Started,
+				Address:     e.Address,
 			})
 		}
 	}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -56,6 +56,8 @@
 	crashes       *crashDetector
 	links         *detour.Links
 	logger        log.Logger
+	// feedback has endpoints of plain services that answer with server errors avoided.
+	feedback bool
 	// age returns how old the picture of the endpoints is.
 	age func() time.Duration
 }
@@ -135,15 +137,19 @@
 	}
 	now := time.Now()
 	ready := ofVersion(version, p.endpoints.View().Ready(ask.Service))
+	pick := p.balancer.Choose
+	if p.feedback && !ask.Repeatable {
+		pick = p.balancer.ChooseOnce
+	}
 	choose := func(open []*endpoint.Endpoint) *endpoint.Endpoint {
-		e := p.balancer.Choose(now, open, func(id string) bool { return slices.Contains(ask.Avoid, id) })
+		e := pick(now, open, func(id string) bool { return slices.Contains(ask.Avoid, id) })
 		if e == nil {
-			e = p.balancer.Choose(now, open, func(string) bool { return false })
+			e = pick(now, open, func(string) bool { return false })
 		}
 		return e
 	}
 	if e := p.pacers.take(now, ready, choose); e != nil {
-		return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
+		return &balancedPlace{placer: p, endpoint: e, request: ask.Request}, nil
 	}
 	if len(ready) == 0 {
 		return nil, p.noEndpoint(ask)
@@ -164,7 +170,7 @@
 	case <-timer.C:
 	}
 	p.balancer.Choose(time.Now(), []*endpoint.Endpoint{e}, func(string) bool { return false })
-	return &balancedPlace{balancer: p.balancer, endpoint: e}, nil
+	return &balancedPlace{placer: p, endpoint: e, request: ask.Request}, nil
 }
 
 // versionOf returns the version at which a request to a plain service has to go on, nil if any will
@@ -234,7 +240,7 @@
 		e := p.endpoints.View().Endpoint(lease.Endpoint)
 		outcome, usable := usableGrant(ask, lease.Version, e)
 		if usable {
-			return &leasedPlace{lease: lease, endpoint: e}, nil
+			return &leasedPlace{lease: lease, endpoint: e, work: ask.Fingerprint}, nil
 		}
 		_ = level.Info(p.logger).Log("event", "slot_returned", "request", ask.Request, "endpoint", lease.Endpoint, "outcome", outcome)
 		lease.Release(scheduler.Usage{Outcome: outcome})
@@ -326,8 +332,10 @@
 
 // balancedPlace is room at an endpoint by the balancer's count.
 type balancedPlace struct {
-	balancer *balance.Balancer
+	placer   *placer
 	endpoint *endpoint.Endpoint
+	// request is the client's request id.
+	request string
 }
 
 // Endpoint implements forward.Placement.
@@ -344,7 +352,13 @@
 
 // Release implements forward.Placement.
 func (p *balancedPlace) Release(use forward.Usage) {
-	p.balancer.Done(time.Now(), p.endpoint.ID, penaltyOf(use.Outcome))
+	if p.placer.feedback && use.Outcome == forward.OutcomeFailed && use.ServerError {
+		inARow, pause := p.placer.balancer.Errored(time.Now(), p.endpoint.ID)
+		_ = level.Info(p.placer.logger).Log("event", "plain_endpoint_avoided", "endpoint", p.endpoint.ID, "service", p.endpoint.Service,
+			"request", p.request, "in_a_row", inARow, "pause_ms", pause.Milliseconds())
+		return
+	}
+	p.placer.balancer.Done(time.Now(), p.endpoint.ID, penaltyOf(use.Outcome))
 }
 
 // penaltyOf says how badly an endpoint did.
@@ -363,6 +377,8 @@
 type leasedPlace struct {
 	lease    *slots.Lease
 	endpoint *endpoint.Endpoint
+	// work is the fingerprint of the request.
+	work string
 }
 
 // Endpoint implements forward.Placement.
@@ -388,7 +404,16 @@
 
 // Release implements forward.Placement.
 func (p *leasedPlace) Release(use forward.Usage) {
-	u := scheduler.Usage{Outcome: outcomeOf(use.Outcome), Reusable: use.Reusable}
+	u := scheduler.Usage{
+		Outcome: outcomeOf(use), Reusable: use.Reusable,
+		FirstEvent: use.FirstEvent, Events: use.Events, Generating: use.Generating,
+	}
+	if use.Outcome == forward.OutcomeAbandoned && use.Events == 0 {
+		u.Silent = use.Took
+	}
+	if u.Outcome == scheduler.Errored || u.Outcome == scheduler.Failed {
+		u.Work = p.work
+	}
 	if use.TimeToFirstByte > 0 {
 		u.First = p.lease.Overhead + use.TimeToFirstByte
 	}
@@ -396,9 +421,12 @@
 }
 
 // outcomeOf says of a try's outcome what it means for the endpoint.
-func outcomeOf(o forward.Outcome) scheduler.Outcome {
-	switch o {
+func outcomeOf(use forward.Usage) scheduler.Outcome {
+	switch use.Outcome {
 	case forward.OutcomeAnswered, forward.OutcomeFailed:
+		if use.ServerError {
+			return scheduler.Errored
+		}
 		return scheduler.Finished
 	case forward.OutcomeNotRun:
 		return scheduler.Refused
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -72,7 +72,9 @@
 	// just now and come back.
 	yield := now.Sub(v.overloadedAt) < overloadYield
 	free := func(s *endpointState) bool { return s.admissible(now) > 0 && (s.pacer == nil || !yield) }
-	if v.cheapest(now, &placement{}, free) == nil {
+	// Online requests test endpoints sooner than items, which take long.
+	tests := v.itemsTest(now)
+	if q := (&placement{repeatable: tests}); v.probe(now, q) == nil && v.cheapest(now, q, free) == nil {
 		return false
 	}
 	i := v.items.pop(now)
@@ -82,15 +84,20 @@
 	host := c.hostFor(now, v, i, free)
 	p := &placement{
 		host: host, tokens: i.PromptTokens + i.ExpectedTokens, prefix: i.Prefix, batch: true, limited: v.hasRateLimits(),
+		repeatable: tests,
 	}
 	if v.choice != nil {
 		chain := promptcache.NewChain(i.Workspace, i.Prefix, i.PrefixTokens, i.PromptTokens)
-		p.chain, p.expected, p.repeatable = &chain, max(0, i.ExpectedTokens-i.TokensDone), true
+		p.chain, p.expected = &chain, max(0, i.ExpectedTokens-i.TokensDone)
 	}
 	if i.TokensDone > 0 && v.lists(&i.version) {
 		p.version = &i.version
 	}
-	s := v.cheapest(now, p, free)
+	s := v.probe(now, p)
+	if s == nil {
+		v.prepareAdmission(now, p)
+		s = v.cheapest(now, p, free)
+	}
 	if s == nil || host == nil {
 		i.notBefore = now.Add(failedRunDelay)
 		v.items.push(i)
@@ -106,7 +113,8 @@
 	i.ticket = fmt.Sprintf("%s/%d/%d", i.Ref.Job, i.Ref.Item, c.seq)
 	i.host = host.name
 	host.runningItems++
-	t := &ticket{id: i.ticket, host: host.name, class: Batch, since: now, tokens: p.tokens, item: i}
+	v.itemAt = now
+	t := &ticket{id: i.ticket, host: host.name, class: Batch, since: now, tokens: p.tokens, item: i, work: workOfItem(i.Ref)}
 	s.countRequest(now)
 	if p.chain != nil {
 		t.chain = *p.chain
@@ -155,7 +163,7 @@
 func (c *Core) revokeOne(now time.Time, v *service, p *placement) bool {
 	var best candidate
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !p.eligible(now, s) || !s.takesRequest(now) {
+		if !s.usable(now) || !p.eligible(now, s) || !p.admits(now, s) || !s.takesRequest(now) {
 			continue
 		}
 		cost, known := 0.0, false
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -295,7 +295,7 @@
 // prefill is the time to read the others that counts.
 func (q *search) consider(r *row, held int, prefill float64) {
 	s, p := r.endpoint, q.p
-	if !s.usable(q.now) || !p.eligible(q.now, s) || !q.room(s) || !s.fits(p.tokens) || !s.admits(q.now, p.repeatable) {
+	if !s.usable(q.now) || !p.eligible(q.now, s) || !q.room(s) || !s.fits(p.tokens) || !p.admits(q.now, s) {
 		return
 	}
 	w := p.waits(q.now, &q.k, s, held)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -16,7 +16,8 @@
 //
 // Invariants: each SlotRequest that isn't withdrawn ends in exactly one Grant or Refuse,
 // where a repeated SlotRequest for a ticket in use only repeats the Grant; online requests
-// wait only while no batch item can be revoked for them, or as suspects; batch items start
+// wait only while no batch item can be revoked for them, as suspects, or while the only free slots
+// are at endpoints that fail; batch items start
 // only while no other online request waits and a slot is free; an endpoint never has more unrevoked tickets
 // than slots, except for tickets that a joining host reports as already running; an endpoint
 // with a rate limit is granted no more than rateShare of it, whatever the class.
@@ -45,6 +46,12 @@
 	// loads numbers the uses of slots.
 	loads   uint64
 	effects []Effect
+	// departed holds the crashes of endpoints that have left.
+	departed map[string][maxCrashes]time.Time
+	// notices tell changes of the health of endpoints; noticesDropped counts those beyond
+	// maxNotices.
+	notices        []HealthNotice
+	noticesDropped int
 }
 
 // NewCore returns a Core without hosts, endpoints or work.
@@ -57,6 +64,7 @@
 		tickets:      make(map[string]*ticket),
 		waiting:      make(map[string]*waiter),
 		items:        make(map[ItemRef]*openItem),
+		departed:     make(map[string][maxCrashes]time.Time),
 		suspects:     blame.NewPace(),
 		quotas:       newQuotas(o.Quota),
 		share:        1,
@@ -102,19 +110,24 @@
 		s.listed = false
 		s.refresh()
 	}
-	for _, e := range endpoints {
+	for i := range endpoints {
+		e := endpoints[i]
 		s := c.endpoints[e.ID]
 		if s == nil {
 			s = c.addEndpoint(e)
+			c.welcome(now, s)
 			v := c.service(e.Service)
 			sort.Slice(v.endpoints, func(i, j int) bool { return v.endpoints[i].before(v.endpoints[j]) })
 		}
 		restarted := !s.Started.Equal(e.Started)
-		s.Endpoint, s.listed = e, true
+		c.listEndpoint(now, s, &e)
 		s.setRateLimit(now, c.rateShare)
 		s.updateCache(restarted)
 	}
 	c.removeIdleEndpoints()
+	for _, name := range c.serviceNames() {
+		c.limitExcluded(now, c.services[name])
+	}
 	c.dispatchAll(now)
 }
 
@@ -138,6 +151,9 @@
 		}
 		delete(c.endpoints, id)
 		v := c.services[s.Service]
+		c.keepCrashes(s)
+		v.countLevel(s.health.level, -1)
+		s.removed = true
 		for i, o := range v.endpoints {
 			if o == s {
 				v.endpoints = append(v.endpoints[:i], v.endpoints[i+1:]...)
@@ -197,6 +213,9 @@
 		return
 	}
 	v.arrivals.count(now)
+	if request.Repeatable {
+		v.repeatableAt = now
+	}
 	c.seq++
 	w := &waiter{
 		SlotRequest: request, host: m, seq: c.seq, keys: request.Keys(),
@@ -286,7 +305,7 @@
 // is paused, so that no further work is lost at it if it has failed.
 func (c *Core) Stalled(now time.Time, id string) {
 	if t := c.tickets[id]; t != nil {
-		if m := c.members[t.host]; m != nil && m.stranded {
+		if m := c.members[t.host]; (m != nil && m.stranded) || c.blamesHost(now, c.service(t.endpoint.Service), t) {
 			return
 		}
 		if until := now.Add(stallPause); until.After(t.endpoint.pausedUntil) {
@@ -308,21 +327,27 @@
 func (c *Core) recordOutcome(now time.Time, v *service, t *ticket, u *Usage) {
 	s := t.endpoint
 	v.observeRead(now, t, u)
+	if c.opts.EndpointFeedback {
+		c.observeHealth(now, v, t, u)
+	}
 	switch u.Outcome {
-	case Finished:
+	case Finished, Errored:
+		if u.Outcome == Errored && c.opts.EndpointFeedback {
+			break
+		}
 		s.markHealthy()
 		if t.class == Online {
 			v.observeHold(now.Sub(t.since))
 			v.observeFirst(u.First)
 		}
 	case Refused:
-		s.pause(now, refusedPause, "")
+		s.pause(now, refusedPause, maxPause, "")
 	case Unreachable, Failed:
-		if m := c.members[t.host]; m == nil || !m.stranded {
-			s.pause(now, failurePause, t.host)
+		if m := c.members[t.host]; (m == nil || !m.stranded) && !c.blamesHost(now, v, t) {
+			s.pause(now, failurePause, c.longestPause(), t.host)
 		}
 	case Misdirected, Leaving:
-		s.pause(now, maxPause, "")
+		s.pause(now, maxPause, maxPause, "")
 	case Unread:
 		if m := c.members[t.host]; m != nil {
 			m.setUnread(now, s.ID)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -22,16 +22,24 @@
 // has not come are passed over.
 func (c *Core) dispatch(now time.Time, v *service) {
 	c.forfeitAccrued(now)
+	// singlesWait means that a request that can't be repeated waits for a sound endpoint.
+	singlesWait := false
 	for i := 0; i < len(v.queue); {
 		w := v.queue[i]
+		if singlesWait && !w.Repeatable && w.Version == nil {
+			i++
+			continue
+		}
 		if c.suspects.Wait(now, w.keys) > 0 {
 			i++
 			continue
 		}
 		if !c.startOnline(now, v, w) {
-			if w.Version != nil || v.reservedForOthers(now, w) {
+			single := v.underTest > 0 && !w.Repeatable
+			if w.Version != nil || v.reservedForOthers(now, w) || single {
 				// Others may start at endpoints of other versions, or that this host has not
-				// read yet.
+				// read yet, or that get only requests that can be repeated.
+				singlesWait = singlesWait || single
 				i++
 				continue
 			}
@@ -65,25 +73,22 @@
 func (c *Core) startOnline(now time.Time, v *service, w *waiter) bool {
 	p := &placement{
 		host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version,
-		chain: &w.chain, expected: w.ExpectedTokens, left: w.arrived.Add(w.Objective).Sub(now), repeatable: w.Repeatable,
-	}
-	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, p) {
-		return false
+		chain: &w.chain, expected: w.ExpectedTokens, left: w.arrived.Add(w.Objective).Sub(now),
+		repeatable: w.Repeatable, standsIn: !w.Repeatable && v.standsIn(now),
 	}
-	room := func(s *endpointState) bool { return s.heldSlots() < s.Slots && s.takesRequest(now) }
-	s := v.cheapest(now, p, room)
+	s := v.probe(now, p)
 	if s == nil {
-		if !c.revokeOne(now, v, p) {
-			return false
-		}
-		if s = v.cheapest(now, p, room); s == nil {
+		if s = c.placeOnline(now, v, p); s == nil {
 			return false
 		}
 	}
 	delete(c.waiting, w.Ticket)
 	c.suspects.Granted(now, w.keys)
 	s.countRequest(now)
-	t := &ticket{id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens, chain: w.chain}
+	t := &ticket{
+		id: w.Ticket, host: w.host.name, class: Online, since: now, tokens: p.tokens, chain: w.chain,
+		request: w.Request, work: workOf(w.Fingerprint), keys: w.keys,
+	}
 	v.estimate(now, p, s, t)
 	c.occupy(now, s, t, w.Prefix)
 	c.emit(Grant{
@@ -93,6 +98,24 @@
 	return true
 }
 
+// placeOnline returns the endpoint for a request, after it has revoked a batch item if no slot is
+// free; nil if there is none.
+func (c *Core) placeOnline(now time.Time, v *service, p *placement) *endpointState {
+	v.prepareAdmission(now, p)
+	if v.heldSlots(now) >= v.slotLimit(now, c.share) && !c.revokeOne(now, v, p) {
+		return nil
+	}
+	room := func(s *endpointState) bool { return s.heldSlots() < s.Slots && s.takesRequest(now) }
+	s := v.cheapest(now, p, room)
+	if s == nil {
+		if !c.revokeOne(now, v, p) {
+			return nil
+		}
+		s = v.cheapest(now, p, room)
+	}
+	return s
+}
+
 // occupy records a ticket as using a slot of an endpoint.
 func (c *Core) occupy(now time.Time, s *endpointState, t *ticket, prefix []string) {
 	t.endpoint = s
@@ -101,6 +124,13 @@
 		t.estimate.load = c.loads
 		s.loadPrompt(now, t)
 	}
+	if s.health.level != healthSound {
+		t.trial = true
+		s.health.beginTrial(now)
+		if s.health.level == healthExcluded {
+			c.note(now, c.service(s.Service), s, StepProbed, t, nil)
+		}
+	}
 	s.add(t)
 	c.tickets[t.id] = t
 	if s.hasIdleConnection(now, t.host) {
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -17,6 +17,8 @@
 	// RateLimit is how many requests per second the endpoint accepts from all hosts
 	// together; 0 means unlimited.
 	RateLimit float64
-	// Started is the start time of the engine's process. A restart loses what it had cached.
+	// Started is when the engine's process started, by its own clock; zero if unknown. A restart
+	// loses what it had cached. Address is where it is reached.
 	Started time.Time
+	Address string
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -26,6 +26,8 @@
 	// have one: the slots there are what waves of online requests need, and an item that is
 	// revoked and goes on costs a request more.
 	costRevocable = 1.5
+	// riskUnit is the expected harm of a failure that costs as much as a connection.
+	riskUnit = 50 * time.Millisecond
 )
 
 // placement describes work for which an endpoint is to be chosen.
@@ -40,13 +42,19 @@
 	batch bool
 	// limited means that some endpoints of the service have a rate limit.
 	limited bool
-	// chain, expected, left and repeatable are used only with Options.WeighWaits: the part of
-	// the prompt that others may share, the tokens that are expected to be generated, the time
-	// until the objective passes, and whether the work may run again if it fails.
-	chain      *promptcache.Chain
-	expected   int
-	left       time.Duration
-	repeatable bool
+	// chain, expected and left are used only with Options.WeighWaits: the part of the prompt
+	// that others may share, the tokens that are expected to be generated, and the time until
+	// the objective passes.
+	chain    *promptcache.Chain
+	expected int
+	left     time.Duration
+	// repeatable means that the work may run again after a failure; anywhere that no usable
+	// endpoint admits it, so that any will do.
+	repeatable, anywhere bool
+	// paths means that the host has failed at endpoints of late.
+	paths bool
+	// standsIn means that the work tests endpoints though it can't be repeated.
+	standsIn bool
 }
 
 // eligible reports whether a usable endpoint can be used for this work: it has the version that
@@ -81,7 +89,7 @@
 	if n := len(p.prefix); n > 1 && !s.promptParts.Has(p.prefix[n-2]) {
 		cost += costPrompt
 	}
-	return cost
+	return cost + float64(s.risk(now, p.repeatable))/float64(riskUnit)
 }
 
 // cheapest returns the usable endpoint of the lowest cost among those for which room
@@ -93,7 +101,7 @@
 	var best, fallback *endpointState
 	var bestCost, fallbackCost float64
 	for _, s := range v.endpoints {
-		if !s.usable(now) || !p.eligible(now, s) || !room(s) || !s.fits(p.tokens) {
+		if !s.usable(now) || !p.eligible(now, s) || !p.admits(now, s) || !room(s) || !s.fits(p.tokens) {
 			continue
 		}
 		cost := p.cost(now, s)
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -35,6 +35,18 @@
 	nextRetry time.Time
 	// choice is nil without Options.WeighWaits.
 	choice *choice
+	// underTest counts the endpoints that are not sound, excluded those that are excluded.
+	underTest, excluded int
+	// uses and failures are those that began at sound endpoints, allUses and allFailures those at all.
+	uses, failures, allUses, allFailures decayingCount
+	// works are those that failed of late.
+	works failedWorks
+	// repeatableAt is when a repeatable request last came, itemAt when an item last started.
+	repeatableAt, itemAt time.Time
+	// comparedAt is when the speeds of the endpoints were last compared, speeds the space for
+	// that.
+	comparedAt time.Time
+	speeds     []float64
 }
 
 // usableSlots returns the number of slots of all usable endpoints.
--- a/scheduler/station.go
+++ b/scheduler/station.go
@@ -15,15 +15,9 @@
 	// a power failure, 300 hosts may each schedule for themselves; if all ordered
 	// endpoints by id, they would send their first requests to the same few.
 	tieBreak uint64
-	// listed means that the endpoint accepts new work. If not, it may still have tickets.
-	listed  bool
-	tickets map[string]*ticket
-	revoked int
-	tokens  int64
-	// pausedUntil is the end of the pause after a failure, during which the endpoint
-	// gets no new work. failures counts consecutive failures.
-	pausedUntil time.Time
-	failures    int
+	tickets  map[string]*ticket
+	revoked  int
+	tokens   int64
 	// pausedBy is the host that began the last pause by failing to use the endpoint; "" if the
 	// endpoint's own answer did.
 	pausedBy string
@@ -42,6 +36,20 @@
 	place        place
 	cache        *promptcache.Engine
 	prefillUntil time.Time
+	// failures counts consecutive failures.
+	failures int
+	// speed and health are what the times and outcomes of its uses say of the endpoint; with
+	// Options.EndpointFeedback. Decisions read the end of speed, the beginning of health and
+	// what is between them of each endpoint.
+	speed endpointSpeed
+	// listed means that the endpoint accepts new work. If not, it may still have tickets.
+	listed bool
+	// pausedUntil is the end of the pause after a failure, during which the endpoint
+	// gets no new work.
+	pausedUntil time.Time
+	health      endpointHealth
+	// removed means that the endpoint is no longer one of its service.
+	removed bool
 }
 
 // maxPromptParts is how many prompt parts are remembered for an endpoint. Its cache of
@@ -81,9 +89,9 @@
 	return false
 }
 
-// usable reports whether the endpoint is listed and not paused, for all hosts.
+// usable reports whether the endpoint is listed, not paused and not excluded, for all hosts.
 func (s *endpointState) usable(now time.Time) bool {
-	return s.listed && !now.Before(s.pausedUntil)
+	return s.listed && s.health.level != healthExcluded && !now.Before(s.pausedUntil)
 }
 
 // hasVersion reports whether the endpoint has a software version; nil stands for any.
@@ -149,12 +157,15 @@
 		s.revoked--
 	}
 	s.refresh()
+	if t.trial {
+		s.health.trials--
+	}
 }
 
 // pause excludes the endpoint from new work after a failure. The pause starts at base
-// and doubles with consecutive failures, up to maxPause.
-func (s *endpointState) pause(now time.Time, base time.Duration, host string) {
-	d := min(base<<min(s.failures, 6), maxPause)
+// and doubles with consecutive failures, up to longest.
+func (s *endpointState) pause(now time.Time, base, longest time.Duration, host string) {
+	d := min(base<<min(s.failures, 6), longest)
 	s.failures++
 	s.pausedBy = host
 	if until := now.Add(d); until.After(s.pausedUntil) {
--- a/scheduler/ticket.go
+++ b/scheduler/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/promptcache"
 )
 
@@ -14,6 +15,14 @@
 	endpoint *endpointState
 	since    time.Time
 	tokens   int
+	// request is the client's request id, for the log.
+	request string
+	// work identifies the work, 0 if unknown; keys are those of a request that may crash
+	// endpoints.
+	work uint64
+	keys []blame.Key
+	// trial means that the endpoint was under test when the use began.
+	trial bool
 	// item is the batch item, or nil for an online request.
 	item *openItem
 	// revoked means that the host was sent a Revoke: it stops the item and releases the
--- a/scheduler/use.go
+++ b/scheduler/use.go
@@ -7,9 +7,11 @@
 
 // Outcomes of a use.
 const (
-	// Finished means that the endpoint responded, whatever the status of the response.
+	// Finished means that the endpoint responded with a status below 500; older builds report
+	// any status so.
 	Finished Outcome = "finished"
-	// Errored means that the endpoint ran the work and responded with a server error.
+	// Errored means that the endpoint ran the work and responded with a server error. Without
+	// Options.EndpointFeedback it acts as Finished does.
 	Errored Outcome = "errored"
 	// Abandoned means that the host ended the work: its client disconnected, or it was
 	// preempted.
@@ -51,4 +53,14 @@
 	First time.Duration `json:"first,omitempty"`
 	// Reusable means that the connection to the endpoint was kept open.
 	Reusable bool `json:"reusable,omitempty"`
+	// FirstEvent is the time from the sending to the first event of a stream, Events their
+	// number in this use, Generating the time from the first to the last.
+	FirstEvent time.Duration `json:"first_event,omitempty"`
+	Events     int           `json:"events,omitempty"`
+	Generating time.Duration `json:"generating,omitempty"`
+	// Silent is for how long the endpoint had sent no event of a stream when it was abandoned;
+	// zero if it had sent one.
+	Silent time.Duration `json:"silent,omitempty"`
+	// Work is the fingerprint of online work that failed.
+	Work string `json:"work,omitempty"`
 }
--- a/slots/client.go
+++ b/slots/client.go
@@ -90,6 +90,7 @@
 	held         map[string]*heldSlot
 	sent         sentLog
 	quotas       hostQuotas
+	failing      failingLog
 	seq          uint64
 	shuttingDown bool
 	// departed holds, by name and incarnation, when a scheduler announced its shutdown.
@@ -179,10 +180,14 @@
 func (c *Client) release(u scheduler.Usage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.held[u.Ticket]; h == nil {
+	h := c.held[u.Ticket]
+	if h == nil {
 		return
 	}
 	delete(c.held, u.Ticket)
+	if c.opts.EndpointFeedback {
+		c.failing.record(time.Now(), h.running.Endpoint, u.Outcome)
+	}
 	if c.link != nil {
 		c.link.send(HostMessage{Usage: &u})
 	}
@@ -283,6 +288,7 @@
 	}
 	hello.Sent = c.sent.since(now)
 	hello.Admitted = c.quotas.admitted.Reports(now)
+	hello.Failing = c.failing.list(now)
 	c.link = l
 	c.quotas.attachedAt = now
 	c.localScheduler.SetSuperseded(c.shuttingDown || l.scheduler() != c.opts.Self.Name)
--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -16,6 +16,7 @@
 	// promptTokens and prefillRate are only set if this host weighs waits as scheduler.
 	promptTokens *prometheus.CounterVec
 	prefillRate  *prometheus.GaugeVec
+	health       *healthMetrics
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -46,6 +47,7 @@
 		Name: "peridotmount_scheduler_prefill_tokens_per_millisecond",
 		Help: "Prompt tokens that an endpoint reads per millisecond, as this host learned as scheduler, by service.",
 	}, []string{"service"})
+	m.health = newHealthMetrics(r)
 	if r != nil {
 		r.MustRegister(m.decisions, m.waits, m.sessions, m.convictions, m.promptTokens, m.prefillRate)
 	}
