--- a/forward/authenticate_test.go
+++ b/forward/authenticate_test.go
@@ -438,3 +438,34 @@
 		}
 	}
 }
+
+// TestEachAttemptIsInTheNameOfItsWorkspace resumes a stream at a second endpoint, and hedges a request:
+// both endpoints get the workspace and no key.
+func TestEachAttemptIsInTheNameOfItsWorkspace(t *testing.T) {
+	hedged := idempotent
+	hedged.Objective = 100 * time.Millisecond
+	for name, x := range map[string]struct {
+		route  route.Route
+		events int
+		faults standin.ReplicaFaults
+	}{
+		"resumed stream": {resumable, 9, standin.ReplicaFaults{CutAfter: 3}},
+		"hedge":          {hedged, 0, standin.ReplicaFaults{Silent: true}},
+	} {
+		b := newTestbed(t, x.route, 2, x.events)
+		b.config.current.Workspaces = []route.Workspace{{Name: "a", Keys: []route.KeyHash{route.HashKey(keyOf("a"))}}}
+		b.config.current.Index()
+		b.forwarder.hedges.tokens = hedgeBurst
+		b.replicas[0].SetFaults(x.faults)
+		id, a := b.send(context.Background(), "", map[string]string{"X-Credential": keyOf("a"), "X-Tenant": "made up"})
+		runs := b.runs(id)
+		if a.status != http.StatusOK || len(runs) != 2 {
+			t.Fatalf("%s: response %+v, %d runs", name, a, len(runs))
+		}
+		for _, run := range runs {
+			if strings.Join(run.Header.Values("X-Tenant"), ",") != "a" || run.Header.Values("X-Credential") != nil {
+				t.Errorf("%s: an endpoint gets %v", name, run.Header)
+			}
+		}
+	}
+}
