heads: bound the memory of request heads over all connections

A net.Conn in the chain of each listener counts the bytes and fields of each head before net/http parses them, and reserves their estimated cost from a budget of the process until the request ends. A head beyond listen.header_fields or its byte limit gets 431, one for which there is no memory (listen.header_memory) 503 with Retry-After.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/peridotmount/peridotmount/heads"
+	"github.com/peridotmount/peridotmount/settings"
+)
 
 const (
 	// connectionsOfHosts bounds the connections of each listener that isn't for
@@ -10,10 +15,13 @@
 	// for endpoints, hosts and files.
 	callersDescriptors = 0.5
 	// callersMemory is the part of the memory that their connections may take, of
-	// connectionBytes each: two buffers of net/http, a goroutine's stack, the head
-	// of a request.
+	// connectionBytes each: two buffers of net/http, a goroutine's stack, an ordinary
+	// head of a request.
 	callersMemory   = 0.3
 	connectionBytes = 32 << 10
+	// headShare is the part of the memory for the heads of requests that are larger, at all
+	// listeners: 17 MB of 144 MB are enough for 38 of the largest heads that the platform allows.
+	headShare = 0.12
 	// detourDescriptors and detourMemory are the parts of the descriptors and of the memory for
 	// calls made for hosts that reach no endpoint, of two connections and detourCallBytes each.
 	detourDescriptors = 0.1
@@ -34,6 +42,14 @@
 	return max(1, min(int(float64(descriptors)*callersDescriptors), byMemory))
 }
 
+// headMemory returns the memory for the heads of requests.
+func headMemory(s *settings.Gateway) int64 {
+	if s.HeaderMemory > 0 {
+		return int64(s.HeaderMemory)
+	}
+	return max(int64(float64(s.Memory)*headShare), heads.MemoryFor(headerBytes, s.HeaderFields))
+}
+
 // detourCalls returns how many calls a host makes for others at the same time, by what the
 // process may use.
 func detourCalls(descriptors int, memory int64) int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/forward"
 	"github.com/peridotmount/peridotmount/graceful"
+	"github.com/peridotmount/peridotmount/heads"
 	"github.com/peridotmount/peridotmount/logring"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/picture"
@@ -123,6 +124,9 @@
 	listenerMetrics *bounded.Vectors
 	// unanswered counts the requests at all listeners that get no answer.
 	unanswered *graceful.Metrics
+	// headBudget is for the heads of requests at all listeners, refusedHeads counts those refused.
+	headBudget   *heads.Budget
+	refusedHeads *heads.Metrics
 	// endedConnections counts the ends of callers' connections by cause.
 	endedConnections *prometheus.CounterVec
 }
@@ -163,6 +167,8 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.listenerMetrics = bounded.NewVectors(g.registry)
 	g.unanswered = graceful.NewMetrics(g.registry)
+	g.headBudget = heads.NewBudget(headMemory(s), g.registry)
+	g.refusedHeads = heads.NewMetrics(g.registry)
 	g.endedConnections = disconnect.NewCounter(g.registry)
 	g.buildBeliefs()
 	g.buildSending()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -15,9 +15,11 @@
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/graceful"
+	"github.com/peridotmount/peridotmount/heads"
 	"github.com/peridotmount/peridotmount/httpjson"
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/relay"
+	"github.com/peridotmount/peridotmount/settings"
 	"github.com/peridotmount/peridotmount/slots"
 	"github.com/peridotmount/peridotmount/sockopt"
 	"github.com/peridotmount/peridotmount/traffic"
@@ -30,7 +32,7 @@
 	// close earlier, at four fifths of the limit in the configuration.
 	idleTimeout = 2 * time.Minute
 	// headerBytes bounds the headers of a request, and those of other hosts' answers.
-	headerBytes = 64 << 10
+	headerBytes = settings.GatewayHeaderBytes
 	// leavingRetry is the Retry-After of a host that shuts down: other hosts serve the request.
 	leavingRetry = 100 * time.Millisecond
 )
@@ -53,6 +55,7 @@
 	connections int
 	metrics     *bounded.Metrics
 	graceful    graceful.Options
+	heads       heads.Options
 	// ended counts the ends of connections by cause, if it is set.
 	ended *prometheus.CounterVec
 	// full answers calls when there are too many connections.
@@ -66,6 +69,7 @@
 	}
 	tracked := graceful.NewListener(socket, o.graceful)
 	var limited net.Listener = bounded.NewListener(tracked, o.connections, o.metrics)
+	limited = heads.NewListener(limited, o.heads)
 	if o.ended != nil {
 		limited = disconnect.NewListener(limited, o.ended)
 	}
@@ -73,9 +77,12 @@
 		name:   o.name,
 		socket: limited, connections: tracked,
 		http: &http.Server{
-			Handler:           tracked.Handler(connend.Handler(bounded.RejectOverLimit(o.handler, o.full))),
-			ConnContext:       connContext,
-			ConnState:         tracked.ConnState,
+			Handler:     tracked.Handler(connend.Handler(heads.Handler(bounded.RejectOverLimit(o.handler, o.full)))),
+			ConnContext: connContext,
+			ConnState: func(c net.Conn, s http.ConnState) {
+				heads.ConnState(c, s)
+				tracked.ConnState(c, s)
+			},
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    headerBytes,
@@ -92,7 +99,7 @@
 
 // connContext is the http.Server.ConnContext of a listener.
 func connContext(ctx context.Context, c net.Conn) context.Context {
-	ctx = graceful.ConnContext(ctx, c)
+	ctx = heads.ConnContext(graceful.ConnContext(ctx, c), c)
 	if tracked, ok := c.(*disconnect.Conn); ok {
 		return disconnect.NewContext(bounded.ConnContext(ctx, tracked.Conn), tracked)
 	}
@@ -152,6 +159,10 @@
 		}
 		party := traffic.Party(l.o.name)
 		l.o.metrics = g.listenerMetrics.ForParty(party)
+		l.o.heads = heads.Options{
+			Party: party, MaxBytes: headerBytes, MaxFields: g.settings.HeaderFields, Budget: g.headBudget,
+			Logger: g.logger, Metrics: g.refusedHeads,
+		}
 		l.o.graceful = graceful.Options{Party: party, Logger: g.logger, Metrics: g.unanswered}
 		if l.at == &g.callers {
 			l.o.graceful.Refuse, l.o.graceful.RefusalHeader = true, leavingHeader()
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/gossip"
 	"github.com/peridotmount/peridotmount/graceful"
+	"github.com/peridotmount/peridotmount/heads"
 	"github.com/peridotmount/peridotmount/keeper"
 	"github.com/peridotmount/peridotmount/limit"
 	"github.com/peridotmount/peridotmount/membership"
@@ -47,6 +48,9 @@
 	listeners *bounded.Vectors
 	// unanswered counts the requests whose connections the listeners close without an answer.
 	unanswered *graceful.Metrics
+	// headBudget is for the heads of requests at all listeners, refusedHeads counts those refused.
+	headBudget   *heads.Budget
+	refusedHeads *heads.Metrics
 	// buildErr is what stopped the parts from being made.
 	buildErr error
 	clock    *timeline.Clock
@@ -116,6 +120,8 @@
 	n.metrics = newMetrics(n.registry)
 	n.listeners = bounded.NewVectors(n.registry)
 	n.unanswered = graceful.NewMetrics(n.registry)
+	n.headBudget = heads.NewBudget(int64(s.Listen.HeaderMemory), n.registry)
+	n.refusedHeads = heads.NewMetrics(n.registry)
 	n.traffic = traffic.NewCounter(n.registry)
 	n.clock = timeline.NewClock(time.Now)
 	if s.Timeline.Record {
--- a/node/server.go
+++ b/node/server.go
@@ -14,6 +14,7 @@
 	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/graceful"
+	"github.com/peridotmount/peridotmount/heads"
 	"github.com/peridotmount/peridotmount/traffic"
 )
 
@@ -43,6 +44,7 @@
 	traffic *traffic.Counter
 	metrics *bounded.Metrics
 	logger  log.Logger
+	heads   heads.Options
 	// unanswered counts the requests whose connections this host closes without an answer.
 	unanswered *graceful.Metrics
 }
@@ -60,12 +62,12 @@
 	return &server{
 		opts: o,
 		http: &http.Server{
-			Handler:           connend.Handler(bounded.RejectOverLimit(o.handler, o.full)),
+			Handler:           connend.Handler(heads.Handler(bounded.RejectOverLimit(o.handler, o.full))),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    o.headerLimit,
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-				return bounded.ConnContext(graceful.ConnContext(ctx, c), c)
+				return bounded.ConnContext(heads.ConnContext(graceful.ConnContext(ctx, c), c), c)
 			},
 		},
 	}
@@ -85,8 +87,13 @@
 	if s.opts.tls != nil {
 		s.listener = graceful.NewTLSListener(s.listener, s.opts.tls)
 	}
+	// The heads are those of the decrypted bytes.
+	s.listener = heads.NewListener(s.listener, s.opts.heads)
 	s.http.Handler = s.connections.Handler(s.http.Handler)
-	s.http.ConnState = s.connections.ConnState
+	s.http.ConnState = func(c net.Conn, state http.ConnState) {
+		heads.ConnState(c, state)
+		s.connections.ConnState(c, state)
+	}
 	return nil
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -9,6 +9,7 @@
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/entry"
 	"github.com/peridotmount/peridotmount/gossip"
+	"github.com/peridotmount/peridotmount/heads"
 	"github.com/peridotmount/peridotmount/httpjson"
 	"github.com/peridotmount/peridotmount/publication"
 	"github.com/peridotmount/peridotmount/quarantine"
@@ -70,6 +71,10 @@
 	o.metrics = n.listeners.ForParty(o.party)
 	o.logger = n.logger
 	o.unanswered = n.unanswered
+	o.heads = heads.Options{
+		Party: o.party, MaxBytes: o.headerLimit, MaxFields: n.settings.Listen.HeaderFields,
+		Budget: n.headBudget, Logger: n.logger, Metrics: n.refusedHeads,
+	}
 	return newServer(o)
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/heads"
 )
 
 // Gateway are the settings of a host that serves the operator's routes on the
@@ -30,6 +32,11 @@
 	Control string
 	// Seeds are such addresses of other hosts; they may be out of date.
 	Seeds []string
+	// HeaderFields bounds the fields in the head of a request.
+	HeaderFields int
+	// HeaderMemory bounds the memory for the heads of all requests in progress; zero means a
+	// part of Memory.
+	HeaderMemory Bytes
 	// Store is the address of the platform's metadata store.
 	Store string
 	// Memory is what the process may use.
@@ -64,6 +71,7 @@
 func (s *Gateway) Differs(o *Gateway) bool {
 	return s.Name != o.Name || s.Zone != o.Zone || !maps.Equal(s.Regions, o.Regions) || s.Callers != o.Callers ||
 		s.Readiness != o.Readiness || s.Control != o.Control || !slices.Equal(s.Seeds, o.Seeds) || s.Peers != o.Peers || s.Store != o.Store || s.Memory != o.Memory || s.Descriptors != o.Descriptors ||
+		s.HeaderFields != o.HeaderFields || s.HeaderMemory != o.HeaderMemory ||
 		s.Processor != o.Processor || s.Grace != o.Grace ||
 		!slices.Equal(s.Contracts, o.Contracts) || s.Revocation != o.Revocation ||
 		s.QuotaWindow != o.QuotaWindow || s.QuotaOverrun != o.QuotaOverrun || s.QuotaSlack != o.QuotaSlack ||
@@ -83,6 +91,9 @@
 	maxDescriptors     = 1 << 20
 	maxMemory          = 1024 * GiB
 
+	// GatewayHeaderBytes bounds the heads of requests to a host that serves routes.
+	GatewayHeaderBytes = 64 << 10
+
 	defaultProcessor = 1.0
 	minProcessor     = 0.01
 	maxProcessor     = 1024.0
@@ -93,6 +104,8 @@
 func LoadGateway(source *Source) (*Gateway, error) {
 	r := newReader(source)
 	s := r.gateway()
+	r.require(s.HeaderMemory == 0 || int64(s.HeaderMemory) >= heads.MemoryFor(GatewayHeaderBytes, s.HeaderFields),
+		"listen.header_memory is less than a head of listen.header_fields fields takes")
 	if _, found := s.Regions[s.Zone]; !found && len(s.Regions) > 0 {
 		r.require(false, "host.regions does not name host.zone "+s.Zone)
 	}
@@ -119,8 +132,12 @@
 		Control:     r.optionalAddress("listen.control"),
 		Seeds:       r.list("host.seeds"),
 		Store:       r.address("store.address"),
-		JobStatus:   r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
-		Contracts:   r.list("host.contracts"),
+
+		HeaderFields: r.number("listen.header_fields", minHeaderFields, maxHeaderFields, defaultHeaderFields),
+		HeaderMemory: r.size("listen.header_memory", 0, maxMemory, 0),
+
+		JobStatus: r.duration("jobs.status_kept", time.Second, 24*time.Hour, defaultJobStatus),
+		Contracts: r.list("host.contracts"),
 
 		Revocation:   r.duration("keys.revocation", 0, time.Hour, 0),
 		QuotaWindow:  r.duration("quotas.window", time.Second, time.Minute, defaultQuotaWindow),
--- a/settings/listen.go
+++ b/settings/listen.go
@@ -1,5 +1,7 @@
 package settings
 
+import "github.com/peridotmount/peridotmount/heads"
+
 // Bounds of the connections to a listener.
 const (
 	maxConnections              = 1_000_000
@@ -8,6 +10,16 @@
 	defaultPeerConnections      = 4_096
 )
 
+// Bounds of the heads of requests.
+const (
+	// defaultHeaderFields is above what a head of 16,384 bytes, the limit of the platform, can hold:
+	// the shortest field has three bytes.
+	defaultHeaderFields = 5_500
+	minHeaderFields     = 64
+	maxHeaderFields     = 1_000_000
+	defaultHeaderMemory = 64 * MiB
+)
+
 // ListenSettings are the settings of section [listen].
 type ListenSettings struct {
 	// Callers is the address that the callers' listener binds to.
@@ -27,6 +39,10 @@
 	PeersConnections     int
 	// HeaderLimit bounds the headers of a request.
 	HeaderLimit Bytes
+	// HeaderFields bounds the fields in the head of a request.
+	HeaderFields int
+	// HeaderMemory bounds the memory for the heads of all requests in progress.
+	HeaderMemory Bytes
 }
 
 func readListen(r *reader) ListenSettings {
@@ -40,7 +56,11 @@
 		OperatorsConnections: r.number("listen.operators_connections", 1, maxConnections, defaultOperatorsConnections),
 		PeersConnections:     r.number("listen.peers_connections", 1, maxConnections, defaultPeerConnections),
 		HeaderLimit:          r.size("listen.header_limit", KiB, MiB, 64*KiB),
+		HeaderFields:         r.number("listen.header_fields", minHeaderFields, maxHeaderFields, defaultHeaderFields),
+		HeaderMemory:         r.size("listen.header_memory", MiB, maxMemory, defaultHeaderMemory),
 	}
+	r.require(int64(s.HeaderMemory) >= heads.MemoryFor(int(s.HeaderLimit), s.HeaderFields),
+		"listen.header_memory is less than a head of listen.header_limit and listen.header_fields takes")
 	r.require(s.Secret != "", "listen.secret is missing")
 	if s.OperatorsSecret == "" {
 		s.OperatorsSecret = s.Secret
