--- a/cli/exit_test.go
+++ b/cli/exit_test.go
@@ -86,6 +86,9 @@
 		{errors.Wrap(ErrConflict, "x"), ExitConflict},
 		{errors.Wrap(ErrTimeout, "x"), ExitTimeout},
 		{errors.Wrap(ErrPartial, "x"), ExitPartial},
+		{ErrConfiguration, ExitInvalid},
+		{ErrWarnings, ExitFailure},
+		{errors.Wrap(ErrUnreadable, "x"), ExitUnreadable},
 		{errors.Wrap(ErrUsage, "x"), ExitUsage},
 	} {
 		if got := ExitCode(c.err); got != c.code {
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -9,12 +9,13 @@
 		Use:   "routes",
 		Short: "Look at hosts that serve an operator's routes",
 		Example: `  peridotmount routes check configuration.json
+  peridotmount routes configuration next.json --in-force configuration.json
   peridotmount routes status --store 10.0.0.5:7001`,
 		Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return cmd.Help()
 		},
 	}
-	cmd.AddCommand(newRoutesCheck(), newRoutesStatus(c), newRoutesJobs(c), newRoutesAccount())
+	cmd.AddCommand(newRoutesCheck(), newRoutesConfiguration(c), newRoutesStatus(c), newRoutesJobs(c), newRoutesAccount())
 	return cmd
 }
--- a/cli/routescheck.go
+++ b/cli/routescheck.go
@@ -41,9 +41,9 @@
 	return cmd
 }
 
-// readFileOr reads a file, or in if the path is "-".
+// readFileOr reads a file, or in if the path is that of standard input.
 func readFileOr(path string, in io.Reader) ([]byte, error) {
-	if path == "-" {
+	if path == standardInput {
 		data, err := io.ReadAll(in)
 		return data, errors.Wrap(err, "read standard input")
 	}
