--- a/cli/configurationreport.go
+++ b/cli/configurationreport.go
@@ -17,7 +17,7 @@
 	InForce  int64           `json:"in_force,omitempty"`
 	Findings []route.Finding `json:"findings"`
 	// Changes is nil if there was nothing to compare with.
-	Changes []configcheck.Change `json:"changes,omitempty"`
+	Changes []configcheck.Change `json:"changes"`
 }
 
 func (r *configurationReport) count(s route.Severity) int {
