quota: the whole window replaces what a standby was told before

A standby whose session is replaced, or that comes back among the hosts that may schedule next, is sent the whole window again and added it to what it knew. As the next scheduler it would have refused requests within quotas for up to a window.

--- a/quota/report.go
+++ b/quota/report.go
@@ -13,6 +13,9 @@
 	// Width is the width of the bins.
 	Width time.Duration `json:"width"`
 	Uses  []Use         `json:"uses"`
+	// Whole means that the report replaces earlier ones of the scheduler: a standby whose session
+	// is replaced would otherwise count their admissions twice.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // Use is what was admitted of one workspace.
--- a/quota/table.go
+++ b/quota/table.go
@@ -197,7 +197,8 @@
 	t.changes++
 }
 
-// Replicate records what another scheduler tells that it admitted since it last told.
+// Replicate records what another scheduler tells that it admitted since it last told, or in the
+// whole window.
 func (t *Table) Replicate(now time.Time, r *Report) {
 	t.Start(now)
 	if r.Scheduler == t.opts.Self || r.Width <= 0 {
@@ -205,7 +206,7 @@
 	}
 	t.sweep(now)
 	byWorkspace := t.replicas[r.Scheduler]
-	if byWorkspace == nil {
+	if byWorkspace == nil || r.Whole {
 		byWorkspace = make(map[string]*history)
 		t.replicas[r.Scheduler] = byWorkspace
 	}
@@ -220,7 +221,9 @@
 		b.used.advance(t.bin(now))
 		histories[name] = &b.used
 	}
-	return reportOf(t.opts.Self, t.opts.binWidth(), histories)
+	r := reportOf(t.opts.Self, t.opts.binWidth(), histories)
+	r.Whole = true
+	return r
 }
 
 // Fresh returns what the Table admitted since the last call, of the last window.
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -130,6 +130,23 @@
 	}
 }
 
+// TestWholeWindowReplacesReplicas sends the whole window to a standby that knows part of it, as when its
+// session is replaced. It guards against admissions that are counted twice.
+func TestWholeWindowReplacesReplicas(t *testing.T) {
+	former, next := counted(testOptions), counted(Options{Self: "b", Window: 5 * time.Second, Overrun: 0.1, Slack: 20})
+	former.Fresh(start)
+	c := claim(10, 20)
+	for range 15 {
+		former.Charge(start, c)
+	}
+	fresh, whole := former.Fresh(start), former.Admitted(start)
+	next.Replicate(start, &fresh)
+	next.Replicate(start, &whole)
+	if n := admitAll(next, start, c); n != 16 {
+		t.Errorf("%d requests are admitted after 15 of 31", n)
+	}
+}
+
 // TestSharesAddUpToTheLimit splits the limits over schedulers that know nothing of each other and
 // have more requests than they may admit.
 func TestSharesAddUpToTheLimit(t *testing.T) {
