quota: refunds of replicated admissions are replicated

While slots are short, requests are charged, wait and are refused with a refund. Standbys kept counting them, and the next scheduler refused requests within quotas for up to a window.

--- a/quota/history.go
+++ b/quota/history.go
@@ -13,6 +13,16 @@
 	total  int
 }
 
+// historyOf returns the history of a workspace, which it creates if there is none.
+func historyOf(histories map[string]*history, workspace string, now int64) *history {
+	h := histories[workspace]
+	if h == nil {
+		h = &history{newest: now}
+		histories[workspace] = h
+	}
+	return h
+}
+
 // slot returns the place of a bin among the counts.
 func (h *history) slot(bin int64) int {
 	n := int64(len(h.counts))
@@ -53,6 +63,17 @@
 	}
 }
 
+// takeBack removes admissions of a bin that another scheduler reported. Ages are rounded to bins
+// when a report is made and when it is received, so they may be counted in an adjacent bin.
+func (h *history) takeBack(now, bin int64, n int) {
+	h.advance(now)
+	for _, b := range []int64{bin, bin + 1, bin - 1} {
+		for ; n > 0 && h.at(b) > 0; n-- {
+			h.remove(now, b)
+		}
+	}
+}
+
 func (h *history) holds(bin int64) bool {
 	return bin <= h.newest && bin > h.newest-int64(len(h.counts))
 }
--- a/quota/report.go
+++ b/quota/report.go
@@ -13,6 +13,9 @@
 	// Width is the width of the bins.
 	Width time.Duration `json:"width"`
 	Uses  []Use         `json:"uses"`
+	// Refunds are admissions of earlier reports that were taken back. While slots are short, most
+	// charges are: standbys would otherwise count far more than was admitted.
+	Refunds []Use `json:"refunds,omitempty"`
 	// Whole means that the report replaces earlier ones of the scheduler: a standby whose session
 	// is replaced would otherwise count their admissions twice.
 	Whole bool `json:"whole,omitempty"`
@@ -60,17 +63,23 @@
 	return r
 }
 
-// addTo adds the admissions of a report to histories, now being the present bin.
+// addTo adds the admissions of a report to histories and takes back its refunds, now being the present bin.
 func (r *Report) addTo(histories map[string]*history, now int64, width time.Duration) {
 	for i := range r.Uses {
 		u := &r.Uses[i]
+		h := historyOf(histories, u.Workspace, now)
+		for _, b := range u.Bins {
+			h.add(now, now-int64(time.Duration(b[0])*r.Width/width), b[1])
+		}
+	}
+	for i := range r.Refunds {
+		u := &r.Refunds[i]
 		h := histories[u.Workspace]
 		if h == nil {
-			h = &history{newest: now}
-			histories[u.Workspace] = h
+			continue
 		}
 		for _, b := range u.Bins {
-			h.add(now, now-int64(time.Duration(b[0])*r.Width/width), b[1])
+			h.takeBack(now, now-int64(time.Duration(b[0])*r.Width/width), b[1])
 		}
 	}
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -47,8 +47,9 @@
 	// replicas what such schedulers told themselves, by scheduler.
 	told     map[string]*hostReport
 	replicas map[string]map[string]*history
-	// fresh counts the admissions since the last call of Fresh, by workspace.
-	fresh map[string]*history
+	// fresh counts the admissions since the last call of Fresh, by workspace; refunded counts
+	// the refunds of admissions that an earlier call returned.
+	fresh, refunded map[string]*history
 	// replicated means that Fresh is called.
 	replicated bool
 	nextSweep  time.Time
@@ -66,7 +67,8 @@
 func NewTable(o Options) *Table {
 	return &Table{
 		opts: o.withDefaults(), share: 1, buckets: make(map[string]*bucket), told: make(map[string]*hostReport),
-		replicas: make(map[string]map[string]*history), fresh: make(map[string]*history), turnedAway: recent.NewSet(maxTurnedAway),
+		replicas: make(map[string]map[string]*history), fresh: make(map[string]*history), refunded: make(map[string]*history),
+		turnedAway: recent.NewSet(maxTurnedAway),
 	}
 }
 
@@ -171,6 +173,9 @@
 	t.update(now, b)
 	b.level = min(t.limit(now, b, b.claim.Burst), b.level+1)
 	b.used.remove(t.bin(now), t.bin(admitted))
+	if t.replicated {
+		t.refundFresh(now, workspace, admitted)
+	}
 }
 
 // Tell records what a host reports, and replaces what it reported before. What the Table has
@@ -226,24 +231,35 @@
 	return r
 }
 
-// Fresh returns what the Table admitted since the last call, of the last window.
+// Fresh returns what the Table admitted and refunded since the last call, of the last window.
 func (t *Table) Fresh(now time.Time) Report {
 	t.replicated = true
-	for _, h := range t.fresh {
-		h.advance(t.bin(now))
+	for _, histories := range []map[string]*history{t.fresh, t.refunded} {
+		for _, h := range histories {
+			h.advance(t.bin(now))
+		}
 	}
 	r := reportOf(t.opts.Self, t.opts.binWidth(), t.fresh)
+	r.Refunds = reportOf(t.opts.Self, t.opts.binWidth(), t.refunded).Uses
 	clear(t.fresh)
+	clear(t.refunded)
 	return r
 }
 
 func (t *Table) addFresh(now time.Time, workspace string) {
-	h := t.fresh[workspace]
-	if h == nil {
-		h = &history{newest: t.bin(now)}
-		t.fresh[workspace] = h
+	historyOf(t.fresh, workspace, t.bin(now)).add(t.bin(now), t.bin(now), 1)
+}
+
+// refundFresh takes back an admission that is to be replicated, or replicates its refund.
+func (t *Table) refundFresh(now time.Time, workspace string, admitted time.Time) {
+	present, bin := t.bin(now), t.bin(admitted)
+	if h := t.fresh[workspace]; h != nil {
+		if h.advance(present); h.at(bin) > 0 {
+			h.remove(present, bin)
+			return
+		}
 	}
-	h.add(t.bin(now), t.bin(now), 1)
+	historyOf(t.refunded, workspace, present).add(present, bin, 1)
 }
 
 func (t *Table) bin(at time.Time) int64 {
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -147,6 +147,35 @@
 	}
 }
 
+// TestRefundsAreReplicated refunds half of what was admitted, before and after it was replicated. It guards
+// against a standby that counts what was refused for another reason, and refuses requests within the quota
+// once it schedules.
+func TestRefundsAreReplicated(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		former, next := counted(testOptions), counted(Options{Self: "b", Window: 5 * time.Second, Overrun: 0.1, Slack: 20})
+		former.Fresh(start)
+		c := claim(10, 20)
+		for range 20 {
+			former.Charge(start, c)
+		}
+		replicate := func(now time.Time) {
+			fresh := former.Fresh(now)
+			next.Replicate(now, &fresh)
+		}
+		if !before {
+			replicate(start)
+		}
+		later := start.Add(150 * time.Millisecond)
+		for range 10 {
+			former.Refund(later, c.Workspace, start)
+		}
+		replicate(later)
+		if n := admitAll(next, later, c); n < 20 {
+			t.Errorf("%d requests are admitted after 10 of 31, refunds before the replication: %v", n, before)
+		}
+	}
+}
+
 // TestSharesAddUpToTheLimit splits the limits over schedulers that know nothing of each other and
 // have more requests than they may admit.
 func TestSharesAddUpToTheLimit(t *testing.T) {
