scheduler: requests that wait for hosts to join are refused once

Each try of such a request, at each tick, counted as a refusal. The request was then told to come again after up to a whole window, and came behind first attempts as one that was refused before.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -22,7 +22,8 @@
 	used    history
 	refused int
 	first   history
-	// refusedAt is when a request was last refused, nextRetry when that one is to come again.
+	// refusedAt is when a request was last not admitted, nextRetry when the last refused one is to
+	// come again.
 	refusedAt, nextRetry time.Time
 }
 
--- a/quota/table.go
+++ b/quota/table.go
@@ -130,6 +130,24 @@
 
 // Charge admits a request, or returns why not.
 func (t *Table) Charge(now time.Time, c *Claim) *Refusal {
+	if t.TryCharge(now, c) {
+		return nil
+	}
+	b, again := t.buckets[c.Workspace], t.isAgain(c)
+	if c.Fingerprint != "" {
+		if !again {
+			b.first.add(t.bin(now), t.bin(now), 1)
+		}
+		t.turnedAway.Add(c.key())
+	}
+	refusal := t.refusal(now, b)
+	refusal.Again = again
+	return refusal
+}
+
+// TryCharge reports whether it admits a request. One that is not admitted may be tried again later and
+// does not count as refused.
+func (t *Table) TryCharge(now time.Time, c *Claim) bool {
 	t.Start(now)
 	t.sweep(now)
 	b := t.buckets[c.Workspace]
@@ -145,23 +163,19 @@
 		b.setLimits(now, c, t.limit(now, b, c.Burst))
 	}
 	again := t.isAgain(c)
+	if b.level < 1-roundingError || again && t.overloaded(now, b) {
+		b.refusedAt = now
+		return false
+	}
 	if c.Fingerprint != "" && !again {
 		b.first.add(t.bin(now), t.bin(now), 1)
 	}
-	if b.level < 1-roundingError || again && t.overloaded(now, b) {
-		if c.Fingerprint != "" {
-			t.turnedAway.Add(c.key())
-		}
-		refusal := t.refusal(now, b)
-		refusal.Again = again
-		return refusal
-	}
 	b.level = max(0, b.level-1)
 	b.used.add(t.bin(now), t.bin(now), 1)
 	if t.replicated {
 		t.addFresh(now, c.Workspace)
 	}
-	return nil
+	return true
 }
 
 // Refund takes back the charge of a request that was admitted at the given time.
@@ -430,7 +444,6 @@
 // window. Otherwise, the times after which refused requests are to come again are spaced
 // as the bucket fills.
 func (t *Table) refusal(now time.Time, b *bucket) *Refusal {
-	b.refusedAt = now
 	b.refused++
 	wait := t.opts.Window
 	if rate := t.rate(b); rate > 0 && !t.overloaded(now, b) {
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -86,20 +86,32 @@
 	return now.Before(c.quotas.settleUntil) && c.rateShare < 1 && len(c.quotas.parked) < maxParked
 }
 
+// charge admits or refuses a request, or parks it while hosts are still expected to join. Only a refusal
+// counts as one: a parked request is tried many times.
+func (c *Core) charge(now time.Time, claim *quota.Claim, p *parkedClaim) (refusal *quota.Refusal, parked bool) {
+	if !c.settles(now) {
+		return c.quotas.table.Charge(now, claim), false
+	}
+	if c.quotas.table.TryCharge(now, claim) {
+		return nil, false
+	}
+	c.quotas.parked = append(c.quotas.parked, p)
+	return nil, true
+}
+
 // chargeSlot charges a request to its workspace's quota. It returns false if the request was
 // refused, or has to wait for other hosts to join.
 func (c *Core) chargeSlot(now time.Time, host string, request *SlotRequest) bool {
 	if request.Claim == nil {
 		return true
 	}
-	refusal := c.quotas.table.Charge(now, request.Claim)
+	refusal, parked := c.charge(now, request.Claim, &parkedClaim{host: host, at: now, slot: request})
+	if parked {
+		return false
+	}
 	if refusal == nil {
 		return true
 	}
-	if c.settles(now) {
-		c.quotas.parked = append(c.quotas.parked, &parkedClaim{host: host, at: now, slot: request})
-		return false
-	}
 	v := c.service(request.Service)
 	c.emit(Refuse{
 		Host: host, Ticket: request.Ticket, Reason: ReasonQuota, RetryAfter: refusal.RetryAfter,
@@ -126,14 +138,13 @@
 		c.emit(Permit{Host: host, ID: request.ID})
 		return
 	}
-	refusal := c.quotas.table.Charge(now, &request.Claim)
-	switch {
-	case refusal == nil:
+	refusal, parked := c.charge(now, &request.Claim, &parkedClaim{host: host, at: now, permit: &request})
+	if parked {
+		return
+	}
+	if refusal == nil {
 		c.quotas.permits[request.ID] = admission{workspace: request.Claim.Workspace, at: now}
 		c.quotas.order = append(c.quotas.order, request.ID)
-	case c.settles(now):
-		c.quotas.parked = append(c.quotas.parked, &parkedClaim{host: host, at: now, permit: &request})
-		return
 	}
 	c.emit(Permit{Host: host, ID: request.ID, Refusal: refusal})
 }
--- a/scheduler/quota_test.go
+++ b/scheduler/quota_test.go
@@ -191,6 +191,39 @@
 	}
 }
 
+// TestParkedRequestsAreRefusedOnce has a request wait for hosts that don't join. It guards against tries that
+// count as refusals: the request would be told to come again after a whole window, as one that was refused
+// before.
+func TestParkedRequestsAreRefusedOnce(t *testing.T) {
+	c := quotaCore(0)
+	for i := range 5 {
+		c.RequestPermit(replayStart, "h", PermitRequest{ID: fmt.Sprint("before", i), Claim: *testClaim()})
+	}
+	c.Leave(replayStart, "h")
+	c.SetShare(replayStart, 0.5, 0.5, true)
+	c.Join(replayStart, &Hello{Host: "h"})
+	claim := testClaim()
+	claim.Fingerprint = "f"
+	c.RequestPermit(replayStart, "h", PermitRequest{ID: "p", Claim: *claim})
+	for wait := time.Duration(0); wait <= settleTime; wait += 10 * time.Millisecond {
+		c.SetShare(replayStart.Add(wait), 0.5, 0.5, true)
+		c.Tick(replayStart.Add(wait))
+	}
+	var refusals []*quota.Refusal
+	for _, e := range c.Effects() {
+		if p, ok := e.(Permit); ok && p.ID == "p" {
+			refusals = append(refusals, p.Refusal)
+		}
+	}
+	// Half of the limits admits 5.5 requests at once and 1.05 per second: the next one after 0.48 s.
+	if len(refusals) != 1 || refusals[0] == nil || refusals[0].Again || refusals[0].RetryAfter > 100*time.Millisecond {
+		t.Errorf("refusals: %+v", refusals)
+	}
+	if s := c.quotas.table.States(replayStart.Add(settleTime), 1); s[0].Refused != 1 {
+		t.Errorf("%d refusals are counted, want 1", s[0].Refused)
+	}
+}
+
 // TestHostThatLeavesParksNothing lets a host go whose requests wait for others to join.
 func TestHostThatLeavesParksNothing(t *testing.T) {
 	c := NewCore(Options{Quota: quotaTestOptions})
