--- a/quota/table.go
+++ b/quota/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,9 @@
 	// replicated means that Fresh is called.
 	replicated bool
 	nextSweep  time.Time
+	// standstills are those of the last windows, in order and without overlap. They are kept as
+	// buckets that are computed anew would otherwise fill for their time.
+	standstills []standstill
 	// turnedAway are the workspaces and fingerprints of requests that were refused.
 	turnedAway *recent.Set
 }
@@ -120,12 +124,26 @@
 		t.changes++
 		return
 	}
-	for _, b := range t.buckets {
-		if b.at.Before(since) {
-			t.update(since, b)
+	t.standstills = append(t.standstills, standstill{since: since, until: now})
+}
+
+// standstill is a time for which nothing accrues.
+type standstill struct{ since, until time.Time }
+
+// accruing returns how much of a time buckets fill for.
+func (t *Table) accruing(from, to time.Time) time.Duration {
+	total := to.Sub(from)
+	for _, s := range t.standstills {
+		since, until := s.since, s.until
+		if since.Before(from) {
+			since = from
 		}
-		b.at = now
+		if until.After(to) {
+			until = to
+		}
+		total -= max(0, until.Sub(since))
 	}
+	return max(0, total)
 }
 
 // Charge admits a request, or returns why not.
@@ -317,7 +335,7 @@
 func (t *Table) update(now time.Time, b *bucket) {
 	b.used.advance(t.bin(now))
 	if b.changes == t.changes && b.level >= 0 {
-		b.level = min(t.limit(now, b, b.claim.Burst), b.level+t.rate(b)*now.Sub(b.at).Seconds())
+		b.level = min(t.limit(now, b, b.claim.Burst), b.level+t.rate(b)*t.accruing(b.at, now).Seconds())
 		b.at = now
 		return
 	}
@@ -350,12 +368,12 @@
 			end = now
 		}
 		if end.After(at) {
-			level = min(limit, level+rate*end.Sub(at).Seconds())
+			level = min(limit, level+rate*t.accruing(at, end).Seconds())
 			at = end
 		}
 		level -= float64(n)
 	}
-	b.level = min(limit, level+rate*now.Sub(at).Seconds())
+	b.level = min(limit, level+rate*t.accruing(at, now).Seconds())
 	b.at = now
 }
 
@@ -479,6 +497,8 @@
 		return
 	}
 	t.nextSweep = now.Add(t.opts.Window)
+	// Buckets that were not used for a window are evicted, so a standstill matters for two at most.
+	t.standstills = slices.DeleteFunc(t.standstills, func(s standstill) bool { return now.Sub(s.until) >= 3*t.opts.Window })
 	for name, b := range t.buckets {
 		if b.used.advance(t.bin(now)); b.used.total == 0 && now.Sub(b.at) >= t.opts.Window {
 			t.rateSum -= b.claim.RequestsPerSecond
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -244,6 +244,23 @@
 	}
 }
 
+// TestStandstillCountsOnceBucketsAreComputedAnew has a host join after a standstill. It guards against a
+// bucket that is then filled for the time of the standstill.
+func TestStandstillCountsOnceBucketsAreComputedAnew(t *testing.T) {
+	table := counted(testOptions)
+	c := claim(100, 50)
+	admitAll(table, start, c)
+	now := start.Add(800 * time.Millisecond)
+	table.Forfeit(now, start)
+	table.Tell(now, "h", []Report{{Scheduler: "b", Width: 100 * time.Millisecond}})
+	if n := admitAll(table, now, c); n > 0 {
+		t.Errorf("%d requests are admitted for a standstill", n)
+	}
+	if n := admitAll(table, now.Add(500*time.Millisecond), c); n != 53 {
+		t.Errorf("%d requests are admitted in half a second after it, want 53", n)
+	}
+}
+
 // TestStartedProcessHasAccruedNothing starts a scheduler that knows nothing of the time before: all
 // hosts may have ended at once.
 func TestStartedProcessHasAccruedNothing(t *testing.T) {
