--- a/forward/authenticate.go
+++ b/forward/authenticate.go
@@ -115,9 +115,24 @@
 		return true
 	}
 	c, rejection := f.identify(ctx, req)
+	if c.fault == keyUnknown && f.madePublic(req) {
+		return true
+	}
 	return f.admit(w, req, c, rejection)
 }
 
+// madePublic reports whether the route of a request is public by the configuration in force, which
+// a confirming read may have replaced since the request was matched.
+func (f *Forwarder) madePublic(req *request) bool {
+	config := f.opts.Configuration.Current()
+	r := config.Match(req.http.Host, req.http.URL.Path)
+	if r == nil || !r.Public {
+		return false
+	}
+	req.route, req.configVersion, req.service = r, config.Version, r.Pick(hashID(req.ID))
+	return true
+}
+
 // authenticateJobCall is authenticate for a call on the batch job with an id. Jobs of public
 // routes need no key; the handler of jobs tells whether the workspace owns the job.
 func (f *Forwarder) authenticateJobCall(ctx context.Context, w http.ResponseWriter, req *request, job string) bool {
--- a/forward/authenticate_test.go
+++ b/forward/authenticate_test.go
@@ -244,6 +244,21 @@
 	}
 }
 
+// TestRouteMadePublicNeedsNoKey sends an unknown key to a route that the newest configuration made public. It
+// guards against a 401 that this configuration does not give.
+func TestRouteMadePublicNeedsNoKey(t *testing.T) {
+	newest := workspaces(2, "a")
+	newest.Routes[0].Public = true
+	b := newKeyedbed(t, workspaces(1, "a"), newest)
+	id, resp := b.call(http.MethodPost, "/p/", "", "unknown")
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	if h := b.runs(id)[0].Header; h.Get("X-Tenant") != "" || h.Get("X-Credential") != "" {
+		t.Errorf("the endpoint got %v", h)
+	}
+}
+
 // TestUnknownKeysShareReads sends many unknown keys: however many there are, the host reads
 // the configuration once per confirmInterval, and each gets the answer of a read that began after it
 // arrived.
