--- a/quota/table.go
+++ b/quota/table.go
@@ -500,7 +500,8 @@
 	// Buckets that were not used for a window are evicted, so a standstill matters for two at most.
 	t.standstills = slices.DeleteFunc(t.standstills, func(s standstill) bool { return now.Sub(s.until) >= 3*t.opts.Window })
 	for name, b := range t.buckets {
-		if b.used.advance(t.bin(now)); b.used.total == 0 && now.Sub(b.at) >= t.opts.Window {
+		// Not by bucket.at, which States moves on as well.
+		if b.used.advance(t.bin(now)); b.used.total == 0 && now.Sub(b.refusedAt) >= t.opts.Window {
 			t.rateSum -= b.claim.RequestsPerSecond
 			delete(t.buckets, name)
 		}
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -352,6 +352,20 @@
 	}
 }
 
+// TestIdleWorkspacesAreEvictedWhileWatched asks for the states all the time. It guards against idle workspaces
+// that are kept because someone looks at them.
+func TestIdleWorkspacesAreEvictedWhileWatched(t *testing.T) {
+	table := counted(testOptions)
+	table.Charge(start, claim(1, 1))
+	for at := time.Duration(0); at < 12*time.Second; at += time.Second {
+		table.States(start.Add(at), 10)
+		table.SetShare(start.Add(at), 1)
+	}
+	if n := table.Len(); n != 0 {
+		t.Errorf("%d workspaces are kept", n)
+	}
+}
+
 // TestReportOfManyWorkspacesIsBounded tells of more workspaces than fit into a message.
 func TestReportOfManyWorkspacesIsBounded(t *testing.T) {
 	log := NewLog(start, testOptions)
