--- a/quota/report.go
+++ b/quota/report.go
@@ -21,6 +21,11 @@
 	Whole bool `json:"whole,omitempty"`
 }
 
+// Empty reports whether the report tells nothing new.
+func (r *Report) Empty() bool {
+	return len(r.Uses) == 0 && len(r.Refunds) == 0 && !r.Whole
+}
+
 // Use is what was admitted of one workspace.
 type Use struct {
 	Workspace string `json:"w"`
--- a/slots/quotareplay_test.go
+++ b/slots/quotareplay_test.go
@@ -453,7 +453,7 @@
 			report = all
 		}
 		standbys[o.index] = s.number
-		if len(report.Uses) > 0 {
+		if !report.Empty() {
 			target, key := o, o.key
 			h.w.post(h.index, o.index, s.number+1<<40, func(time.Duration) {
 				if target.key == key {
--- a/slots/quotas.go
+++ b/slots/quotas.go
@@ -253,7 +253,7 @@
 			}
 			report = all
 		}
-		if len(report.Uses) > 0 {
+		if !report.Empty() {
 			s.deliver(SchedulerMessage{Admitted: report})
 		}
 	}
--- a/slots/quotas_test.go
+++ b/slots/quotas_test.go
@@ -229,7 +229,7 @@
 }
 
 // TestStandbysAreToldWhatWasAdmitted admits requests by a scheduler: another host, which may schedule
-// next, counts them.
+// next, counts them, and counts them no more once they are refunded.
 func TestStandbysAreToldWhatWasAdmitted(t *testing.T) {
 	_, firstLocal := NewClient(originOptions("first", newKnownOrigins(), newFakeDirectory()))
 	run(t, firstLocal.Serve)
@@ -240,13 +240,15 @@
 	run(t, nextLocal.Serve)
 	run(t, next.Serve)
 	eventually(t, "session", func() bool { return next.Scheduler() == "first" })
+	var permit *Permit
 	eventually(t, "permit", func() bool {
-		_, err := next.AcquirePermit(context.Background(), limitedClaim)
+		var err error
+		permit, err = next.AcquirePermit(context.Background(), limitedClaim)
 		return err == nil
 	})
 	told := make(chan int, 1)
 	own := 0
-	eventually(t, "replication", func() bool {
+	counted := func() int {
 		nextLocal.enqueue(func(now time.Time, core *scheduler.Core) {
 			// A refusal tells what is counted, with what this scheduler itself has admitted.
 			refusal := core.Quotas().Charge(now, &limitedClaim)
@@ -255,6 +257,13 @@
 			}
 			told <- refusal.Used - own
 		})
-		return <-told > 0
-	})
+		return <-told
+	}
+	eventually(t, "replication", func() bool { return counted() > 0 })
+	permit.Return()
+	returned := time.Now()
+	eventually(t, "replication of the refund", func() bool { return counted() == 0 })
+	if took := time.Since(returned); took > 3*time.Second {
+		t.Errorf("the refund is counted after %s: what is not refunded is not counted after 5 s either", took)
+	}
 }
