--- a/quota/table.go
+++ b/quota/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,11 +48,15 @@
 	// replicas what such schedulers told themselves, by scheduler.
 	told     map[string]*hostReport
 	replicas map[string]map[string]*history
-	// fresh counts the admissions since the last call of Fresh, by workspace.
-	fresh map[string]*history
+	// fresh counts the admissions since the last call of Fresh, by workspace; refunded counts
+	// the refunds of admissions that an earlier call returned.
+	fresh, refunded map[string]*history
 	// replicated means that Fresh is called.
 	replicated bool
 	nextSweep  time.Time
+	// standstills are those of the last windows, in order and without overlap. They are kept as
+	// buckets that are computed anew would otherwise fill for their time.
+	standstills []standstill
 	// turnedAway are the workspaces and fingerprints of requests that were refused.
 	turnedAway *recent.Set
 }
@@ -66,7 +71,8 @@
 func NewTable(o Options) *Table {
 	return &Table{
 		opts: o.withDefaults(), share: 1, buckets: make(map[string]*bucket), told: make(map[string]*hostReport),
-		replicas: make(map[string]map[string]*history), fresh: make(map[string]*history), turnedAway: recent.NewSet(maxTurnedAway),
+		replicas: make(map[string]map[string]*history), fresh: make(map[string]*history), refunded: make(map[string]*history),
+		turnedAway: recent.NewSet(maxTurnedAway),
 	}
 }
 
@@ -118,16 +124,48 @@
 		t.changes++
 		return
 	}
-	for _, b := range t.buckets {
-		if b.at.Before(since) {
-			t.update(since, b)
+	t.standstills = append(t.standstills, standstill{since: since, until: now})
+}
+
+// standstill is a time for which nothing accrues.
+type standstill struct{ since, until time.Time }
+
+// accruing returns how much of a time buckets fill for.
+func (t *Table) accruing(from, to time.Time) time.Duration {
+	total := to.Sub(from)
+	for _, s := range t.standstills {
+		since, until := s.since, s.until
+		if since.Before(from) {
+			since = from
 		}
-		b.at = now
+		if until.After(to) {
+			until = to
+		}
+		total -= max(0, until.Sub(since))
 	}
+	return max(0, total)
 }
 
 // Charge admits a request, or returns why not.
 func (t *Table) Charge(now time.Time, c *Claim) *Refusal {
+	if t.TryCharge(now, c) {
+		return nil
+	}
+	b, again := t.buckets[c.Workspace], t.isAgain(c)
+	if c.Fingerprint != "" {
+		if !again {
+			b.first.add(t.bin(now), t.bin(now), 1)
+		}
+		t.turnedAway.Add(c.key())
+	}
+	refusal := t.refusal(now, b)
+	refusal.Again = again
+	return refusal
+}
+
+// TryCharge reports whether it admits a request. One that is not admitted may be tried again later and
+// does not count as refused.
+func (t *Table) TryCharge(now time.Time, c *Claim) bool {
 	t.Start(now)
 	t.sweep(now)
 	b := t.buckets[c.Workspace]
@@ -143,23 +181,19 @@
 		b.setLimits(now, c, t.limit(now, b, c.Burst))
 	}
 	again := t.isAgain(c)
+	if b.level < 1-roundingError || again && t.overloaded(now, b) {
+		b.refusedAt = now
+		return false
+	}
 	if c.Fingerprint != "" && !again {
 		b.first.add(t.bin(now), t.bin(now), 1)
 	}
-	if b.level < 1-roundingError || again && t.overloaded(now, b) {
-		if c.Fingerprint != "" {
-			t.turnedAway.Add(c.key())
-		}
-		refusal := t.refusal(now, b)
-		refusal.Again = again
-		return refusal
-	}
 	b.level = max(0, b.level-1)
 	b.used.add(t.bin(now), t.bin(now), 1)
 	if t.replicated {
 		t.addFresh(now, c.Workspace)
 	}
-	return nil
+	return true
 }
 
 // Refund takes back the charge of a request that was admitted at the given time.
@@ -171,6 +205,9 @@
 	t.update(now, b)
 	b.level = min(t.limit(now, b, b.claim.Burst), b.level+1)
 	b.used.remove(t.bin(now), t.bin(admitted))
+	if t.replicated {
+		t.refundFresh(now, workspace, admitted)
+	}
 }
 
 // Tell records what a host reports, and replaces what it reported before. What the Table has
@@ -197,7 +234,8 @@
 	t.changes++
 }
 
-// Replicate records what another scheduler tells that it admitted since it last told.
+// Replicate records what another scheduler tells that it admitted since it last told, or in the
+// whole window.
 func (t *Table) Replicate(now time.Time, r *Report) {
 	t.Start(now)
 	if r.Scheduler == t.opts.Self || r.Width <= 0 {
@@ -205,7 +243,7 @@
 	}
 	t.sweep(now)
 	byWorkspace := t.replicas[r.Scheduler]
-	if byWorkspace == nil {
+	if byWorkspace == nil || r.Whole {
 		byWorkspace = make(map[string]*history)
 		t.replicas[r.Scheduler] = byWorkspace
 	}
@@ -220,27 +258,40 @@
 		b.used.advance(t.bin(now))
 		histories[name] = &b.used
 	}
-	return reportOf(t.opts.Self, t.opts.binWidth(), histories)
+	r := reportOf(t.opts.Self, t.opts.binWidth(), histories)
+	r.Whole = true
+	return r
 }
 
-// Fresh returns what the Table admitted since the last call, of the last window.
+// Fresh returns what the Table admitted and refunded since the last call, of the last window.
 func (t *Table) Fresh(now time.Time) Report {
 	t.replicated = true
-	for _, h := range t.fresh {
-		h.advance(t.bin(now))
+	for _, histories := range []map[string]*history{t.fresh, t.refunded} {
+		for _, h := range histories {
+			h.advance(t.bin(now))
+		}
 	}
 	r := reportOf(t.opts.Self, t.opts.binWidth(), t.fresh)
+	r.Refunds = reportOf(t.opts.Self, t.opts.binWidth(), t.refunded).Uses
 	clear(t.fresh)
+	clear(t.refunded)
 	return r
 }
 
 func (t *Table) addFresh(now time.Time, workspace string) {
-	h := t.fresh[workspace]
-	if h == nil {
-		h = &history{newest: t.bin(now)}
-		t.fresh[workspace] = h
+	historyOf(t.fresh, workspace, t.bin(now)).add(t.bin(now), t.bin(now), 1)
+}
+
+// refundFresh takes back an admission that is to be replicated, or replicates its refund.
+func (t *Table) refundFresh(now time.Time, workspace string, admitted time.Time) {
+	present, bin := t.bin(now), t.bin(admitted)
+	if h := t.fresh[workspace]; h != nil {
+		if h.advance(present); h.at(bin) > 0 {
+			h.remove(present, bin)
+			return
+		}
 	}
-	h.add(t.bin(now), t.bin(now), 1)
+	historyOf(t.refunded, workspace, present).add(present, bin, 1)
 }
 
 func (t *Table) bin(at time.Time) int64 {
@@ -284,7 +335,7 @@
 func (t *Table) update(now time.Time, b *bucket) {
 	b.used.advance(t.bin(now))
 	if b.changes == t.changes && b.level >= 0 {
-		b.level = min(t.limit(now, b, b.claim.Burst), b.level+t.rate(b)*now.Sub(b.at).Seconds())
+		b.level = min(t.limit(now, b, b.claim.Burst), b.level+t.rate(b)*t.accruing(b.at, now).Seconds())
 		b.at = now
 		return
 	}
@@ -317,12 +368,12 @@
 			end = now
 		}
 		if end.After(at) {
-			level = min(limit, level+rate*end.Sub(at).Seconds())
+			level = min(limit, level+rate*t.accruing(at, end).Seconds())
 			at = end
 		}
 		level -= float64(n)
 	}
-	b.level = min(limit, level+rate*now.Sub(at).Seconds())
+	b.level = min(limit, level+rate*t.accruing(at, now).Seconds())
 	b.at = now
 }
 
@@ -411,7 +462,6 @@
 // window. Otherwise, the times after which refused requests are to come again are spaced
 // as the bucket fills.
 func (t *Table) refusal(now time.Time, b *bucket) *Refusal {
-	b.refusedAt = now
 	b.refused++
 	wait := t.opts.Window
 	if rate := t.rate(b); rate > 0 && !t.overloaded(now, b) {
@@ -447,8 +497,11 @@
 		return
 	}
 	t.nextSweep = now.Add(t.opts.Window)
+	// Buckets that were not used for a window are evicted, so a standstill matters for two at most.
+	t.standstills = slices.DeleteFunc(t.standstills, func(s standstill) bool { return now.Sub(s.until) >= 3*t.opts.Window })
 	for name, b := range t.buckets {
-		if b.used.advance(t.bin(now)); b.used.total == 0 && now.Sub(b.at) >= t.opts.Window {
+		// Not by bucket.at, which States moves on as well.
+		if b.used.advance(t.bin(now)); b.used.total == 0 && now.Sub(b.refusedAt) >= t.opts.Window {
 			t.rateSum -= b.claim.RequestsPerSecond
 			delete(t.buckets, name)
 		}
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -130,6 +130,52 @@
 	}
 }
 
+// TestWholeWindowReplacesReplicas sends the whole window to a standby that knows part of it, as when its
+// session is replaced. It guards against admissions that are counted twice.
+func TestWholeWindowReplacesReplicas(t *testing.T) {
+	former, next := counted(testOptions), counted(Options{Self: "b", Window: 5 * time.Second, Overrun: 0.1, Slack: 20})
+	former.Fresh(start)
+	c := claim(10, 20)
+	for range 15 {
+		former.Charge(start, c)
+	}
+	fresh, whole := former.Fresh(start), former.Admitted(start)
+	next.Replicate(start, &fresh)
+	next.Replicate(start, &whole)
+	if n := admitAll(next, start, c); n != 16 {
+		t.Errorf("%d requests are admitted after 15 of 31", n)
+	}
+}
+
+// TestRefundsAreReplicated refunds half of what was admitted, before and after it was replicated. It guards
+// against a standby that counts what was refused for another reason, and refuses requests within the quota
+// once it schedules.
+func TestRefundsAreReplicated(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		former, next := counted(testOptions), counted(Options{Self: "b", Window: 5 * time.Second, Overrun: 0.1, Slack: 20})
+		former.Fresh(start)
+		c := claim(10, 20)
+		for range 20 {
+			former.Charge(start, c)
+		}
+		replicate := func(now time.Time) {
+			fresh := former.Fresh(now)
+			next.Replicate(now, &fresh)
+		}
+		if !before {
+			replicate(start)
+		}
+		later := start.Add(150 * time.Millisecond)
+		for range 10 {
+			former.Refund(later, c.Workspace, start)
+		}
+		replicate(later)
+		if n := admitAll(next, later, c); n < 20 {
+			t.Errorf("%d requests are admitted after 10 of 31, refunds before the replication: %v", n, before)
+		}
+	}
+}
+
 // TestSharesAddUpToTheLimit splits the limits over schedulers that know nothing of each other and
 // have more requests than they may admit.
 func TestSharesAddUpToTheLimit(t *testing.T) {
@@ -198,6 +244,23 @@
 	}
 }
 
+// TestStandstillCountsOnceBucketsAreComputedAnew has a host join after a standstill. It guards against a
+// bucket that is then filled for the time of the standstill.
+func TestStandstillCountsOnceBucketsAreComputedAnew(t *testing.T) {
+	table := counted(testOptions)
+	c := claim(100, 50)
+	admitAll(table, start, c)
+	now := start.Add(800 * time.Millisecond)
+	table.Forfeit(now, start)
+	table.Tell(now, "h", []Report{{Scheduler: "b", Width: 100 * time.Millisecond}})
+	if n := admitAll(table, now, c); n > 0 {
+		t.Errorf("%d requests are admitted for a standstill", n)
+	}
+	if n := admitAll(table, now.Add(500*time.Millisecond), c); n != 53 {
+		t.Errorf("%d requests are admitted in half a second after it, want 53", n)
+	}
+}
+
 // TestStartedProcessHasAccruedNothing starts a scheduler that knows nothing of the time before: all
 // hosts may have ended at once.
 func TestStartedProcessHasAccruedNothing(t *testing.T) {
@@ -289,6 +352,20 @@
 	}
 }
 
+// TestIdleWorkspacesAreEvictedWhileWatched asks for the states all the time. It guards against idle workspaces
+// that are kept because someone looks at them.
+func TestIdleWorkspacesAreEvictedWhileWatched(t *testing.T) {
+	table := counted(testOptions)
+	table.Charge(start, claim(1, 1))
+	for at := time.Duration(0); at < 12*time.Second; at += time.Second {
+		table.States(start.Add(at), 10)
+		table.SetShare(start.Add(at), 1)
+	}
+	if n := table.Len(); n != 0 {
+		t.Errorf("%d workspaces are kept", n)
+	}
+}
+
 // TestReportOfManyWorkspacesIsBounded tells of more workspaces than fit into a message.
 func TestReportOfManyWorkspacesIsBounded(t *testing.T) {
 	log := NewLog(start, testOptions)
