forward: bound what callers that don't read make a host hold

Buffered responses share 8 % of host.memory, connections of listeners hold at most 128 KB unsent, and a client has 3 s to take 16 KB of its response. The request of a client that does not read ends as abandoned; before, it went on until its route's timeout, and a failed write to the client counted as a response cut off by the endpoint.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -18,9 +18,11 @@
 type Forwarder struct {
 	opts Options
 	// bodies reserves memory for request bodies, within Options.BodyBudget.
-	bodies  *semaphore.Weighted
-	hedges  hedgeBudget
-	metrics *metrics
+	bodies *semaphore.Weighted
+	// responses reserves memory for responses, within Options.ResponseBudget. Nil has no limit.
+	responses *semaphore.Weighted
+	hedges    hedgeBudget
+	metrics   *metrics
 	// durations holds how long recent requests took.
 	durations *durations
 	// closing ends with EndRequests.
@@ -33,6 +35,9 @@
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
 	f := &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), durations: newDurations(), metrics: newMetrics(o.Registerer)}
+	if o.ResponseBudget > 0 {
+		f.responses = semaphore.NewWeighted(o.ResponseBudget)
+	}
 	f.closing, f.close = context.WithCancel(context.Background())
 	return f
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -41,7 +41,9 @@
 	Shutdown func() *Shutdown
 	// BodyBudget bounds the memory of all request bodies in flight, in bytes.
 	BodyBudget int64
-	Logger     log.Logger
+	// ResponseBudget bounds the memory of all responses that are buffered, in bytes; zero means no limit.
+	ResponseBudget int64
+	Logger         log.Logger
 	// Registerer registers the metrics; nil registers none.
 	Registerer prometheus.Registerer
 }
@@ -59,6 +61,12 @@
 	// before it is passed on, so that a truncated response can be retried or replaced by
 	// an error.
 	maxBufferedBytes = 256 << 10
+	// freeBufferedBytes of a response are buffered without taking Options.ResponseBudget.
+	freeBufferedBytes = 4 << 10
+	// writePiece is written to a client within writeStall at the latest. A sound client may be silent
+	// for two seconds; endpoints cut responses off that are left unread for some seconds.
+	writePiece = 16 << 10
+	writeStall = 3 * time.Second
 	// maxTargetBytes bounds the host and path in a log line, in bytes, because callers
 	// choose them.
 	maxTargetBytes = 200
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -55,8 +55,7 @@
 		a.release(OutcomeFailed)
 		return nil
 	}
-	body := make([]byte, 0, min(max(a.response.Length, 512), maxBufferedBytes))
-	body, whole, err := readUpTo(a.response, body, maxBufferedBytes)
+	body, whole, err := readBuffered(a)
 	if err == nil {
 		return &reply{attempt: a, body: body, complete: whole}
 	}
@@ -75,18 +74,49 @@
 	return nil
 }
 
+// readBuffered reads the body of a response, up to maxBufferedBytes, or up to freeBufferedBytes if
+// there is no memory for more. It reports whether it reached the end.
+func readBuffered(a *attempt) (body []byte, complete bool, err error) {
+	length := min(max(a.response.Length, 512), maxBufferedBytes)
+	body = make([]byte, 0, min(length, freeBufferedBytes))
+	body, complete, err = readUpTo(a.response, body, freeBufferedBytes)
+	if complete || err != nil {
+		return body, complete, err
+	}
+	if a.response.Length < 0 {
+		length = maxBufferedBytes
+	}
+	if !a.reserve(length) {
+		return body, false, nil
+	}
+	if a.response.Length >= 0 {
+		body = append(make([]byte, 0, length), body...)
+	}
+	body, complete, err = readUpTo(a.response, body, maxBufferedBytes)
+	if complete {
+		a.reserveOnly(int64(cap(body)))
+	}
+	return body, complete, err
+}
+
 // writeReply writes a reply to the client, with the rest of a body that was not buffered in
 // full, and ends the request.
 func (f *Forwarder) writeReply(ctx context.Context, w http.ResponseWriter, req *request, r *reply) {
 	writeHead(w, r.response)
 	req.open = r.response.Open
 	req.phase = passingResponse
-	_, err := w.Write(r.body)
+	out := newClientWriter(w, req.deadline.Add(writeGrace))
+	_, err := out.Write(r.body)
 	if err == nil && !r.complete {
-		_, err = io.Copy(w, r.response)
+		// The buffer is free again. Response and ResponseWriter would bring buffers of their own.
+		_, err = io.CopyBuffer(out, struct{ io.Reader }{r.response}, r.body[:cap(r.body)])
 	}
 	if err != nil {
-		r.release(OutcomeTruncated)
+		outcome := OutcomeTruncated
+		if out.failed {
+			outcome = OutcomeAbandoned
+		}
+		r.release(outcome)
 		f.abort(req, "response interrupted: "+err.Error(), interrupted(req.http.Context(), ctx, err, f.unlessShutDown(ending(disconnect.Failed))))
 	}
 	outcome := OutcomeAnswered
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -136,7 +136,7 @@
 // that was cut off, so that the stream can be resumed at another endpoint.
 func (s *streamer) copyEvents(a *attempt) error {
 	events := sse.NewSplitter(a.response)
-	flusher := http.NewResponseController(s.w)
+	out := newClientWriter(s.w, s.req.deadline.Add(writeGrace))
 	for {
 		block, err := events.Next()
 		if err == io.EOF {
@@ -146,8 +146,10 @@
 			if a.usage.Events == 0 && (s.eventOrder.LastID == "" || a.response.Open) {
 				return errors.WithStack(errNoEvents)
 			}
-			_, err = s.w.Write(events.Remainder())
-			return err
+			if _, err = out.Write(events.Remainder()); err != nil {
+				return errors.Wrap(errClientWrite, err.Error())
+			}
+			return nil
 		}
 		if err != nil {
 			return err
@@ -163,12 +165,12 @@
 		if len(block.Events) > 0 && s.req.setVersion(a.placement.Endpoint().Version) {
 			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version)
 		}
-		if _, err := s.w.Write(block.Bytes); err != nil {
+		if _, err := out.Write(block.Bytes); err != nil {
 			return errors.Wrap(errClientWrite, err.Error())
 		}
 		s.eventOrder = order
 		a.countEvents(len(block.Events))
-		if err := flusher.Flush(); err != nil {
+		if err := out.control.Flush(); err != nil {
 			return errors.Wrap(errClientWrite, err.Error())
 		}
 	}
--- a/forward/try.go
+++ b/forward/try.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/peridotmount/peridotmount/clock"
 	"github.com/peridotmount/peridotmount/endpoint"
@@ -26,6 +27,29 @@
 	// watch detects an endpoint that stalls, and an attempt that times out.
 	watch  *pace.Watch
 	cancel context.CancelFunc
+	// buffered is what is reserved from responses for the body of the response.
+	buffered  int64
+	responses *semaphore.Weighted
+}
+
+// reserve reserves memory for a response, until the attempt is released, and reports whether it did.
+func (a *attempt) reserve(size int64) bool {
+	if a.responses == nil {
+		return true
+	}
+	if !a.responses.TryAcquire(size) {
+		return false
+	}
+	a.buffered += size
+	return true
+}
+
+// reserveOnly gives back what is reserved beyond a size.
+func (a *attempt) reserveOnly(size int64) {
+	if excess := a.buffered - size; excess > 0 {
+		a.responses.Release(excess)
+		a.buffered -= excess
+	}
 }
 
 // respondingEvents is how many events of a stream show that its endpoint can answer the
@@ -50,6 +74,9 @@
 		a.usage.Reusable = a.response.Close()
 	}
 	a.cancel()
+	if a.buffered > 0 {
+		a.responses.Release(a.buffered)
+	}
 	a.placement.Release(a.usage)
 }
 
@@ -81,7 +108,7 @@
 		// The placer knows that this version began the stream.
 		req.setVersion(e.Version)
 	}
-	a := &attempt{placement: placement, started: now}
+	a := &attempt{placement: placement, started: now, responses: f.responses}
 	var attemptCtx context.Context
 	attemptCtx, a.cancel = context.WithCancel(ctx)
 	// Endpoints are told whole milliseconds.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	memoryShare = 0.7
 	// bodyShare is the part of the host's memory that bodies may take.
 	bodyShare = 0.15
+	// responseShare is the part that responses may take which are buffered before they are passed on.
+	responseShare = 0.08
 	// cacheShare is that of the inputs and outputs of batch items that are kept.
 	cacheShare = 0.06
 	// followWait is how long a read of the store waits for a record. It bounds
@@ -387,6 +389,9 @@
 		RepeatsJob: g.ledger.Repeats,
 		Shutdown:   g.ready.shutdown.Load,
 		BodyBudget: int64(float64(g.settings.Memory) * bodyShare),
+
+		ResponseBudget: int64(float64(g.settings.Memory) * responseShare),
+
 		Logger:     g.logger,
 		Registerer: g.registry,
 	})
--- a/sockopt/sockopt.go
+++ b/sockopt/sockopt.go
@@ -33,7 +33,27 @@
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: Control}
 }
 
-// ListenConfig returns what makes listeners whose connections are probed.
+// maxUnsent bounds what a connection of a listener holds that was not sent, in bytes. Without it the
+// kernel keeps up to tcp_wmem, usually 4 MB, for each client that does not read. It bounds no bytes in
+// flight, and so no throughput.
+const maxUnsent = 128 << 10
+
+// ListenConfig returns what makes listeners whose connections are probed, and hold few unsent bytes.
 func ListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: Control}
+	return &net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: controlListener}
+}
+
+// controlListener sets the options of a listener's socket, which its connections inherit.
+func controlListener(network, address string, c syscall.RawConn) error {
+	if err := Control(network, address, c); err != nil {
+		return err
+	}
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsent)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
 }
