--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,9 +19,11 @@
 type Forwarder struct {
 	opts Options
 	// bodies reserves memory for request bodies, within Options.BodyBudget.
-	bodies  *semaphore.Weighted
-	hedges  hedgeBudget
-	metrics *metrics
+	bodies *semaphore.Weighted
+	// responses reserves memory for responses, within Options.ResponseBudget. Nil has no limit.
+	responses *semaphore.Weighted
+	hedges    hedgeBudget
+	metrics   *metrics
 	// confirmer confirms the configuration for requests with keys.
 	confirmer confirmer
 	// durations holds how long recent requests took.
@@ -37,6 +39,9 @@
 func New(o Options) *Forwarder {
 	f := &Forwarder{opts: o, bodies: semaphore.NewWeighted(o.BodyBudget), durations: newDurations(), metrics: newMetrics(o.Registerer)}
 	f.confirmer.read = o.Configuration.Confirm
+	if o.ResponseBudget > 0 {
+		f.responses = semaphore.NewWeighted(o.ResponseBudget)
+	}
 	f.closing, f.close = context.WithCancel(context.Background())
 	return f
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 	memoryShare = 0.7
 	// bodyShare is the part of the host's memory that bodies may take.
 	bodyShare = 0.15
+	// responseShare is the part that responses may take which are buffered before they are passed on.
+	responseShare = 0.08
 	// cacheShare is that of the inputs and outputs of batch items that are kept.
 	cacheShare = 0.06
 	// followWait is how long a read of the store waits for a record. It bounds
@@ -386,20 +388,21 @@
 			feedback:    enabled(g.settings.EndpointFeedback, g.settings.Contracts),
 			age:         func() time.Duration { return clock.Now().Sub(g.endpointFeed.Complete()) },
 		},
-		Sender:      g.sender,
-		Started:     g.starting.gate,
-		OnLeaving:   g.endpointLeaves,
-		OnLimit:     g.limits.Answered,
-		Check:       g.check,
-		OnBegun:     g.streamBegun,
-		Jobs:        batch.NewAPI(g.ledger),
-		RepeatsJob:  g.ledger.Repeats,
-		IsPublicJob: g.ledger.IsPublic,
-		Revocation:  g.settings.Revocation,
-		Shutdown:    g.ready.shutdown.Load,
-		BodyBudget:  int64(float64(g.settings.Memory) * bodyShare),
-		Logger:      g.logger,
-		Registerer:  g.registry,
+		Sender:         g.sender,
+		Started:        g.starting.gate,
+		OnLeaving:      g.endpointLeaves,
+		OnLimit:        g.limits.Answered,
+		Check:          g.check,
+		OnBegun:        g.streamBegun,
+		Jobs:           batch.NewAPI(g.ledger),
+		RepeatsJob:     g.ledger.Repeats,
+		IsPublicJob:    g.ledger.IsPublic,
+		Revocation:     g.settings.Revocation,
+		Shutdown:       g.ready.shutdown.Load,
+		BodyBudget:     int64(float64(g.settings.Memory) * bodyShare),
+		ResponseBudget: int64(float64(g.settings.Memory) * responseShare),
+		Logger:         g.logger,
+		Registerer:     g.registry,
 	})
 }
 
