--- a/scheduler/feedback_test.go
+++ b/scheduler/feedback_test.go
@@ -33,6 +33,8 @@
 	// poisoned are the times at which requests come that fail wherever they run; each is sent
 	// again once by its client.
 	poisoned []time.Duration
+	// poisonedItems is the share of batch items that answer 500 wherever they run.
+	poisonedItems float64
 	// poison is how these end.
 	poison Outcome
 	seed   uint64
@@ -420,6 +422,9 @@
 	if r.load.fails != nil {
 		outcome, after = r.load.fails(r, use)
 	}
+	if r.poisonedItem(s.Item) {
+		outcome, after = Errored, 30*time.Millisecond
+	}
 	if outcome == Finished {
 		after = feedbackFirst + r.takes(use.engine, 800)
 	}
@@ -442,6 +447,11 @@
 	})
 }
 
+// poisonedItem reports whether an item answers 500 wherever it runs.
+func (r *feedbackReplay) poisonedItem(ref ItemRef) bool {
+	return float64(workOfItem(ref)%1000) < 1000*r.load.poisonedItems
+}
+
 func total(counts map[int]int) int {
 	n := 0
 	for _, c := range counts {
@@ -1111,5 +1121,138 @@
 		if float64(itemsDone[0]) < 0.99*float64(itemsDone[1]) {
 			t.Errorf("%s: %d items were finished, %d without feedback", load, itemsDone[0], itemsDone[1])
 		}
+		if returning > 2 {
+			t.Errorf("%s: %d engines were taken for crashed at the same time", load, returning)
+		}
+	}
+}
+
+// TestPoisonedItemsCostNoCapacity guards against batch items that answer 500 wherever they run and hold back
+// the engines that they reach, near the full load of a service that is calm otherwise.
+func TestPoisonedItemsCostNoCapacity(t *testing.T) {
+	for _, rate := range []float64{440, 520} {
+		var missed, itemsDone [2]int
+		for _, seed := range seeds {
+			l := feedbackLoad{
+				engines: 60, slots: 8, rate: rate, single: 0.2, length: 14 * time.Second, seed: seed, jobs: 3.4,
+				poisonedItems: 0.03, objective: replayObjective,
+			}
+			for i, off := range []bool{false, true} {
+				l.off = off
+				o := runFeedback(t, l)
+				missed[i] += o.refused + o.served - o.inTime
+				itemsDone[i] += o.itemsDone
+			}
+		}
+		t.Logf("%.0f requests a second: with feedback and without: refused or late %d, items finished %d", rate, missed, itemsDone)
+		if missed[0] > missed[1] {
+			t.Errorf("%.0f requests a second: %d refused or late, %d without feedback", rate, missed[0], missed[1])
+		}
+		if float64(itemsDone[0]) < 0.99*float64(itemsDone[1]) {
+			t.Errorf("%.0f requests a second: %d items were finished, %d without feedback", rate, itemsDone[0], itemsDone[1])
+		}
+	}
+}
+
+// TestCrashTakesEvidenceOfTheProcess guards against a reset of one response that is taken for a crash
+// though other uses go on, and against crashes that are not seen.
+func TestCrashTakesEvidenceOfTheProcess(t *testing.T) {
+	ms := time.Millisecond
+	for name, c := range map[string]struct {
+		// ends are the times and outcomes of the ends of uses that began together; "" means that a
+		// use goes on.
+		ends    []Outcome
+		at      []time.Duration
+		restart bool
+		crashes int
+	}{
+		"one of three breaks":              {ends: []Outcome{Failed, "", ""}, at: []time.Duration{0, 0, 0}},
+		"two of six break at once":         {ends: []Outcome{Failed, Failed, "", "", "", ""}, at: make([]time.Duration, 6)},
+		"two of four break apart":          {ends: []Outcome{Failed, Failed, "", ""}, at: []time.Duration{0, 200 * ms, 0, 0}},
+		"both break, one after a response": {ends: []Outcome{Failed, Finished, Failed}, at: []time.Duration{0, 50 * ms, 100 * ms}},
+		"an error between":                 {ends: []Outcome{Failed, Errored, Failed}, at: []time.Duration{0, 50 * ms, 100 * ms}},
+		"both break apart":                 {ends: []Outcome{Failed, Failed}, at: []time.Duration{0, 400 * ms}, crashes: 1},
+		"both break":                       {ends: []Outcome{Failed, Failed}, at: []time.Duration{0, 200 * ms}, crashes: 1},
+		"the only one breaks":              {ends: []Outcome{Failed}, at: []time.Duration{0}, crashes: 1},
+		"half break at once":               {ends: []Outcome{Failed, Failed, "", ""}, at: []time.Duration{0, 10 * ms, 0, 0}, crashes: 1},
+		"a connection is refused":          {ends: []Outcome{Unreachable, "", ""}, at: []time.Duration{0, 0, 0}, crashes: 1},
+		"one breaks before a new start":    {ends: []Outcome{Failed, "", ""}, at: []time.Duration{0, 0, 0}, restart: true, crashes: 1},
+		"a new start after a response":     {ends: []Outcome{Finished, "", ""}, at: []time.Duration{0, 0, 0}, restart: true},
+	} {
+		co := newFeedbackCore(6)
+		var ids []string
+		for n := range c.ends {
+			ids = append(ids, useOf(co, replayStart, fmt.Sprint("h", n%3), 0, n))
+		}
+		now := replayStart.Add(time.Second)
+		for n, o := range c.ends {
+			if o != "" {
+				now = replayStart.Add(time.Second + c.at[n])
+				co.Done(now, Usage{Ticket: ids[n], Outcome: o})
+			}
+		}
+		if c.restart {
+			now = now.Add(2 * time.Second)
+			listEngines(co, now, 6, now)
+		}
+		if n := co.endpoints[engineName(0)].health.recentCrashes(now); n != c.crashes {
+			t.Errorf("%s: %d crashes, want %d", name, n, c.crashes)
+		}
+	}
+}
+
+// TestEndpointsUnderTestTakeWhatSoundOnesCannot guards against slots that stay idle at suspected endpoints
+// while work waits, and against work that endpoints get so that fail all.
+func TestEndpointsUnderTestTakeWhatSoundOnesCannot(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		failures int
+		sound    bool
+		// repeatable and single are whether such a request starts.
+		repeatable, single bool
+	}{
+		{name: "sound ones have room", failures: 1, sound: true, repeatable: true, single: true},
+		{name: "one failure", failures: 1, repeatable: true, single: true},
+		{name: "fails all", failures: 4},
+	} {
+		for _, repeatable := range []bool{true, false} {
+			co := newFeedbackCore(3)
+			now := replayStart.Add(time.Second)
+			s := co.endpoints[engineName(0)]
+			for n := range c.failures {
+				now = now.Add(time.Second)
+				co.Done(now.Add(time.Millisecond), Usage{Ticket: useOf(co, now, fmt.Sprint("h", n%3), 0, n), Outcome: Errored})
+			}
+			now = now.Add(100 * time.Millisecond)
+			useOf(co, now, "h1", 1, 0)
+			if !c.sound {
+				useOf(co, now, "h1", 2, 0)
+			}
+			s.health.lastTrial = now.Add(-time.Second)
+			if !repeatable {
+				// A test by repeatable requests is in progress, so that none is due.
+				s.Slots, s.health.trials = 2, 1
+			}
+			co.Effects()
+			co.Acquire(now, "h0", SlotRequest{
+				Ticket: "t", Service: "s", Objective: 300 * time.Millisecond, Left: 5 * time.Second, Repeatable: repeatable,
+			})
+			at := ""
+			for _, e := range co.Effects() {
+				if g, ok := e.(Grant); ok {
+					at = g.Endpoint
+				}
+			}
+			want := c.single
+			if repeatable {
+				want = c.repeatable
+			}
+			if (at != "") != want {
+				t.Errorf("%s, repeatable %t: granted at %q with evidence %.1f, %s", c.name, repeatable, at, s.health.evidence, s.health.level)
+			}
+			if c.sound && !repeatable && at != engineName(2) {
+				t.Errorf("%s: a request of one attempt was granted at %q", c.name, at)
+			}
+		}
 	}
 }
