heads: Transfer-Encoding in HTTP/1.0 does not hide later heads

net/http ignores Transfer-Encoding in HTTP/1.0. The scanner took the body for chunks, ended the request inside of it and took later heads for a body, so that their cost was not reserved. FuzzScanner left HTTP/1.0 out; it now covers it and compares the positions at which requests end.

--- a/heads/conn_test.go
+++ b/heads/conn_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -208,6 +209,31 @@
 	}
 }
 
+// TestOldProtocolHasNoChunks guards against heads that cost nothing as they pass for a body: net/http ignores
+// Transfer-Encoding in HTTP/1.0 and reads a body of the stated length, which here holds the end of the
+// chunks and the head of a request with a long body.
+func TestOldProtocolHasNoChunks(t *testing.T) {
+	eachTransport(t, func(t *testing.T, secured bool) {
+		s := newTestServer(t, secured, nil)
+		c := s.dial()
+		r := bufio.NewReader(c)
+		hidden := "0\r\n\r\n" + post + "Content-Length: 1000000000\r\n\r\n"
+		status, body, _ := s.exchange(c, r, "POST / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n"+
+			"Content-Length: "+strconv.Itoa(len(hidden))+"\r\n\r\n"+hidden)
+		if status != http.StatusOK || !strings.Contains(body, strconv.Itoa(len(hidden))+" bytes") {
+			t.Errorf("status %d: %s", status, body)
+		}
+		// The connection may have been closed.
+		_, _ = io.WriteString(c, headOf(post, testBytes))
+		if resp, err := http.ReadResponse(r, nil); err == nil && resp.StatusCode == http.StatusOK {
+			t.Error("a head was served that was not counted")
+		}
+		if n := s.refusals(badFraming); n != 1 {
+			t.Errorf("%g refusals counted", n)
+		}
+	})
+}
+
 // BenchmarkOrdinaryHead measures what is added to a request of a usual head and body.
 func BenchmarkOrdinaryHead(b *testing.B) {
 	c := &Conn{listener: NewListener(nil, Options{MaxBytes: testBytes, MaxFields: testFields, Budget: &Budget{limit: 1 << 20}})}
--- a/heads/scanner.go
+++ b/heads/scanner.go
@@ -39,6 +39,8 @@
 	framing bool
 	// malformed is set if a field does not say how long the body is, as net/http reads it.
 	malformed bool
+	// protocol is the last byte of the request line, the minor version: "0" for HTTP/1.0.
+	protocol byte
 	// line holds the beginning of the line so far, lineLen its whole length.
 	line    [lineKept]byte
 	lineLen int
@@ -78,6 +80,11 @@
 		copy(s.line[s.lineLen:], p[:n])
 	}
 	s.lineLen += n
+	if s.state == startLine {
+		if text := bytes.TrimRight(p[:n], "\r"); len(text) > 0 {
+			s.protocol = text[len(text)-1]
+		}
+	}
 	if whole {
 		n++
 	}
@@ -152,7 +159,8 @@
 		}
 	case 't':
 		if value, found := fieldValue(line, "transfer-encoding"); found {
-			s.malformed = s.malformed || long || s.chunked || !bytes.EqualFold(value, []byte("chunked"))
+			// net/http ignores the field in HTTP/1.0.
+			s.malformed = s.malformed || long || s.chunked || s.protocol == '0' || !bytes.EqualFold(value, []byte("chunked"))
 			s.framing, s.chunked = true, true
 		}
 	}
--- a/heads/scanner_test.go
+++ b/heads/scanner_test.go
@@ -11,8 +11,9 @@
 
 // verdict is what a scanner says of a stream.
 type verdict struct {
-	// ended are the requests that ended, by bytes and fields of their heads.
+	// ended are the requests that ended, by bytes and fields of their heads, and ends where they did.
 	ended []headSize
+	ends  []int
 	// last is what is not ended, by bytes and fields so far.
 	last  headSize
 	state state
@@ -24,12 +25,15 @@
 func scan(pieces ...[]byte) verdict {
 	var v verdict
 	var s scanner
+	at := 0
 	for _, p := range pieces {
 		for len(p) > 0 {
 			n, ended := s.next(p)
 			p = p[n:]
+			at += n
 			if ended {
 				v.ended = append(v.ended, headSize{s.bytes, s.fields})
+				v.ends = append(v.ends, at)
 				s = scanner{}
 			}
 		}
@@ -52,20 +56,23 @@
 
 // streams are streams of requests, with the number of requests that end in each.
 var streams = map[string]int{
-	"GET / HTTP/1.1\r\nHost: h\r\n\r\n":                                                                1,
-	"GET / HTTP/1.1\nHost: h\n\nGET / HTTP/1.1\r\nHost: h\r\n\r\n":                                     2,
-	"\r\n\n\r\nGET / HTTP/1.1\r\n\r\n":                                                                 1,
-	"POST / HTTP/1.1\r\nContent-Length: 7\r\n\r\nGET\r\n\r\nGET / HTTP/1.1\r\n\r\n":                    2,
-	"POST / HTTP/1.1\r\ncontent-length:\t 3 \r\nContent-Length: 3\r\n\r\nabcG":                         1,
-	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nGET\r\n\r\n0\r\nA: b\r\n\r\nGET / ": 1,
-	"POST / HTTP/1.1\r\nTransfer-Encoding: CHUNKED\r\nContent-Length: 9\r\n\r\n0\r\n\r\nGET / H\r\n":   1,
-	"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nGET / H\r\n\r\nA: b\r\n":                        0,
-	"POST / HTTP/1.1\r\nContent-Length: 5x\r\n\r\nA: b\r\n":                                            0,
-	"POST / HTTP/1.1\r\nContent-Length:\r\n 5\r\n\r\nA: b\r\n":                                         0,
-	"POST / HTTP/1.1\r\nContent-Length: " + strings.Repeat("0", 80) + "5\r\n\r\nabcde":                 0,
-	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n":                                       0,
-	"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n":                                  0,
-	"GET / HTTP/1.1\r\nA: b\r\n \r\n\tc\r\n\r\n":                                                       1,
+	"GET / HTTP/1.1\r\nHost: h\r\n\r\n":                                                                  1,
+	"GET / HTTP/1.1\nHost: h\n\nGET / HTTP/1.1\r\nHost: h\r\n\r\n":                                       2,
+	"\r\n\n\r\nGET / HTTP/1.1\r\n\r\n":                                                                   1,
+	"POST / HTTP/1.1\r\nContent-Length: 7\r\n\r\nGET\r\n\r\nGET / HTTP/1.1\r\n\r\n":                      2,
+	"POST / HTTP/1.1\r\ncontent-length:\t 3 \r\nContent-Length: 3\r\n\r\nabcG":                           1,
+	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nGET\r\n\r\n0\r\nA: b\r\n\r\nGET / ":   1,
+	"POST / HTTP/1.1\r\nTransfer-Encoding: CHUNKED\r\nContent-Length: 9\r\n\r\n0\r\n\r\nGET / H\r\n":     1,
+	"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nGET / H\r\n\r\nA: b\r\n":                          0,
+	"POST / HTTP/1.1\r\nContent-Length: 5x\r\n\r\nA: b\r\n":                                              0,
+	"POST / HTTP/1.1\r\nContent-Length:\r\n 5\r\n\r\nA: b\r\n":                                           0,
+	"POST / HTTP/1.1\r\nContent-Length: " + strings.Repeat("0", 80) + "5\r\n\r\nabcde":                   0,
+	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n":                                         0,
+	"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n":                                    0,
+	"GET / HTTP/1.1\r\nA: b\r\n \r\n\tc\r\n\r\n":                                                         1,
+	"POST / HTTP/1.0\r\nContent-Length: 5\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n":                        2,
+	"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\nGET /":           0,
+	"POST /" + strings.Repeat("x", 80) + " HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /": 0,
 }
 
 // TestEverySplitGivesTheSameVerdict guards against a count that depends on how a stream comes in pieces.
@@ -115,13 +122,14 @@
 		}
 		// What net/http reads as whole requests has to end for the scanner too, as long as no request was
 		// lost: it would take a later head for a body.
-		r := bufio.NewReader(bytes.NewReader(stream))
+		unread := bytes.NewReader(stream)
+		r := bufio.NewReader(unread)
 		for i := 0; ; i++ {
 			req, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			if _, err := io.Copy(io.Discard, req.Body); err != nil || req.Method == "PRI" || req.ProtoMajor != 1 || req.ProtoMinor != 1 {
+			if _, err := io.Copy(io.Discard, req.Body); err != nil || req.Method == "PRI" || req.ProtoMajor != 1 {
 				return
 			}
 			if i >= len(whole.ended) {
@@ -130,6 +138,9 @@
 				}
 				return
 			}
+			if end := len(stream) - unread.Len() - r.Buffered(); whole.ends[i] != end {
+				t.Fatalf("request %d ended at %d, net/http read up to %d", i, whole.ends[i], end)
+			}
 			if fields := len(req.Header) + len(req.Trailer); whole.ended[i].fields < fields {
 				t.Fatalf("request %d: %d fields counted, %d read", i, whole.ended[i].fields, fields)
 			}
