scheduler: all rows of the choice follow a comparison of paces

When the endpoints of a service are compared, the pace of each of them may change, but only the row of the endpoint whose use had ended was updated. The bounds of the others were out of date until their next use, so that endpoints that had become faster were passed over. TestInvariantsWithDrawnInputs found it.

--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -125,13 +125,31 @@
 	} else {
 		c.open = c.open.Add(n)
 	}
-	r, pace := &c.rows[n], c.paceOf(s)
-	r.slack = slowdown(s, pace) + pace - 1
-	r.reading = pace * (1 + othersShare(s) + displacedShare)
+	s.refreshRow()
 	c.setLeast(n >> 6)
 	s.cache.SetRunning(s.tokens)
 }
 
+// refreshRow computes the row of the endpoint.
+func (s *endpointState) refreshRow() {
+	r, pace := &s.choice.rows[s.cache.Number()], s.choice.paceOf(s)
+	r.slack = slowdown(s, pace) + pace - 1
+	r.reading = pace * (1 + othersShare(s) + displacedShare)
+}
+
+// refreshPaces brings the rows of all endpoints up to date. It is called after the endpoints of the
+// service were compared, which may change the pace of each of them.
+func (c *choice) refreshPaces() {
+	for _, r := range c.rows {
+		if r.endpoint != nil {
+			r.endpoint.refreshRow()
+		}
+	}
+	for word := range c.least {
+		c.setLeast(word)
+	}
+}
+
 // setLeast updates the least slack of the open endpoints of a word.
 func (c *choice) setLeast(word int) {
 	least := math.Inf(1)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -293,8 +293,12 @@
 	}
 	v := c.service(t.endpoint.Service)
 	c.release(t)
+	comparedAt := v.comparedAt
 	c.recordOutcome(now, v, t, &u)
 	t.endpoint.refresh()
+	if v.choice != nil && !v.comparedAt.Equal(comparedAt) {
+		v.choice.refreshPaces()
+	}
 	if t.item != nil {
 		c.itemDone(now, v, t, &u)
 	}
