scheduler: items test no endpoint whose slot is being freed for a request

An item that tested an endpoint started in the slot of a revoked item that had not ended yet, so that the endpoint got more work than it has slots, and at endpoints with a rate limit while refused requests come back. Drawn inputs without repeatable requests found it.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -74,7 +74,14 @@
 	free := func(s *endpointState) bool { return s.admissible(now) > 0 && (s.pacer == nil || !yield) }
 	// Online requests test endpoints sooner than items, which take long.
 	tests := v.itemsTest(now)
-	if q := (&placement{repeatable: tests}); v.probe(now, q) == nil && v.cheapest(now, q, free) == nil {
+	// A slot that is being freed is for the request that it was revoked for.
+	probe := func(p *placement) *endpointState {
+		if s := v.probe(now, p); s != nil && free(s) {
+			return s
+		}
+		return nil
+	}
+	if q := (&placement{repeatable: tests}); probe(q) == nil && v.cheapest(now, q, free) == nil {
 		return false
 	}
 	i := v.items.pop(now)
@@ -93,7 +100,7 @@
 	if i.TokensDone > 0 && v.lists(&i.version) {
 		p.version = &i.version
 	}
-	s := v.probe(now, p)
+	s := probe(p)
 	if s == nil {
 		v.prepareAdmission(now, p)
 		s = v.cheapest(now, p, free)
--- a/scheduler/invariants_test.go
+++ b/scheduler/invariants_test.go
@@ -49,6 +49,10 @@
 
 func (l *drawnLoad) host() string { return fmt.Sprint("h", l.random.IntN(drawnHosts)) }
 
+// repeats reports whether requests may run again: none of them does half of the time, so that items
+// and others test endpoints.
+func (l *drawnLoad) repeats() bool { return l.now.Sub(replayStart)%(8*time.Second) < 4*time.Second }
+
 func (l *drawnLoad) chance(p float64) bool { return l.random.Float64() < p }
 
 // list lists each endpoint with a probability; some start again, or change their place or slots.
@@ -123,7 +127,7 @@
 		prompt += n
 	}
 	r := SlotRequest{
-		Ticket: fmt.Sprint("t", l.n), Service: "s", Objective: replayObjective, Left: 3 * time.Second, Repeatable: l.chance(0.5),
+		Ticket: fmt.Sprint("t", l.n), Service: "s", Objective: replayObjective, Left: 3 * time.Second, Repeatable: l.repeats() && l.chance(0.5),
 		Prefix: append(ids, "own"), PrefixTokens: append(tokens, 350), PromptTokens: prompt, ExpectedTokens: 100 + l.random.IntN(200),
 		Fingerprint: fmt.Sprint("f", l.random.IntN(40)), Workspace: fmt.Sprint("w", l.random.IntN(3)),
 	}
