--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -74,7 +74,14 @@
 	free := func(s *endpointState) bool { return s.admissible(now) > 0 && (s.pacer == nil || !yield) }
 	// Online requests test endpoints sooner than items, which take long.
 	tests := v.itemsTest(now)
-	if q := (&placement{repeatable: tests, batch: true}); v.probe(now, q) == nil && v.cheapest(now, q, free) == nil &&
+	// A slot that is being freed is for the request that it was revoked for.
+	probe := func(p *placement) *endpointState {
+		if s := v.probe(now, p); s != nil && free(s) {
+			return s
+		}
+		return nil
+	}
+	if q := (&placement{repeatable: tests, batch: true}); probe(q) == nil && v.cheapest(now, q, free) == nil &&
 		(!v.overflow(q, overflowHarm) || v.cheapest(now, q, free) == nil) {
 		return false
 	}
@@ -94,7 +101,7 @@
 	if i.TokensDone > 0 && v.lists(&i.version) {
 		p.version = &i.version
 	}
-	s := v.probe(now, p)
+	s := probe(p)
 	if s == nil {
 		v.prepareAdmission(now, p)
 		if s = v.cheapest(now, p, free); s == nil && v.overflow(p, overflowHarm) {
