--- a/heads/conn_test.go
+++ b/heads/conn_test.go
@@ -175,6 +175,23 @@
 	})
 }
 
+// TestPipelinedHeadsStayReserved guards against a reservation that ends with the first of several requests
+// that came together.
+func TestPipelinedHeadsStayReserved(t *testing.T) {
+	budget := &Budget{limit: testMemory}
+	c := &Conn{listener: NewListener(nil, Options{Budget: budget}), Conn: idleConn(t)}
+	c.follow([]byte(get + "\r\n" + headOf(get, 3<<10)))
+	all := budget.reserved()
+	c.begin()
+	if c.idle(); all == 0 || budget.reserved() != all {
+		t.Errorf("%d of %d bytes are reserved for the second request", budget.reserved(), all)
+	}
+	c.begin()
+	if c.idle(); budget.reserved() != 0 {
+		t.Errorf("%d bytes are reserved at the end", budget.reserved())
+	}
+}
+
 // TestRefusalArrivesWhileTheClientSends guards against a refusal that is lost to a reset: the client
 // sends more than was read before it reads.
 func TestRefusalArrivesWhileTheClientSends(t *testing.T) {
--- a/heads/scanner_test.go
+++ b/heads/scanner_test.go
@@ -70,6 +70,9 @@
 	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n":                                         0,
 	"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n":                                    0,
 	"GET / HTTP/1.1\r\nA: b\r\n \r\n\tc\r\n\r\n":                                                         1,
+	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":       0,
+	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n , x\r\n\r\n0\r\n\r\n":                             0,
+	"POST / HTTP/1.1\r\nContent-Length: 1\r\n\t2\r\n\r\nGET / HTTP/1.1\r\n":                              0,
 	"POST / HTTP/1.0\r\nContent-Length: 5\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n":                        2,
 	"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\nGET /":           0,
 	"POST /" + strings.Repeat("x", 80) + " HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /": 0,
@@ -109,6 +112,15 @@
 	}
 }
 
+// TestLinesBehindALostEndCount guards against fields that cost nothing as it can't be told whether they
+// belong to a body or to a head.
+func TestLinesBehindALostEndCount(t *testing.T) {
+	head := "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"
+	if v := scan([]byte(head + "A:\r\nB:\r\n")); v.state != lost || v.last != (headSize{len(head) + 8, 3}) {
+		t.Errorf("%+v", v)
+	}
+}
+
 // FuzzScanner compares the ends of requests with those that net/http finds, and the verdicts on pieces.
 func FuzzScanner(f *testing.F) {
 	for stream := range streams {
