--- a/node/heads_test.go
+++ b/node/heads_test.go
@@ -83,3 +83,63 @@
 		}
 	}
 }
+
+// TestHeadsAreReservedAtEachListener guards against a listener whose heads are not counted against the
+// memory for all of them, or stay counted on a kept connection when their requests have ended.
+func TestHeadsAreReservedAtEachListener(t *testing.T) {
+	const timeout = 10 * time.Second
+	s, err := settings.Parse("test", []byte(referenceSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := newUnbound(s, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.listen(); err != nil {
+		t.Fatal(err)
+	}
+	reserved := func() float64 {
+		families, err := n.registry.Gather()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range families {
+			if f.GetName() == "peridotmount_heads_reserved_bytes" {
+				return f.GetMetric()[0].GetGauge().GetValue()
+			}
+		}
+		t.Fatal("no metric of the reserved memory")
+		return 0
+	}
+	await := func(what string, ok func(float64) bool) {
+		t.Helper()
+		for ends := time.Now().Add(timeout); !ok(reserved()); time.Sleep(time.Millisecond) {
+			if time.Now().After(ends) {
+				t.Fatalf("%s: %g bytes are reserved", what, reserved())
+			}
+		}
+	}
+	for _, server := range []*server{n.callers, n.operators, n.peers} {
+		go func() { _ = server.http.Serve(server.listener) }()
+		t.Cleanup(server.close)
+		party := string(server.opts.party)
+		c, err := net.Dial("tcp", server.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(timeout))
+		if _, err := io.WriteString(c, "POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"+strings.Repeat("a:\r\n", 3_000)+"\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		await(party+", a head without its body", func(v float64) bool { return v > 0 })
+		if _, err := io.WriteString(c, "abc"); err != nil {
+			t.Fatal(err)
+		}
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.Close {
+			t.Fatalf("%s: the connection is not kept: %v", party, err)
+		}
+		await(party+", a kept connection", func(v float64) bool { return v == 0 })
+	}
+}
