scheduler: a request that waits for its endpoints holds up no others

Batch items took the memory that a large request waits for, and were revoked for it at the next decision.

--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -62,8 +62,9 @@
 
 // startItem starts the next batch item, and reports whether it did. An item that
 // fits into the cache of no endpoint, or for which there is no host, is delayed by
-// failedRunDelay, so that it doesn't block the items behind it.
-func (c *Core) startItem(now time.Time, v *service) bool {
+// failedRunDelay, so that it doesn't block the items behind it. With testsOnly, items start only
+// at endpoints under test.
+func (c *Core) startItem(now time.Time, v *service, testsOnly bool) bool {
 	reserve := v.onlineReserve(now)
 	if len(c.members) == 0 || v.occupiedSlots(now)+reserve >= v.slotLimit(now, c.share) || v.admissible(now) <= reserve {
 		return false
@@ -81,7 +82,7 @@
 		}
 		return nil
 	}
-	if q := (&placement{repeatable: tests}); probe(q) == nil && v.cheapest(now, q, free) == nil {
+	if q := (&placement{repeatable: tests}); probe(q) == nil && (testsOnly || v.cheapest(now, q, free) == nil) {
 		return false
 	}
 	i := v.items.pop(now)
@@ -101,7 +102,7 @@
 		p.version = &i.version
 	}
 	s := probe(p)
-	if s == nil {
+	if s == nil && !testsOnly {
 		v.prepareAdmission(now, p)
 		s = v.cheapest(now, p, free)
 	}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -35,11 +35,12 @@
 			continue
 		}
 		if !c.startOnline(now, v, w) {
+			// Others may start at endpoints of other versions, or that this host can't use, or
+			// that get only requests that can be repeated.
+			others := w.Version != nil || v.reservedForOthers(now, w)
 			single := v.underTest > 0 && !w.Repeatable
-			if w.Version != nil || v.reservedForOthers(now, w) || single {
-				// Others may start at endpoints of other versions, or that this host has not
-				// read yet, or that get only requests that can be repeated.
-				singlesWait = singlesWait || single
+			if others || single {
+				singlesWait = singlesWait || !others
 				i++
 				continue
 			}
@@ -51,19 +52,22 @@
 		return
 	}
 	v.items.requeueDelayed(now)
-	for c.startItem(now, v) {
+	// What is free at sound endpoints is not enough for the request that waits for one. An item
+	// there would be revoked for it at once.
+	for c.startItem(now, v, singlesWait) {
 		continue
 	}
 }
 
 // reservedForOthers reports whether a request could start, or a batch item be revoked for it, at
-// an endpoint that only its host can't use yet.
+// an endpoint that only its host can't use: it has not read its record, or its way there is bad.
 func (v *service) reservedForOthers(now time.Time, w *waiter) bool {
-	if len(w.host.unread) == 0 {
+	if len(w.host.unread) == 0 && len(w.host.paths) == 0 {
 		return false
 	}
 	return slices.ContainsFunc(v.endpoints, func(s *endpointState) bool {
-		return !w.host.mayUse(now, s.ID) && s.usable(now) && s.hasVersion(w.Version) && s.takesRequest(now) &&
+		reserved := !w.host.mayUse(now, s.ID) || !w.host.pathAdmits(now, s.ID, w.Repeatable)
+		return reserved && s.usable(now) && s.hasVersion(w.Version) && s.takesRequest(now) &&
 			s.fits(w.PromptTokens+w.ExpectedTokens) && (s.heldSlots() < s.Slots || s.hasRevocable())
 	})
 }
