scheduler: work that a joining host already runs is no test of an endpoint

A new scheduler counted it as tests in progress at endpoints that hosts told it fail. Four long streams or items there kept all tests away until they ended, although the endpoint is to be tested at once after a takeover.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -128,7 +128,8 @@
 		t.estimate.load = c.loads
 		s.loadPrompt(now, t)
 	}
-	if s.health.level != healthSound {
+	if s.health.level != healthSound && !t.since.Before(now) {
+		// What a host that joins already runs there began before the level was known.
 		t.trial = true
 		s.health.beginTrial(now)
 		if s.health.level == healthExcluded {
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -89,3 +89,23 @@
 		}
 	}
 }
+
+// TestAdoptedWorkIsNoTest guards against a new scheduler that tests no failing endpoint, as work
+// from before the failures is still in progress there.
+func TestAdoptedWorkIsNoTest(t *testing.T) {
+	c := waitingCore(Endpoint{ID: "failing", Slots: 8}, Endpoint{ID: "sound", Slots: 8})
+	hello := &Hello{Host: "i", Failing: []FailingEndpoint{{Endpoint: "failing", Failures: 1, Age: 100 * time.Millisecond}}}
+	for _, id := range []string{"1", "2", "3", "4"} {
+		hello.Running = append(hello.Running, Running{Ticket: id, Service: "s", Endpoint: "failing", Since: time.Second})
+	}
+	c.Join(replayStart, hello)
+	if s := c.endpoints["failing"]; s.health.level != healthSuspected || s.health.trials != 0 {
+		t.Errorf("the endpoint is %s, with %d tests", s.health.level, s.health.trials)
+	}
+	again := patient("a", 1)
+	again.Repeatable = true
+	c.Acquire(replayStart, "h", again)
+	if got := grants(c); got["a"] != "failing" {
+		t.Errorf("granted %v, want a test of the endpoint", got)
+	}
+}
