promptcache: one prompt of many tokens says no more than others of the rate

The number of tokens is the client's claim. One request in a hundred that claims 150,000 tokens and sends few raised the learned rate from 100 to 1,105 tokens a millisecond in the test, so that the time to read a prompt no longer counted for any request of the service.

--- a/promptcache/rate.go
+++ b/promptcache/rate.go
@@ -14,6 +14,9 @@
 	// prompts from their mean, in tokens. Prompts that differ by some 100 tokens say little:
 	// the milliseconds between them are less than those by which events vary.
 	priorSpread = 2e7
+	// maxSpread bounds the squared deviation of one prompt that counts. The number of tokens is the
+	// client's claim: without a bound, one of 150,000 tokens outweighs hundreds of others.
+	maxSpread = 5e7
 	// maxDeviations is how many mean deviations a measurement may be off before it is
 	// clipped, minDeviation the least that a deviation is taken for, in milliseconds.
 	maxDeviations, minDeviation = 3.0, 10.0
@@ -57,12 +60,13 @@
 		r.deviation += deviationWeight * (math.Abs(off) - r.deviation)
 		milliseconds = expected + off
 	}
-	r.weight = rateDecay*r.weight + 1
+	d := tokens - r.meanTokens
+	weight := 1 / max(1, d*d/maxSpread)
+	r.weight = rateDecay*r.weight + weight
 	r.spread *= rateDecay
 	r.common *= rateDecay
-	d := tokens - r.meanTokens
-	r.meanTokens += d / r.weight
-	r.meanTime += (milliseconds - r.meanTime) / r.weight
-	r.spread += d * (tokens - r.meanTokens)
-	r.common += d * (milliseconds - r.meanTime)
+	r.meanTokens += weight * d / r.weight
+	r.meanTime += weight * (milliseconds - r.meanTime) / r.weight
+	r.spread += weight * d * (tokens - r.meanTokens)
+	r.common += weight * d * (milliseconds - r.meanTime)
 }
--- a/promptcache/rate_test.go
+++ b/promptcache/rate_test.go
@@ -60,3 +60,26 @@
 		}
 	}
 }
+
+// TestFalseClaimsTeachLittle guards against a client that claims prompts of far more tokens than it
+// sends: the rate would be learned from it alone, and the time to read a prompt no longer count for
+// anyone.
+func TestFalseClaimsTeachLittle(t *testing.T) {
+	for _, claim := range []float64{50_000, 150_000, 1 << 22} {
+		r := rand.New(rand.NewPCG(1, 2))
+		var x Rate
+		for i := range 600 {
+			tokens := 350 + 200*r.Float64()
+			if i%5 == 0 {
+				tokens += 13_300
+			}
+			x.Observe(tokens, 40+5*r.NormFloat64()+tokens/100)
+			if i%100 == 99 {
+				x.Observe(claim, 45)
+			}
+		}
+		if got := x.TokensPerMillisecond(); got < 70 || got > 140 {
+			t.Errorf("learned %.1f tokens a millisecond of 100, with claims of %.0f tokens", got, claim)
+		}
+	}
+}
