--- a/promptcache/pool_test.go
+++ b/promptcache/pool_test.go
@@ -212,3 +212,17 @@
 	}
 	runtime.KeepAlive(all)
 }
+
+// TestPartWithoutThoseBeforeIsNotHeld guards against a part that counts as cached though the part
+// before it was never read: the request that was to read that one failed.
+func TestPartWithoutThoseBeforeIsNotHeld(t *testing.T) {
+	p := NewPool()
+	e := p.Add(0, 10_000)
+	first, both := chain(100, "a"), chain(100, "a", "b")
+	e.Load(&first, 1)
+	e.Load(&both, 2)
+	e.Unload(&first, 1)
+	if held := e.Held(&both); held != 0 || e.Parts() != 1 {
+		t.Errorf("%d parts count, %d are cached", held, e.Parts())
+	}
+}
--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -381,3 +381,21 @@
 		t.Errorf("granted a slot of %s: %s", g.Endpoint, g.Choice)
 	}
 }
+
+// TestRiskIsWeighed guards against endpoints that fail some of their requests and cost no more than
+// others, above all for requests that can't be repeated.
+func TestRiskIsWeighed(t *testing.T) {
+	c, v, p := termPool(Endpoint{ID: "fails"}, Endpoint{ID: "sound"})
+	h := &c.endpoints["fails"].health
+	h.singleRisk, h.repeatableRisk, h.ratedAt = 400*time.Millisecond, 20*time.Millisecond, replayStart
+	within(t, "single", at(c, v, p, "fails").Risk, 400, 400)
+	p.repeatable = true
+	within(t, "repeatable", at(c, v, p, "fails").Risk, 20, 20)
+	within(t, "sound", at(c, v, p, "sound").Risk, 0, 0)
+	for _, repeatable := range []bool{false, true} {
+		p.repeatable = repeatable
+		if s := v.cheapest(replayStart, p, func(*endpointState) bool { return true }); s.ID != "sound" {
+			t.Errorf("repeatable %v: placed at %s", repeatable, s.ID)
+		}
+	}
+}
