scheduler: tests of workspaces in the keys of parts, and of the search by parts

No test failed where requests or items left the workspace out of the keys of their parts, and where the search counted a part without those before it.

--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -399,3 +399,51 @@
 		}
 	}
 }
+
+// TestWorkspacesShareNoLaterParts guards against requests and items that are expected to find the
+// parts of another workspace's prompts cached, where only the first is the same.
+func TestWorkspacesShareNoLaterParts(t *testing.T) {
+	c, _, _ := termPool(Endpoint{ID: "e"})
+	prefix, tokens := []string{"a", "b", "own"}, []int{100, 200, 50}
+	ask := func(ticket, workspace string) int {
+		c.Acquire(replayStart, "h", SlotRequest{
+			Ticket: ticket, Service: "s", Workspace: workspace, Objective: replayObjective, Left: time.Second, Prefix: prefix, PrefixTokens: tokens, PromptTokens: 350,
+		})
+		return c.tickets[ticket].estimate.held
+	}
+	item := func(n int, workspace string) int {
+		ref := ItemRef{Job: "j", Item: n}
+		c.AddItem(replayStart, Item{
+			Ref: ref, Service: "s", Workspace: workspace, Due: replayStart.Add(time.Minute), Prefix: prefix, PrefixTokens: tokens, PromptTokens: 350, ExpectedTokens: 10,
+		})
+		return c.tickets[c.items[ref].ticket].estimate.held
+	}
+	ask("1", "w")
+	for _, x := range []struct {
+		name      string
+		got, want int
+	}{
+		{"request of another workspace", ask("2", "v"), 100}, {"request of the same workspace", ask("3", "w"), 300},
+		{"item of the same workspace", item(1, "w"), 300}, {"item of another workspace", item(2, "u"), 100},
+	} {
+		if x.got != x.want {
+			t.Errorf("%s: %d tokens held, want %d", x.name, x.got, x.want)
+		}
+	}
+}
+
+// TestSearchCountsNoPartWithoutThoseBefore guards against a search that prefers an endpoint for a
+// part though the part before it is not cached there.
+func TestSearchCountsNoPartWithoutThoseBefore(t *testing.T) {
+	c, v, p := termPool(Endpoint{ID: "orphan"}, Endpoint{ID: "first"})
+	first := promptcache.NewChain("", []string{"a", "own"}, []int{5000, 50}, 5050)
+	both := promptcache.NewChain("", []string{"a", "b", "own"}, []int{5000, 5000, 50}, 10_050)
+	c.endpoints["orphan"].cache.Load(&first, 1)
+	c.endpoints["orphan"].cache.Load(&both, 2)
+	c.endpoints["orphan"].cache.Unload(&first, 1)
+	c.endpoints["first"].cache.Load(&first, 3)
+	p.chain = &both
+	if s := v.cheapest(replayStart, p, func(*endpointState) bool { return true }); s.ID != "first" {
+		t.Errorf("placed at %s", s.ID)
+	}
+}
