scheduler: the end of adopted work leaves an endpoint busy with the prompt of another

Work that a joining host told reads no prompt, but was recorded to end when the endpoint had read those before it, so that its end made the endpoint count as idle.

--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -273,13 +273,15 @@
 
 // loadPrompt records that the endpoint is sent the prompt of a ticket.
 func (s *endpointState) loadPrompt(now time.Time, t *ticket) {
-	begin := now
-	if s.prefillUntil.After(begin) {
-		begin = s.prefillUntil
+	t.estimate.prefillEnd = now
+	if took := time.Duration(min(t.estimate.waits.Prefill, maxPrefill) * float64(time.Millisecond)); took > 0 {
+		begin := now
+		if s.prefillUntil.After(begin) {
+			begin = s.prefillUntil
+		}
+		t.estimate.prefillEnd = begin.Add(took)
+		s.prefillUntil = t.estimate.prefillEnd
 	}
-	took := min(t.estimate.waits.Prefill, maxPrefill) * float64(time.Millisecond)
-	t.estimate.prefillEnd = begin.Add(time.Duration(took))
-	s.prefillUntil = t.estimate.prefillEnd
 	s.cache.Load(&t.chain, t.estimate.load)
 }
 
--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -447,3 +447,13 @@
 		t.Errorf("placed at %s", s.ID)
 	}
 }
+
+// TestAdoptedWorkEndsNoOthersPrompt guards against an endpoint that is taken for idle while it reads
+// a prompt, as a use ends that a joining host told: that one has nothing left to read.
+func TestAdoptedWorkEndsNoOthersPrompt(t *testing.T) {
+	c, v, p := termPool(Endpoint{ID: "e"})
+	c.Acquire(replayStart, "h", SlotRequest{Ticket: "t", Service: "s", Objective: time.Second, Left: time.Second, PromptTokens: 13_500})
+	c.Join(replayStart, &Hello{Host: "g", Zone: "a1", Region: "a", Running: []Running{{Ticket: "old", Service: "s", Endpoint: "e"}}})
+	c.Done(replayStart, Usage{Ticket: "old", Outcome: Finished})
+	within(t, "busy", at(c, v, p, "e").Busy, 149, 151)
+}
