--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -457,3 +457,16 @@
 	c.Done(replayStart, Usage{Ticket: "old", Outcome: Finished})
 	within(t, "busy", at(c, v, p, "e").Busy, 149, 151)
 }
+
+// TestCrossingsAreBounded guards against memory for each part that clients name.
+func TestCrossingsAreBounded(t *testing.T) {
+	c, v, p := termPool(Endpoint{ID: "far", Zone: "b1", Region: "b"})
+	for i := range 2*maxCrossed + 1 {
+		chain := promptcache.NewChain("", []string{fmt.Sprint(i), "own"}, []int{100, 50}, 150)
+		p.chain = &chain
+		v.choice.placed(p, c.endpoints["far"], &estimate{held: 100, waits: Waits{Distance: 20}})
+	}
+	if n := len(v.choice.crossed); n > maxCrossed {
+		t.Errorf("%d entries", n)
+	}
+}
