forward: a body that doesn't come ends with the time of its request

A client that sent a head and no body held the memory of both for as long as it liked: some twenty of them used up what a host of 144 MB has for heads, and heads of more than about 20 fields got 503. The request has not run, so 408 is true. Found by the review of request heads, by reading; TestBodyThatNeverComesEndsWithItsTime had no answer in 20 s before.

--- a/batch/api.go
+++ b/batch/api.go
@@ -288,7 +288,7 @@
 		}
 		a.refuse(w, r, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		a.refuse(w, r, http.StatusServiceUnavailable, "the host shuts down", shutdownRetryAfter)
+		a.refuse(w, r, http.StatusServiceUnavailable, "the body was not read whole in time", shutdownRetryAfter)
 	default:
 		a.refuse(w, r, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -147,7 +148,7 @@
 func (f *Forwarder) serveJobs(ctx context.Context, w http.ResponseWriter, req *request) {
 	call := req.http.WithContext(route.WithCaller(ctx, req.caller))
 	if call.ContentLength != 0 {
-		body := newEndingBody(w, call.Body, f.closing)
+		body := newEndingBody(w, call.Body, f.closing, req.started.Add(shortestTimeout(req.Wait)))
 		defer body.release()
 		call.Body = body
 	}
@@ -252,7 +253,7 @@
 	if !f.bodies.TryAcquire(size) {
 		return nil, &Rejection{Reason: "memory for bodies is used up", RetryAfter: briefRetry}
 	}
-	ending := newEndingBody(w, req.http.Body, f.closing)
+	ending := newEndingBody(w, req.http.Body, f.closing, req.deadline)
 	defer ending.release()
 	body, err := readAll(http.MaxBytesReader(w, ending, limit), req.http.ContentLength)
 	if err != nil {
@@ -272,6 +273,8 @@
 		f.reject(w, req, rejection)
 	case errors.As(err, &tooLarge):
 		f.respond(w, req, http.StatusRequestEntityTooLarge, "body exceeds the limit")
+	case errors.Is(err, os.ErrDeadlineExceeded) && f.closing.Err() == nil:
+		f.respond(w, req, http.StatusRequestTimeout, "the body was not read whole in the time of the request")
 	case f.clientLeft(req.http.Context()):
 		f.finishDisconnected(req)
 	case f.closing.Err() != nil:
--- a/forward/latestop_test.go
+++ b/forward/latestop_test.go
@@ -136,6 +136,31 @@
 	}
 }
 
+// TestBodyThatNeverComesEndsWithItsTime guards against clients that send a head and no body: they would
+// hold the memory for both for as long as they like, and others would be refused for want of it.
+func TestBodyThatNeverComesEndsWithItsTime(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, atMostOnce, 1, 0)
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: never\r\nX-Deadline-Ms: 200\r\nContent-Length: 100\r\n\r\nhalf")
+	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+	answers := bufio.NewReader(c)
+	resp, err := http.ReadResponse(answers, nil)
+	if err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil || !resp.Close {
+		t.Errorf("connection ends %t, error %v", resp.Close, err)
+	}
+	if _, err := answers.ReadByte(); err != io.EOF {
+		t.Errorf("the connection goes on: %v", err)
+	}
+}
+
 // TestRestOfARefusedBodyIsNoRequest refuses a request whose host began to shut down after its head
 // was read. The client pauses inside the body for longer than it is discarded, and the rest looks
 // like a request.
