--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -62,8 +62,9 @@
 
 // startItem starts the next batch item, and reports whether it did. An item that
 // fits into the cache of no endpoint, or for which there is no host, is delayed by
-// failedRunDelay, so that it doesn't block the items behind it.
-func (c *Core) startItem(now time.Time, v *service) bool {
+// failedRunDelay, so that it doesn't block the items behind it. With testsOnly, items start only
+// at endpoints under test.
+func (c *Core) startItem(now time.Time, v *service, testsOnly bool) bool {
 	reserve := v.onlineReserve(now)
 	if len(c.members) == 0 || v.occupiedSlots(now)+reserve >= v.slotLimit(now, c.share) || v.admissible(now) <= reserve {
 		return false
@@ -74,7 +75,15 @@
 	free := func(s *endpointState) bool { return s.admissible(now) > 0 && (s.pacer == nil || !yield) }
 	// Online requests test endpoints sooner than items, which take long.
 	tests := v.itemsTest(now)
-	if q := (&placement{repeatable: tests}); v.probe(now, q) == nil && v.cheapest(now, q, free) == nil {
+	// A slot that is being freed is for the request that it was revoked for.
+	probe := func(p *placement) *endpointState {
+		if s := v.probe(now, p); s != nil && free(s) {
+			return s
+		}
+		return nil
+	}
+	if q := (&placement{repeatable: tests, batch: true}); probe(q) == nil && (testsOnly || v.cheapest(now, q, free) == nil &&
+		(!v.overflow(q, overflowHarm) || v.cheapest(now, q, free) == nil)) {
 		return false
 	}
 	i := v.items.pop(now)
@@ -93,10 +102,12 @@
 	if i.TokensDone > 0 && v.lists(&i.version) {
 		p.version = &i.version
 	}
-	s := v.probe(now, p)
-	if s == nil {
+	s := probe(p)
+	if s == nil && !testsOnly {
 		v.prepareAdmission(now, p)
-		s = v.cheapest(now, p, free)
+		if s = v.cheapest(now, p, free); s == nil && v.overflow(p, overflowHarm) {
+			s = v.cheapest(now, p, free)
+		}
 	}
 	if s == nil || host == nil {
 		i.notBefore = now.Add(failedRunDelay)
