--- a/heads/conn.go
+++ b/heads/conn.go
@@ -19,9 +19,8 @@
 	scanner scanner
 	// ended counts the requests that have come whole, answered those that net/http is done with.
 	ended, answered uint64
-	// largest is the largest cost of the requests that have come whole and are not answered.
-	largest int64
-	// held is what is reserved from the budget.
+	// held is what is reserved from the budget. It shrinks only once net/http is done with the
+	// requests that have come whole.
 	held int64
 	// serving is set while a handler has a request.
 	serving bool
@@ -86,7 +85,6 @@
 		p = p[n:]
 		if c.admit(); ended && c.refused == "" {
 			c.ended++
-			c.largest = max(c.largest, c.scanner.cost())
 			c.scanner = scanner{}
 		}
 	}
@@ -101,7 +99,7 @@
 	case o.MaxFields > 0 && c.scanner.fields > o.MaxFields:
 		c.refuse(tooManyFields)
 	default:
-		if want := reservation(max(c.largest, c.scanner.cost())); want > c.held {
+		if want := reservation(c.scanner.cost()); want > c.held {
 			if !o.Budget.resize(c.held, want) {
 				c.refuse(noMemory)
 				return
@@ -143,7 +141,6 @@
 	case c.answered > c.ended:
 		c.refuse(badFraming)
 	}
-	c.largest = 0
 	if !c.closed {
 		after := min(c.held, reservation(c.scanner.cost()))
 		c.listener.opts.Budget.resize(c.held, after)
