--- a/quota/table.go
+++ b/quota/table.go
@@ -57,8 +57,8 @@
 	// standstills are those of the last windows, in order and without overlap. They are kept as
 	// buckets that are computed anew would otherwise fill for their time.
 	standstills []standstill
-	// turnedAway are the workspaces and fingerprints of requests that were refused.
-	turnedAway *recent.Set
+	// refusedRequests are the workspaces and fingerprints of requests that were refused.
+	refusedRequests *recent.Set
 }
 
 // hostReport is what a host told of the last window.
@@ -72,7 +72,7 @@
 	return &Table{
 		opts: o.withDefaults(), share: 1, buckets: make(map[string]*bucket), told: make(map[string]*hostReport),
 		replicas: make(map[string]map[string]*history), fresh: make(map[string]*history), refunded: make(map[string]*history),
-		turnedAway: recent.NewSet(maxTurnedAway),
+		refusedRequests: recent.NewSet(maxRefusedKept),
 	}
 }
 
@@ -151,12 +151,12 @@
 	if t.TryCharge(now, c) {
 		return nil
 	}
-	b, again := t.buckets[c.Workspace], t.isAgain(c)
+	b, again := t.buckets[c.Workspace], t.wasRefused(c)
 	if c.Fingerprint != "" {
 		if !again {
 			b.first.add(t.bin(now), t.bin(now), 1)
 		}
-		t.turnedAway.Add(c.key())
+		t.refusedRequests.Add(c.key())
 	}
 	refusal := t.refusal(now, b)
 	refusal.Again = again
@@ -180,7 +180,7 @@
 		t.rateSum += c.RequestsPerSecond - b.claim.RequestsPerSecond
 		b.setLimits(now, c, t.limit(now, b, c.Burst))
 	}
-	again := t.isAgain(c)
+	again := t.wasRefused(c)
 	if b.level < 1-roundingError || again && t.overloaded(now, b) {
 		b.refusedAt = now
 		return false
@@ -432,18 +432,18 @@
 // window of 5 s.
 const overloadBins = windowBins / 5
 
-// maxTurnedAway bounds the refused requests that are remembered: more than come back within a
+// maxRefusedKept bounds the refused requests that are remembered: more than come back within a
 // client's deadline.
-const maxTurnedAway = 8192
+const maxRefusedKept = 8192
 
 // key identifies the request of a claim.
 func (c *Claim) key() string {
 	return c.Workspace + "/" + c.Fingerprint
 }
 
-// isAgain reports whether a request was refused before.
-func (t *Table) isAgain(c *Claim) bool {
-	return c.Fingerprint != "" && t.turnedAway.Has(c.key())
+// wasRefused reports whether a request was refused before.
+func (t *Table) wasRefused(c *Claim) bool {
+	return c.Fingerprint != "" && t.refusedRequests.Has(c.key())
 }
 
 // overloaded reports whether first attempts alone come faster than the bucket fills. Requests that
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -79,7 +79,7 @@
 	p := &placement{
 		host: w.host, tokens: w.PromptTokens + w.ExpectedTokens, prefix: w.Prefix, avoid: w.Avoid, version: w.Version,
 		chain: &w.chain, expected: w.ExpectedTokens, left: w.arrived.Add(w.Objective).Sub(now), ahead: ahead, last: last,
-		repeatable: w.Repeatable, standsIn: !w.Repeatable && v.standsIn(now),
+		repeatable: w.Repeatable, testsUnrepeatable: !w.Repeatable && v.testsUnrepeatable(now),
 	}
 	s := v.probe(now, p)
 	if s == nil {
--- a/scheduler/feedback.go
+++ b/scheduler/feedback.go
@@ -61,8 +61,8 @@
 	return v.failures.at(now, failureWindow) / (v.uses.at(now, failureWindow) + rateWeight)
 }
 
-// standsIn reports whether requests that can't be repeated test endpoints, as there are no others.
-func (v *service) standsIn(now time.Time) bool {
+// testsUnrepeatable reports whether requests that can't be repeated test endpoints, as there are no others.
+func (v *service) testsUnrepeatable(now time.Time) bool {
 	return v.underTest > 0 && now.Sub(v.repeatableAt) > repeatableGap && now.Sub(v.itemAt) > repeatableGap
 }
 
@@ -126,7 +126,7 @@
 // probe returns an endpoint under test that is due to get this work, or nil: the one whose test
 // is due for the longest time.
 func (v *service) probe(now time.Time, p *placement) *endpointState {
-	if v.underTest == 0 || (!p.repeatable && !p.standsIn) {
+	if v.underTest == 0 || (!p.repeatable && !p.testsUnrepeatable) {
 		return nil
 	}
 	var best *endpointState
@@ -134,7 +134,7 @@
 		if s.health.level == healthSound || !s.listed || now.Before(s.pausedUntil) || !s.health.trialDue(now) {
 			continue
 		}
-		if p.standsIn && s.health.row > 0 && now.Sub(s.health.failedAt) < repeatableGap {
+		if p.testsUnrepeatable && s.health.row > 0 && now.Sub(s.health.failedAt) < repeatableGap {
 			continue
 		}
 		if s.heldSlots() >= s.Slots || !s.takesRequest(now) || !s.fits(p.tokens) || !p.eligible(now, s) || slices.Contains(p.avoid, s.ID) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -60,8 +60,8 @@
 	last  bool
 	// paths means that the host has failed at endpoints of late.
 	paths bool
-	// standsIn means that the work tests endpoints though it can't be repeated.
-	standsIn bool
+	// testsUnrepeatable means that the work tests endpoints though it can't be repeated.
+	testsUnrepeatable bool
 }
 
 // eligible reports whether a usable endpoint can be used for this work: it has the version that
