--- a/e2e/soakproxy_test.go
+++ b/e2e/soakproxy_test.go
@@ -123,7 +123,9 @@
 // copy passes one direction on until it ends; an end that is no close resets both.
 func (p *soakProxy) copy(to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
+	p.mu.Lock()
 	kept := p.passed.open()
+	p.mu.Unlock()
 	for {
 		n, err := from.Read(buffer)
 		kept.write(buffer[:max(0, n)])
--- a/e2e/workspacekeys_test.go
+++ b/e2e/workspacekeys_test.go
@@ -114,7 +114,9 @@
 	p := f.taps[ofCut][address]
 	if p == nil {
 		p = newSoakProxy(f.t, address)
+		p.mu.Lock()
 		p.passed = f.passed
+		p.mu.Unlock()
 		f.taps[ofCut][address] = p
 	}
 	return p.address()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -274,7 +274,7 @@
 	case errors.As(err, &tooLarge):
 		f.respond(w, req, http.StatusRequestEntityTooLarge, "body exceeds the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded) && f.closing.Err() == nil:
-		f.respond(w, req, http.StatusRequestTimeout, "the body was not read whole in the time of the request")
+		f.reject(w, req, &Rejection{Reason: "the body was not read whole in the time of the request", RetryAfter: briefRetry})
 	case f.clientLeft(req.http.Context()):
 		f.finishDisconnected(req)
 	case f.closing.Err() != nil:
