--- a/review/standins2/replica_test.go
+++ b/review/standins2/replica_test.go
@@ -250,6 +250,7 @@
 			s.print(replicaEvent{What: "crashes", Request: id, More: fmt.Sprintf(" after %d events of it", n-after-1)})
 			os.Exit(1)
 		}
+		s.awaitVoice()
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d by %s version %s\n\n", n, n, s.Name, s.Version); err != nil {
 			s.print(replicaEvent{What: "left", Request: id})
 			return
