--- a/review/standins2/itemtext_test.go
+++ b/review/standins2/itemtext_test.go
@@ -129,7 +129,8 @@
 		f.lapse(old.ID)
 		time.Sleep(time.Until(began.Add(600 * time.Millisecond)))
 		start(index, 2, 320*time.Millisecond, 1200*time.Millisecond)
-		time.Sleep(time.Until(began.Add(time.Second)))
+		// The engine has been silent for a moment.
+		time.Sleep(380 * time.Millisecond)
 		hit.proxy.heal()
 		f.note("the link to the address of %s is back, after %d ms", old.Name, time.Since(began).Milliseconds())
 	}
--- a/review/standins2/versions_test.go
+++ b/review/standins2/versions_test.go
@@ -25,7 +25,7 @@
 // caseUpgradeInOutage restarts a replica under its id with the next version of its software while the store is
 // down, and crashes it once more while it serves streams.
 func caseUpgradeInOutage(f *fleet) bool {
-	const streams = 48
+	const streams = 80
 	f.configure(engineConfiguration)
 	options := func(i int, version string) replicaOptions {
 		return replicaOptions{
@@ -52,7 +52,7 @@
 	answers := make([]answer, streams)
 	var sent sync.WaitGroup
 	for i := range answers {
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(25 * time.Millisecond)
 		sent.Go(func() {
 			answers[i] = f.send(f.hosts[i%3], "/pufi791/2f", fmt.Sprintf("stream-%d", i), 5*time.Second, engineHeader(i))
 		})
