--- a/batch/janitor.go
+++ b/batch/janitor.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				return
 			}
-			_ = level.Info(l.opts.Logger).Log("event", "item_given_up", "job", jobs.ChosenID(j.job), "item", item, "reason", j.reason)
+			_ = level.Info(l.opts.Logger).Log(append([]any{"event", "item_given_up", "job", jobs.ChosenID(j.job), "item", item, "reason", j.reason}, j.inputs...)...)
 		}
 	}
 }
@@ -50,6 +50,8 @@
 	job    string
 	items  []int
 	reason string
+	// inputs are the log fields that tell what the reason was found by.
+	inputs []any
 }
 
 // findUnrunnableJobs returns the jobs whose open items can't be run any more. It
@@ -74,7 +76,7 @@
 		default:
 			continue
 		}
-		j := unrunnableJob{job: id, reason: reason}
+		j := unrunnableJob{job: id, reason: reason, inputs: append(l.routeInputs(job), "age_ms", jobAge(job, now).Milliseconds())}
 		for i := range job.Items() {
 			if !job.Ended(i) {
 				j.items = append(j.items, i)
