batch: an accepted job keeps its route, whatever its path selects now

Callers saw all items of an accepted job listed as dead_letter within half a second after the operator had added a route with a longer prefix over the path of the submission, though the job's route was in force. With a batch route of a service without endpoints in that place, the items were never listed; items of a route that was moved were given up; those of a route replaced at its prefix ran as the other one's, or waited without end.

Cause: the ledger looked the route of a job up by the host and path of its submission, for each reader, and never by the route's name, which it records. Ruled out by the lines of: an old configuration, one that lost the route, refusals by endpoints.

Change: route.Configuration.JobRoute finds the route for jobs with the recorded name; Ledger.routeOf asks it and every reader of a job asks that: scheduling, offers, runs, the host name that items are sent with, giving up, and the objective in the log.

--- a/batch/api.go
+++ b/batch/api.go
@@ -268,7 +268,7 @@
 		a.refuse(w, r, http.StatusTooManyRequests, "too many tokens wait on the route", quotaRetryAfter)
 	default:
 		w.WriteHeader(http.StatusAccepted)
-		objective, window := a.ledger.routeBounds(r.Host, r.URL.Path)
+		objective, window := a.ledger.bounds(route.CallerOf(r.Context()), id)
 		_ = level.Info(a.ledger.opts.Logger).Log("event", "job_answered", "job", id, "workspace", route.CallerOf(r.Context()).Workspace, "verdict", verdict.String(),
 			"items", len(items), "after_ms", time.Since(start).Milliseconds(),
 			"objective_ms", objective.Milliseconds(), "window_ms", window.Milliseconds())
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -17,7 +17,6 @@
 	"github.com/peridotmount/peridotmount/follow"
 	"github.com/peridotmount/peridotmount/jobs"
 	"github.com/peridotmount/peridotmount/platform"
-	"github.com/peridotmount/peridotmount/route"
 	"github.com/peridotmount/peridotmount/scheduler"
 	"github.com/peridotmount/peridotmount/startup"
 )
@@ -272,27 +271,6 @@
 	return out
 }
 
-// serviceOf returns the service that runs a job's items in the configuration in force,
-// or "" if the job's route no longer exists.
-func (l *Ledger) serviceOf(job *jobs.Job) string {
-	if r := l.routeOf(job); r != nil {
-		return r.Pick(0)
-	}
-	return ""
-}
-
-func (l *Ledger) routeOf(job *jobs.Job) *route.Route {
-	config := l.opts.Configuration()
-	if config == nil {
-		return nil
-	}
-	r := config.Match(job.Submission.Host, job.Submission.Path)
-	if r == nil || r.Kind != route.Batch {
-		return nil
-	}
-	return r
-}
-
 // notifyWatchers wakes all goroutines that wait for a job to change. l.mu must be held.
 func (l *Ledger) notifyWatchers(job string) {
 	if ch := l.watchers[job]; ch != nil {
--- a/batch/reschedule.go
+++ b/batch/reschedule.go
@@ -25,19 +25,3 @@
 		l.scheduleItems(job)
 	}
 }
-
-// routeInputs returns, as fields of a log line, what the route of a job is looked up by: the route, host and
-// path in its record, and the version of the configuration with the route that this path selects there.
-func (l *Ledger) routeInputs(job *jobs.Job) []any {
-	sub := &job.Submission
-	fields := []any{"route", sub.Route, "submitted_to", sub.Host + sub.Path}
-	config := l.opts.Configuration()
-	if config == nil {
-		return fields
-	}
-	selected := ""
-	if r := config.Match(sub.Host, sub.Path); r != nil {
-		selected = r.Name + " (" + r.Kind.String() + ")"
-	}
-	return append(fields, "configuration", config.Version, "route_in_force", config.Route(sub.Route) != nil, "path_selects", selected)
-}
--- a/batch/run.go
+++ b/batch/run.go
@@ -140,7 +140,7 @@
 	}
 	x.route = l.routeOf(x.job)
 	if x.route == nil || (x.endpoint != nil && !x.route.Allows(x.endpoint.Service)) {
-		return nil, "no route of the item includes the endpoint's service"
+		return nil, "the job's route does not include the endpoint's service"
 	}
 	return x.job.Partial(x.ref.Item), ""
 }
@@ -187,7 +187,7 @@
 		Request:    x.item.ID,
 		Method:     http.MethodPost,
 		Target:     x.item.Path,
-		Host:       x.job.Submission.Host,
+		Host:       x.host(),
 		Header:     header,
 		Body:       x.item.Body,
 		Matches:    platform.Answers(x.item.ID),
@@ -240,6 +240,15 @@
 	return route.Caller{Checked: workspace != "" || config != nil && config.HasWorkspaces(), Workspace: workspace}
 }
 
+// host returns the host name that the item is sent with: that of the submission, as its client wrote it, unless
+// the job's route has moved to another one.
+func (x *itemRun) host() string {
+	if submitted := x.job.Submission.Host; route.SameHost(submitted, x.route.Host) {
+		return submitted
+	}
+	return x.route.Host
+}
+
 // check returns the check for the call, or nil.
 func (x *itemRun) check(h http.Header) *upstream.Check {
 	if x.ledger.opts.Check == nil {
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -21,17 +21,6 @@
 	return defaultBodyLimit
 }
 
-// routeBounds returns the response time objective of a submission and the time window
-// for its results, by the configuration in force.
-func (l *Ledger) routeBounds(host, path string) (objective, window time.Duration) {
-	if c := l.opts.Configuration(); c != nil {
-		if r := c.Match(host, path); r != nil {
-			return r.Objective, r.Window
-		}
-	}
-	return 0, 0
-}
-
 // ViewAge returns the age of the ledger view.
 func (l *Ledger) ViewAge() time.Duration {
 	return clock.Now().Sub(l.follower.Complete())
