forward: a repeat of an accepted job is no request of the route that its path selects now

A client whose 202 was lost hands its job in again. With a route added over the path of the job, the repeat was passed on to an endpoint of that route and answered 200; a public route for jobs would have accepted it a second time, and one with keys refused the client of a public job with 401.

Cause: whether a request repeats a job was asked only if no route matched.

--- a/batch/jobroute_test.go
+++ b/batch/jobroute_test.go
@@ -71,3 +71,29 @@
 		})
 	}
 }
+
+// TestMayRepeatFollowsTheLedger guards against a repeat of an accepted job that is not found, and against ids that
+// are kept once their job was deleted.
+func TestMayRepeatFollowsTheLedger(t *testing.T) {
+	l, _ := newTestLedger()
+	l.opts.Offer = func([]scheduler.Offer) {}
+	submit := func(offset int64, workspace, key string) platform.KeyedRecord {
+		r := &jobs.Record{Job: jobs.ID(workspace, "j"), Submit: &jobs.Submission{
+			Attempt: key, Items: []jobs.ItemMeta{{ID: "a"}}, Host: "h", Path: "/lots-in/j", Route: "lots", Workspace: workspace, SubmittedMillis: time.Now().UnixMilli(),
+		}}
+		return encodeKeyed(t, offset, key, r)
+	}
+	expect := func(step string, want bool) {
+		t.Helper()
+		if l.MayRepeat("j", "/lots-in/j") != want || l.MayRepeat("j", "/lots-in/k") || l.MayRepeat("k", "/lots-in/j") {
+			t.Errorf("%s: the job is found: %t", step, !want)
+		}
+	}
+	expect("before", false)
+	l.Changed(time.Now(), []platform.KeyedRecord{submit(0, "", "submit/j"), submit(1, "", "submit/copy"), submit(2, "b", "submit/b")})
+	expect("accepted", true)
+	l.Changed(time.Now(), []platform.KeyedRecord{{Offset: 3, Key: "submit/j"}})
+	expect("one of two is deleted", true)
+	l.Listed(time.Now(), nil, 9)
+	expect("a listing lacks the other", false)
+}
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -34,6 +34,8 @@
 	storeUnreachable atomic.Bool
 	// listed opens after the first listing of the ledger.
 	listed *startup.Gate
+	// submitted holds the jobs of state.
+	submitted *submittedJobs
 
 	mu    sync.Mutex
 	state *jobs.State
@@ -64,6 +66,7 @@
 		metrics:          newMetrics(o.Registerer),
 		state:            jobs.NewState(),
 		listed:           startup.NewGate(),
+		submitted:        newSubmittedJobs(),
 		pendingVerdicts:  make(map[string]chan jobs.Verdict),
 		pendingWrites:    make(map[string]chan struct{}),
 		scheduledService: make(map[string]string),
@@ -219,6 +222,7 @@
 		_ = level.Info(l.opts.Logger).Log("event", "job_rejected", "job", jobs.ChosenID(r.Job), "workspace", r.Submit.Workspace, "attempt", c.Attempt, "offset", offset,
 			"tokens", r.Submit.Tokens, "open_tokens", l.state.Waiting(r.Submit.Workspace, r.Submit.Route), "quota", r.Submit.Quota, "listing", l.listing)
 	case jobs.Accepted:
+		l.submitted.add(c.Job)
 		l.scheduleItems(c.Job)
 		if l.isOwn(c.Job) && !l.listing {
 			l.opts.Offer(l.appendOffers(nil, time.Now(), c.Job))
--- a/batch/listed.go
+++ b/batch/listed.go
@@ -34,6 +34,7 @@
 			l.dropItem(job, i)
 		}
 	}
+	l.submitted.remove(job)
 	delete(l.scheduledService, job.ID)
 	l.notifyWatchers(job.ID)
 }
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -26,13 +26,19 @@
 	return clock.Now().Sub(l.follower.Complete())
 }
 
+// MayRepeat reports whether any caller has submitted a job with this ID to this path that was accepted. It doesn't
+// wait for records that are being applied.
+func (l *Ledger) MayRepeat(id, path string) bool {
+	return l.submitted.has(id, path)
+}
+
 // Repeats reports whether a job with this ID was accepted from a caller for a host and path, so
 // that a submission of it is accepted again, whatever the configuration allows by now.
 func (l *Ledger) Repeats(id, host, path string, caller route.Caller) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	job := l.ownJob(caller, id)
-	return job != nil && job.Submission.Host == host && job.Submission.Path == path
+	return job != nil && route.SameHost(job.Submission.Host, host) && job.Submission.Path == path
 }
 
 // Submit submits a job in the name of the caller in ctx and returns the ledger's verdict. Errors are ErrNotWritten,
--- a/e2e/jobroute_test.go
+++ b/e2e/jobroute_test.go
@@ -52,6 +52,34 @@
 	}
 }
 
+// TestRoutesRepeatOfAJobIsNoRequest guards against a job that is handed in again, as its first 202 was lost, and is
+// passed on as a request of a route that was added over its path.
+func TestRoutesRepeatOfAJobIsNoRequest(t *testing.T) {
+	for _, kind := range []string{"safe", "unsafe"} {
+		t.Run(kind, func(t *testing.T) {
+			f := newJobRouteFleet(t)
+			f.publish(2, addedRoute(kind, "plain"), "", "")
+			for i, g := range f.gateways {
+				eventually(t, g.name+" serves the added route", func() bool {
+					return g.send(http.MethodPost, "/lots-in/j/1", fmt.Sprintf("probe-%d", i), nil).status == http.StatusOK
+				})
+				eventually(t, g.name+" knows the job", func() bool { return g.send(http.MethodGet, "/lots/j", "", nil).status == http.StatusOK })
+				if r := g.send(http.MethodPost, "/lots-in/j/1", "j", job("j", jobRouteItems)); r.status != http.StatusAccepted {
+					t.Errorf("%s: status %d, want that of an accepted job: %s", g.name, r.status, r.body)
+				}
+			}
+			for _, r := range f.plain {
+				for _, run := range r.Runs() {
+					if run.Request == "j" {
+						t.Errorf("%s ran the repeat as a request", r.ID)
+					}
+				}
+			}
+			f.awaitJob("j", jobRouteItems)
+		})
+	}
+}
+
 // TestRoutesJobsEndWithTheirRoute guards against items that are neither run nor given up once their route has been
 // replaced by another one at its prefix.
 func TestRoutesJobsEndWithTheirRoute(t *testing.T) {
--- a/forward/authenticate_test.go
+++ b/forward/authenticate_test.go
@@ -414,6 +414,7 @@
 		{"repeated, without a key", http.MethodPost, "/gone/", "", http.StatusNotFound, route.Caller{}},
 	} {
 		b := newKeyedbed(t, c, c, func(o *Options) {
+			o.MayRepeatJob = func(string, string) bool { return true }
 			o.RepeatsJob = func(_, _, path string, caller route.Caller) bool { return path == "/gone/" && caller.Workspace == "a" }
 		})
 		var keys []string
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -86,8 +86,7 @@
 		}
 		return
 	}
-	if f.repeatsJob(waiting, req, config) {
-		f.serveJobs(waiting, w, req)
+	if f.serveRepeat(waiting, w, req, config) {
 		return
 	}
 	if !f.match(waiting, w, req, config) || !f.authenticate(waiting, w, req) {
@@ -121,25 +120,38 @@
 	return call.Job, err == nil || config.Serves(hr.Host)
 }
 
-// repeatsJob reports whether a request for which there is no route hands in a batch job that was
-// accepted, and sets the request's caller.
-func (f *Forwarder) repeatsJob(ctx context.Context, req *request, config *route.Configuration) bool {
+// serveRepeat serves a request that hands in a batch job which was accepted, and reports whether it did. Such a
+// request belongs to the job, whatever route its path selects by now: as a request of that route it would run there,
+// need a key that the job needs not, or be accepted as another job.
+func (f *Forwarder) serveRepeat(ctx context.Context, w http.ResponseWriter, req *request, config *route.Configuration) bool {
 	hr := req.http
-	if hr.Method != http.MethodPost || req.ID == "" || platform.IsJobCall(hr) || config.Match(hr.Host, hr.URL.Path) != nil {
+	if hr.Method != http.MethodPost || req.ID == "" || platform.IsJobCall(hr) || !f.opts.MayRepeatJob(req.ID, hr.URL.Path) {
 		return false
 	}
-	caller := route.Caller{Checked: config.HasWorkspaces()}
+	nobody := route.Caller{Checked: config.HasWorkspaces()}
+	caller := nobody
+	var c *credential
+	var rejection *Rejection
 	if caller.Checked {
-		// Without a valid key it may only be a job of a public route. Otherwise the response is that of
-		// a request without a route.
-		if c, rejection := f.identify(ctx, req); rejection == nil && c.workspace != nil {
+		if c, rejection = f.identify(ctx, req); rejection == nil && c.workspace != nil {
 			caller.Workspace = c.workspace.Name
 		}
 	}
-	if !f.opts.RepeatsJob(req.ID, hr.Host, hr.URL.Path, caller) {
+	repeats := func(caller route.Caller) bool { return f.opts.RepeatsJob(req.ID, hr.Host, hr.URL.Path, caller) }
+	switch {
+	case repeats(caller):
+		req.caller = caller
+		f.serveJobs(ctx, w, req)
+	case repeats(nobody):
+		// A job of a public route belongs to no workspace, also if its client sends a key.
+		req.caller = nobody
+		f.serveJobs(ctx, w, req)
+	case rejection != nil:
+		// Its workspace may be the one of the job.
+		f.admit(w, req, c, rejection)
+	default:
 		return false
 	}
-	req.caller = caller
 	return true
 }
 
--- a/forward/options.go
+++ b/forward/options.go
@@ -37,6 +37,9 @@
 	OnLimit func(i endpoint.Incarnation, perSecond float64, sent time.Time)
 	// Jobs serves the API of batch jobs.
 	Jobs http.Handler
+	// MayRepeatJob reports whether a batch job with this id was accepted for this path, whoever submitted
+	// it. It is asked for each request that might, so it must not wait.
+	MayRepeatJob func(id, path string) bool
 	// RepeatsJob reports whether a batch job with this id, which the caller may read, was accepted
 	// for this host and path.
 	RepeatsJob func(id, host, path string, caller route.Caller) bool
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -189,6 +189,7 @@
 		OnBegun:       b.recordBegun,
 		OnLimit:       func(endpoint.Incarnation, float64, time.Time) {},
 		Jobs:          http.HandlerFunc(b.serveJobs),
+		MayRepeatJob:  func(string, string) bool { return false },
 		RepeatsJob:    func(string, string, string, route.Caller) bool { return false },
 		Shutdown:      b.shutdown.Load,
 		BodyBudget:    16 << 20,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -395,6 +395,7 @@
 		Check:          g.check,
 		OnBegun:        g.streamBegun,
 		Jobs:           batch.NewAPI(g.ledger),
+		MayRepeatJob:   g.ledger.MayRepeat,
 		RepeatsJob:     g.ledger.Repeats,
 		IsPublicJob:    g.ledger.IsPublic,
 		Revocation:     g.settings.Revocation,
