batch: a public job is looked up also after its route was removed

A call without a key on a job that the host had not read yet got 401 if the configuration in force had no public route for jobs, though the job was accepted through one. Cause: whether the view is refreshed was asked of the newest configuration alone. Change: also if there has been such a route since the host started.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -32,6 +32,8 @@
 	seq              atomic.Int64
 	statusRetention  atomic.Int64
 	storeUnreachable atomic.Bool
+	// hadPublicRoute is set once a configuration with a public route for jobs has been in force.
+	hadPublicRoute atomic.Bool
 	// listed opens after the first listing of the ledger.
 	listed *startup.Gate
 	// submitted holds the jobs of state.
--- a/batch/owners.go
+++ b/batch/owners.go
@@ -57,13 +57,14 @@
 	return nil
 }
 
-// IsPublic reports whether a job was submitted through a public route. If the ledger view lacks the
-// job and there are public routes for jobs, it refreshes the view; the error is follow.ErrStale.
+// IsPublic reports whether a job was submitted through a public route. If the ledger view lacks the job and there have
+// been public routes for jobs since this host started, it refreshes the view; the error is follow.ErrStale. A host that
+// started after the last of them ended has listed the jobs.
 func (l *Ledger) IsPublic(ctx context.Context, id string) (bool, error) {
 	l.mu.Lock()
 	public, known := l.publicJob(id) != nil, l.state.Job(id) != nil
 	l.mu.Unlock()
-	if known || !l.hasPublicRoute() {
+	if known || !l.hadPublicRoute.Load() && !l.hasPublicRoute() {
 		return public, nil
 	}
 	if err := l.refresh(ctx); err != nil {
--- a/batch/reschedule.go
+++ b/batch/reschedule.go
@@ -8,8 +8,11 @@
 )
 
 // Reschedule schedules open items again if the configuration in force assigns their job
-// to another service than before.
+// to another service than before. It is called with each new configuration.
 func (l *Ledger) Reschedule() {
+	if l.hasPublicRoute() {
+		l.hadPublicRoute.Store(true)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, job := range l.state.Jobs() {
--- a/batch/workspaces_test.go
+++ b/batch/workspaces_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -248,6 +249,32 @@
 	}
 }
 
+// TestPublicJobOutlastsItsRoute guards against a call without a key on a public job that is answered 401, as its route was
+// removed before this host has read the job.
+func TestPublicJobOutlastsItsRoute(t *testing.T) {
+	address, engine := startStoreAndEngine(t, 3)
+	l, other := newStoredLedger("host", address, engine), newStoredLedger("other", address, engine)
+	var config atomic.Pointer[route.Configuration]
+	config.Store(workspaceConfiguration())
+	for _, ledger := range []*Ledger{l, other} {
+		ledger.opts.Configuration = config.Load
+	}
+	t.Cleanup(followLedger(t, l))
+	t.Cleanup(followLedger(t, other))
+	l.Reschedule()
+	ctx, cancel := context.WithTimeout(route.WithCaller(context.Background(), noCaller), testTimeout)
+	defer cancel()
+	items := []jobs.Item{{ID: "i", Path: "/public/run", Tokens: 3, Body: []byte("q")}}
+	if v, err := other.Submit(ctx, "j", "h", "/public/j", items); err != nil || v != jobs.Accepted {
+		t.Fatalf("verdict %v, error %v", v, err)
+	}
+	config.Store(testConfiguration())
+	l.Reschedule()
+	if public, err := l.IsPublic(ctx, "j"); err != nil || !public {
+		t.Errorf("the job is public: %t, error %v", public, err)
+	}
+}
+
 // TestLongIDsHaveKeysOfTheirOwn guards against records that replace each other: keys that are too long
 // are cut at their end, where they differ.
 func TestLongIDsHaveKeysOfTheirOwn(t *testing.T) {
