upstream, engine, relay, platform: an answer whose status is none is no answer

An endpoint in trouble answers "HTTP/1.1 000". Callers of routes saw their connection end without an answer, with no attempt elsewhere and no line that names the cause; statuses from 600 on were passed on. On the OpenAI interface plain calls did the same, and streams took it for a refusal ("not run"). An append to the store that was answered so counted as rejected, hence as not written; a host that relays calls to the store panicked; JSON calls between own processes decoded the body as a success.

Cause: net/http reads any three characters that its number parser takes, and no reader of an answer looked. Ruled out: a head that is taken for incomplete (what may be repeated was not).

Change: package httpstatus knows 100 to 599, and each reader of an answer asks it. Another status counts as no response: the call may have run.

Tests, which fail before: TestInvalidStatusIsNoResponse, TestInvalidStatusIsNotPassedOn (all kinds of routes, nine statuses), TestInvalidStatusThroughAnotherHostIsNoResponse, TestInvalidStatusIsNoAnswer (engine, httpjson), TestInvalidStatusIsNotRelayed, TestInvalidStatusOfTheStoreRejectsNothing. Items were right before; they have tests now (TestInvalidStatusEndsNoItem, TestResetDuringTheUploadEndsNoItem).

--- a/detour/httppool.go
+++ b/detour/httppool.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/httpstatus"
 	"github.com/peridotmount/peridotmount/upstream"
 )
 
@@ -79,6 +80,9 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil {
+		err = httpstatus.CheckResponse(resp)
+	}
 	switch {
 	case err == nil:
 		return resp, nil
--- a/detour/sender.go
+++ b/detour/sender.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/httpstatus"
 	"github.com/peridotmount/peridotmount/peers"
 	"github.com/peridotmount/peridotmount/upstream"
 )
@@ -187,5 +188,10 @@
 		_ = resp.Body.Close()
 		return nil, lost, errors.Wrapf(upstream.ErrPathLost, "%s: head of the response: %s", host.Name, err)
 	}
+	if err := httpstatus.Check(out.head.Status); err != nil {
+		// A host of an older build passes on what its endpoint sent.
+		_ = resp.Body.Close()
+		return nil, unanswered, errors.Wrap(upstream.ErrNoResponse, err.Error())
+	}
 	return out, answered, nil
 }
--- a/engine/call.go
+++ b/engine/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/httpstatus"
 	"github.com/peridotmount/peridotmount/upstream"
 )
 
@@ -54,6 +55,9 @@
 		// The connection may also have been one to a host that did not make the call.
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
+	if err := httpstatus.CheckResponse(resp); err != nil {
+		return nil, errors.Wrap(ErrBroken, err.Error())
+	}
 	if named := resp.Header.Get(CallHeader); named != "" && named != c.id {
 		_ = resp.Body.Close()
 		return nil, errors.Wrap(ErrBroken, "answer to another call")
--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/httpstatus"
 )
 
 const (
@@ -53,7 +55,8 @@
 
 // Do sends in as a JSON body, unless it is nil, and decodes the answer into
 // out, unless that is nil. An answer of status 400 or more is a *StatusError, which holds the
-// first 4 KB of its body. A body over the limit is ErrTooLong.
+// first 4 KB of its body. A body over the limit is ErrTooLong, and an answer without a status of HTTP
+// httpstatus.ErrInvalid.
 func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
 	req, err := c.newRequest(ctx, method, path, in)
 	if err != nil {
@@ -64,6 +67,9 @@
 		return errors.Wrap(err, "call "+path)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := httpstatus.Check(resp.StatusCode); err != nil {
+		return errors.Wrap(err, "answer of "+path)
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		if err != nil {
--- /dev/null
+++ b/httpstatus/doc.go
@@ -0,0 +1,2 @@
+// Package httpstatus tells the status codes of HTTP from other numbers that net/http takes for one.
+package httpstatus
--- /dev/null
+++ b/relay/status_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/peridotmount/peridotmount/standin/rawhttp"
+)
+
+// TestInvalidStatusIsNotRelayed guards against a host that panics as it relays an answer of the store whose status is
+// none, and against such an answer that is taken for one.
+func TestInvalidStatusIsNotRelayed(t *testing.T) {
+	for _, status := range rawhttp.InvalidStatuses() {
+		store, err := rawhttp.Start(func(c *net.TCPConn, req *http.Request, _ int) bool {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}")
+			return false
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		near := newTestHost(t, "near", store.Address())
+		isolated := newTestHost(t, "cut", store.Address(), near)
+		relayAgain(isolated, near)
+		for name, h := range map[string]*testHost{"direct": near, "relayed": isolated} {
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+store.Address()+"/append", strings.NewReader("a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := h.transport.RoundTrip(req)
+			switch {
+			case name == "direct" && err == nil:
+				t.Errorf("status %s: %d is taken for an answer", status, resp.StatusCode)
+			case name == "relayed" && (err != nil || resp.StatusCode != http.StatusGatewayTimeout):
+				t.Errorf("status %s, relayed: %+v, error %v", status, resp, err)
+			}
+			cancel()
+			relayAgain(isolated, near)
+		}
+	}
+}
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/peridotmount/peridotmount/httpstatus"
 	"github.com/peridotmount/peridotmount/peers"
 )
 
@@ -79,6 +80,11 @@
 func (t *Transport) sendDirect(req *http.Request) (*http.Response, error) {
 	began := time.Now()
 	resp, err := t.opts.Direct.RoundTrip(req)
+	if err == nil {
+		if err = httpstatus.CheckResponse(resp); err != nil {
+			resp = nil
+		}
+	}
 	switch {
 	case err == nil && resp.StatusCode == http.StatusTooManyRequests:
 		t.recordThrottled(resp.Status)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/peridotmount/peridotmount/httpstatus"
 )
 
 // exchange is one call in flight on a connection.
@@ -157,12 +159,18 @@
 }
 
 // readHead reads the head of a response. It returns ErrTooLong if the head exceeds
-// maxHeadBytes or maxHeadFields.
+// maxHeadBytes or maxHeadFields, and httpstatus.ErrInvalid if its status is none.
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
 	x.conn.limit.limitHead()
 	defer x.conn.limit.unlimit()
 	resp, err := http.ReadResponse(x.conn.reader, req)
-	return resp, x.checkLimit(err)
+	if err != nil {
+		return nil, x.checkLimit(err)
+	}
+	if err := httpstatus.Check(resp.StatusCode); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // discard reads and drops the body of a response to another request. It returns
