connend: connections to the store and between hosts hold a reset that a write met

An append to the store counted as done by an answer without a length that came before the store had read the append and was broken off by a reset; JSON answers between processes were taken for whole in the same way.

Cause: the kernel reports a reset once. If a write is told, the read sees a regular end, which ends a body without a length. Connections to endpoints are wrapped in connend.Conn; those of the transports to the store and to other hosts were not. Ruled out: that net/http takes any reset for an end (without a write in progress it does not).

Change: connend.Dial wraps a dial, and these transports use it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/peridotmount/peridotmount/batch"
 	"github.com/peridotmount/peridotmount/bounded"
 	"github.com/peridotmount/peridotmount/clock"
+	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/disconnect"
 	"github.com/peridotmount/peridotmount/endpoint"
@@ -188,14 +189,14 @@
 		Self: g.self, Store: g.settings.Store, Probe: platform.StoreProbe,
 		Direct: platform.NewStoreTransport(),
 		Peers: &http.Transport{
-			DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: headerBytes,
+			DialContext: connend.Dial(sockopt.Dialer(peerDialTimeout).DialContext), DisableCompression: true, MaxResponseHeaderBytes: headerBytes,
 		},
 		Hosts: g.directory.Hosts, Logger: g.logger, Registerer: g.registry,
 	})
 	g.store = platform.NewStore(g.settings.Store, platform.StoreOptions{Transport: g.relay, Registerer: g.registry})
 	g.configuration = &configuration{logger: g.logger, adopted: g.adopted}
 	g.asker = picture.NewClient(g.settings.Seeds, &http.Client{Transport: &http.Transport{
-		DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: headerBytes,
+		DialContext: connend.Dial(sockopt.Dialer(peerDialTimeout).DialContext), DisableKeepAlives: true, MaxResponseHeaderBytes: headerBytes,
 	}})
 	configurationOptions := g.following(platform.TopicOperator, g.configuration, configurationPause)
 	configurationOptions.Wait = configurationWait(g.settings.Revocation)
@@ -257,7 +258,7 @@
 		Self: g.self,
 		Pool: g.pool,
 		Peers: &http.Transport{
-			DialContext: sockopt.Dialer(peerDialTimeout).DialContext, DisableCompression: true,
+			DialContext: connend.Dial(sockopt.Dialer(peerDialTimeout).DialContext), DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleDetours, IdleConnTimeout: detourIdleTimeout, MaxResponseHeaderBytes: headerBytes,
 		},
 		Hosts:        g.directory.Hosts,
@@ -317,7 +318,7 @@
 		RecordsReadUntil: g.directoryFeed.Complete,
 		RefreshDirectory: g.directoryFeed.Refresh,
 		HTTP: &http.Client{Transport: &http.Transport{
-			DialContext:            sockopt.Dialer(peerDialTimeout).DialContext,
+			DialContext:            connend.Dial(sockopt.Dialer(peerDialTimeout).DialContext),
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: headerBytes,
 		}},
--- a/node/endpointlinks.go
+++ b/node/endpointlinks.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/peridotmount/peridotmount/clock"
-	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/endpoint"
 	"github.com/peridotmount/peridotmount/gossip"
@@ -142,10 +141,7 @@
 		// An attempt that was given up says nothing of the endpoint.
 		n.links.sender.Links().Dialed(id, began, err)
 	}
-	if err != nil {
-		return nil, err
-	}
-	return connend.NewConn(conn), nil
+	return conn, err
 }
 
 // dialFunc connects to an address.
--- a/node/tls.go
+++ b/node/tls.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/peridotmount/peridotmount/connend"
 	"github.com/peridotmount/peridotmount/settings"
 	"github.com/peridotmount/peridotmount/tlsfiles"
 	"github.com/peridotmount/peridotmount/traffic"
@@ -40,7 +41,7 @@
 // newTransportOver returns a transport over connections that dial makes.
 func (n *Node) newTransportOver(dial dialFunc) http.RoundTripper {
 	base := &http.Transport{
-		DialContext:         dial,
+		DialContext:         connend.Dial(dial),
 		MaxIdleConnsPerHost: connectionsPer,
 		IdleConnTimeout:     time.Minute,
 		// Bounds what an endpoint that sends a head without end takes of the host's memory.
