upstream: an endpoint that answers no check is not known to be the one that sent a body

Cause: after two checks of 500 ms without an answer, any process that listened counted for the one that sent the body.

Change: one that answers no check within 2 s leaves the end unsure; a sound engine may be silent for a second. Endpoints that reset connections, as full ones do, are still asked for by a connection.

--- a/upstream/check.go
+++ b/upstream/check.go
@@ -32,29 +32,37 @@
 	return c
 }
 
-// aliveTimeout bounds the question whether a process is alive.
-const aliveTimeout = 500 * time.Millisecond
+// aliveTimeout bounds the question whether a process is alive. A sound one may be silent for a second.
+const aliveTimeout = 2 * time.Second
 
 // endChecks is how often the process is asked for at the end of an open response. A connection that is
 // reset may be that of a process that ends, or one beyond the endpoint's limit.
 const endChecks = 2
 
+// errProcessSilent means that it is not known which process the connection leads to.
+var errProcessSilent = errors.New("the process does not answer the check")
+
 // maxCheckBytes bounds the body of the response to a check, in bytes.
 const maxCheckBytes = 256 << 10
 
 // errConnectionUsed means that a check has passed, and that the endpoint closes the connection.
 var errConnectionUsed = errors.New("the endpoint closes the connection after the check")
 
-// alive returns an error if the process that sent a response has ended: the one of a check, or any
-// at that address.
+// alive returns an error unless the process that sent a response is still there: the one of a check, or without
+// a check any at that address. A process that is silent may be the next one; only an endpoint that resets
+// connections, as one does that has as many as it takes, is asked for by a connection alone.
 func (p *Pool) alive(ctx context.Context, key, address string, c *Check) error {
+	if c == nil {
+		return p.confirmListening(ctx, key, address)
+	}
 	for range endChecks {
-		if c == nil {
-			break
-		}
-		// One that refuses has ended, and the next may already listen at the next attempt.
-		if err := p.checkOnce(ctx, key, address, c); err == nil || errors.Is(err, ErrOtherProcess) || errors.Is(err, syscall.ECONNREFUSED) {
+		err := p.checkOnce(ctx, key, address, c)
+		switch {
+		case err == nil, errors.Is(err, ErrOtherProcess), errors.Is(err, syscall.ECONNREFUSED):
+			// One that refuses has ended, and the next may already listen at the next attempt.
 			return err
+		case !errors.Is(err, syscall.ECONNRESET):
+			return errors.Wrap(errProcessSilent, err.Error())
 		}
 	}
 	return p.confirmListening(ctx, key, address)
@@ -62,7 +70,7 @@
 
 // checkOnce makes a check on a connection of its own.
 func (p *Pool) checkOnce(ctx context.Context, key, address string, c *Check) error {
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.aliveTimeout)
 	defer cancel()
 	began := time.Now()
 	dialed, err := p.dial(ctx, address)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -20,8 +20,8 @@
 	opts    Options
 	dialer  *net.Dialer
 	metrics *metrics
-	// probeWait is the constant of that name, except in tests.
-	probeWait time.Duration
+	// probeWait and aliveTimeout are the constants of these names, except in tests.
+	probeWait, aliveTimeout time.Duration
 
 	mu sync.Mutex
 	// idle holds the idle connections by endpoint, the most recently used one last.
@@ -37,7 +37,7 @@
 		metrics: newMetrics(o.Registerer),
 		idle:    make(map[string][]*connection),
 
-		probeWait: probeWait,
+		probeWait: probeWait, aliveTimeout: aliveTimeout,
 	}
 }
 
