gateway: the end of a plain answer without a length is checked with the endpoint's health

Cause: plain services have no report on themselves, so no check was made, and any process that listens counted.

Change: the health check names the replica, and is asked for at the end of a body without length and chunks; a record with a later start counts as well.

--- a/detour/process_test.go
+++ b/detour/process_test.go
@@ -16,7 +16,7 @@
 func TestHelperWithAnotherRecordIsPassedOver(t *testing.T) {
 	e := startTestEndpoint(t)
 	check := func(process string) *upstream.Check {
-		return &upstream.Check{Process: process, Target: "/report", Host: "h", Passes: func(int, []byte) error { return nil }}
+		return &upstream.Check{Process: process, Target: "/report", Host: "h", Passes: func(int, http.Header, []byte) error { return nil }}
 	}
 	hosts := startTestHosts(t, 3, e, func(i int, o *Options) {
 		o.Check = func(*endpoint.Endpoint, http.Header) *upstream.Check { return check([]string{"old", "new", "old"}[i]) }
@@ -50,7 +50,7 @@
 	for _, knows := range []bool{true, false} {
 		hosts := startTestHosts(t, 2, e, func(_ int, o *Options) {
 			o.Check = func(*endpoint.Endpoint, http.Header) *upstream.Check {
-				return &upstream.Check{Process: "p", Target: "/echo", Host: "h", AtEnd: true, Passes: func(int, []byte) error { return errors.New("another") }}
+				return &upstream.Check{Process: "p", Target: "/echo", Host: "h", AtEnd: true, Passes: func(int, http.Header, []byte) error { return errors.New("another") }}
 			}
 		})
 		hosts[0].strand(t)
--- a/forward/unread_test.go
+++ b/forward/unread_test.go
@@ -22,7 +22,7 @@
 		if e.ID != b.replicas[0].ID {
 			return nil
 		}
-		return &upstream.Check{Process: "1", Target: "/report", Host: "h", Passes: func(int, []byte) error { return errors.New("started later") }}
+		return &upstream.Check{Process: "1", Target: "/report", Host: "h", Passes: func(int, http.Header, []byte) error { return errors.New("started later") }}
 	}
 	id, a := b.send(context.Background(), "", nil)
 	if a.body != expectedEvents(id, 1, 6) || len(b.replicas[0].Runs()) != 0 {
@@ -44,7 +44,7 @@
 	defer func() { _ = silent.Close() }()
 	b.placer.endpoints[0].Address = silent.Addr().String()
 	b.forwarder.opts.Check = func(*endpoint.Endpoint, http.Header) *upstream.Check {
-		return &upstream.Check{Process: "1", Target: "/report", Host: "h", Passes: func(int, []byte) error { return nil }}
+		return &upstream.Check{Process: "1", Target: "/report", Host: "h", Passes: func(int, http.Header, []byte) error { return nil }}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -282,15 +282,19 @@
 	return platform.Heads(platform.Leaving(e, g.endpointLeaves), platform.Limit(e, request, sent, g.limits.Answered))
 }
 
-// check returns the check for a call to an engine with a header: what goes on has to reach the
-// version that began it, and what begins may have to go on, so the version has to be that of the
-// record. With a single version, only the end of an open response depends on the process: unless this host
-// stood still, and has not read since which endpoints started again with another one.
+// check returns the check for a call to an endpoint with a header, or nil. What goes on has to reach the version of an
+// engine that began it, and what begins may have to go on, so the version has to be that of the record. With a single
+// version, only the end of an open response depends on the process: unless this host stood still, and has not read since
+// which endpoints started again with another one. Of plain services, too, only the end does.
 func (g *Gateway) check(e *endpoint.Endpoint, h http.Header) *upstream.Check {
 	c := g.configuration.Current()
-	if c == nil || c.Services[e.Service] == nil || c.Services[e.Service].Engine == nil {
+	if c == nil || c.Services[e.Service] == nil {
 		return nil
 	}
+	service := c.Services[e.Service]
+	if service.Engine == nil {
+		return plainCheck(e, service.HealthPath, g.endpoints.View)
+	}
 	check := platform.ProcessCheck(e)
 	check.AtEnd = !platform.GoesOn(h) && g.origins.Single(e.Service) && g.endpoints.Current(g.endpointFeed.Complete())
 	return check
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -205,9 +205,13 @@
 		}
 		r.awaitResumed()
 		r.sendLate(conn, req)
-		if req.URL.Path == "/report" {
+		switch req.URL.Path {
+		case "/report":
 			r.report(c)
 			continue
+		case "/health":
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID)
+			continue
 		}
 		r.mu.Lock()
 		f := r.faults
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -15,10 +15,11 @@
 type Check struct {
 	// Process identifies the process that is meant.
 	Process string
-	// Target and Host are those of the call, a GET.
+	// Target, Host and Header are those of the call, a GET.
 	Target, Host string
+	Header       http.Header
 	// Passes returns nil if the response comes from the process that is meant.
-	Passes func(status int, body []byte) error
+	Passes func(status int, h http.Header, body []byte) error
 	// AtEnd has it made only at the end of an open response, of which the process that sent it has to be
 	// alive.
 	AtEnd bool
@@ -114,7 +115,11 @@
 
 // check makes the check of a connection on which nothing was sent yet.
 func (x *exchange) check(ctx context.Context, c *Check) error {
-	req, err := newRequest(&Call{Method: http.MethodGet, Target: c.Target, Host: c.Host, Header: make(http.Header)})
+	header := c.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	req, err := newRequest(&Call{Method: http.MethodGet, Target: c.Target, Host: c.Host, Header: header})
 	if err != nil {
 		return err
 	}
@@ -134,7 +139,7 @@
 	if err != nil {
 		return errors.Wrap(x.checkLimit(err), "check")
 	}
-	if err := c.Passes(resp.StatusCode, body); err != nil {
+	if err := c.Passes(resp.StatusCode, resp.Header, body); err != nil {
 		return errors.Wrap(ErrOtherProcess, err.Error())
 	}
 	x.conn.process = c.Process
--- a/upstream/check_test.go
+++ b/upstream/check_test.go
@@ -75,7 +75,7 @@
 
 // testCheck is the check that an endpoint is a process.
 func testCheck(process string) *Check {
-	return &Check{Process: process, Target: "/report", Host: "h", Passes: func(_ int, body []byte) error {
+	return &Check{Process: process, Target: "/report", Host: "h", Passes: func(_ int, _ http.Header, body []byte) error {
 		if string(body) != process {
 			return errors.Errorf("it is %s", body)
 		}
--- a/upstream/status_test.go
+++ b/upstream/status_test.go
@@ -43,7 +43,7 @@
 				t.Errorf("status %s: error %v", status, err)
 			}
 		}
-		check := &Check{Process: "p", Target: "/check", Host: "h", Passes: func(int, []byte) error { return nil }}
+		check := &Check{Process: "p", Target: "/check", Host: "h", Passes: func(int, http.Header, []byte) error { return nil }}
 		call := &Call{Request: "r", Method: http.MethodGet, Target: "/sound", Host: "h", Header: http.Header{}, Check: check}
 		if _, err := pool.Send(ctx, "e", e.Address(), call); !errors.Is(err, ErrNotSent) {
 			t.Errorf("status %s of a check: error %v", status, err)
