gateway: two events don't clear a request that crashes engines

Cause: the second event of a stream cleared the request and the parts of its prompt, and crashes behind it were reported without keys. Ruled out: crashes that are not seen, verdicts that are not obeyed (the lines are there, and missing).

Change: the second event clears the parts alone, which crash what begins to answer; the request is cleared by a whole answer, and is suspected of a crash within its first 16 events.

Tests of blame, slots and the e2e tests of crashes pass.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -92,30 +93,35 @@
 }
 
 // TestUsageDecidesWhatIsReported checks what a placement reports for each way in which an
-// attempt ends.
+// attempt ends. It guards against a request that crashes each endpoint some events after it began and is never
+// suspected, as two events cleared it.
 func TestUsageDecidesWhatIsReported(t *testing.T) {
 	gone, _, end := listenAt(t)
 	end()
 	e := &endpoint.Endpoint{ID: "e", Service: "s", Address: gone}
 	for _, c := range []struct {
-		use            forward.Usage
-		reported, keys bool
+		use      forward.Usage
+		reported bool
+		keys     []blame.Key
 	}{
-		{forward.Usage{Outcome: forward.OutcomeUnknown}, true, true},
-		{forward.Usage{Outcome: forward.OutcomeTruncated, Events: 1}, true, true},
-		{forward.Usage{Outcome: forward.OutcomeTruncated, Events: 2, Responding: true}, true, false},
-		{forward.Usage{Outcome: forward.OutcomeAbandoned}, false, false},
-		{forward.Usage{Outcome: forward.OutcomeNotRun}, false, false},
-		{forward.Usage{Outcome: forward.OutcomeTimedOut}, false, false},
+		{forward.Usage{Outcome: forward.OutcomeUnknown}, true, []blame.Key{"request:f", "part:x"}},
+		{forward.Usage{Outcome: forward.OutcomeTruncated, Events: 1}, true, []blame.Key{"request:f", "part:x"}},
+		{forward.Usage{Outcome: forward.OutcomeTruncated, Events: 2, Responding: true}, true, []blame.Key{"request:f"}},
+		{forward.Usage{Outcome: forward.OutcomeTruncated, Events: beginningEvents - 1, Responding: true}, true, []blame.Key{"request:f"}},
+		{forward.Usage{Outcome: forward.OutcomeTruncated, Events: beginningEvents, Responding: true}, true, nil},
+		{forward.Usage{Outcome: forward.OutcomeAbandoned}, false, nil},
+		{forward.Usage{Outcome: forward.OutcomeNotRun}, false, nil},
+		{forward.Usage{Outcome: forward.OutcomeTimedOut}, false, nil},
 	} {
 		reports := make(chan blame.Crash, 1)
 		d := newCrashDetector(log.NewNopLogger(), prometheus.NewRegistry(),
 			func() *endpoint.View { return endpoint.NewView([]endpoint.Endpoint{*e}) }, dialEndpoint, func(r blame.Crash) { reports <- r })
-		p := &watchedPlace{Placement: &fakePlacement{endpoint: e}, crashes: d, links: detour.New(detour.Options{}).Links(), request: "r", keys: []blame.Key{"part:x"}}
+		p := &watchedPlace{Placement: &fakePlacement{endpoint: e}, crashes: d, links: detour.New(detour.Options{}).Links(), request: "r",
+			fingerprint: []blame.Key{"request:f"}, parts: []blame.Key{"part:x"}}
 		p.Release(c.use)
 		select {
 		case r := <-reports:
-			if !c.reported || (len(r.Keys) > 0) != c.keys {
+			if !c.reported || !slices.Equal(r.Keys, c.keys) {
 				t.Errorf("%+v: report %+v", c.use, r)
 			}
 		case <-time.After(200 * time.Millisecond):
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -77,7 +77,8 @@
 		place.Release(forward.Usage{Outcome: forward.OutcomeAbandoned})
 		return nil, err
 	}
-	return &watchedPlace{Placement: place, client: p.client, crashes: p.crashes, links: p.links, request: ask.Request, keys: keys}, nil
+	return &watchedPlace{Placement: place, client: p.client, crashes: p.crashes, links: p.links, request: ask.Request,
+		fingerprint: blame.KeysOf(ask.Fingerprint, nil), parts: blame.KeysOf("", ask.SharedParts())}, nil
 }
 
 // convicted returns a refusal if requests with some of these keys crash endpoints.
--- a/gateway/watchedplace.go
+++ b/gateway/watchedplace.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/peridotmount/peridotmount/blame"
 	"github.com/peridotmount/peridotmount/detour"
 	"github.com/peridotmount/peridotmount/forward"
@@ -16,9 +18,15 @@
 	links   *detour.Links
 	// request is the request's id.
 	request string
-	keys    []blame.Key
+	// fingerprint is the key of the request and its retries, parts those of the parts of its prompt that
+	// others share.
+	fingerprint, parts []blame.Key
 }
 
+// beginningEvents is how many events of a stream belong to its beginning. A request that crashes endpoints as they
+// begin to run it may do so behind the first token; a part of a prompt does as they begin to answer.
+const beginningEvents = 16
+
 // Choice implements forward.Chosen.
 func (p *watchedPlace) Choice() string {
 	if c, chosen := p.Placement.(forward.Chosen); chosen {
@@ -27,9 +35,14 @@
 	return ""
 }
 
-// ReportResponding implements forward.Placement.
+// keys returns all keys of the request.
+func (p *watchedPlace) keys() []blame.Key {
+	return slices.Concat(p.fingerprint, p.parts)
+}
+
+// ReportResponding implements forward.Placement. The request itself is cleared once its answer is whole.
 func (p *watchedPlace) ReportResponding() {
-	p.client.RecordAnswered(p.keys)
+	p.client.RecordAnswered(p.parts)
 	p.Placement.ReportResponding()
 }
 
@@ -43,16 +56,22 @@
 func (p *watchedPlace) Release(use forward.Usage) {
 	switch use.Outcome {
 	case forward.OutcomeAnswered, forward.OutcomeFailed:
-		if !use.Responding {
-			p.client.RecordAnswered(p.keys)
-		}
+		p.client.RecordAnswered(p.keys())
 	case forward.OutcomeUnknown, forward.OutcomeTruncated:
 		p.links.Suspect()
-		keys := p.keys
-		if use.Responding {
-			keys = nil
-		}
-		p.crashes.brokenOff(p.Endpoint(), p.request, keys)
+		p.crashes.brokenOff(p.Endpoint(), p.request, p.suspects(use))
 	}
 	p.Placement.Release(use)
 }
+
+// suspects returns the keys that may have crashed the endpoint of an attempt that broke off.
+func (p *watchedPlace) suspects(use forward.Usage) []blame.Key {
+	switch {
+	case !use.Responding:
+		return p.keys()
+	case use.Events < beginningEvents:
+		return p.fingerprint
+	default:
+		return nil
+	}
+}
