upstream, gateway: a new connection to an engine tells which process it leads to

Cause: while a service has a single version, what begins there was not checked. Ruled out: a host that has read the new record and resumes at the wrong version.

Change: a new connection is checked unless another open one shows that the process still has the address. The call is made whatever process answers, so that an endpoint that starts again in an outage goes on serving; what another process begins counts as of a version that no endpoint has. Hosts that make calls for others pass that on.

--- a/batch/run.go
+++ b/batch/run.go
@@ -214,6 +214,12 @@
 		return
 	}
 	defer response.Close()
+	if response.OtherProcess {
+		// What it makes goes on at no other endpoint.
+		unknown := *x.endpoint
+		unknown.Version = platform.UnknownVersion(x.endpoint)
+		x.endpoint = &unknown
+	}
 	switch platform.Judge(response.Status, response.Header) {
 	case platform.Answered:
 		if !sse.IsStream(response.Status, response.Header.Get("Content-Type")) {
--- a/detour/message.go
+++ b/detour/message.go
@@ -29,6 +29,9 @@
 	// Open is set if the endpoint's body ended with its connection. Hosts of earlier versions
 	// don't tell.
 	Open bool `json:"open,omitempty"`
+	// OtherProcess is set if another process than that of the endpoint's record answered. Hosts of earlier versions
+	// don't tell.
+	OtherProcess bool `json:"other_process,omitempty"`
 }
 
 // outcomeHeader holds the outcome of a call that brought no response of the endpoint.
--- a/detour/sender.go
+++ b/detour/sender.go
@@ -132,7 +132,7 @@
 	}
 	resp.body.release, resp.body.lost = release, func() { s.lose(host.Name) }
 	out := upstream.NewRelayedResponse(host.Name, resp.head.Status, resp.header, resp.head.Length, resp.body)
-	out.Open = resp.head.Open
+	out.Open, out.OtherProcess = resp.head.Open, resp.head.OtherProcess
 	out.ConfirmEnd(call.ConfirmEnd)
 	if call.OnResponse != nil {
 		call.OnResponse(out.Status, out.Header)
--- a/detour/server.go
+++ b/detour/server.go
@@ -151,7 +151,7 @@
 
 // passOn writes a response, each part of it as it arrives.
 func (s *Server) passOn(w http.ResponseWriter, resp *upstream.Response) error {
-	head, err := json.Marshal(responseHead{Status: resp.Status, Header: encodeHeader(resp.Header), Length: resp.Length, Open: resp.Open})
+	head, err := json.Marshal(responseHead{Status: resp.Status, Header: encodeHeader(resp.Header), Length: resp.Length, Open: resp.Open, OtherProcess: resp.OtherProcess})
 	if err != nil {
 		return errors.Wrap(err, "encode head")
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,8 +162,8 @@
 		if err := order.Check(block.Events); err != nil {
 			return err
 		}
-		if len(block.Events) > 0 && s.req.setVersion(a.placement.Endpoint().Version) {
-			s.f.opts.OnBegun(s.req.ID, a.placement.Endpoint().Version)
+		if version := a.version(); len(block.Events) > 0 && s.req.setVersion(version) {
+			s.f.opts.OnBegun(s.req.ID, version)
 		}
 		if _, err := out.Write(block.Bytes); err != nil {
 			return errors.Wrap(errClientWrite, err.Error())
--- a/forward/try.go
+++ b/forward/try.go
@@ -32,6 +32,15 @@
 	responses *semaphore.Weighted
 }
 
+// version returns the software version that answers the attempt.
+func (a *attempt) version() string {
+	e := a.placement.Endpoint()
+	if a.response.OtherProcess {
+		return platform.UnknownVersion(e)
+	}
+	return e.Version
+}
+
 // reserve reserves memory for a response, until the attempt is released, and reports whether it did.
 func (a *attempt) reserve(size int64) bool {
 	if a.responses == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -284,8 +284,9 @@
 
 // check returns the check for a call to an endpoint with a header, or nil. What goes on has to reach the version of an
 // engine that began it, and what begins may have to go on, so the version has to be that of the record. With a single
-// version, only the end of an open response depends on the process: unless this host stood still, and has not read since
-// which endpoints started again with another one. Of plain services, too, only the end does.
+// version, the call may reach any process, unless this host stood still and has not read since which endpoints started again
+// with another version; but no stream that another process than that of the record begins may go on elsewhere. Of plain
+// services only the end of an open response depends on the process.
 func (g *Gateway) check(e *endpoint.Endpoint, h http.Header) *upstream.Check {
 	c := g.configuration.Current()
 	if c == nil || c.Services[e.Service] == nil {
@@ -297,6 +298,7 @@
 	}
 	check := platform.ProcessCheck(e)
 	check.AtEnd = !platform.GoesOn(h) && g.origins.Single(e.Service) && g.endpoints.Current(g.endpointFeed.Complete())
+	check.IdentifyNew = check.AtEnd
 	return check
 }
 
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -21,6 +21,8 @@
 	Open bool
 	// Via is the name of the host that made the call for this one, or "".
 	Via string
+	// OtherProcess is set if another process than that of the call's check sent the response.
+	OtherProcess bool
 
 	// exchange is the call on this host's own connection; nil if another host made it.
 	exchange *exchange
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -23,6 +23,9 @@
 	// AtEnd has it made only at the end of an open response, of which the process that sent it has to be
 	// alive.
 	AtEnd bool
+	// IdentifyNew has it made on a new connection too, unless another open connection shows that the process still
+	// has the address. It has not to be passed: Response.OtherProcess tells.
+	IdentifyNew bool
 }
 
 // first returns the check that a call begins with, or nil.
@@ -46,8 +49,8 @@
 // maxCheckBytes bounds the body of the response to a check, in bytes.
 const maxCheckBytes = 256 << 10
 
-// errConnectionUsed means that a check has passed, and that the endpoint closes the connection.
-var errConnectionUsed = errors.New("the endpoint closes the connection after the check")
+// otherProcess marks a connection that leads to another process than the one that was meant.
+const otherProcess = "other"
 
 // alive returns an error unless the process that sent a response is still there: the one of a check, or without
 // a check any at that address. A process that is silent may be the next one; only an endpoint that resets
@@ -78,36 +81,55 @@
 	if err != nil {
 		return err
 	}
-	conn := newConnection(key, dialed)
+	conn := newConnection(p, key, dialed)
 	conn.began = began
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	defer func() { _ = conn.Close() }()
 	x := &exchange{pool: p, conn: conn, first: true}
-	if err := x.check(ctx, c); !errors.Is(err, errConnectionUsed) {
-		return err
-	}
-	return nil
+	return x.check(ctx, c)
 }
 
-// passCheck makes the check of a call unless the connection has passed it. A new connection takes the
-// place of one that the endpoint closes after it.
+// passCheck makes the check of a call unless the connection has passed it.
 func (x *exchange) passCheck(ctx context.Context, address string, c *Check) error {
-	if c == nil || x.conn.process == c.Process {
+	switch {
+	case c == nil || x.conn.process == c.Process:
+		return nil
+	case !c.AtEnd:
+		return x.checkConnection(ctx, address, c)
+	case !c.IdentifyNew || x.conn.process != "":
+		return nil
+	case x.pool.connectedTo(x.conn.key, c.Process):
+		x.conn.process = c.Process
 		return nil
 	}
-	err := x.check(ctx, c)
-	if !errors.Is(err, errConnectionUsed) {
-		if err != nil {
-			x.report(ctx, err)
-		}
+	err := x.checkConnection(ctx, address, c)
+	if !errors.Is(err, ErrOtherProcess) {
 		return err
 	}
+	x.conn.process = otherProcess
+	return x.replaceClosing(ctx, address)
+}
+
+// checkConnection makes a check. A new connection takes the place of one that the endpoint closes after it.
+func (x *exchange) checkConnection(ctx context.Context, address string, c *Check) error {
+	if err := x.check(ctx, c); err != nil {
+		x.report(ctx, err)
+		return err
+	}
+	return x.replaceClosing(ctx, address)
+}
+
+// replaceClosing opens another connection in the place of one that the endpoint closes after the check.
+func (x *exchange) replaceClosing(ctx context.Context, address string) error {
+	if !x.conn.closing {
+		return nil
+	}
 	_ = x.conn.Close()
 	conn, err := x.pool.open(ctx, x.conn.key, address)
 	if err != nil {
 		return err
 	}
-	conn.process = c.Process
+	conn.process = x.conn.process
 	x.conn, x.first = conn, true
 	x.detachContext = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return nil
@@ -139,13 +161,11 @@
 	if err != nil {
 		return errors.Wrap(x.checkLimit(err), "check")
 	}
+	x.conn.closing = resp.Close || IsOpen(resp)
+	x.conn.sent.Store(0)
 	if err := c.Passes(resp.StatusCode, resp.Header, body); err != nil {
 		return errors.Wrap(ErrOtherProcess, err.Error())
 	}
 	x.conn.process = c.Process
-	x.conn.sent.Store(0)
-	if resp.Close || IsOpen(resp) {
-		return errConnectionUsed
-	}
 	return nil
 }
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -24,8 +24,13 @@
 	sent atomic.Int64
 	// began is when the attempt to open the connection began.
 	began time.Time
-	// process is that of the Check that the connection has passed.
+	// pool is told when the connection is closed.
+	pool *Pool
+	// process is that of the Check that the connection has passed, or that another connection showed; otherProcess
+	// if it leads to another one, "" if that is not known.
 	process string
+	// closing is set if the endpoint closes the connection after a check.
+	closing bool
 	// responses counts the final responses that were read.
 	responses int
 }
@@ -34,10 +39,16 @@
 // and events are usually smaller.
 const readBufferSize = 2 << 10
 
-func newConnection(key string, c net.Conn) *connection {
+func newConnection(p *Pool, key string, c net.Conn) *connection {
 	conn := connend.NewConn(c)
 	limit := &limitedReader{r: conn, remaining: unbounded, fields: unbounded}
-	return &connection{Conn: conn, key: key, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit}
+	return &connection{Conn: conn, pool: p, key: key, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit}
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.pool.untrack(c)
+	return c.Conn.Close()
 }
 
 // Write implements io.Writer and counts the bytes written.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -26,6 +26,8 @@
 	mu sync.Mutex
 	// idle holds the idle connections by endpoint, the most recently used one last.
 	idle map[string][]*connection
+	// identified holds, by endpoint, the open connections of which it is known which process they lead to.
+	identified map[string]map[*connection]bool
 }
 
 // NewPool returns a Pool.
@@ -37,6 +39,8 @@
 		metrics: newMetrics(o.Registerer),
 		idle:    make(map[string][]*connection),
 
+		identified: make(map[string]map[*connection]bool),
+
 		probeWait: probeWait, aliveTimeout: aliveTimeout,
 	}
 }
@@ -155,7 +159,7 @@
 		p.report(ctx, key, began, err)
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	c := newConnection(key, conn)
+	c := newConnection(p, key, conn)
 	c.began = began
 	return c, nil
 }
@@ -186,6 +190,42 @@
 	return nil
 }
 
+// track keeps a connection that carries a call, if it is known which process it leads to.
+func (p *Pool) track(c *connection) {
+	if c.process == "" || c.process == otherProcess {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.identified[c.key] == nil {
+		p.identified[c.key] = make(map[*connection]bool)
+	}
+	p.identified[c.key][c] = true
+}
+
+// untrack forgets a connection that is closed.
+func (p *Pool) untrack(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.identified[c.key], c)
+	if len(p.identified[c.key]) == 0 {
+		delete(p.identified, c.key)
+	}
+}
+
+// connectedTo reports whether a connection to a process of an endpoint is open, so that the process still has its
+// address. An idle connection has to be usable; one that carries a call is closed once its end was read.
+func (p *Pool) connectedTo(key, process string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.identified[key] {
+		if c.process == process && (!slices.Contains(p.idle[key], c) || c.usable()) {
+			return true
+		}
+	}
+	return false
+}
+
 // putIdle adds a connection to the idle ones and reports whether it did. It does not if the
 // endpoint has the maximum of idle connections, or accepts no new work.
 func (p *Pool) putIdle(c *connection, idle time.Duration) bool {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -44,13 +44,14 @@
 		x.closeConn()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	if err := x.passCheck(ctx, address, call.Check.first()); err != nil {
+	if err := x.passCheck(ctx, address, call.Check); err != nil {
 		x.closeConn()
 		if errors.Is(err, ErrNotSent) {
 			return nil, err
 		}
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	p.track(x.conn)
 	if len(call.Body) <= maxInlineBody {
 		x.write(req)
 		if x.writeErr != nil {
@@ -65,6 +66,7 @@
 	}
 	x.report(ctx, nil)
 	out := newResponse(x, resp)
+	out.OtherProcess = x.conn.process == otherProcess
 	out.ConfirmEnd(func() error {
 		if err := call.ConfirmEnd(); err != nil || !out.Open {
 			return err
