--- a/cli/routes_test.go
+++ b/cli/routes_test.go
@@ -98,7 +98,7 @@
 	put(platform.TopicOperator, platform.KeyConfiguration, testConfiguration)
 	put(platform.TopicHosts, "host-1", `{"name":"host-1","incarnation":"i","address":"http://10.0.0.2:1","zone":"z","token":"secret","joined":5}`)
 	put(platform.TopicHosts, "host-0", `{"name":"host-0","incarnation":"i","address":"http://10.0.0.1:1","zone":"z","token":"secret","joined":9}`)
-	put(platform.TopicEndpoints, "e-0", `{"service":"plain","address":"10.0.1.1:1","zone":"z","version":"v1","slots":4,"state":"ready","born":1}`)
+	put(platform.TopicEndpoints, "e-0", `{"service":"plain","address":"10.0.1.1:1","zone":"z","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`)
 	put(platform.TopicEndpoints, "e-1", `{`)
 	// The key of the result is listed before that of the submission.
 	for _, r := range []struct {
--- a/e2e/changes_test.go
+++ b/e2e/changes_test.go
@@ -93,7 +93,7 @@
 		r := c.replica(fmt.Sprintf("engine-%d", i), []string{"engines", "spare"}[i%2], soakEvents)
 		r.SetFaults(standin.ReplicaFaults{Announced: true})
 		c.store.Put(platform.TopicEndpoints.Name, r.ID, fmt.Appendf(nil,
-			`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":%d,"state":"ready","born":1}`,
+			`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`,
 			[]string{"engines", "spare"}[i%2], r.Address(), changesSlots))
 		c.engines = append(c.engines, r)
 	}
--- a/e2e/endless_test.go
+++ b/e2e/endless_test.go
@@ -107,7 +107,7 @@
 					defer e.Close()
 					endless = append(endless, e)
 					f.store.Put(platform.TopicEndpoints.Name, id, fmt.Appendf(nil,
-						`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":8,"state":"ready","born":1}`, service, e.Address()))
+						`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, service, e.Address()))
 					defer f.store.Put(platform.TopicEndpoints.Name, id, nil)
 				}
 				tries := 0
--- a/e2e/routedfleet_test.go
+++ b/e2e/routedfleet_test.go
@@ -127,7 +127,7 @@
 // listRun writes the record of one run of a replica.
 func (f *routedFleet) listRun(r *standin.Replica, service, state string, born int) {
 	f.store.Put(platform.TopicEndpoints.Name, r.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":4,"state":%q,"born":%d}`, service, r.Address(), state, born))
+		`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":1,"born":%d}`, service, r.Address(), state, born))
 }
 
 // configure publishes a version, with further routes.
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -119,7 +119,7 @@
 // listThrough writes the record of an engine with its proxy's address.
 func (s *soak) listThrough(i int, state string) {
 	s.store.Put(platform.TopicEndpoints.Name, s.engines[i].ID, fmt.Appendf(nil,
-		`{"service":"engines","address":%q,"zone":"sk-central-a","version":"v1","slots":4,"state":%q,"born":1}`,
+		`{"service":"engines","address":%q,"zone":"sk-central-a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":1,"born":1}`,
 		s.replicaLinks[i].address(), state))
 }
 
--- a/e2e/soakrecords_test.go
+++ b/e2e/soakrecords_test.go
@@ -42,7 +42,7 @@
 // write writes an endpoint's record, which changes if more than seq does. o.mu must be held.
 func (o *orderSoak) write(e *standin.Replica, l *lifeRecord) {
 	l.seq++
-	value := fmt.Sprintf(`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":%q,"born":%d`,
+	value := fmt.Sprintf(`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":%q,"cold_left_ms":0,"seq":1,"born":%d`,
 		e.Address(), l.version, l.state, l.born)
 	if o.life.written[l.id] == value {
 		return
--- a/e2e/standstillcrash_test.go
+++ b/e2e/standstillcrash_test.go
@@ -100,5 +100,5 @@
 	f.engines, f.versions[name] = append(f.engines, r), version
 	f.mu.Unlock()
 	f.store.Put(platform.TopicEndpoints.Name, r.ID, fmt.Appendf(nil,
-		`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":"ready","born":%d}`, r.Address(), version, born))
+		`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":%d}`, r.Address(), version, born))
 }
--- a/e2e/unreadresponses_test.go
+++ b/e2e/unreadresponses_test.go
@@ -58,7 +58,7 @@
 				endpoints = append(endpoints, e)
 				id := fmt.Sprintf("%s-%d", name, i)
 				f.store.Put(platform.TopicEndpoints.Name, id, fmt.Appendf(nil,
-					`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":8,"state":"ready","born":1}`, name, e.Address()))
+					`{"service":%q,"address":%q,"zone":"sk-central-a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, name, e.Address()))
 				defer f.store.Put(platform.TopicEndpoints.Name, id, nil)
 			}
 			f.renew()
--- a/e2e/versions_test.go
+++ b/e2e/versions_test.go
@@ -36,7 +36,7 @@
 // listVersion writes the record of an engine, with a version of its software.
 func (f *routedFleet) listVersion(r *standin.Replica, version string) {
 	f.store.Put(platform.TopicEndpoints.Name, r.ID, fmt.Appendf(nil,
-		`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":"ready","born":1}`, r.Address(), version))
+		`{"service":"engines","address":%q,"zone":"sk-central-a","version":%q,"slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, r.Address(), version))
 }
 
 // openStream opens a stream and reads events until it breaks off or ends, or so many were read,
--- a/gateway/oddendpoints_test.go
+++ b/gateway/oddendpoints_test.go
@@ -40,7 +40,7 @@
 
 // endpointRecord returns an endpoint's record with these JSON values.
 func endpointRecord(address, slots string) []byte {
-	return []byte(`{"service":"s","address":` + address + `,"zone":"z","version":"v","slots":` + slots + `,"state":"ready","born":7}`)
+	return []byte(`{"service":"s","address":` + address + `,"zone":"z","version":"v","slots":` + slots + `,"state":"ready","cold_left_ms":0,"seq":1,"born":7}`)
 }
 
 // TestOddEntriesAmongEndpoints has another writer leave odd entries in the list of endpoints: alone
--- a/gateway/standstill_test.go
+++ b/gateway/standstill_test.go
@@ -16,7 +16,7 @@
 // versionRecord is the record of an endpoint of service s.
 func versionRecord(offset int64, id, version string) platform.KeyedRecord {
 	return platform.KeyedRecord{Key: id, Offset: offset, Value: fmt.Appendf(nil,
-		`{"service":"s","address":"127.0.0.1:1","zone":"z","version":%q,"slots":1,"state":"ready","born":1}`, version)}
+		`{"service":"s","address":"127.0.0.1:1","zone":"z","version":%q,"slots":1,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, version)}
 }
 
 // TestListFromBeforeTheQuestionTellsNoVersion has a stream taken up at a host that knows a single version,
--- a/standin/endpointrecord.go
+++ b/standin/endpointrecord.go
@@ -19,6 +19,9 @@
 		"slots":   max(1, h.Slots),
 		"state":   "ready",
 		"born":    h.Incarnation,
+		// A stand-in is warm at once, and writes its record when it changes.
+		"cold_left_ms": 0,
+		"seq":          1,
 	}
 	if h.State == platform.HostLeaving {
 		record["state"] = "draining"
