batch: a test's store carries an unanswered append out once its call has ended

The append is carried out as the call ends now: the outcome is still open, and the status asked for is the same.

--- a/batch/hostend_test.go
+++ b/batch/hostend_test.go
@@ -17,8 +17,8 @@
 	"github.com/peridotmount/peridotmount/standin"
 )
 
-// unansweredStore leaves appends to the ledger unanswered until their context ends. It carries
-// them out first, or refuses them if refuse is set.
+// unansweredStore leaves appends to the ledger unanswered until their context ends, and carries them out then: before, a read
+// of the ledger would tell their outcome. It refuses them if refuse is set.
 type unansweredStore struct {
 	Store
 	refuse bool
@@ -31,10 +31,10 @@
 	if s.refuse {
 		return 0, errors.WithStack(platform.ErrRefused)
 	}
-	if _, err := s.Store.Append(ctx, topic, records); err != nil {
+	<-ctx.Done()
+	if _, err := s.Store.Append(context.WithoutCancel(ctx), topic, records); err != nil {
 		return 0, err
 	}
-	<-ctx.Done()
 	return 0, ctx.Err()
 }
 
