--- a/e2e/soakcallers_test.go
+++ b/e2e/soakcallers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -62,7 +63,7 @@
 // handIn hands a job in once, and reports whether that settles it.
 func (s *soak) handIn(j *soakJob, r *rand.Rand, try int) bool {
 	g := s.gateways[r.IntN(len(s.gateways))]
-	answer := g.send(http.MethodPost, "/lots-in/"+j.id, j.id, job(j.id, j.items))
+	answer := g.send(http.MethodPost, "/lots-in/"+j.id+"/in", j.id, job(j.id, j.items))
 	switch {
 	case answer.err != nil:
 		return false
@@ -102,6 +103,18 @@
 	return nil
 }
 
+// newestJob returns the job that was accepted last, which is open if one is, or nil.
+func (s *soak) newestJob() *soakJob {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range slices.Backward(s.jobs) {
+		if j.accepted {
+			return j
+		}
+	}
+	return nil
+}
+
 // readJob reads a job from its beginning, and returns how many results it showed.
 func (s *soak) readJob(j *soakJob, g *gateway) int {
 	answer := g.send(http.MethodGet, "/lots/"+j.id+"?after=0", "", nil)
--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotmount/peridotmount/platform"
 	"github.com/peridotmount/peridotmount/standin"
+	"github.com/peridotmount/peridotmount/standin/rawhttp"
 )
 
 const (
@@ -144,7 +145,9 @@
 
 func soakReplicaFault(s *soak, r *rand.Rand, d time.Duration) {
 	replicas := append(append([]*standin.Replica(nil), s.engines...), s.plain...)
+	invalid := rawhttp.InvalidStatuses()
 	faults := []standin.ReplicaFaults{
+		{Answer: &standin.Answer{Code: invalid[r.IntN(len(invalid))], Type: "text/event-stream", Body: "id: 1\ndata: no answer\n\n"}},
 		{NotRun: true}, {EarlyNotRun: true}, {Status: http.StatusBadGateway}, {Status: http.StatusInternalServerError},
 		{Silent: true}, {ResetBefore: true}, {Foreign: true},
 		{Extra: true}, {Cut: true}, {Unframed: true}, {CutAfter: 1 + r.IntN(19)}, {SilentAfter: 1 + r.IntN(19)}, {SkipAfter: 1 + r.IntN(19)},
@@ -158,13 +161,30 @@
 // soakRoute is the path of the route that a version adds.
 func soakRoute(version int) string { return fmt.Sprintf("/added-%d/", version) }
 
-// soakConfigure publishes a version with a route of its own.
-func soakConfigure(s *soak, _ *rand.Rand, _ time.Duration) {
+// soakConfigure publishes a version with a route of its own, and at times one over the path of a job that was accepted.
+func soakConfigure(s *soak, r *rand.Rand, _ time.Duration) {
+	shadow := ""
+	if r != nil && r.IntN(2) == 0 {
+		if j := s.newestJob(); j != nil {
+			shadow = soakShadow(r, j)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
 	s.configure(s.version, fmt.Sprintf(`,%s,{"name":"added","host":"ficu95.example","path_prefix":%q,"kind":"safe",
-"timeout_ms":9000,"service":"plain","max_attempts":2}`, soakOnceRoute, soakRoute(s.version)))
+"timeout_ms":9000,"service":"plain","max_attempts":2}%s`, soakOnceRoute, soakRoute(s.version), shadow))
+}
+
+// soakShadow returns a route with a longer prefix over the path of a job, of another kind or of a service without endpoints.
+func soakShadow(r *rand.Rand, j *soakJob) string {
+	kind := []string{"safe", "unsafe", "streaming", "batch"}[r.IntN(4)]
+	service := "plain"
+	if kind == "batch" {
+		service = "nobody"
+	}
+	return fmt.Sprintf(`,{"name":"shadow","host":"ficu95.example","path_prefix":%q,"kind":%q,"timeout_ms":9000,"service":%q,"max_attempts":2,
+"completion_window_ms":30000,"retention_s":60}`, "/lots-in/"+j.id+"/", kind, service)
 }
 
 func soakDrainReplica(s *soak, r *rand.Rand, d time.Duration) {
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 )
 
 // Answer is an answer of a Replica that is not the one that was asked for.
 type Answer struct {
 	Status int
+	// Code stands in the place of the status, "" for Status.
+	Code string
 	// Type is the media type; "" states none.
 	Type string
 	Body string
@@ -19,7 +22,11 @@
 
 // text returns the answer of a replica to a request.
 func (a *Answer) text(replica, request string) string {
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\n", a.Status, http.StatusText(a.Status), request)
+	code := a.Code
+	if code == "" {
+		code = strconv.Itoa(a.Status)
+	}
+	head := fmt.Sprintf("HTTP/1.1 %s %s\r\nX-Request-Id: %s\r\n", code, http.StatusText(a.Status), request)
 	if !a.NoStamp {
 		head += "X-Server-Stamp: " + StampOf(replica, request) + "\r\n"
 	}
