configcheck: a comparison tells which routes' open jobs a version ends

A job keeps its route by the route's name; a version that renames the route, removes it or gives the name to another kind ends its open items. The check of a configuration named the change, and not what follows.

TestEndedJobsAreFound.

--- a/configcheck/compare.go
+++ b/configcheck/compare.go
@@ -9,15 +9,31 @@
 	"github.com/peridotmount/peridotmount/route"
 )
 
-// Compare returns what publishing next would change while current is in force, and a finding
-// if hosts would not adopt next.
+// Compare returns what publishing next would change while current is in force, and findings
+// if hosts would not adopt next, or if it would end accepted jobs.
 func Compare(current, next *route.Configuration) ([]Change, []route.Finding) {
 	d := &comparison{}
 	d.fields(route.PlaceConfiguration, configurationFields(current), configurationFields(next))
 	d.entries(routeEntries(current), routeEntries(next))
 	d.entries(serviceEntries(current), serviceEntries(next))
 	d.entries(workspaceEntries(current), workspaceEntries(next))
-	return d.changes, version(current, next, len(d.changes) > 0)
+	return d.changes, append(version(current, next, len(d.changes) > 0), endedJobs(current, next)...)
+}
+
+// endedJobs finds the routes whose open jobs end: a job keeps its route by the route's name.
+func endedJobs(current, next *route.Configuration) []route.Finding {
+	var out []route.Finding
+	for i := range current.Routes {
+		r := &current.Routes[i]
+		if r.Kind != route.Batch || next.JobRoute(r.Name, r.Host, r.Prefix) != nil {
+			continue
+		}
+		out = append(out, route.Finding{
+			Severity: route.Warning, Place: route.Place(route.EntryRoute, r.Name, i), Field: "name",
+			Text: "no route for batch jobs has this name any more; the open items of its jobs are given up",
+		})
+	}
+	return out
 }
 
 // version finds a version number that doesn't rise: hosts adopt only a higher one.
--- a/configcheck/compare_test.go
+++ b/configcheck/compare_test.go
@@ -73,3 +73,23 @@
 		expectFindings(t, findings, x.want)
 	}
 }
+
+// TestEndedJobsAreFound guards against a version that ends accepted jobs and is not told apart from one that leaves them.
+func TestEndedJobsAreFound(t *testing.T) {
+	ended := []string{`warning|route "lots"|name|open items`}
+	for _, x := range []struct {
+		name, old, with string
+		want            []string
+	}{
+		{"renamed", `"name":"lots"`, `"name":"others"`, ended},
+		{"of another kind", `"kind":"batch"`, `"kind":"safe"`, ended},
+		{"moved", `"path_prefix":"/lots/"`, `"path_prefix":"/moved/"`, nil},
+		{"of another service", `"target_latency_ms":500,"service":"m"`, `"target_latency_ms":500,"service":"n"`, nil},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			next := replaced(t, replaced(t, clean, `"version":7`, `"version":8`), x.old, x.with)
+			_, findings := Compare(decode(t, clean), decode(t, next))
+			expectFindings(t, findings, x.want)
+		})
+	}
+}
