upstream: a connection is used again only for the process that its call means

Read-through of what came before: a connection that was identified as leading to another process than that of an older record was used for calls that mean the newer one. Idle connections are chosen by what is known of their process, and a call through another host is checked strictly if the host that asks says so. Log lines bound the path that a caller chose; tests of invalid statuses share their endpoint.

--- a/batch/jobroute.go
+++ b/batch/jobroute.go
@@ -43,11 +43,14 @@
 	return objective, time.Duration(job.Submission.WindowMillis) * time.Millisecond
 }
 
+// maxLoggedPath bounds the path of a submission in log lines, in bytes, because callers choose it.
+const maxLoggedPath = 200
+
 // routeInputs returns, as fields of a log line, what the route of a job is looked up by: the route, host and
 // path in its record, and the version of the configuration with the route that this path selects there.
 func (l *Ledger) routeInputs(job *jobs.Job) []any {
 	sub := &job.Submission
-	fields := []any{"route", sub.Route, "submitted_to", sub.Host + sub.Path}
+	fields := []any{"route", sub.Route, "submitted_to", sub.Host + sub.Path[:min(len(sub.Path), maxLoggedPath)]}
 	config := l.opts.Configuration()
 	if config == nil {
 		return fields
--- a/detour/server.go
+++ b/detour/server.go
@@ -94,7 +94,7 @@
 			return
 		}
 		// The host that asks may know of versions that this one doesn't.
-		check.AtEnd = false
+		check.AtEnd, check.IdentifyNew = false, false
 	}
 	s.call(w, r, e, head, body, check)
 }
--- a/engine/status_test.go
+++ b/engine/status_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -16,11 +14,7 @@
 // the caller of a plain service, or that counts as a refusal of a stream, which would have not run.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, status := range rawhttp.InvalidStatuses() {
-		e, err := rawhttp.Start(func(c *net.TCPConn, req *http.Request, _ int) bool {
-			_, _ = io.Copy(io.Discard, req.Body)
-			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\nok")
-			return false
-		})
+		e, err := rawhttp.Start(rawhttp.AnswerStatus(status))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/httpjson/status_test.go
+++ b/httpjson/status_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -13,10 +11,7 @@
 // TestInvalidStatusIsNoAnswer guards against an answer whose status is none, such as 000, that is decoded as a success.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, status := range rawhttp.InvalidStatuses() {
-		server, err := rawhttp.Start(func(c *net.TCPConn, _ *http.Request, _ int) bool {
-			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" OK\r\nContent-Length: 16\r\n\r\n{\"text\":\"whole\"}")
-			return false
-		})
+		server, err := rawhttp.Start(rawhttp.AnswerStatus(status))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/relay/status_test.go
+++ b/relay/status_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -15,11 +13,7 @@
 // none, and against such an answer that is taken for one.
 func TestInvalidStatusIsNotRelayed(t *testing.T) {
 	for _, status := range rawhttp.InvalidStatuses() {
-		store, err := rawhttp.Start(func(c *net.TCPConn, req *http.Request, _ int) bool {
-			_, _ = io.Copy(io.Discard, req.Body)
-			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}")
-			return false
-		})
+		store, err := rawhttp.Start(rawhttp.AnswerStatus(status))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -24,16 +24,18 @@
 	// alive.
 	AtEnd bool
 	// IdentifyNew has it made on a new connection too, unless another open connection shows that the process still
-	// has the address. It has not to be passed: Response.OtherProcess tells.
+	// has the address. It need not be passed: Response.OtherProcess tells.
 	IdentifyNew bool
 }
 
-// first returns the check that a call begins with, or nil.
-func (c *Check) first() *Check {
-	if c == nil || c.AtEnd {
-		return nil
-	}
-	return c
+// beforeCall reports whether the check is made before a call.
+func (c *Check) beforeCall() bool {
+	return c != nil && (!c.AtEnd || c.IdentifyNew)
+}
+
+// admits reports whether a call may be made on a connection to a process without a further check.
+func (c *Check) admits(process string) bool {
+	return !c.beforeCall() || process == c.Process || c.IdentifyNew && process == otherThan(c.Process)
 }
 
 // aliveTimeout bounds the question whether a process is alive. A sound one may be silent for a second.
@@ -49,8 +51,10 @@
 // maxCheckBytes bounds the body of the response to a check, in bytes.
 const maxCheckBytes = 256 << 10
 
-// otherProcess marks a connection that leads to another process than the one that was meant.
-const otherProcess = "other"
+// otherThan marks a connection that leads to another process than the one that was meant.
+func otherThan(process string) string {
+	return "other than " + process
+}
 
 // alive returns an error unless the process that sent a response is still there: the one of a check, or without
 // a check any at that address. A process that is silent may be the next one; only an endpoint that resets
@@ -89,24 +93,20 @@
 	return x.check(ctx, c)
 }
 
-// passCheck makes the check of a call unless the connection has passed it.
+// passCheck makes the check of a call unless the connection has passed it, or another one shows that it would.
 func (x *exchange) passCheck(ctx context.Context, address string, c *Check) error {
-	switch {
-	case c == nil || x.conn.process == c.Process:
-		return nil
-	case !c.AtEnd:
-		return x.checkConnection(ctx, address, c)
-	case !c.IdentifyNew || x.conn.process != "":
+	if c.admits(x.conn.process) {
 		return nil
-	case x.pool.connectedTo(x.conn.key, c.Process):
+	}
+	if c.IdentifyNew && x.pool.connectedTo(x.conn.key, c.Process) {
 		x.conn.process = c.Process
 		return nil
 	}
 	err := x.checkConnection(ctx, address, c)
-	if !errors.Is(err, ErrOtherProcess) {
+	if !c.IdentifyNew || !errors.Is(err, ErrOtherProcess) {
 		return err
 	}
-	x.conn.process = otherProcess
+	x.conn.process = otherThan(c.Process)
 	return x.replaceClosing(ctx, address)
 }
 
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -26,8 +26,8 @@
 	began time.Time
 	// pool is told when the connection is closed.
 	pool *Pool
-	// process is that of the Check that the connection has passed, or that another connection showed; otherProcess
-	// if it leads to another one, "" if that is not known.
+	// process is that of the Check that the connection has passed, or that another connection showed; otherThan if
+	// it leads to another one, "" if that is not known.
 	process string
 	// closing is set if the endpoint closes the connection after a check.
 	closing bool
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -141,7 +141,7 @@
 // fresh ones always get a new one, and those with a check one that has passed it, or a new one.
 func (p *Pool) acquire(ctx context.Context, key, address string, call *Call) (*connection, error) {
 	if call.Request != "" && !call.Fresh {
-		for c := p.popIdle(key, call.Check.first()); c != nil; c = p.popIdle(key, call.Check.first()) {
+		for c := p.popIdle(key, call.Check); c != nil; c = p.popIdle(key, call.Check) {
 			if time.Now().Before(c.idleUntil) && c.usable() {
 				return c, nil
 			}
@@ -175,14 +175,13 @@
 	return conn, nil
 }
 
-// popIdle removes and returns the most recently used idle connection that has passed a check, or nil.
-// A nil check is passed by all.
+// popIdle removes and returns the most recently used idle connection that a check admits, or nil.
 func (p *Pool) popIdle(key string, check *Check) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
 	for i, c := range slices.Backward(conns) {
-		if check == nil || c.process == check.Process {
+		if check.admits(c.process) {
 			p.idle[key] = slices.Delete(conns, i, i+1)
 			return c
 		}
@@ -190,11 +189,8 @@
 	return nil
 }
 
-// track keeps a connection that carries a call, if it is known which process it leads to.
+// track keeps a connection of which it is known which process it leads to, until it is closed.
 func (p *Pool) track(c *connection) {
-	if c.process == "" || c.process == otherProcess {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.identified[c.key] == nil {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -51,7 +51,9 @@
 		}
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	p.track(x.conn)
+	if call.Check.beforeCall() && x.conn.process == call.Check.Process {
+		p.track(x.conn)
+	}
 	if len(call.Body) <= maxInlineBody {
 		x.write(req)
 		if x.writeErr != nil {
@@ -66,7 +68,7 @@
 	}
 	x.report(ctx, nil)
 	out := newResponse(x, resp)
-	out.OtherProcess = x.conn.process == otherProcess
+	out.OtherProcess = call.Check.beforeCall() && x.conn.process == otherThan(call.Check.Process)
 	out.ConfirmEnd(func() error {
 		if err := call.ConfirmEnd(); err != nil || !out.Open {
 			return err
