upstream: a check's answer may be the last on its connection, and behind informational ones

Change: behind a check the connection has to be usable, as one that is taken from the pool; informational responses before the check's answer are passed over.

--- a/upstream/check.go
+++ b/upstream/check.go
@@ -119,9 +119,10 @@
 	return x.replaceClosing(ctx, address)
 }
 
-// replaceClosing opens another connection in the place of one that the endpoint closes after the check.
+// replaceClosing opens another connection in the place of one that the endpoint closes after the check, also
+// if it does not say so.
 func (x *exchange) replaceClosing(ctx context.Context, address string) error {
-	if !x.conn.closing {
+	if !x.conn.closing && x.conn.usable() {
 		return nil
 	}
 	_ = x.conn.Close()
@@ -148,7 +149,7 @@
 	if err := req.Write(x.conn); err != nil {
 		return errors.Wrap(err, "send check")
 	}
-	resp, err := x.readHead(req)
+	resp, err := x.readFinalHead(req)
 	if err != nil {
 		return errors.Wrap(err, "check")
 	}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -162,6 +162,17 @@
 	return nil, errors.New("too many informational responses or responses to other requests")
 }
 
+// readFinalHead reads heads up to that of the first response that is not informational.
+func (x *exchange) readFinalHead(req *http.Request) (*http.Response, error) {
+	for range maxResponses {
+		resp, err := x.readHead(req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errors.New("too many informational responses")
+}
+
 // readHead reads the head of a response. It returns ErrTooLong if the head exceeds
 // maxHeadBytes or maxHeadFields, and httpstatus.ErrInvalid if its status is none.
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
