--- a/review/standins3/world_test.go
+++ b/review/standins3/world_test.go
@@ -342,6 +342,19 @@
 	return out
 }
 
+// noteRuns writes into the record what the replicas ran.
+func (w *world) noteRuns() {
+	for _, r := range w.replicas {
+		for _, run := range r.allRuns() {
+			ended := "it told no end"
+			if run.Ended > 0 {
+				ended = fmt.Sprintf("made %d events, ended at %.3f, %s", run.Events, w.at(time.Unix(0, run.Ended)), run.How)
+			}
+			w.note("%s ran %s behind event %d from %.3f on, %s", r.options.ID, run.Request, run.After, w.at(time.Unix(0, run.Begun)), ended)
+		}
+	}
+}
+
 // expire removes the entries of replicas that fell silent, as the platform does.
 func (w *world) expire() {
 	for range time.Tick(100 * time.Millisecond) {
